Lay out the workspace with the shared types of every crate

Cause: nothing stood yet; the parts can only grow side by side once the ids, numbers, notes and the inputs and outputs of the pure machines are agreed. Ruled out: leaving each crate to define its own ids, which would need conversions at every seam.

--- /dev/null
+++ b/gooseberryctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder, replaced as the crate grows.
+fn main() {}
--- /dev/null
+++ b/gooseberrylb/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder, replaced as the crate grows.
--- /dev/null
+++ b/gooseberrylb_config/src/directory.rs
@@ -0,0 +1,86 @@
+//! The configuration in force: what release notes have added up to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+use crate::note;
+use crate::number;
+
+/// The share of a service's traffic that a version takes, in parts of [`Share::WHOLE`].
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Share(pub u16);
+
+impl Share {
+    /// All of the traffic.
+    pub const WHOLE: Share = Share(10_000);
+    /// None of the traffic.
+    pub const NONE: Share = Share(0);
+}
+
+/// One instance as the control state knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The data centre that it is in.
+    pub data_centre: id::DataCentre,
+    /// The region that it is in.
+    pub region: id::Region,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Where other instances reach it.
+    pub peers: SocketAddr,
+    /// Whether it is leaving and takes no new callers.
+    pub leaving: bool,
+}
+
+/// Who schedules a service in a region, and who keeps copies of its claims.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The number of the view; a higher one fences off a lower one.
+    pub number: number::View,
+    /// The instance that grants.
+    pub scheduler: id::Instance,
+    /// The instances that must acknowledge each claim.
+    pub backups: Vec<id::Instance>,
+}
+
+/// Names one scheduler's domain: a service in a region.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Cell {
+    /// The service.
+    pub service: id::Service,
+    /// The region.
+    pub region: id::Region,
+}
+
+/// The configuration that every instance holds in memory and routes by.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Its number, raised by each accepted change.
+    pub revision: number::Revision,
+    /// The services.
+    pub services: BTreeMap<id::Service, note::Service>,
+    /// The client accounts.
+    pub accounts: BTreeMap<id::Account, note::Account>,
+    /// The models.
+    pub models: BTreeMap<id::Model, note::Model>,
+    /// The adapters.
+    pub adapters: BTreeMap<id::Adapter, note::Adapter>,
+    /// The upstreams.
+    pub upstreams: BTreeMap<id::Upstream, note::Upstream>,
+    /// The versions.
+    pub versions: BTreeMap<id::Version, note::Version>,
+    /// The share of its service's traffic that each version takes; without an entry, none.
+    pub shares: BTreeMap<id::Version, Share>,
+    /// The instances known to the system.
+    pub instances: BTreeMap<id::Instance, Instance>,
+    /// The view of each scheduler's domain, as a list since JSON has no structured keys.
+    pub views: Vec<(Cell, View)>,
+}
--- /dev/null
+++ b/gooseberrylb_control/src/journal.rs
@@ -0,0 +1,1 @@
+//! The disk side of the control state. Written by the implementation.
