Read settings and notes with all findings, check notes against the configuration, and send deltas

A deserializer stops at the first error, so a reader of our own over the parsed document goes on and keeps the place of each value. Notes are checked alone when parsed and against the configuration when submitted.

--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -9,6 +9,15 @@
 use crate::note;
 use crate::number;
 
+mod check;
+mod delta;
+mod query;
+mod update;
+
+pub use check::Moving;
+pub use delta::{Delta, Gap};
+pub use query::Serving;
+
 /// The share of a service's traffic that a version takes, in parts of [`Share::WHOLE`].
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- /dev/null
+++ b/gooseberrylb_config/src/directory/delta.rs
@@ -0,0 +1,132 @@
+//! What differs between two configurations, so that an instance is sent changes and not the whole.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::{Cell, Directory, Instance, Share, View};
+use crate::{id, note, number};
+
+/// The changes of one kind of thing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(bound(
+    serialize = "K: Serialize, V: Serialize",
+    deserialize = "K: Deserialize<'de>, V: Deserialize<'de>"
+))]
+struct Changes<K, V> {
+    /// What is new or described anew.
+    set: Vec<(K, V)>,
+    /// What is gone.
+    removed: Vec<K>,
+}
+
+impl<K: Ord + Clone, V: PartialEq + Clone> Changes<K, V> {
+    fn between(older: &BTreeMap<K, V>, newer: &BTreeMap<K, V>) -> Self {
+        let set = newer
+            .iter()
+            .filter(|(key, value)| older.get(key) != Some(value))
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect();
+        let removed = older
+            .keys()
+            .filter(|key| !newer.contains_key(key))
+            .cloned()
+            .collect();
+        Self { set, removed }
+    }
+
+    fn apply(&self, map: &mut BTreeMap<K, V>) {
+        for key in &self.removed {
+            map.remove(key);
+        }
+        map.extend(self.set.iter().cloned());
+    }
+}
+
+/// What turns the configuration of one revision into that of a later one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The revision that the changes apply to.
+    pub from: number::Revision,
+    /// The revision that they lead to.
+    pub to: number::Revision,
+    /// Changes of services.
+    services: Changes<id::Service, note::Service>,
+    /// Changes of client accounts.
+    accounts: Changes<id::Account, note::Account>,
+    /// Changes of models.
+    models: Changes<id::Model, note::Model>,
+    /// Changes of adapters.
+    adapters: Changes<id::Adapter, note::Adapter>,
+    /// Changes of upstreams.
+    upstreams: Changes<id::Upstream, note::Upstream>,
+    /// Changes of versions.
+    versions: Changes<id::Version, note::Version>,
+    /// Changes of shares.
+    shares: Changes<id::Version, Share>,
+    /// Changes of instances.
+    instances: Changes<id::Instance, Instance>,
+    /// Changes of views.
+    views: Changes<Cell, View>,
+}
+
+/// A delta does not begin where the configuration stands, so the whole must be asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the changes begin at revision {from}, and revision {have} is held")]
+pub struct Gap {
+    /// The revision held.
+    pub have: number::Revision,
+    /// The revision that the delta begins at.
+    pub from: number::Revision,
+}
+
+impl Directory {
+    /// What turns this configuration into `newer`.
+    pub fn diff(&self, newer: &Directory) -> Delta {
+        Delta {
+            from: self.revision,
+            to: newer.revision,
+            services: Changes::between(&self.services, &newer.services),
+            accounts: Changes::between(&self.accounts, &newer.accounts),
+            models: Changes::between(&self.models, &newer.models),
+            adapters: Changes::between(&self.adapters, &newer.adapters),
+            upstreams: Changes::between(&self.upstreams, &newer.upstreams),
+            versions: Changes::between(&self.versions, &newer.versions),
+            shares: Changes::between(&self.shares, &newer.shares),
+            instances: Changes::between(&self.instances, &newer.instances),
+            views: Changes::between(&views(self), &views(newer)),
+        }
+    }
+
+    /// Applies changes that begin at this revision. Changes that lead to no later revision are
+    /// passed over, so that messages which come twice or late never take the configuration back.
+    pub fn apply(&mut self, delta: &Delta) -> Result<(), Gap> {
+        if delta.to <= self.revision {
+            return Ok(());
+        }
+        if delta.from != self.revision {
+            return Err(Gap {
+                have: self.revision,
+                from: delta.from,
+            });
+        }
+        delta.services.apply(&mut self.services);
+        delta.accounts.apply(&mut self.accounts);
+        delta.models.apply(&mut self.models);
+        delta.adapters.apply(&mut self.adapters);
+        delta.upstreams.apply(&mut self.upstreams);
+        delta.versions.apply(&mut self.versions);
+        delta.shares.apply(&mut self.shares);
+        delta.instances.apply(&mut self.instances);
+        let mut views = views(self);
+        delta.views.apply(&mut views);
+        self.views = views.into_iter().collect();
+        self.revision = delta.to;
+        Ok(())
+    }
+}
+
+fn views(directory: &Directory) -> BTreeMap<Cell, View> {
+    directory.views.iter().cloned().collect()
+}
--- /dev/null
+++ b/gooseberrylb_config/src/directory/update.rs
@@ -0,0 +1,97 @@
+//! What a release note makes of the configuration.
+
+use super::{Directory, Share};
+use crate::{id, note};
+
+impl Directory {
+    /// The configuration with a note applied, under the same revision: that is the caller's to
+    /// raise. The note must have passed [`Directory::check`].
+    pub fn with_note(&self, note: &note::Note) -> Directory {
+        let mut next = self.clone();
+        for version in &note.withdrawn.versions {
+            next.give_back(self, version, &note.withdrawn.versions);
+        }
+        next.withdraw(&note.withdrawn);
+        next.describe(&note.changed);
+        next.describe(&note.added);
+        for version in &note.added.versions {
+            if version.replaces.is_none() {
+                next.shares.insert(version.name.clone(), Share::WHOLE);
+            }
+        }
+        next
+    }
+
+    /// Gives the share of a withdrawn version to the nearest version before it that stays.
+    fn give_back(&mut self, before: &Directory, version: &id::Version, withdrawn: &[id::Version]) {
+        let share = before.share(version);
+        self.shares.remove(version);
+        if share == Share::NONE {
+            return;
+        }
+        if let Some(heir) = before.predecessor(version, withdrawn) {
+            let sum = self.share(&heir).0.saturating_add(share.0);
+            let sum = Share(sum.min(Share::WHOLE.0));
+            self.shares.insert(heir, sum);
+        }
+    }
+
+    /// The nearest version that `version` replaced, directly or through others, and that stays.
+    fn predecessor(&self, version: &id::Version, withdrawn: &[id::Version]) -> Option<id::Version> {
+        let mut current = version;
+        for _ in 0..self.versions.len() {
+            current = self.versions.get(current)?.replaces.as_ref()?;
+            if !withdrawn.contains(current) {
+                return self.versions.contains_key(current).then(|| current.clone());
+            }
+        }
+        None
+    }
+
+    fn withdraw(&mut self, withdrawn: &note::Withdrawals) {
+        for name in &withdrawn.services {
+            self.services.remove(name);
+            self.views.retain(|(cell, _)| cell.service != *name);
+        }
+        for name in &withdrawn.client_accounts {
+            self.accounts.remove(name);
+        }
+        for name in &withdrawn.models {
+            self.models.remove(name);
+        }
+        for name in &withdrawn.adapters {
+            self.adapters.remove(name);
+        }
+        for name in &withdrawn.versions {
+            self.versions.remove(name);
+        }
+        for name in &withdrawn.upstreams {
+            self.upstreams.remove(name);
+            for version in self.versions.values_mut() {
+                version.upstreams.retain(|upstream| upstream != name);
+            }
+        }
+    }
+
+    fn describe(&mut self, changes: &note::Changes) {
+        for service in &changes.services {
+            self.services.insert(service.name.clone(), service.clone());
+        }
+        for account in &changes.client_accounts {
+            self.accounts.insert(account.name.clone(), account.clone());
+        }
+        for model in &changes.models {
+            self.models.insert(model.name.clone(), model.clone());
+        }
+        for adapter in &changes.adapters {
+            self.adapters.insert(adapter.name.clone(), adapter.clone());
+        }
+        for upstream in &changes.upstreams {
+            let name = upstream.name.clone();
+            self.upstreams.insert(name, upstream.clone());
+        }
+        for version in &changes.versions {
+            self.versions.insert(version.name.clone(), version.clone());
+        }
+    }
+}
--- a/gooseberrylb_config/src/lib.rs
+++ b/gooseberrylb_config/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod id;
 pub mod note;
 pub mod number;
+mod reader;
 pub mod settings;
--- a/gooseberrylb_config/src/note.rs
+++ b/gooseberrylb_config/src/note.rs
@@ -1,13 +1,20 @@
 //! Release notes: what operators add, change and withdraw. The format is told in `docs/NOTES.md`.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::SystemTime;
 
 use serde::{Deserialize, Serialize};
 
+use crate::finding::Findings;
 use crate::id;
 use crate::number;
+use crate::reader::{self, read_object};
+
+mod check;
+pub mod time;
 
 /// Whether an upstream or a service speaks the engines' protocol or is passed requests as they are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -201,4 +208,99 @@
 #[serde(transparent)]
 pub struct Digest(pub Arc<str>);
 
-pub mod time;
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The text names no kind of service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the kinds are engine and plain")]
+pub struct UnknownKind;
+
+impl FromStr for Kind {
+    type Err = UnknownKind;
+
+    fn from_str(text: &str) -> Result<Self, UnknownKind> {
+        match text {
+            "engine" => Ok(Kind::Engine),
+            "plain" => Ok(Kind::Plain),
+            _ => Err(UnknownKind),
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Kind::Engine => "engine",
+            Kind::Plain => "plain",
+        })
+    }
+}
+
+read_object!(Route {
+    name,
+    tier,
+    repeatable
+});
+read_object!(Service { name, kind, routes });
+read_object!(Account { name, share = one_share() });
+read_object!(Model { name, bytes });
+read_object!(Adapter { name, model, bytes });
+read_object!(Upstream {
+    name,
+    service,
+    kind,
+    address,
+    data_centre,
+    slots,
+    checks_fencing = false,
+});
+read_object!(Version {
+    name,
+    service,
+    upstreams,
+    replaces = None,
+    model = None,
+    adapter = None,
+    move_by = None,
+});
+read_object!(Changes {
+    services = Vec::new(),
+    client_accounts = Vec::new(),
+    models = Vec::new(),
+    adapters = Vec::new(),
+    upstreams = Vec::new(),
+    versions = Vec::new(),
+});
+read_object!(Withdrawals {
+    services = Vec::new(),
+    client_accounts = Vec::new(),
+    models = Vec::new(),
+    adapters = Vec::new(),
+    upstreams = Vec::new(),
+    versions = Vec::new(),
+});
+read_object!(Note {
+    note,
+    author,
+    added = Changes::default(),
+    changed = Changes::default(),
+    withdrawn = Withdrawals::default(),
+});
+
+impl Note {
+    /// Reads a note from JSON with comments and checks what can be checked without knowing the
+    /// configuration that it applies to.
+    pub fn parse(text: &str) -> Result<Self, Findings> {
+        reader::parse(text, Self::check)
+    }
+
+    /// The digest of the content, which comments and the order of fields do not change.
+    pub fn digest(&self) -> Digest {
+        let canonical = serde_json::to_vec(self).expect("a note has only text keys");
+        Digest(Arc::from(blake3::hash(&canonical).to_hex().as_str()))
+    }
+}
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -1,28 +1,31 @@
 //! An instance's settings, read from one file of JSON with comments and checked as a whole.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-
-use serde::Deserialize;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
 
+use crate::finding::Findings;
 use crate::id;
+use crate::reader::{self, read_object};
+
+pub mod secret;
+
+pub use secret::Secret;
 
 /// Another instance that this one may call on.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
     /// The peer's name.
     pub name: id::Instance,
     /// Where it listens for other instances.
     pub address: SocketAddr,
     /// Whether it is one of the voters that form the cluster at first start.
-    #[serde(default)]
     pub voter: bool,
 }
 
 /// What is logged, and where to.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Log {
     /// The least severe level written: `error`, `warn`, `info`, `debug` or `trace`.
     pub level: Level,
@@ -40,8 +43,7 @@
 }
 
 /// How severe a log line is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Level {
     /// What an operator must act on.
     Error,
@@ -56,8 +58,7 @@
 }
 
 /// The bounds that keep an instance from being exhausted by its callers.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
     /// The largest request body accepted, in bytes.
     pub body_bytes: usize,
@@ -90,8 +91,7 @@
 }
 
 /// The settings of one instance.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// The instance's name, unlike that of every other instance.
     pub name: id::Instance,
@@ -106,22 +106,225 @@
     /// Where it listens for other instances.
     pub peers_listen: SocketAddr,
     /// The instances that it may call on; its own entry may stand among them.
-    #[serde(default)]
     pub peers: Vec<Peer>,
     /// The folder for durable state; an instance without one never votes.
-    #[serde(default)]
     pub data_folder: Option<PathBuf>,
     /// The file that holds the cluster's key.
     pub cluster_key_file: PathBuf,
     /// The file that holds the operators' token.
     pub operator_token_file: PathBuf,
     /// Where the weight store listens.
-    #[serde(default)]
     pub weight_store: Option<SocketAddr>,
     /// What is logged, and where to.
-    #[serde(default)]
     pub log: Log,
     /// The bounds on what callers may use.
-    #[serde(default)]
     pub limits: Limits,
 }
+
+read_object!(Peer { name, address, voter = false });
+read_object!(Log {
+    level = Log::default().level,
+    file = None,
+});
+read_object!(Limits {
+    body_bytes = Limits::default().body_bytes,
+    connections = Limits::default().connections,
+    receive_ms = Limits::default().receive_ms,
+    idle_ms = Limits::default().idle_ms,
+    timeout_ms = Limits::default().timeout_ms,
+    addresses_ttl_ms = Limits::default().addresses_ttl_ms,
+    drain_ms = Limits::default().drain_ms,
+});
+read_object!(Settings {
+    name,
+    data_centre,
+    region,
+    callers,
+    operators,
+    peers_listen,
+    peers = Vec::new(),
+    data_folder = None,
+    cluster_key_file,
+    operator_token_file,
+    weight_store = None,
+    log = Log::default(),
+    limits = Limits::default(),
+});
+
+impl FromStr for Level {
+    type Err = UnknownLevel;
+
+    fn from_str(text: &str) -> Result<Self, UnknownLevel> {
+        match text {
+            "error" => Ok(Level::Error),
+            "warn" => Ok(Level::Warn),
+            "info" => Ok(Level::Info),
+            "debug" => Ok(Level::Debug),
+            "trace" => Ok(Level::Trace),
+            _ => Err(UnknownLevel),
+        }
+    }
+}
+
+/// The text names no log level.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the levels are error, warn, info, debug and trace")]
+pub struct UnknownLevel;
+
+impl Settings {
+    /// Reads settings from text, without looking at the files that they name.
+    pub fn parse(text: &str) -> Result<Self, Findings> {
+        reader::parse(text, Self::check)
+    }
+
+    /// Reads the file at `path` and looks at the files and folders that it names; paths in it are
+    /// relative to its own folder, so that it means the same wherever the process is started.
+    pub fn load(path: &Path) -> Result<Self, Findings> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            let mut findings = Findings::new();
+            findings.add(
+                path.display().to_string(),
+                format!("cannot be read: {error}"),
+            );
+            findings
+        })?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        let settings = reader::parse(&text, |settings: &Settings| {
+            let mut findings = settings.check();
+            findings.extend(settings.clone().with_base(folder).check_files());
+            findings
+        })?;
+        Ok(settings.with_base(folder))
+    }
+
+    /// Takes relative paths as relative to `folder`.
+    fn with_base(mut self, folder: &Path) -> Self {
+        self.cluster_key_file = folder.join(&self.cluster_key_file);
+        self.operator_token_file = folder.join(&self.operator_token_file);
+        self.data_folder = self.data_folder.map(|path| folder.join(path));
+        self.log.file = self.log.file.map(|path| folder.join(path));
+        self
+    }
+
+    /// The cluster's key, which peers prove to each other that they hold.
+    pub fn cluster_key(&self) -> Result<Secret, secret::Error> {
+        Secret::read(&self.cluster_key_file)
+    }
+
+    /// The token that operators must send.
+    pub fn operator_token(&self) -> Result<Secret, secret::Error> {
+        Secret::read(&self.operator_token_file)
+    }
+
+    fn check(&self) -> Findings {
+        let mut findings = Findings::new();
+        self.check_addresses(&mut findings);
+        self.check_peers(&mut findings);
+        self.limits.check(&mut findings);
+        findings
+    }
+
+    fn check_addresses(&self, findings: &mut Findings) {
+        let listeners = [
+            ("callers", self.callers),
+            ("operators", self.operators),
+            ("peers_listen", self.peers_listen),
+        ];
+        for (i, (place, address)) in listeners.iter().enumerate() {
+            if address.ip().is_unspecified() {
+                findings.add(
+                    *place,
+                    "the address is told to others, so it must be a definite one",
+                );
+            }
+            let earlier = listeners[..i].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = earlier.filter(|_| address.port() != 0) {
+                findings.add(*place, format!("{address} is the address of {other} too"));
+            }
+        }
+    }
+
+    fn check_peers(&self, findings: &mut Findings) {
+        let mut names = BTreeMap::new();
+        let mut addresses = BTreeMap::new();
+        for (i, peer) in self.peers.iter().enumerate() {
+            if let Some(first) = names.insert(&peer.name, i) {
+                let message = format!("{} is the name of peers[{first}] too", peer.name);
+                findings.add(format!("peers[{i}].name"), message);
+            }
+            let place = format!("peers[{i}].address");
+            if let Some(first) = addresses.insert(peer.address, i) {
+                let message = format!("{} is the address of peers[{first}] too", peer.address);
+                findings.add(place.as_str(), message);
+            }
+            if peer.address.port() == 0 || peer.address.ip().is_unspecified() {
+                findings.add(place.as_str(), "a peer needs a definite address and port");
+            }
+            if peer.name == self.name && peer.address != self.peers_listen {
+                let message = format!("the entry of {} differs from peers_listen", self.name);
+                findings.add(place.as_str(), message);
+            } else if peer.name != self.name && peer.address == self.peers_listen {
+                findings.add(place.as_str(), "this is the address of peers_listen too");
+            }
+        }
+        let votes = |peer: &&Peer| peer.voter && peer.name == self.name;
+        if self.data_folder.is_none() && self.peers.iter().any(|peer| votes(&peer)) {
+            findings.add("data_folder", "a voter needs a data folder");
+        }
+    }
+
+    fn check_files(&self) -> Findings {
+        let mut findings = Findings::new();
+        if let Err(error) = self.cluster_key() {
+            findings.add("cluster_key_file", error.to_string());
+        }
+        if let Err(error) = self.operator_token() {
+            findings.add("operator_token_file", error.to_string());
+        }
+        if let Some(folder) = &self.data_folder {
+            check_writable(folder, "data_folder", &mut findings);
+        }
+        if let Some(folder) = self.log.file.as_deref().and_then(Path::parent) {
+            check_writable(folder, "log.file", &mut findings);
+        }
+        findings
+    }
+}
+
+/// The name of the file made and removed to learn whether a folder can be written to.
+const PROBE_FILE: &str = ".gooseberrylb-probe";
+
+fn check_writable(folder: &Path, place: &str, findings: &mut Findings) {
+    let shown = folder.display();
+    if !folder.is_dir() {
+        findings.add(place, format!("there is no folder {shown}"));
+        return;
+    }
+    let probe = folder.join(PROBE_FILE);
+    let written = std::fs::write(&probe, b"").and_then(|()| std::fs::remove_file(&probe));
+    if let Err(error) = written {
+        findings.add(
+            place,
+            format!("the folder {shown} cannot be written to: {error}"),
+        );
+    }
+}
+
+impl Limits {
+    fn check(&self, findings: &mut Findings) {
+        let limits = [
+            ("body_bytes", self.body_bytes as u64),
+            ("connections", self.connections as u64),
+            ("receive_ms", self.receive_ms),
+            ("idle_ms", self.idle_ms),
+            ("timeout_ms", self.timeout_ms),
+            ("addresses_ttl_ms", self.addresses_ttl_ms),
+            ("drain_ms", self.drain_ms),
+        ];
+        for (name, value) in limits {
+            if value == 0 {
+                findings.add(format!("limits.{name}"), "the limit must not be zero");
+            }
+        }
+    }
+}
