Add the links between processes, and the control and traffic threads

Cause: the pure machines need processes around them; this is the daemon's half without entries. Ruled out: one thread for both planes, since a burst of requests would then delay heartbeats.

--- /dev/null
+++ b/gooseberrylb/src/control.rs
@@ -0,0 +1,161 @@
+//! The thread that holds this instance's part of the control state, and the handle by which the
+//! other threads ask it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+use async_channel::{Receiver, Sender};
+use futures::channel::oneshot;
+use gooseberrylb_config::clock::Clock;
+use gooseberrylb_config::directory;
+use gooseberrylb_config::id;
+use gooseberrylb_config::settings::Settings;
+use gooseberrylb_control::journal::{Journal, Recovered};
+use gooseberrylb_control::state::{Command, Reply};
+use gooseberrylb_wire::handshake::Key;
+use gooseberrylb_wire::message::Holding;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::published::Published;
+
+mod core;
+mod disk;
+mod feed;
+mod follow;
+mod lead;
+mod links;
+mod peers;
+mod query;
+mod rpc;
+mod thread;
+
+pub use peers::Accepted;
+pub use query::{Answer, Question};
+pub use thread::spawn;
+
+/// Who this instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name.
+    pub name: id::Instance,
+    /// Its start, as milliseconds since 1970.
+    pub incarnation: u64,
+    /// Its addresses and place.
+    pub instance: directory::Instance,
+    /// The cluster's key.
+    pub key: Key,
+}
+
+/// Why the control state did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Failure {
+    /// No leader could be reached in time.
+    #[error("no leader could be reached; whether the command was accepted is not known")]
+    Unreachable,
+    /// The asked instance does not lead.
+    #[error("this instance does not lead")]
+    NotLeader {
+        /// Where the leader listens for other instances, as far as it is known.
+        leader: Option<SocketAddr>,
+    },
+    /// The voters' disks are full.
+    #[error("the voters' disks take no more entries")]
+    Full,
+    /// The command is larger than an entry may be.
+    #[error("the command cannot be encoded: {0}")]
+    Encoding(Arc<str>),
+}
+
+/// What other threads ask of the control thread.
+pub enum Ask {
+    /// To have a command accepted by the voters.
+    Propose {
+        /// The command.
+        command: Box<Command>,
+        /// Where the reply goes.
+        reply: oneshot::Sender<Result<Reply, Failure>>,
+    },
+    /// To read the leader's state.
+    Query {
+        /// What is to be read.
+        question: Question,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Result<Answer, Failure>>,
+    },
+}
+
+/// What other threads tell the leader through this instance's reports.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// The requests held for callers.
+    pub load: AtomicU32,
+    /// Whether a planned stop is under way.
+    pub leaving: AtomicBool,
+    /// The cells whose claims this instance holds.
+    pub holds: Mutex<Vec<Holding>>,
+}
+
+/// Asks the control thread from any other thread.
+#[derive(Clone)]
+pub struct Handle {
+    asks: Sender<Ask>,
+    /// What goes into this instance's reports.
+    pub shared: Arc<Shared>,
+}
+
+impl Handle {
+    /// Makes a handle, and the end that the control thread reads.
+    pub fn new() -> (Self, Receiver<Ask>) {
+        let (asks, receiver) = async_channel::bounded(1024);
+        (Self { asks, shared: Arc::default() }, receiver)
+    }
+
+    /// Has a command accepted by the voters; commands are idempotent, so that asking again is safe.
+    pub async fn propose(&self, command: Command) -> Result<Reply, Failure> {
+        let (reply, answer) = oneshot::channel();
+        let command = Box::new(command);
+        self.ask(Ask::Propose { command, reply }).await?;
+        answer.await.unwrap_or(Err(Failure::Unreachable))
+    }
+
+    /// Reads the leader's state.
+    pub async fn query(&self, question: Question) -> Result<Answer, Failure> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Ask::Query { question, reply }).await?;
+        answer.await.unwrap_or(Err(Failure::Unreachable))
+    }
+
+    /// Tells the leader that this instance leaves.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
+    async fn ask(&self, ask: Ask) -> Result<(), Failure> {
+        self.asks.send(ask).await.map_err(|_| Failure::Unreachable)
+    }
+}
+
+/// What the control thread is started with.
+pub struct Start {
+    /// The settings.
+    pub settings: Arc<Settings>,
+    /// Who this instance is.
+    pub identity: Identity,
+    /// The journal and what it held, where this instance has a disk.
+    pub journal: Option<(Journal, Recovered)>,
+    /// The listener for other instances.
+    pub listener: std::net::TcpListener,
+    /// Where links for traffic go once their handshake is done.
+    pub traffic: Sender<Accepted>,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// Where the configuration is published.
+    pub published: Published,
+    /// What other threads ask.
+    pub asks: Receiver<Ask>,
+    /// What goes into this instance's reports.
+    pub shared: Arc<Shared>,
+}
--- /dev/null
+++ b/gooseberrylb/src/control/feed.rs
@@ -0,0 +1,66 @@
+//! The configuration as this instance holds it, with the last changes for those that follow it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use gooseberrylb_config::directory::{Delta, Directory};
+use gooseberrylb_config::number::Revision;
+use gooseberrylb_wire::message::News;
+
+/// How many changes are kept; a follower that lacks more gets the whole configuration.
+const KEPT_CHANGES: usize = 256;
+
+/// The configuration and its last changes; it never goes back.
+#[derive(Debug, Default)]
+pub struct Feed {
+    directory: Arc<Directory>,
+    changes: VecDeque<(Revision, Delta)>,
+}
+
+impl Feed {
+    /// The configuration.
+    pub fn directory(&self) -> &Arc<Directory> {
+        &self.directory
+    }
+
+    /// Takes a whole configuration, if it is newer; says whether it was.
+    pub fn take(&mut self, newer: &Directory) -> bool {
+        if newer.revision <= self.directory.revision {
+            return false;
+        }
+        let change = self.directory.diff(newer);
+        self.remember(change);
+        self.directory = Arc::new(newer.clone());
+        true
+    }
+
+    /// Takes one change, if it follows what is held; says whether it did.
+    pub fn follow(&mut self, change: &Delta) -> bool {
+        let mut next = (*self.directory).clone();
+        if next.apply(change).is_err() || next.revision <= self.directory.revision {
+            return false;
+        }
+        self.remember(change.clone());
+        self.directory = Arc::new(next);
+        true
+    }
+
+    /// What a follower lacks that holds `since`.
+    pub fn news(&self, since: Revision) -> News {
+        if since >= self.directory.revision {
+            return News::None;
+        }
+        let first = self.changes.iter().position(|(base, _)| *base == since);
+        match first {
+            Some(at) => News::Changes(self.changes.iter().skip(at).map(|(_, d)| d.clone()).collect()),
+            None => News::Whole(Box::new((*self.directory).clone())),
+        }
+    }
+
+    fn remember(&mut self, change: Delta) {
+        self.changes.push_back((self.directory.revision, change));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb/src/control/follow.rs
@@ -0,0 +1,330 @@
+//! How the configuration reaches every instance, and how each proves that its copy is fresh.
+//!
+//! Each instance reports to the leader, or to a relay that does, and the answer brings what it lacks
+//! and a lease. The lease counts from when the report was sent, so that no clocks are compared; a
+//! relay hands on no more than is left of its own. `docs/DESIGN.md` tells what the lease guards.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::{future, task};
+use gooseberrylb_config::id;
+use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_wire::codec;
+use gooseberrylb_wire::message::{News, Report, Update};
+
+use super::core::{Core, Source};
+use crate::metrics::METRICS;
+
+/// How long a configuration may be acted on after the leader last proved that it is the newest.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// How long the leader holds an answer that would bring nothing new.
+const HOLD: Duration = Duration::from_millis(500);
+
+/// How long a follower waits for an answer before it tries elsewhere.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The pause after a report that got no lease.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The pause between two reports when the last was answered at once.
+const REPORT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How many instances follow the leader itself; beyond that, relays carry the configuration.
+pub const MAX_DIRECT: usize = 24;
+
+/// What the leader or a relay knows of one follower.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    /// Its last report.
+    pub report: Report,
+    /// When it came.
+    pub heard: Instant,
+    /// The end of the last lease that it may hold, by this instance's clock.
+    pub lease_until: Instant,
+}
+
+/// Those that follow this instance, themselves or through a relay.
+#[derive(Debug, Default)]
+pub struct Followers(BTreeMap<id::Instance, Follower>);
+
+impl Followers {
+    /// Takes in a report and those that came with it.
+    fn hear(&mut self, mut report: Report, now: Instant) {
+        for child in std::mem::take(&mut report.children) {
+            self.hear(child, now);
+        }
+        let lease_until = now + LEASE;
+        let follower = Follower { report, heard: now, lease_until };
+        self.0.insert(follower.report.name.clone(), follower);
+    }
+
+    /// What is known of one follower.
+    pub fn get(&self, name: &id::Instance) -> Option<&Follower> {
+        self.0.get(name)
+    }
+
+    /// All followers.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::Instance, &Follower)> {
+        self.0.iter()
+    }
+
+    /// Forgets all followers.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    fn loads(&self) -> Vec<(id::Instance, u32)> {
+        self.0.iter().map(|(name, f)| (name.clone(), f.report.load)).collect()
+    }
+
+    /// Takes out the reports that are to be passed on.
+    fn take_reports(&mut self) -> Vec<Report> {
+        std::mem::take(&mut self.0).into_values().map(|f| f.report).collect()
+    }
+}
+
+/// Answers a follower's report: as the leader, as a relay, or by naming another to ask.
+pub async fn answer(core: &Rc<Core>, report: Report) -> Update {
+    if other_cluster(core, &report) {
+        log::warn!("{} belongs to another cluster and is refused", report.name);
+        return Update::Ask { address: None };
+    }
+    if core.is_leading() { lead(core, report).await } else { relay(core, report).await }
+}
+
+fn other_cluster(core: &Core, report: &Report) -> bool {
+    match (core.cluster(), report.cluster) {
+        (Some(own), Some(other)) => own != other,
+        _ => false,
+    }
+}
+
+async fn lead(core: &Rc<Core>, report: Report) -> Update {
+    if let Some(address) = relay_for(core, &report.name) {
+        return Update::Ask { address: Some(address) };
+    }
+    let held = report.revision;
+    core.followers.borrow_mut().hear(report.clone(), core.clock.now());
+    wait_for_news(core, held).await;
+    // The lease is checked after the wait, and the answer is made in the same step: a leader that
+    // was frozen meanwhile grants nothing.
+    if !core.is_leading() {
+        return Update::Ask { address: None };
+    }
+    core.followers.borrow_mut().hear(report, core.clock.now());
+    let Some(cluster) = core.cluster() else {
+        return Update::Ask { address: None };
+    };
+    Update::Fresh {
+        cluster,
+        leader: core.identity.name.clone(),
+        term: core.status().map_or(Term(0), |status| status.term),
+        lease: LEASE,
+        news: core.feed.borrow().news(held),
+        loads: core.followers.borrow().loads(),
+    }
+}
+
+async fn relay(core: &Rc<Core>, report: Report) -> Update {
+    let leader = core.published().leader.clone();
+    let elsewhere = || Update::Ask { address: leader.and_then(|name| core.address_of(&name)) };
+    if core.feed.borrow().directory().instances.len() <= MAX_DIRECT {
+        return elsewhere();
+    }
+    let held = report.revision;
+    core.followers.borrow_mut().hear(report, core.clock.now());
+    wait_for_news(core, held).await;
+    let published = core.published();
+    let left = published.fresh_until.map(|end| end.saturating_duration_since(core.clock.now()));
+    match (left, &published.leader, published.cluster) {
+        (Some(lease), Some(leader), Some(cluster)) if !lease.is_zero() => Update::Fresh {
+            cluster,
+            leader: leader.clone(),
+            term: published.term,
+            lease,
+            news: core.feed.borrow().news(held),
+            loads: published.loads.iter().map(|(name, load)| (name.clone(), *load)).collect(),
+        },
+        _ => elsewhere(),
+    }
+}
+
+async fn wait_for_news(core: &Core, held: Revision) {
+    if core.feed.borrow().directory().revision <= held {
+        core.changed(HOLD).await;
+    }
+}
+
+/// The relay that an instance is to follow, where the fleet is too large to follow the leader.
+///
+/// The instances in order of their names fall into groups of about the square root of their number;
+/// the first of each group that the leader hears follows the leader, and the group follows it.
+fn relay_for(core: &Core, name: &id::Instance) -> Option<SocketAddr> {
+    let feed = core.feed.borrow();
+    let instances = &feed.directory().instances;
+    if instances.len() <= MAX_DIRECT {
+        return None;
+    }
+    let group_size = instances.len().isqrt() + 1;
+    let position = instances.keys().position(|n| n == name)?;
+    let group = instances.keys().skip(position - position % group_size).take(group_size);
+    let followers = core.followers.borrow();
+    let now = core.clock.now();
+    let alive = |n: &&id::Instance| {
+        followers.get(n).is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
+    };
+    let head = group.into_iter().find(alive)?;
+    if head == name {
+        return None;
+    }
+    core.address_of(head)
+}
+
+/// Reports to the leader, or to whom it names, for as long as the instance runs.
+pub async fn follow(core: Rc<Core>) {
+    let mut target = Target::new(&core);
+    loop {
+        let started = core.clock.now();
+        match report_once(&core, &target).await {
+            Some(Update::Fresh { cluster, leader, term, lease, news, loads }) => {
+                let source = Source { leader, term, cluster, loads: loads.into_iter().collect() };
+                let fresh = take(&core, source, news, started + lease);
+                if !fresh {
+                    task::sleep(RETRY_PAUSE).await;
+                }
+            }
+            Some(Update::Ask { address }) => {
+                target.redirect(&core, address);
+                task::sleep(RETRY_PAUSE).await;
+            }
+            None => {
+                target.advance(&core);
+                task::sleep(RETRY_PAUSE).await;
+            }
+        }
+        METRICS.fresh.set(i64::from(core.published().is_fresh(core.clock.now())));
+        task::sleep(REPORT_PAUSE).await;
+    }
+}
+
+/// Takes in what the leader sent; says whether the configuration is now as new as the leader's.
+fn take(core: &Core, source: Source, news: News, fresh_until: Instant) -> bool {
+    if core.cluster().is_some_and(|own| own != source.cluster) {
+        log::warn!("the leader {} belongs to another cluster and is refused", source.leader);
+        return false;
+    }
+    let whole = {
+        let mut feed = core.feed.borrow_mut();
+        match news {
+            News::None => true,
+            // A voter may have applied some of the changes itself by now.
+            News::Changes(changes) => changes
+                .iter()
+                .filter(|change| change.to > feed.directory().revision)
+                .cloned()
+                .collect::<Vec<_>>()
+                .iter()
+                .all(|change| feed.follow(change)),
+            News::Whole(directory) => {
+                feed.take(&directory) || feed.directory().revision == directory.revision
+            }
+        }
+    };
+    core.publish(whole.then_some((fresh_until, source)));
+    whole
+}
+
+async fn report_once(core: &Rc<Core>, target: &Target) -> Option<Update> {
+    let report = own_report(core);
+    if core.is_leading() {
+        return Some(answer(core, report).await);
+    }
+    let link = core.links.to(target.address()?);
+    let bytes = codec::encode(&report).ok()?;
+    let call = async {
+        let client = link.client().await.ok()?;
+        let mut request = client.follow_request();
+        request.get().set_report(&bytes);
+        let response = request.send().promise.await.ok()?;
+        codec::decode(response.get().ok()?.get_update().ok()?).ok()
+    };
+    match future::timeout(ANSWER_TIMEOUT, call).await {
+        Ok(update) => update,
+        Err(_) => {
+            // The peer may be well and only this connection lost: the next call opens a new one.
+            link.reset();
+            None
+        }
+    }
+}
+
+fn own_report(core: &Core) -> Report {
+    let mut instance = core.identity.instance.clone();
+    instance.leaving = core.shared.leaving.load(Ordering::SeqCst);
+    let children = if core.is_leading() {
+        Vec::new()
+    } else {
+        core.followers.borrow_mut().take_reports()
+    };
+    Report {
+        name: core.identity.name.clone(),
+        incarnation: core.identity.incarnation,
+        instance,
+        folder: core.folder,
+        revision: core.feed.borrow().directory().revision,
+        cluster: core.cluster(),
+        load: core.shared.load.load(Ordering::Relaxed),
+        holds: core.shared.holds.lock().map(|holds| holds.clone()).unwrap_or_default(),
+        children,
+    }
+}
+
+/// Whom to report to.
+struct Target {
+    named: Option<SocketAddr>,
+    next_peer: usize,
+}
+
+impl Target {
+    fn new(core: &Core) -> Self {
+        let mut target = Self { named: None, next_peer: 0 };
+        target.advance(core);
+        target
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.named
+    }
+
+    fn redirect(&mut self, core: &Core, address: Option<SocketAddr>) {
+        match address {
+            Some(address) => self.named = Some(address),
+            None => self.advance(core),
+        }
+    }
+
+    /// Tries the leader that the consensus node knows, else the next of the known instances.
+    fn advance(&mut self, core: &Core) {
+        let own = core.identity.instance.peers;
+        let leader = core.known_leader().and_then(|name| core.address_of(&name));
+        if let Some(address) = leader.filter(|a| Some(*a) != self.named && *a != own) {
+            self.named = Some(address);
+            return;
+        }
+        let mut known: Vec<SocketAddr> = core.settings.peers.iter().map(|p| p.address).collect();
+        known.extend(core.feed.borrow().directory().instances.values().map(|i| i.peers));
+        known.retain(|address| *address != own);
+        known.dedup();
+        if known.is_empty() {
+            self.named = None;
+            return;
+        }
+        self.next_peer = (self.next_peer + 1) % known.len();
+        self.named = known.get(self.next_peer).copied();
+    }
+}
--- /dev/null
+++ b/gooseberrylb/src/control/lead.rs
@@ -0,0 +1,204 @@
+//! What the leader does besides agreeing: it notices which instances live, places schedulers,
+//! repairs the membership and carries the moves on.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use gooseberrylb_config::directory::{Cell, Directory};
+use gooseberrylb_config::id;
+use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_control::state::{Command, Reply};
+use gooseberrylb_control::views::{self, Candidate, Candidates};
+
+use super::Failure;
+use super::core::Core;
+use super::follow::{Follower, LEASE};
+
+/// The time between two looks at the fleet.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long an instance may be silent before it counts as dead; its lease has lapsed by then.
+pub const DEAD_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Leads for as long as the instance runs, whenever the consensus says so.
+pub async fn lead(core: Rc<Core>) {
+    let mut announced = Term(0);
+    loop {
+        task::sleep(INTERVAL).await;
+        if !core.is_leading() {
+            continue;
+        }
+        // A failure here means that leadership was lost, or that the disks are full; the next round
+        // looks at the fleet anew.
+        if let Err(error) = round(&core, &mut announced).await {
+            log::debug!("a round of leading was cut short: {error}");
+        }
+    }
+}
+
+async fn round(core: &Rc<Core>, announced: &mut Term) -> Result<(), Failure> {
+    announce(core, announced).await?;
+    register(core).await?;
+    bury(core).await?;
+    place(core).await?;
+    super::repair::step(core).await;
+    Ok(())
+}
+
+async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
+    let bytes = serde_json::to_vec(command).map_err(|e| Failure::Encoding(e.to_string().into()))?;
+    core.propose_here(bytes.into()).await
+}
+
+/// Writes into the log who leads, once a term.
+async fn announce(core: &Rc<Core>, announced: &mut Term) -> Result<(), Failure> {
+    let Some(status) = core.status() else {
+        return Ok(());
+    };
+    if *announced == status.term {
+        return Ok(());
+    }
+    let leader = core.identity.name.clone();
+    let at = core.clock.wall();
+    propose(core, &Command::Lead { leader, term: status.term, at }).await?;
+    *announced = status.term;
+    Ok(())
+}
+
+/// Registers instances that are new, restarted, moved or leaving.
+async fn register(core: &Rc<Core>) -> Result<(), Failure> {
+    let reports: Vec<_> =
+        core.followers.borrow().iter().map(|(_, f)| f.report.clone()).collect();
+    for report in reports {
+        let known_start = core.state.borrow().incarnation(&report.name);
+        let known = core.feed.borrow().directory().instances.get(&report.name).cloned();
+        let at = core.clock.wall();
+        let mut described = report.instance.clone();
+        described.leaving = false;
+        let restarted = known_start.is_none_or(|known| known < report.incarnation);
+        let moved = known.as_ref().is_none_or(|known| {
+            let known = gooseberrylb_config::directory::Instance { leaving: false, ..known.clone() };
+            known != described
+        });
+        if known_start.is_some_and(|known| known > report.incarnation) {
+            continue;
+        }
+        let (name, incarnation) = (report.name, report.incarnation);
+        if restarted || moved {
+            let name = name.clone();
+            propose(core, &Command::Join { name, instance: described, incarnation, at }).await?;
+        }
+        if report.instance.leaving && !known.is_some_and(|known| known.leaving) {
+            let cause = "a planned stop".into();
+            let leave = Command::Leave { name, incarnation, draining: true, cause, at };
+            propose(core, &leave).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Strikes off the instances that have been silent for too long.
+async fn bury(core: &Rc<Core>) -> Result<(), Failure> {
+    let now = core.clock.now();
+    let Some(since) = core.leader_since.get() else {
+        return Ok(());
+    };
+    let names: Vec<id::Instance> =
+        core.feed.borrow().directory().instances.keys().cloned().collect();
+    for name in names {
+        let heard = core.followers.borrow().get(&name).map_or(since, |f| f.heard);
+        if name == core.identity.name || now < heard + DEAD_AFTER {
+            continue;
+        }
+        let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
+        let cause = format!("not heard of for {} ms", (now - heard).as_millis()).into();
+        let at = core.clock.wall();
+        let leave = Command::Leave { name, incarnation, draining: false, cause, at };
+        propose(core, &leave).await?;
+    }
+    Ok(())
+}
+
+/// Gives each cell the scheduler and backups that it should have.
+async fn place(core: &Rc<Core>) -> Result<(), Failure> {
+    let directory = core.feed.borrow().directory().clone();
+    for cell in cells(&directory) {
+        let candidates = candidates(core, &directory, &cell);
+        let plan = {
+            let state = core.state.borrow();
+            let current = directory.view(&cell).zip(state.members(&cell));
+            views::plan(&cell, current, &candidates)
+        };
+        let Some(plan) = plan else {
+            continue;
+        };
+        let cause = plan.cause.into();
+        let at = core.clock.wall();
+        let (view, claims_lost) = (plan.view, plan.claims_lost);
+        propose(core, &Command::View { cell, view, cause, claims_lost, at }).await?;
+    }
+    Ok(())
+}
+
+fn cells(directory: &Directory) -> Vec<Cell> {
+    let regions: BTreeSet<&id::Region> = directory.instances.values().map(|i| &i.region).collect();
+    let mut cells = Vec::new();
+    for service in directory.services.keys() {
+        for region in &regions {
+            cells.push(Cell { service: service.clone(), region: (*region).clone() });
+        }
+    }
+    cells
+}
+
+fn candidates(core: &Core, directory: &Directory, cell: &Cell) -> Candidates {
+    let followers = core.followers.borrow();
+    let now = core.clock.now();
+    let known = directory.instances.iter();
+    known
+        .filter_map(|(name, instance)| {
+            let follower = followers.get(name).filter(|f| now < f.heard + DEAD_AFTER)?;
+            let holds = follower.report.holds.iter().find(|h| h.cell == *cell).map(|h| h.view);
+            let candidate = Candidate {
+                incarnation: follower.report.incarnation,
+                data_centre: instance.data_centre.clone(),
+                region: instance.region.clone(),
+                leaving: instance.leaving || follower.report.instance.leaving,
+                holds,
+            };
+            Some((name.clone(), candidate))
+        })
+        .collect()
+}
+
+/// Whether every instance routes by `revision`, or may route by nothing at all.
+pub fn is_in_force(core: &Core, revision: Revision) -> bool {
+    let now = core.clock.now();
+    let Some(since) = core.leader_since.get() else {
+        return false;
+    };
+    let followers = core.followers.borrow();
+    // Instances that this leader has not heard of may hold a lease of the leader before it.
+    if now < since + LEASE && !all_heard(core) {
+        return false;
+    }
+    followers.iter().all(|(_, follower)| {
+        follower.report.revision >= revision || has_lapsed(core, follower, now)
+    })
+}
+
+fn all_heard(core: &Core) -> bool {
+    let followers = core.followers.borrow();
+    let feed = core.feed.borrow();
+    feed.directory().instances.keys().all(|name| followers.get(name).is_some())
+}
+
+/// Whether a follower's lease has certainly ended; one that follows a relay may have been handed a
+/// lease by it after its last report reached the leader.
+fn has_lapsed(core: &Core, follower: &Follower, now: Instant) -> bool {
+    let relayed = core.feed.borrow().directory().instances.len() > super::follow::MAX_DIRECT;
+    let slack = if relayed { LEASE } else { Duration::ZERO };
+    now >= follower.lease_until + slack
+}
--- /dev/null
+++ b/gooseberrylb/src/control/links.rs
@@ -0,0 +1,38 @@
+//! The links of one thread to other instances, by address.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use gooseberrylb_wire::handshake::{Greeting, Key};
+use gooseberrylb_wire::link::Link;
+use gooseberrylb_wire::plane::Plane;
+
+use super::Identity;
+
+/// Makes each link when it is first asked for.
+pub struct Links<P: Plane> {
+    key: Key,
+    own: Greeting,
+    links: RefCell<BTreeMap<SocketAddr, Rc<Link<P>>>>,
+}
+
+impl<P: Plane> Links<P> {
+    /// Makes an empty set of links.
+    pub fn new(identity: &Identity) -> Self {
+        let own = Greeting {
+            instance: identity.name.clone(),
+            incarnation: identity.incarnation,
+            plane: P::NUMBER,
+        };
+        Self { key: identity.key.clone(), own, links: RefCell::default() }
+    }
+
+    /// The link to `address`.
+    pub fn to(&self, address: SocketAddr) -> Rc<Link<P>> {
+        let mut links = self.links.borrow_mut();
+        let make = || Link::new(address, self.key.clone(), self.own.clone());
+        links.entry(address).or_insert_with(make).clone()
+    }
+}
--- /dev/null
+++ b/gooseberrylb/src/control/thread.rs
@@ -0,0 +1,251 @@
+//! Starts the control thread and runs its tasks.
+
+use std::io;
+use std::rc::Rc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::net::TcpListener;
+use async_std::{future, task};
+use gooseberrylb_control::consensus::{self, Input, Node};
+use gooseberrylb_control::state::Reply;
+use gooseberrylb_wire::codec;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::core::{Core, Parts};
+use super::disk::{self, Done};
+use super::{Answer, Ask, Failure, Start, follow, lead, peers};
+use crate::metrics::METRICS;
+
+/// The time between two ticks of the consensus.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How long a question or command is tried before the asker is told that no leader was reached.
+const ASK_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// How long one attempt at the leader may take.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The pause between two attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The most questions and commands under way at once; more wait.
+const MAX_ASKS: usize = 256;
+
+/// Starts the control thread; it runs until the process ends.
+pub fn spawn(start: Start) -> io::Result<thread::JoinHandle<()>> {
+    thread::Builder::new().name("control".into()).spawn(move || task::block_on(run(start)))
+}
+
+async fn run(start: Start) {
+    let (listener, asks) = (start.listener.try_clone(), start.asks.clone());
+    let (core, done) = match make(start) {
+        Ok(made) => made,
+        Err(error) => {
+            log::error!("the journal's thread cannot be started: {error}");
+            return;
+        }
+    };
+    match listener {
+        Ok(listener) => {
+            task::spawn_local(peers::accept(core.clone(), TcpListener::from(listener)));
+        }
+        Err(error) => log::error!("the listener for other instances cannot be used: {error}"),
+    }
+    task::spawn_local(follow::follow(core.clone()));
+    task::spawn_local(lead::lead(core.clone()));
+    task::spawn_local(answer_asks(core.clone(), asks));
+    if let Some(done) = done {
+        task::spawn_local(report_syncs(core.clone(), done));
+    }
+    tick(core).await;
+}
+
+fn make(start: Start) -> io::Result<(Rc<Core>, Option<Receiver<Done>>)> {
+    let mut voter = None;
+    let mut done = None;
+    if let Some((journal, recovered)) = start.journal {
+        let (jobs, outbox) = disk::spawn(journal)?;
+        let founders = start.settings.peers.iter().filter(|p| p.voter);
+        let identity = consensus::Identity {
+            instance: start.identity.name.clone(),
+            folder: recovered.folder,
+            founders: founders.map(|p| p.name.clone()).collect(),
+            seed: rand::random(),
+        };
+        let now = start.clock.now();
+        let node = Node::new(identity, recovered.persisted, now);
+        voter = Some((node, recovered.folder.0, jobs));
+        done = Some(outbox);
+    }
+    let core = Core::new(Parts {
+        settings: start.settings,
+        identity: start.identity,
+        clock: start.clock,
+        traffic: start.traffic,
+        shared: start.shared,
+        published: start.published,
+        voter,
+    });
+    Ok((core, done))
+}
+
+async fn tick(core: Rc<Core>) {
+    loop {
+        core.step(Input::Tick);
+        if let Some(status) = core.status() {
+            METRICS.committed.set(i64::try_from(status.committed.0).unwrap_or(i64::MAX));
+        }
+        task::sleep(TICK).await;
+    }
+}
+
+async fn report_syncs(core: Rc<Core>, done: Receiver<Done>) {
+    while let Ok(done) = done.recv().await {
+        match done {
+            Done::Synced(sequence) => core.step(Input::Synced(sequence)),
+            Done::Refused(sequence) => core.step(Input::Refused(sequence)),
+        }
+    }
+}
+
+async fn answer_asks(core: Rc<Core>, asks: Receiver<Ask>) {
+    let slots = Rc::new(async_std::sync::Condvar::new());
+    let under_way = Rc::new(async_std::sync::Mutex::new(0_usize));
+    while let Ok(ask) = asks.recv().await {
+        let mut count = under_way.lock().await;
+        while *count >= MAX_ASKS {
+            count = slots.wait(count).await;
+        }
+        *count += 1;
+        drop(count);
+        let (core, slots, under_way) = (core.clone(), slots.clone(), under_way.clone());
+        task::spawn_local(async move {
+            answer_ask(&core, ask).await;
+            *under_way.lock().await -= 1;
+            slots.notify_one();
+        });
+    }
+}
+
+async fn answer_ask(core: &Rc<Core>, ask: Ask) {
+    match ask {
+        Ask::Propose { command, reply } => {
+            let result = match serde_json::to_vec(&command) {
+                Ok(bytes) => ask_leader(core, Request::Propose(bytes)).await,
+                Err(error) => Err(Failure::Encoding(error.to_string().into())),
+            };
+            reply.send(result).ok();
+        }
+        Ask::Query { question, reply } => {
+            let result = match codec::encode(&question) {
+                Ok(bytes) => ask_leader(core, Request::Query(question, bytes)).await,
+                Err(error) => Err(Failure::Encoding(error.to_string().into())),
+            };
+            reply.send(result).ok();
+        }
+    }
+}
+
+/// What is asked of the leader, wherever it is.
+enum Request {
+    Propose(Vec<u8>),
+    Query(super::Question, Vec<u8>),
+}
+
+/// An answer's type, and how this instance gives it where it leads itself.
+trait Local: Sized + Serialize + DeserializeOwned {
+    async fn local(core: &Rc<Core>, request: &Request) -> Result<Self, Failure>;
+}
+
+impl Local for Reply {
+    async fn local(core: &Rc<Core>, request: &Request) -> Result<Self, Failure> {
+        match request {
+            Request::Propose(bytes) => core.propose_here(bytes.clone().into()).await,
+            Request::Query(..) => Err(Failure::Unreachable),
+        }
+    }
+}
+
+impl Local for Answer {
+    async fn local(core: &Rc<Core>, request: &Request) -> Result<Self, Failure> {
+        match request {
+            Request::Query(question, _) => core.query_here(question),
+            Request::Propose(_) => Err(Failure::Unreachable),
+        }
+    }
+}
+
+/// Asks the leader until it answers; a command may reach it twice, so commands are idempotent.
+async fn ask_leader<T: Local>(core: &Rc<Core>, request: Request) -> Result<T, Failure> {
+    let started = Instant::now();
+    let mut tried = 0;
+    loop {
+        let local = if core.is_leading() {
+            T::local(core, &request).await
+        } else {
+            remote(core, &request, tried).await
+        };
+        let failure = match local {
+            Ok(answer) => return Ok(answer),
+            Err(failure @ (Failure::Full | Failure::Encoding(_))) => return Err(failure),
+            Err(failure) => failure,
+        };
+        tried += 1;
+        if started.elapsed() > ASK_TIMEOUT {
+            return Err(match failure {
+                Failure::NotLeader { .. } => Failure::Unreachable,
+                other => other,
+            });
+        }
+        task::sleep(ATTEMPT_PAUSE).await;
+    }
+}
+
+async fn remote<T: Local>(core: &Rc<Core>, request: &Request, tried: usize) -> Result<T, Failure> {
+    let Some(address) = leader_address(core, tried) else {
+        return Err(Failure::Unreachable);
+    };
+    let link = core.links.to(address);
+    let call = async {
+        let client = link.client().await?;
+        let bytes = match request {
+            Request::Propose(bytes) => {
+                let mut call = client.propose_request();
+                call.get().set_command(bytes);
+                let response = call.send().promise.await?;
+                response.get()?.get_reply()?.to_vec()
+            }
+            Request::Query(_, bytes) => {
+                let mut call = client.query_request();
+                call.get().set_question(bytes);
+                let response = call.send().promise.await?;
+                response.get()?.get_answer()?.to_vec()
+            }
+        };
+        codec::decode::<Result<T, Failure>>(&bytes)
+    };
+    match future::timeout(ATTEMPT_TIMEOUT, call).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(_)) => Err(Failure::Unreachable),
+        Err(_) => {
+            link.reset();
+            Err(Failure::Unreachable)
+        }
+    }
+}
+
+/// The leader's address as far as it is known, else that of each peer in turn.
+fn leader_address(core: &Core, tried: usize) -> Option<std::net::SocketAddr> {
+    let own = core.identity.instance.peers;
+    let named = core.known_leader().or_else(|| core.published().leader.clone());
+    let known = named.and_then(|name| core.address_of(&name)).filter(|a| *a != own);
+    if let (Some(address), true) = (known, tried % 2 == 0) {
+        return Some(address);
+    }
+    let peers: Vec<_> =
+        core.settings.peers.iter().map(|p| p.address).filter(|a| *a != own).collect();
+    peers.get(tried % peers.len().max(1)).copied()
+}
--- /dev/null
+++ b/gooseberrylb/src/metrics.rs
@@ -0,0 +1,136 @@
+//! Counters and gauges for operators, by the Prometheus conventions; `docs/OPERATING.md` lists them.
+
+use std::sync::LazyLock;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// The bounds of the histogram of first-token times, in seconds.
+const FIRST_TOKEN_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 3.0, 10.0, 30.0];
+
+/// Everything that an instance counts.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service, tier and outcome.
+    pub requests: IntCounterVec,
+    /// Requests refused by service, tier and reason.
+    pub refusals: IntCounterVec,
+    /// Tokens by service, tier and kind: read, cached, written or wasted.
+    pub tokens: IntCounterVec,
+    /// Time from a caller's request to the first byte of its answer, in seconds.
+    pub first_token: HistogramVec,
+    /// Requests that wait at this instance's schedulers, by service and tier.
+    pub waiting: IntGaugeVec,
+    /// Requests that are held for callers.
+    pub in_flight: IntGauge,
+    /// Open connections by listener.
+    pub connections: IntGaugeVec,
+    /// Connections refused for want of room, by listener.
+    pub connections_refused: IntCounterVec,
+    /// The revision of the configuration that this instance routes by.
+    pub revision: IntGauge,
+    /// 1 while the configuration is fresh.
+    pub fresh: IntGauge,
+    /// 1 while this instance leads.
+    pub leader: IntGauge,
+    /// The term.
+    pub term: IntGauge,
+    /// The last committed entry of the log.
+    pub committed: IntGauge,
+    /// Syncs of the journal, by result.
+    pub journal_syncs: IntCounterVec,
+    /// Moves by phase.
+    pub moves: IntGaugeVec,
+    /// Streams resumed after a broken connection, by service.
+    pub resumed: IntCounterVec,
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid metric");
+    registry.register(Box::new(counters.clone())).expect("a new metric");
+    counters
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("a valid metric");
+    registry.register(Box::new(gauge.clone())).expect("a new metric");
+    gauge
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid metric");
+    registry.register(Box::new(gauges.clone())).expect("a new metric");
+    gauges
+}
+
+fn histograms(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BUCKETS.to_vec());
+    let histograms = HistogramVec::new(options, labels).expect("a valid metric");
+    registry.register(Box::new(histograms.clone())).expect("a new metric");
+    histograms
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let r = Registry::new_custom(Some("gooseberrylb".into()), None).expect("a valid prefix");
+        Self {
+            requests: counters(
+                &r,
+                "requests_total",
+                "Requests by outcome.",
+                &["service", "tier", "outcome"],
+            ),
+            refusals: counters(
+                &r,
+                "refusals_total",
+                "Requests refused, by reason.",
+                &["service", "tier", "reason"],
+            ),
+            tokens: counters(
+                &r,
+                "tokens_total",
+                "Tokens read, cached, written or wasted.",
+                &["service", "tier", "kind"],
+            ),
+            first_token: histograms(
+                &r,
+                "first_token_seconds",
+                "Time to the first byte of the answer.",
+                &["service", "tier"],
+            ),
+            waiting: gauges(&r, "waiting_requests", "Requests waiting.", &["service", "tier"]),
+            in_flight: gauge(&r, "in_flight_requests", "Requests held for callers."),
+            connections: gauges(&r, "connections", "Open connections.", &["listener"]),
+            connections_refused: counters(
+                &r,
+                "connections_refused_total",
+                "Connections refused for want of room.",
+                &["listener"],
+            ),
+            revision: gauge(&r, "configuration_revision", "The configuration's revision."),
+            fresh: gauge(&r, "configuration_fresh", "1 while the configuration is fresh."),
+            leader: gauge(&r, "leader", "1 while this instance leads."),
+            term: gauge(&r, "term", "The term of the control state."),
+            committed: gauge(&r, "committed_index", "The last committed entry of the log."),
+            journal_syncs: counters(&r, "journal_syncs_total", "Journal syncs.", &["result"]),
+            moves: gauges(&r, "moves", "Moves between versions by phase.", &["phase"]),
+            resumed: counters(&r, "streams_resumed_total", "Streams resumed.", &["service"]),
+            registry: r,
+        }
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        match encoded {
+            Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+            Err(error) => format!("# cannot encode the metrics: {error}\n"),
+        }
+    }
+}
+
+/// The metrics of this process.
+pub static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
--- /dev/null
+++ b/gooseberrylb/src/traffic/host.rs
@@ -0,0 +1,279 @@
+//! The schedulers and backups that the configuration places on this instance.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use gooseberrylb_config::clock::Clock;
+use gooseberrylb_config::directory::{Cell, Directory, View};
+use gooseberrylb_config::id;
+use gooseberrylb_config::number;
+use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
+use gooseberrylb_wire::handshake::Greeting;
+use gooseberrylb_wire::message::{Batch, Call, Event, Held, Holding, Notice, Receipt};
+use gooseberrylb_wire::plane::Traffic;
+
+use super::Start;
+use super::copier::Copier;
+use super::hosted::{Hosted, not_scheduler};
+use crate::control::{Identity, Links, Shared};
+use crate::metrics::METRICS;
+use crate::published::Published;
+
+/// How long a request can have been running that a scheduler without claims does not know of.
+const LOST_CLAIMS_WINDOW: std::time::Duration = std::time::Duration::from_secs(120);
+
+/// A backup's claims, and the last view in which they were all there.
+struct Copy {
+    backup: Backup,
+    holds: Option<number::View>,
+}
+
+/// Everything that is scheduled or kept here.
+pub struct Host {
+    /// Who this instance is.
+    pub identity: Identity,
+    /// The configuration.
+    pub published: Published,
+    /// The links to other instances.
+    pub links: Links<Traffic>,
+    clock: Arc<dyn Clock>,
+    shared: Arc<Shared>,
+    hosted: RefCell<BTreeMap<Cell, Rc<Hosted>>>,
+    copies: RefCell<BTreeMap<Cell, Copy>>,
+    directory: RefCell<Arc<Directory>>,
+    starts: RefCell<BTreeMap<id::Instance, u64>>,
+}
+
+impl Host {
+    /// Makes a host of nothing yet.
+    pub fn new(start: &Start) -> Rc<Self> {
+        Rc::new(Self {
+            links: Links::new(&start.identity),
+            identity: start.identity.clone(),
+            published: start.published.clone(),
+            clock: start.clock.clone(),
+            shared: start.shared.clone(),
+            hosted: RefCell::default(),
+            copies: RefCell::default(),
+            directory: RefCell::default(),
+            starts: RefCell::default(),
+        })
+    }
+
+    /// Takes in a new configuration, where there is one.
+    pub fn refresh(&self) {
+        let next = self.published.read().directory.clone();
+        if next.revision <= self.directory.borrow().revision {
+            return;
+        }
+        let before = self.directory.replace(next.clone());
+        self.drop_unplaced(&next);
+        for (cell, view) in &next.views {
+            if view.scheduler == self.identity.name {
+                self.schedule(cell, view, &next);
+            } else if view.backups.contains(&self.identity.name) {
+                self.back_up(cell, view);
+            }
+        }
+        let gone = before.instances.keys().filter(|name| !next.instances.contains_key(*name));
+        gone.for_each(|name| self.bury(name));
+        self.feed_all(|| Input::Directory(next.clone()));
+    }
+
+    fn drop_unplaced(&self, directory: &Directory) {
+        let is_member = |cell: &Cell| {
+            directory.view(cell).is_some_and(|view| {
+                view.scheduler == self.identity.name || view.backups.contains(&self.identity.name)
+            })
+        };
+        self.copies.borrow_mut().retain(|cell, _| is_member(cell));
+        self.hosted.borrow_mut().retain(|cell, hosted| {
+            let kept = is_member(cell);
+            if !kept {
+                hosted.retire();
+            }
+            kept
+        });
+    }
+
+    fn schedule(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) {
+        let running = self.hosted.borrow().get(cell).cloned();
+        let hosted = match running {
+            Some(hosted) if hosted.view() == view.number => return,
+            Some(hosted) if !hosted.is_retired() => {
+                hosted.change_view(view.clone());
+                hosted
+            }
+            _ => self.take_over(cell, view, directory),
+        };
+        let backups = view.backups.iter().filter_map(|name| directory.instances.get(name));
+        let links = backups.map(|instance| self.links.to(instance.peers));
+        let copiers = links.map(|link| Copier::start(&hosted, link)).collect();
+        hosted.set_copiers(copiers);
+    }
+
+    fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
+        let copy = self.copies.borrow_mut().remove(cell);
+        let holds = copy.as_ref().and_then(|copy| copy.holds);
+        let claims = copy.map(|copy| copy.backup.claims().clone()).unwrap_or_default();
+        log::info!("scheduling {cell:?} in view {} with {} claims", view.number, claims.len());
+        let now = self.clock.now();
+        let seed = rand::random();
+        let directory = directory.clone();
+        let mut scheduler =
+            Scheduler::new(cell.clone(), view.clone(), directory, claims, now, seed);
+        if view.number > number::View(1) && holds.is_none() {
+            scheduler = scheduler.with_claims_lost(now, LOST_CLAIMS_WINDOW);
+        }
+        let hosted = Hosted::new(cell.clone(), scheduler, holds, self.clock.clone());
+        self.hosted.borrow_mut().insert(cell.clone(), hosted.clone());
+        hosted
+    }
+
+    fn back_up(&self, cell: &Cell, view: &View) {
+        if let Some(hosted) = self.hosted.borrow_mut().remove(cell) {
+            hosted.retire();
+            let copy = self.step_down(&hosted);
+            self.copies.borrow_mut().insert(cell.clone(), copy);
+        }
+        let mut copies = self.copies.borrow_mut();
+        let new = || Copy { backup: Backup::new(view.number), holds: None };
+        let copy = copies.entry(cell.clone()).or_insert_with(new);
+        copy.backup.advance(view.number);
+    }
+
+    /// Keeps the claims of a scheduler that becomes a backup, in case its heir dies at once.
+    fn step_down(&self, hosted: &Hosted) -> Copy {
+        let view = hosted.view();
+        let (sequence, records) = hosted.read(|s| (s.sequence(), s.snapshot()));
+        let mut backup = Backup::new(view);
+        let synced = backup.sync(view, sequence, records, self.clock.now());
+        let holds = hosted.holds().filter(|_| synced.is_ok());
+        Copy { backup, holds }
+    }
+
+    fn bury(&self, name: &id::Instance) {
+        self.feed_all(|| Input::Died(name.clone()));
+    }
+
+    fn feed_all(&self, input: impl Fn() -> Input) {
+        let hosted: Vec<_> = self.hosted.borrow().values().cloned().collect();
+        for hosted in hosted {
+            hosted.step(input());
+        }
+    }
+
+    /// Lets time pass, and reports which claims are held here.
+    pub fn tick(&self) {
+        self.feed_all(|| Input::Tick);
+        self.report_holdings();
+    }
+
+    fn report_holdings(&self) {
+        let hosted = self.hosted.borrow();
+        let scheduled = hosted.iter().map(|(cell, hosted)| (cell.clone(), hosted.holds()));
+        let copies = self.copies.borrow();
+        let copied = copies.iter().map(|(cell, copy)| (cell.clone(), copy.holds));
+        let holdings = scheduled
+            .chain(copied)
+            .filter_map(|(cell, view)| view.map(|view| Holding { cell, view }))
+            .collect();
+        if let Ok(mut holds) = self.shared.holds.lock() {
+            *holds = holdings;
+        }
+    }
+
+    /// Learns of an instance's start; requests of an earlier start neither wait nor end any more.
+    pub fn greet(&self, greeting: &Greeting) {
+        let known = self.starts.borrow().get(&greeting.instance).copied();
+        if known.is_none_or(|known| known < greeting.incarnation) {
+            let mut starts = self.starts.borrow_mut();
+            starts.insert(greeting.instance.clone(), greeting.incarnation);
+            drop(starts);
+            if known.is_some() {
+                self.bury(&greeting.instance);
+            }
+        }
+    }
+
+    fn scheduler_of(&self, cell: &Cell, view: number::View) -> Option<Rc<Hosted>> {
+        self.refresh();
+        if !self.published.read().is_fresh(self.clock.now()) {
+            return None;
+        }
+        let hosted = self.hosted.borrow().get(cell).cloned()?;
+        (hosted.view() == view && !hosted.is_retired()).then_some(hosted)
+    }
+
+    /// Asks the scheduler here for leave to dispatch.
+    pub async fn enqueue(&self, call: Call) -> Decision {
+        match self.scheduler_of(&call.cell, call.view) {
+            Some(hosted) => hosted.enqueue(call.request).await,
+            None => not_scheduler(),
+        }
+    }
+
+    /// Tells the scheduler here what became of requests.
+    pub fn notify(&self, notice: Notice) -> Receipt {
+        let Some(hosted) = self.scheduler_of(&notice.cell, notice.view) else {
+            return Receipt::NotScheduler;
+        };
+        for event in notice.events {
+            hosted.step(match event {
+                Event::Withdraw(id) => Input::Withdraw(id),
+                Event::End(end) => Input::End(end),
+                Event::Resume { entry, running } => Input::Resume { entry, running },
+            });
+        }
+        Receipt::Taken
+    }
+
+    /// Takes claims in as a backup.
+    pub fn copy(&self, batch: Batch) -> Held {
+        self.refresh();
+        let mut copies = self.copies.borrow_mut();
+        let Some(copy) = copies.get_mut(&batch.cell) else {
+            drop(copies);
+            return self.refuse_copy(&batch);
+        };
+        let now = self.clock.now();
+        let mut held = Held::Missing;
+        for part in batch.parts {
+            let taken = if batch.whole {
+                copy.backup.sync(batch.view, part.sequence, part.records, now)
+            } else {
+                copy.backup.accept(batch.view, part.sequence, part.records, now)
+            };
+            match taken {
+                Ok(taken) => held = Held::UpTo(taken.sequence),
+                Err(Stale::View { known, .. }) => return Held::Later(known),
+                Err(Stale::Unsynced(_) | Stale::Gap { .. }) => return Held::Missing,
+            }
+        }
+        if copy.backup.is_synced() {
+            copy.holds = Some(copy.backup.view());
+        }
+        held
+    }
+
+    fn refuse_copy(&self, batch: &Batch) -> Held {
+        let directory = self.directory.borrow();
+        match directory.view(&batch.cell) {
+            Some(view) if view.number > batch.view => Held::Later(view.number),
+            _ => Held::NotBackup,
+        }
+    }
+
+    /// Puts the sizes of the queues into the metrics.
+    pub fn measure(&self) {
+        for (cell, hosted) in self.hosted.borrow().iter() {
+            for (tier, waiting) in hosted.read(|s| s.stats().waiting) {
+                let labels = [cell.service.as_str(), &tier.to_string()];
+                let waiting = i64::try_from(waiting.requests).unwrap_or(i64::MAX);
+                METRICS.waiting.with_label_values(&labels).set(waiting);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_wire/src/plane.rs
@@ -0,0 +1,58 @@
+//! The two kinds of link: one for control state and one for traffic, so that neither waits for the
+//! other's thread.
+
+use std::future::Future;
+
+use capnp::capability::FromClientHook;
+use serde::{Deserialize, Serialize};
+
+use crate::peer_capnp::{control, traffic};
+
+/// Tells the kinds of link apart in the handshake.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Number {
+    /// Calls about the control state.
+    Control,
+    /// Calls about requests.
+    Traffic,
+}
+
+/// A kind of link.
+pub trait Plane: 'static {
+    /// What calls are made on.
+    type Client: FromClientHook + Clone + 'static;
+
+    /// The kind's number in the handshake.
+    const NUMBER: Number;
+
+    /// Asks the other end for a sign of life.
+    fn ping(client: &Self::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static;
+}
+
+/// The link for control state.
+pub struct Control;
+
+impl Plane for Control {
+    type Client = control::Client;
+
+    const NUMBER: Number = Number::Control;
+
+    fn ping(client: &control::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let answer = client.ping_request().send().promise;
+        async move { answer.await.map(drop) }
+    }
+}
+
+/// The link for traffic.
+pub struct Traffic;
+
+impl Plane for Traffic {
+    type Client = traffic::Client;
+
+    const NUMBER: Number = Number::Traffic;
+
+    fn ping(client: &traffic::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let answer = client.ping_request().send().promise;
+        async move { answer.await.map(drop) }
+    }
+}
