--- a/gooseberrylb_policy/src/scheduler.rs
+++ b/gooseberrylb_policy/src/scheduler.rs
@@ -1,4 +1,9 @@
 //! Grants upstreams to requests of one service in one region.
+//!
+//! [`Scheduler`] holds every waiting request and every slot of its service, so that tier order,
+//! fair shares and slots in use are exact and no load report has to be waited for. [`Backup`]
+//! holds a copy of its claims on another instance. `docs/DESIGN.md` has the argument why a key
+//! is never granted twice.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +12,31 @@
 use gooseberrylb_config::number;
 use serde::{Deserialize, Serialize};
 
+mod backup;
+mod call;
+mod claim;
+mod copy;
+mod enqueue;
+mod finish;
+mod fleet;
+mod group;
+mod limits;
+mod machine;
+mod prefix;
+mod queue;
+mod rate;
+mod shed;
+mod stats;
+mod takeover;
+mod upstream;
+mod versions;
+
+pub use backup::{Backup, Held, Stale};
+pub use limits::Limits;
+pub use machine::Scheduler;
+pub use queue::Sum;
+pub use stats::{Counters, Stats};
+
 use crate::request::{Answer, Figures, Id, Key, Outcome, Request};
 
 /// Numbers a grant within the view that made it.
@@ -30,7 +60,7 @@
 }
 
 /// Why a request was refused without being run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// The queue is full of work that is as important or more.
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/copy.rs
@@ -0,0 +1,201 @@
+//! Copies of claims to the backups: a grant of a key leaves only once every backup holds it.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use super::call::State;
+use super::machine::Scheduler;
+use super::upstream::Verdict;
+use super::{Decision, Output, Refusal};
+use crate::request::Id;
+
+/// A batch of records on its way to the backups.
+#[derive(Debug)]
+struct Batch {
+    /// When it was sent.
+    at: Instant,
+    /// The requests whose grants wait for it.
+    ids: Vec<Id>,
+}
+
+/// The batches on their way.
+#[derive(Debug, Default)]
+pub struct Copies {
+    sequence: u64,
+    batches: BTreeMap<u64, Batch>,
+    next: Vec<Id>,
+}
+
+impl Copies {
+    /// The number of the last batch.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// When the oldest batch that is not held yet was sent.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.batches.values().next().map(|batch| batch.at)
+    }
+
+    /// Adds a request to the next batch, and returns that batch's number.
+    pub fn add(&mut self, id: Id) -> u64 {
+        self.next.push(id);
+        self.sequence + 1
+    }
+
+    fn close(&mut self, now: Instant) -> u64 {
+        self.sequence += 1;
+        let ids = std::mem::take(&mut self.next);
+        self.batches.insert(self.sequence, Batch { at: now, ids });
+        self.sequence
+    }
+
+    fn held(&mut self, sequence: u64) -> Vec<(u64, Vec<Id>)> {
+        let rest = self.batches.split_off(&sequence.saturating_add(1));
+        let held = std::mem::replace(&mut self.batches, rest);
+        held.into_iter()
+            .map(|(sequence, batch)| (sequence, batch.ids))
+            .collect()
+    }
+
+    fn forget(&mut self) -> Vec<Id> {
+        let batches = std::mem::take(&mut self.batches);
+        batches.into_values().flat_map(|batch| batch.ids).collect()
+    }
+}
+
+impl Scheduler {
+    /// Sends the records of this step to the backups, where there are any.
+    pub(super) fn flush(&mut self, now: Instant) {
+        let records = self.claims.take_changes();
+        if records.is_empty() || self.view.backups.is_empty() {
+            return;
+        }
+        let sequence = self.copies.close(now);
+        self.outputs.push(Output::Copy { sequence, records });
+    }
+
+    pub(super) fn held(&mut self, sequence: u64, now: Instant) {
+        for (batch, ids) in self.copies.held(sequence) {
+            for id in ids {
+                if self.awaits(&id, batch) {
+                    self.confirm(&id, now);
+                }
+            }
+        }
+    }
+
+    fn awaits(&self, id: &Id, batch: u64) -> bool {
+        self.calls.get(id).is_some_and(
+            |call| matches!(call.state, State::Copying { sequence, .. } if sequence == batch),
+        )
+    }
+
+    /// Lets a grant go whose claim is held, unless it may not be used any more.
+    fn confirm(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.calls.get(id) else {
+            return;
+        };
+        let State::Copying { grant, .. } = &call.state else {
+            return;
+        };
+        if now >= call.deadline {
+            self.refuse(id, Refusal::TooLate, now);
+        } else if self.fleet.allows(grant) {
+            self.let_go(id, now);
+        } else {
+            self.take_back(id, now);
+        }
+    }
+
+    /// Tells the entry of a grant, which may be dispatched from here on.
+    pub(super) fn let_go(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let State::Copying {
+            grant, position, ..
+        } = call.state.clone()
+        else {
+            return;
+        };
+        call.exposed = true;
+        call.state = State::Running {
+            grant: grant.clone(),
+            position: Some(position),
+        };
+        let key = call.request.key.clone();
+        let timer = call.deadline + self.limits.end_grace;
+        self.set_timer(id, timer);
+        self.counters.granted(&grant);
+        self.decide(id.clone(), Decision::Grant(grant));
+        if let Some(key) = key {
+            self.claims.extend(&key, timer + self.limits.retention);
+            self.follow_up(&key, now);
+        }
+    }
+
+    /// Puts a request whose grant has not left back to its place in the queue.
+    fn take_back(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let State::Copying {
+            grant, position, ..
+        } = call.state.clone()
+        else {
+            return;
+        };
+        let request = &call.request;
+        let share = share_of(&self.directory, &request.account);
+        self.queue
+            .put_back(&position, share, id.clone(), request.cost);
+        self.fleet.free(&grant.upstream, Verdict::Unjudged, now);
+        call.state = State::Waiting { position };
+        if let Some(key) = &request.key
+            && !call.exposed
+        {
+            self.claims.release(key, now);
+        }
+        let timer = self.latest_start(id);
+        self.set_timer(id, timer);
+    }
+
+    /// Sends the claims on their way once more, to the backups of a new view.
+    pub(super) fn copy_again(&mut self, now: Instant) {
+        for id in self.copies.forget() {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            let (
+                State::Copying {
+                    grant, sequence, ..
+                },
+                Some(key),
+            ) = (&mut call.state, &call.request.key)
+            else {
+                continue;
+            };
+            self.claims
+                .grant(key.clone(), id.clone(), grant.clone(), now);
+            *sequence = self.copies.add(id.clone());
+        }
+        if self.view.backups.is_empty() {
+            let ids = std::mem::take(&mut self.copies.next);
+            for id in ids {
+                self.let_go(&id, now);
+            }
+        }
+    }
+}
+
+/// The weight of a client account; an unknown one weighs one.
+pub(super) fn share_of(
+    directory: &gooseberrylb_config::directory::Directory,
+    account: &gooseberrylb_config::id::Account,
+) -> u32 {
+    directory
+        .accounts
+        .get(account)
+        .map_or(1, |account| account.share)
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/enqueue.rs
@@ -0,0 +1,322 @@
+//! What becomes of a request that comes in: queued, attached, answered or refused at once.
+
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::note::Kind;
+
+use super::call::{Call, State};
+use super::copy::share_of;
+use super::fleet::Place;
+use super::machine::Scheduler;
+use super::upstream::Verdict;
+use super::{Claim, Decision, Grant, Refusal, Ticket};
+use crate::request::{Id, Key, Outcome, Request};
+
+impl Scheduler {
+    pub(super) fn enqueue(&mut self, request: Request, now: Instant) {
+        self.note_incarnation(&request.id, now);
+        self.tier_seen.insert(request.tier, now);
+        if self.calls.contains_key(&request.id) {
+            self.enqueue_again(&request, now);
+            return;
+        }
+        if !self.fleet.is_served() {
+            self.answer_refusal(&request, Refusal::NoUpstream, now);
+            return;
+        }
+        match request.key.clone() {
+            Some(key) => self.enqueue_keyed(request, key, now),
+            None => self.enter(request, false, now),
+        }
+    }
+
+    /// A known request is asked for again: its entry has not dispatched it.
+    fn enqueue_again(&mut self, request: &Request, now: Instant) {
+        let id = &request.id;
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        call.deadline = now + request.time_left;
+        match call.state.clone() {
+            State::Waiting { .. } => {
+                let timer = self.latest_start(id);
+                self.set_timer(id, timer);
+            }
+            State::Attached => {
+                let timer = call.deadline;
+                self.set_timer(id, timer);
+            }
+            State::Copying { .. } => {}
+            State::Running { grant, position } => self.wait_again(id, &grant, position, now),
+            State::Orphaned { grant } => self.wait_again(id, &grant, None, now),
+        }
+    }
+
+    /// Voids a grant that was not used. The claim stays: the message may have crossed the grant, and
+    /// only this same request may be granted its key anew, since its entry dispatches it once.
+    fn wait_again(
+        &mut self,
+        id: &Id,
+        grant: &Grant,
+        position: Option<super::queue::Position>,
+        now: Instant,
+    ) {
+        self.fleet.free(&grant.upstream, Verdict::Unjudged, now);
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let request = &call.request;
+        let share = share_of(&self.directory, &request.account);
+        let position = match position {
+            Some(position) => {
+                self.queue
+                    .put_back(&position, share, id.clone(), request.cost);
+                position
+            }
+            None => self.queue.push(
+                request.tier,
+                &request.account,
+                share,
+                id.clone(),
+                request.cost,
+            ),
+        };
+        call.state = State::Waiting { position };
+        let timer = self.latest_start(id);
+        self.set_timer(id, timer);
+    }
+
+    fn enqueue_keyed(&mut self, request: Request, key: Key, now: Instant) {
+        match self.claims.get(&key) {
+            Some(Claim::Ended { .. }) => self.answer_ended(&request.id, &key),
+            Some(Claim::Granted { id, .. }) if *id == request.id => self.enter(request, true, now),
+            Some(Claim::Granted { .. }) => {
+                self.attach(request, &key, now);
+                self.follow_up(&key, now);
+            }
+            Some(Claim::Released) | None if self.lost_until.is_some_and(|until| now < until) => {
+                self.answer_refusal(&request, Refusal::NotScheduler, now);
+            }
+            Some(Claim::Released) | None => match self.groups.leader(&key) {
+                Some(_) => self.attach(request, &key, now),
+                None => self.enter(request, false, now),
+            },
+        }
+    }
+
+    fn attach(&mut self, request: Request, key: &Key, now: Instant) {
+        let id = request.id.clone();
+        if self.groups.attached(key) >= self.limits.attached {
+            // The key's other request may run yet, so this one cannot be said not to have run.
+            self.decide(id, unknown());
+            return;
+        }
+        self.groups.attach(key, id.clone());
+        let deadline = now + request.time_left;
+        self.insert(request, State::Attached, deadline, false);
+        self.set_timer(&id, deadline);
+    }
+
+    /// Puts a request in the queue, unless it would come too late.
+    fn enter(&mut self, request: Request, exposed: bool, now: Instant) {
+        if self.comes_too_late(&request, now) {
+            self.answer_refusal(&request, Refusal::TooLate, now);
+            return;
+        }
+        let share = share_of(&self.directory, &request.account);
+        let id = request.id.clone();
+        if let Some(key) = &request.key {
+            self.groups.lead(key, id.clone());
+        }
+        let position = self.queue.push(
+            request.tier,
+            &request.account,
+            share,
+            id.clone(),
+            request.cost,
+        );
+        let deadline = now + request.time_left;
+        self.insert(request, State::Waiting { position }, deadline, exposed);
+        let timer = self.latest_start(&id);
+        self.set_timer(&id, timer);
+        self.shed(now);
+    }
+
+    fn insert(&mut self, request: Request, state: State, deadline: Instant, exposed: bool) {
+        let call = Call {
+            deadline,
+            timer: deadline,
+            state,
+            believed: 0,
+            exposed,
+            request,
+        };
+        self.calls.insert(call.request.id.clone(), call);
+    }
+
+    /// Reserves a slot for the first request of the queue and grants it, through the backups where
+    /// its key must be claimed.
+    pub(super) fn grant(&mut self, id: &Id, place: Place, now: Instant) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        let State::Waiting { position } = call.state.clone() else {
+            return;
+        };
+        self.queue.serve(&position);
+        self.tickets += 1;
+        let grant = Grant {
+            ticket: Ticket {
+                view: self.view.number,
+                number: self.tickets,
+            },
+            upstream: place.upstream,
+            version: place.version,
+        };
+        call.believed = self.fleet.take(&grant.upstream, &call.request, now);
+        let key = call.request.key.clone();
+        let copied = key.is_some() && !self.view.backups.is_empty();
+        let sequence = if copied {
+            self.copies.add(id.clone())
+        } else {
+            0
+        };
+        call.state = State::Copying {
+            grant: grant.clone(),
+            sequence,
+            position,
+        };
+        if let Some(key) = key {
+            self.claims.grant(key, id.clone(), grant, now);
+        }
+        if copied {
+            self.set_timer(id, now + self.limits.copy_timeout);
+        } else {
+            self.let_go(id, now);
+        }
+    }
+
+    /// Answers those that wait for a key whenever something became known of it.
+    pub(super) fn follow_up(&mut self, key: &Key, now: Instant) {
+        match self.claims.get(key) {
+            Some(Claim::Ended { .. }) => {
+                for id in self.groups.detach(key) {
+                    self.remove_call(&id);
+                    self.answer_ended(&id, key);
+                }
+            }
+            Some(Claim::Granted { id, grant }) => {
+                if self.can_join(id) {
+                    self.join_all(key, id.clone(), grant.clone());
+                }
+            }
+            Some(Claim::Released) | None => {
+                if let Some(heir) = self.groups.heir(key) {
+                    self.inherit(&heir, key, now);
+                }
+            }
+        }
+    }
+
+    /// Whether the stream of a granted request can be joined: its grant has left, or it was granted
+    /// in an earlier view.
+    fn can_join(&self, id: &Id) -> bool {
+        let left = self.calls.get(id).is_none_or(|call| {
+            matches!(call.state, State::Running { .. } | State::Orphaned { .. })
+        });
+        self.kind == Kind::Engine && left
+    }
+
+    fn join_all(&mut self, key: &Key, id: Id, grant: Grant) {
+        for attached in self.groups.detach(key) {
+            self.remove_call(&attached);
+            let decision = Decision::Join {
+                grant: grant.clone(),
+                id: id.clone(),
+            };
+            self.decide(attached, decision);
+        }
+    }
+
+    /// Queues an attached request in the place of one that will not run.
+    fn inherit(&mut self, heir: &Id, key: &Key, now: Instant) {
+        self.groups.leave(key, heir);
+        let Some(call) = self.remove_call(heir) else {
+            return;
+        };
+        let request = Request {
+            time_left: call.deadline.saturating_duration_since(now),
+            ..call.request
+        };
+        self.enter(request, false, now);
+        if self.groups.leader(key).is_none() {
+            self.follow_up(key, now);
+        }
+    }
+
+    pub(super) fn answer_ended(&mut self, id: &Id, key: &Key) {
+        let Some(Claim::Ended {
+            outcome,
+            version,
+            upstream,
+            answer,
+        }) = self.claims.get(key).cloned()
+        else {
+            return;
+        };
+        let decision = Decision::Ended {
+            outcome,
+            version,
+            upstream,
+            answer,
+        };
+        self.decide(id.clone(), decision);
+    }
+
+    /// Ends an attached request whose caller waits no longer.
+    pub(super) fn end_attached(&mut self, id: &Id) {
+        let Some(call) = self.remove_call(id) else {
+            return;
+        };
+        if let Some(key) = &call.request.key {
+            self.groups.leave(key, id);
+        }
+        self.decide(id.clone(), unknown());
+    }
+
+    fn note_incarnation(&mut self, id: &Id, now: Instant) {
+        let known = self
+            .incarnations
+            .entry(id.entry.clone())
+            .or_insert(id.incarnation);
+        if *known < id.incarnation {
+            *known = id.incarnation;
+            self.died(&id.entry, id.incarnation, now);
+        }
+    }
+
+    pub(super) fn remove_call(&mut self, id: &Id) -> Option<Call> {
+        let call = self.calls.remove(id)?;
+        self.timers.remove(&(call.timer, id.clone()));
+        Some(call)
+    }
+
+    /// How long a refused caller should wait before it tries again.
+    pub(super) fn retry_after(&mut self, request: &Request, now: Instant) -> Duration {
+        use rand::Rng;
+        let drained = self.wait(request, now).unwrap_or(Duration::ZERO);
+        let jitter = self.rng.random_range(0.75..1.5);
+        drained
+            .clamp(self.limits.retry_min, self.limits.retry_max)
+            .mul_f64(jitter)
+    }
+}
+
+fn unknown() -> Decision {
+    Decision::Ended {
+        outcome: Outcome::Unknown,
+        version: None,
+        upstream: None,
+        answer: None,
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/finish.rs
@@ -0,0 +1,239 @@
+//! How requests end: withdrawn, done, lost with their entry, or never heard of again.
+
+use std::time::Instant;
+
+use gooseberrylb_config::id;
+use gooseberrylb_config::note::Kind;
+
+use super::call::{Call, State};
+use super::claim::Ended;
+use super::machine::Scheduler;
+use super::upstream::Verdict;
+use super::{Claim, End, Grant};
+use crate::request::{Id, Key, Outcome};
+
+impl Scheduler {
+    /// An entry gives a request up, and has not dispatched it.
+    pub(super) fn withdraw(&mut self, id: &Id, now: Instant) {
+        let claimed = self.claims.granted_to(id).cloned();
+        let call = self.remove_call(id);
+        if let Some(call) = &call {
+            self.give_up_place(call, Verdict::Unjudged, now);
+        }
+        let Some(key) = claimed.or_else(|| call.and_then(|call| call.request.key)) else {
+            return;
+        };
+        if self.claims.granted_to(id).is_some() {
+            self.claims.release(&key, now);
+        }
+        self.groups.leave(&key, id);
+        self.follow_up(&key, now);
+    }
+
+    /// Gives back what a call held: its place in the queue or its slot.
+    pub(super) fn give_up_place(&mut self, call: &Call, verdict: Verdict, now: Instant) {
+        match &call.state {
+            State::Waiting { position } => {
+                self.queue.remove(position);
+            }
+            State::Attached => {}
+            State::Copying { grant, .. }
+            | State::Running { grant, .. }
+            | State::Orphaned { grant } => self.fleet.free(&grant.upstream, verdict, now),
+        }
+    }
+
+    pub(super) fn end(&mut self, end: End, now: Instant) {
+        let claimed = self.claims.granted_to(&end.id).cloned();
+        let Some(call) = self.remove_call(&end.id) else {
+            match claimed {
+                Some(key) => self.conclude(&key, &end, now),
+                None => self.end_joined(&end, now),
+            }
+            return;
+        };
+        let current = call.grant().is_some_and(|grant| grant.ticket == end.ticket);
+        let verdict = if current {
+            judge(&end)
+        } else {
+            Verdict::Unjudged
+        };
+        if let (Verdict::Answered(figures), Some(grant)) = (verdict, call.grant()) {
+            self.fleet
+                .correct_prefix(&grant.upstream, &call.request, call.believed, &figures);
+        }
+        self.give_up_place(&call, verdict, now);
+        self.counters.ended(&end);
+        let Some(key) = claimed.or(call.request.key) else {
+            return;
+        };
+        self.groups.leave(&key, &end.id);
+        self.conclude(&key, &end, now);
+    }
+
+    /// A request that joined another one's stream ended. It speaks for that one where it had the
+    /// whole answer, or where the other one's entry is gone.
+    fn end_joined(&mut self, end: &End, now: Instant) {
+        let Some((id, key)) = self.claims.granted_under(end.ticket) else {
+            return;
+        };
+        let gone = match self.calls.get(&id) {
+            None => true,
+            Some(call) => matches!(call.state, State::Orphaned { .. }),
+        };
+        if end.outcome != Outcome::Served && !gone {
+            return;
+        }
+        if let Some(call) = self.remove_call(&id) {
+            self.give_up_place(&call, Verdict::Unjudged, now);
+            self.groups.leave(&key, &id);
+        }
+        self.conclude(&key, end, now);
+    }
+
+    /// Notes the end of a granted key.
+    fn conclude(&mut self, key: &Key, end: &End, now: Instant) {
+        let Some(Claim::Granted { grant, .. }) = self.claims.get(key) else {
+            self.follow_up(key, now);
+            return;
+        };
+        let grant = grant.clone();
+        match end.outcome {
+            Outcome::NotRun => self.claims.release(key, now),
+            Outcome::Served | Outcome::Unknown => {
+                let ended = Ended {
+                    outcome: end.outcome,
+                    grant,
+                    answer: end.answer.clone(),
+                };
+                self.claims.end(key, ended, now);
+            }
+        }
+        self.follow_up(key, now);
+    }
+
+    /// An entry died, or its incarnations before `incarnation` did.
+    pub(super) fn died(&mut self, entry: &id::Instance, incarnation: u64, now: Instant) {
+        if let Some(settling) = &mut self.settling
+            && incarnation == u64::MAX
+        {
+            settling.awaited.remove(entry);
+        }
+        let first = first_id(entry, 0);
+        let last = first_id(entry, incarnation);
+        let calls: Vec<Id> = self
+            .calls
+            .range(&first..&last)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in calls {
+            self.orphan(&id, now);
+        }
+        if self.kind == Kind::Engine {
+            // The streams live on in their engines and can be joined until the claims expire.
+            return;
+        }
+        for (_, key, grant) in self.claims.granted_between(&first, &last) {
+            self.end_unknown(&key, grant, now);
+        }
+    }
+
+    fn orphan(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.calls.get_mut(id) else {
+            return;
+        };
+        if let State::Running { grant, .. } = &call.state {
+            call.state = State::Orphaned {
+                grant: grant.clone(),
+            };
+            let timer = now + self.limits.orphan_grace;
+            self.set_timer(id, timer);
+            return;
+        }
+        if matches!(call.state, State::Orphaned { .. }) {
+            return;
+        }
+        self.abandon(id, now);
+    }
+
+    /// Drops a request whose current grant, if any, has not left.
+    fn abandon(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.remove_call(id) else {
+            return;
+        };
+        self.give_up_place(&call, Verdict::Unjudged, now);
+        let Some(key) = call.request.key else {
+            return;
+        };
+        if !call.exposed && self.claims.granted_to(id).is_some() {
+            self.claims.release(&key, now);
+        }
+        self.groups.leave(&key, id);
+        self.follow_up(&key, now);
+    }
+
+    /// A dispatched request's end never came.
+    pub(super) fn lose(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.remove_call(id) else {
+            return;
+        };
+        self.give_up_place(&call, Verdict::Unjudged, now);
+        if let (Some(key), Some(grant)) = (&call.request.key, call.grant()) {
+            self.groups.leave(key, id);
+            self.end_unknown(key, grant.clone(), now);
+        }
+    }
+
+    /// The slot of a dead entry's request is used again; its key stays as it is.
+    pub(super) fn drop_call(&mut self, id: &Id, now: Instant) {
+        let Some(call) = self.remove_call(id) else {
+            return;
+        };
+        self.give_up_place(&call, Verdict::Unjudged, now);
+        if let Some(key) = &call.request.key {
+            self.groups.leave(key, id);
+            self.follow_up(key, now);
+        }
+    }
+
+    /// A granted key's end never came within its retention.
+    pub(super) fn give_up_claim(&mut self, id: &Id, key: &Key, grant: Grant, now: Instant) {
+        match self.calls.get(id) {
+            Some(call) => {
+                let until = call.timer.max(now) + self.limits.retention;
+                self.claims.extend(key, until);
+            }
+            None => self.end_unknown(key, grant, now),
+        }
+    }
+
+    fn end_unknown(&mut self, key: &Key, grant: Grant, now: Instant) {
+        let ended = Ended {
+            outcome: Outcome::Unknown,
+            grant,
+            answer: None,
+        };
+        self.claims.end(key, ended, now);
+        self.follow_up(key, now);
+    }
+}
+
+/// What an end says of the upstream.
+fn judge(end: &End) -> Verdict {
+    if end.failed {
+        return Verdict::Failed;
+    }
+    match end.outcome {
+        Outcome::Served if !end.cancelled => Verdict::Answered(end.figures),
+        Outcome::Served | Outcome::NotRun | Outcome::Unknown => Verdict::Unjudged,
+    }
+}
+
+/// The first id that an incarnation of an entry can give.
+fn first_id(entry: &id::Instance, incarnation: u64) -> Id {
+    Id {
+        entry: entry.clone(),
+        incarnation,
+        number: 0,
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/fleet.rs
@@ -0,0 +1,246 @@
+//! The upstreams of a scheduler and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use gooseberrylb_config::directory::{Cell, Directory};
+use gooseberrylb_config::id;
+use rand::Rng;
+
+use super::rate::Rate;
+use super::upstream::{Upstream, Verdict};
+use super::versions::Split;
+use super::{CacheChange, Grant, Load};
+use crate::request::{Cost, Figures, Request};
+
+/// How much of the weight of earlier observations each new one leaves, over all upstreams.
+const RATE_MEMORY: f64 = 0.98;
+
+/// Where a request is to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The version that it runs.
+    pub version: id::Version,
+}
+
+/// The upstreams of a service in a region.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    upstreams: BTreeMap<id::Upstream, Upstream>,
+    split: Split,
+    prefill: Rate,
+    decode: Rate,
+}
+
+impl Fleet {
+    /// Takes over the configuration in force. An upstream that is gone from it gets nothing new and
+    /// is forgotten once it runs nothing more.
+    pub fn configure(
+        &mut self,
+        directory: &Directory,
+        cell: &Cell,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.present = false;
+        }
+        for description in directory.upstreams.values() {
+            if description.service != cell.service
+                || !in_region(directory, cell, &description.data_centre)
+            {
+                continue;
+            }
+            self.upstreams
+                .entry(description.name.clone())
+                .and_modify(|upstream| upstream.describe(description))
+                .or_insert_with(|| Upstream::new(description.clone(), now));
+        }
+        self.upstreams
+            .retain(|_, upstream| upstream.present || upstream.in_flight > 0);
+        let upstreams = &self.upstreams;
+        let usable =
+            |name: &id::Upstream| upstreams.get(name).is_some_and(|upstream| upstream.present);
+        self.split.update(directory, &cell.service, usable, rng);
+    }
+
+    /// Whether any upstream takes traffic.
+    pub fn is_served(&self) -> bool {
+        self.split.is_served()
+    }
+
+    /// Whether a place may still be used.
+    pub fn allows(&self, grant: &Grant) -> bool {
+        self.split.allows(&grant.version, &grant.upstream)
+    }
+
+    /// Chooses where a request runs, if any upstream has a slot for it, and takes the slot.
+    pub fn place(
+        &mut self,
+        request: &Request,
+        headroom_percent: u32,
+        now: Instant,
+    ) -> Option<Place> {
+        let place = self.choose(request, headroom_percent, now)?;
+        self.split.take(&place.version);
+        Some(place)
+    }
+
+    fn choose(&self, request: &Request, headroom_percent: u32, now: Instant) -> Option<Place> {
+        // An upstream that may still be failing is tried with a request that can be run again.
+        let order = self.split.order();
+        let probes = [request.repeatable, true];
+        let first = if request.repeatable { 1 } else { 0 };
+        for allow_probe in &probes[first..] {
+            for (version, upstreams) in &order {
+                if let Some(upstream) =
+                    self.best(upstreams, request, headroom_percent, *allow_probe, now)
+                {
+                    return Some(Place {
+                        upstream,
+                        version: (*version).clone(),
+                    });
+                }
+            }
+        }
+        None
+    }
+
+    fn best(
+        &self,
+        names: &[id::Upstream],
+        request: &Request,
+        headroom_percent: u32,
+        allow_probe: bool,
+        now: Instant,
+    ) -> Option<id::Upstream> {
+        let typical = self.prefill.per_second();
+        let mut best: Option<(f64, &id::Upstream)> = None;
+        for name in names {
+            let Some(upstream) = self.upstreams.get(name) else {
+                continue;
+            };
+            if !upstream.has_slot(headroom_percent, now) || upstream.is_probed() && !allow_probe {
+                continue;
+            }
+            let expected = upstream.expected(request, &request.data_centre, typical, now);
+            if best.is_none_or(|(least, _)| expected < least) {
+                best = Some((expected, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// Takes the slot of a place for a request, and returns the blocks believed to be cached there.
+    pub fn take(&mut self, upstream: &id::Upstream, request: &Request, now: Instant) -> usize {
+        let typical = self.prefill.per_second();
+        self.upstreams
+            .get_mut(upstream)
+            .map_or(0, |upstream| upstream.take(request, typical, now))
+    }
+
+    /// Counts a slot that was taken under an earlier view.
+    pub fn adopt(&mut self, upstream: &id::Upstream) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.adopt();
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn free(&mut self, name: &id::Upstream, verdict: Verdict, now: Instant) {
+        if let Verdict::Answered(figures) = verdict {
+            self.learn(&figures);
+        }
+        let Some(upstream) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        upstream.free(verdict, now);
+        if !upstream.present && upstream.in_flight == 0 {
+            self.upstreams.remove(name);
+        }
+    }
+
+    /// Corrects what is believed of an upstream's prefix cache.
+    pub fn correct_prefix(
+        &mut self,
+        upstream: &id::Upstream,
+        request: &Request,
+        believed: usize,
+        figures: &Figures,
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.correct_prefix(request, believed, figures);
+        }
+    }
+
+    /// Takes a load report in.
+    pub fn report(&mut self, upstream: &id::Upstream, load: Load, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.report(load, now);
+        }
+    }
+
+    /// Takes cache events in.
+    pub fn cache(&mut self, upstream: &id::Upstream, changes: Vec<CacheChange>) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        for change in changes {
+            upstream.prefix.apply(change);
+        }
+    }
+
+    /// How many requests the upstreams that answer may run at once.
+    pub fn capacity(&self, now: Instant) -> u32 {
+        self.upstreams
+            .values()
+            .filter(|upstream| upstream.present && !upstream.is_ejected(now))
+            .map(Upstream::limit)
+            .sum()
+    }
+
+    /// The seconds that a typical upstream is busy with a cost, once something is known of it.
+    pub fn seconds_for(&self, cost: Cost) -> Option<f64> {
+        let read = self.prefill.seconds_for(cost.prompt.0)?;
+        Some(read + self.decode.seconds_for(cost.output.0).unwrap_or(0.0))
+    }
+
+    /// When the first upstream that failed may be tried again, where all of them have failed.
+    pub fn all_ejected_until(&self, now: Instant) -> Option<Instant> {
+        let mut earliest = None;
+        for upstream in self.upstreams.values().filter(|upstream| upstream.present) {
+            if !upstream.is_ejected(now) {
+                return None;
+            }
+            let until = upstream.ejected_until()?;
+            earliest = Some(earliest.map_or(until, |at: Instant| at.min(until)));
+        }
+        earliest
+    }
+
+    /// The upstreams and what runs on each.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&id::Upstream, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    fn learn(&mut self, figures: &Figures) {
+        let read = figures.prompt.0.saturating_sub(figures.cached.0).max(1);
+        self.prefill.observe(read, figures.first_token, RATE_MEMORY);
+        self.decode
+            .observe(figures.output.0, figures.decode, RATE_MEMORY);
+    }
+}
+
+/// Whether a data centre belongs to the cell's region. One that no instance is in belongs to all,
+/// so that losing the last instance beside an upstream does not lose the upstream.
+fn in_region(directory: &Directory, cell: &Cell, data_centre: &id::DataCentre) -> bool {
+    let regions: BTreeSet<&id::Region> = directory
+        .instances
+        .values()
+        .filter(|instance| instance.data_centre == *data_centre)
+        .map(|instance| &instance.region)
+        .collect();
+    regions.is_empty() || regions.contains(&cell.region)
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/limits.rs
@@ -0,0 +1,57 @@
+//! The bounds and times that a scheduler works by.
+
+use std::time::Duration;
+
+/// The bounds and times that a scheduler works by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// The most requests that wait, those attached to another one's key included.
+    pub waiting: usize,
+    /// The most tokens that the waiting requests are expected to take.
+    pub waiting_tokens: u64,
+    /// The most requests attached to one key.
+    pub attached: usize,
+    /// The most keys remembered; beyond it no new key is granted, since none may be forgotten.
+    pub claims: usize,
+    /// The most bytes of stored answers; the oldest are dropped first, their outcomes are not.
+    pub answer_bytes: usize,
+    /// How long an ended key is remembered.
+    pub retention: Duration,
+    /// How long backups may take to hold a claim before its request is refused.
+    pub copy_timeout: Duration,
+    /// How long a new scheduler waits for entries to tell what they run.
+    pub settle: Duration,
+    /// The part of an upstream's slots, in percent, that lower tiers leave free.
+    pub headroom_percent: u32,
+    /// How long after the last higher-tier request lower tiers leave headroom.
+    pub headroom_memory: Duration,
+    /// How long a dead entry's request keeps its slot.
+    pub orphan_grace: Duration,
+    /// How long after its deadline a dispatched request may still report its end.
+    pub end_grace: Duration,
+    /// The shortest time after which a refused caller is told to come back.
+    pub retry_min: Duration,
+    /// The longest time after which a refused caller is told to come back.
+    pub retry_max: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            waiting: 10_000,
+            waiting_tokens: 50_000_000,
+            attached: 16,
+            claims: 200_000,
+            answer_bytes: 16 * 1024 * 1024,
+            retention: Duration::from_secs(300),
+            copy_timeout: Duration::from_secs(1),
+            settle: Duration::from_secs(1),
+            headroom_percent: 12,
+            headroom_memory: Duration::from_secs(30),
+            orphan_grace: Duration::from_secs(10),
+            end_grace: Duration::from_secs(30),
+            retry_min: Duration::from_millis(200),
+            retry_max: Duration::from_secs(30),
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/queue.rs
@@ -0,0 +1,335 @@
+//! The waiting requests: strict order between tiers, start-time fair queueing between the client
+//! accounts of a tier.
+//!
+//! Each account of a tier has a virtual start tag. The account with the least tag is served next,
+//! and its tag grows by the cost in tokens of what it was served, divided by its share. While two
+//! accounts both wait, what they are served differs by at most one request's cost of each, each
+//! divided by the account's share, whatever the sizes of their requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gooseberrylb_config::id;
+use gooseberrylb_config::number::Tier;
+
+use crate::request::{Cost, Id};
+
+/// Virtual time for each token of cost at a share of one; it keeps precision for large shares.
+const SCALE: u64 = 1 << 10;
+
+/// The most idle accounts of a tier whose tags are kept.
+const MAX_IDLE_ACCOUNTS: usize = 4096;
+
+/// The cost in tokens that an account is charged.
+pub fn charge(cost: Cost) -> u64 {
+    cost.prompt.0.saturating_add(cost.output.0).max(1)
+}
+
+/// Where a request stands in the queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Position {
+    /// Its tier.
+    pub tier: Tier,
+    /// Its account.
+    pub account: id::Account,
+    /// Its arrival, numbered over all tiers.
+    pub arrival: u64,
+}
+
+/// A waiting request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Item {
+    /// The request.
+    id: Id,
+    /// What it is expected to take.
+    cost: Cost,
+}
+
+/// Sums over waiting requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sum {
+    /// The number of requests.
+    pub requests: usize,
+    /// The tokens to be read for them.
+    pub prompt: u64,
+    /// The tokens to be written for them.
+    pub output: u64,
+}
+
+impl Sum {
+    fn add(&mut self, cost: Cost) {
+        self.requests += 1;
+        self.prompt = self.prompt.saturating_add(cost.prompt.0);
+        self.output = self.output.saturating_add(cost.output.0);
+    }
+
+    fn remove(&mut self, cost: Cost) {
+        self.requests -= 1;
+        self.prompt = self.prompt.saturating_sub(cost.prompt.0);
+        self.output = self.output.saturating_sub(cost.output.0);
+    }
+
+    /// The tokens to be read and written.
+    pub fn tokens(&self) -> u64 {
+        self.prompt.saturating_add(self.output)
+    }
+}
+
+/// The waiting requests of one account in one tier.
+#[derive(Debug)]
+struct Backlog {
+    /// The account's weight.
+    share: u64,
+    /// The virtual time at which its next request starts.
+    tag: u64,
+    /// The requests by arrival.
+    items: BTreeMap<u64, Item>,
+    /// Their sum.
+    sum: Sum,
+}
+
+/// The waiting requests of one tier.
+#[derive(Debug, Default)]
+struct Lane {
+    /// The accounts, idle ones included while their tag lies ahead.
+    accounts: BTreeMap<id::Account, Backlog>,
+    /// The accounts that wait, by tag.
+    ready: BTreeSet<(u64, id::Account)>,
+    /// The tag of the last request served.
+    virtual_time: u64,
+    /// The sum of what waits.
+    sum: Sum,
+}
+
+impl Lane {
+    fn insert(&mut self, account: &id::Account, share: u32, arrival: u64, item: Item) {
+        let virtual_time = self.virtual_time;
+        let backlog = self
+            .accounts
+            .entry(account.clone())
+            .or_insert_with(|| Backlog {
+                share: 1,
+                tag: virtual_time,
+                items: BTreeMap::new(),
+                sum: Sum::default(),
+            });
+        backlog.share = u64::from(share.max(1));
+        if backlog.items.is_empty() {
+            backlog.tag = backlog.tag.max(virtual_time);
+            self.ready.insert((backlog.tag, account.clone()));
+        }
+        backlog.sum.add(item.cost);
+        self.sum.add(item.cost);
+        backlog.items.insert(arrival, item);
+    }
+
+    fn remove(&mut self, account: &id::Account, arrival: u64) -> Option<Item> {
+        let backlog = self.accounts.get_mut(account)?;
+        let item = backlog.items.remove(&arrival)?;
+        backlog.sum.remove(item.cost);
+        self.sum.remove(item.cost);
+        if backlog.items.is_empty() {
+            self.ready.remove(&(backlog.tag, account.clone()));
+        }
+        Some(item)
+    }
+
+    fn move_tag(&mut self, account: &id::Account, change: impl FnOnce(u64, u64) -> u64) {
+        let Some(backlog) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let tag = change(backlog.tag, backlog.share);
+        if !backlog.items.is_empty() {
+            self.ready.remove(&(backlog.tag, account.clone()));
+            self.ready.insert((tag, account.clone()));
+        }
+        backlog.tag = tag;
+    }
+
+    fn forget_idle(&mut self) {
+        if self.accounts.len() <= MAX_IDLE_ACCOUNTS {
+            return;
+        }
+        let virtual_time = self.virtual_time;
+        self.accounts
+            .retain(|_, backlog| !backlog.items.is_empty() || backlog.tag > virtual_time);
+    }
+}
+
+/// The waiting requests of a scheduler.
+#[derive(Debug, Default)]
+pub struct Queue {
+    lanes: BTreeMap<Tier, Lane>,
+    arrivals: u64,
+    sum: Sum,
+}
+
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a request in, behind all others of its tier and account.
+    pub fn push(
+        &mut self,
+        tier: Tier,
+        account: &id::Account,
+        share: u32,
+        id: Id,
+        cost: Cost,
+    ) -> Position {
+        self.arrivals += 1;
+        let position = Position {
+            tier,
+            account: account.clone(),
+            arrival: self.arrivals,
+        };
+        self.insert(&position, share, id, cost);
+        position
+    }
+
+    /// Takes a request back at its old position and gives its account back what it was charged.
+    pub fn put_back(&mut self, position: &Position, share: u32, id: Id, cost: Cost) {
+        self.insert(position, share, id, cost);
+        if let Some(lane) = self.lanes.get_mut(&position.tier) {
+            lane.move_tag(&position.account, |tag, share| {
+                tag.saturating_sub(charge(cost) * SCALE / share)
+            });
+        }
+    }
+
+    fn insert(&mut self, position: &Position, share: u32, id: Id, cost: Cost) {
+        self.sum.add(cost);
+        let lane = self.lanes.entry(position.tier).or_default();
+        lane.forget_idle();
+        lane.insert(
+            &position.account,
+            share,
+            position.arrival,
+            Item { id, cost },
+        );
+    }
+
+    /// Takes a request out without charging its account.
+    pub fn remove(&mut self, position: &Position) -> bool {
+        let Some(lane) = self.lanes.get_mut(&position.tier) else {
+            return false;
+        };
+        match lane.remove(&position.account, position.arrival) {
+            Some(item) => {
+                self.sum.remove(item.cost);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Takes a request out to be served, and charges its account.
+    pub fn serve(&mut self, position: &Position) -> bool {
+        let Some(lane) = self.lanes.get_mut(&position.tier) else {
+            return false;
+        };
+        let Some(item) = lane.remove(&position.account, position.arrival) else {
+            return false;
+        };
+        self.sum.remove(item.cost);
+        if let Some(backlog) = lane.accounts.get(&position.account) {
+            lane.virtual_time = lane.virtual_time.max(backlog.tag);
+        }
+        lane.move_tag(&position.account, |tag, share| {
+            tag.saturating_add(charge(item.cost) * SCALE / share)
+        });
+        true
+    }
+
+    /// The request to be served next: the highest tier's, of the account with the least tag.
+    pub fn first(&self) -> Option<&Id> {
+        let lane = self.lanes.values().find(|lane| lane.sum.requests > 0)?;
+        let (_, account) = lane.ready.first()?;
+        let (_, item) = lane.accounts.get(account)?.items.first_key_value()?;
+        Some(&item.id)
+    }
+
+    /// The request to be shed next: the newest of the account whose backlog is largest for its
+    /// share, in the lowest tier that waits. Newest first over all accounts would let one account's
+    /// flood push out the others, which hold less than their share of the queue.
+    pub fn last(&self) -> Option<&Id> {
+        let lane = self
+            .lanes
+            .values()
+            .rev()
+            .find(|lane| lane.sum.requests > 0)?;
+        let heaviest = lane
+            .ready
+            .iter()
+            .filter_map(|(_, account)| lane.accounts.get(account))
+            .max_by_key(|backlog| backlog.sum.tokens() * SCALE / backlog.share)?;
+        let (_, item) = heaviest.items.last_key_value()?;
+        Some(&item.id)
+    }
+
+    /// What is expected to be served before a new request of the account.
+    pub fn ahead(&self, tier: Tier, account: &id::Account, share: u32) -> Sum {
+        let mut ahead = Sum::default();
+        for lane in self.lanes.range(..tier).map(|(_, lane)| lane) {
+            ahead.prompt += lane.sum.prompt;
+            ahead.output += lane.sum.output;
+            ahead.requests += lane.sum.requests;
+        }
+        let Some(lane) = self.lanes.get(&tier) else {
+            return ahead;
+        };
+        let part = lane.ahead(account, share);
+        ahead.prompt += part.prompt;
+        ahead.output += part.output;
+        ahead.requests += part.requests;
+        ahead
+    }
+
+    /// The sum of all that waits.
+    pub fn sum(&self) -> Sum {
+        self.sum
+    }
+
+    /// The sum of what waits in each tier.
+    pub fn by_tier(&self) -> impl Iterator<Item = (Tier, Sum)> {
+        self.lanes.iter().map(|(tier, lane)| (*tier, lane.sum))
+    }
+
+    /// The newest request of each account of each tier.
+    pub fn newest(&self) -> impl Iterator<Item = &Id> {
+        self.lanes
+            .values()
+            .flat_map(|lane| lane.accounts.values())
+            .filter_map(|backlog| backlog.items.last_key_value())
+            .map(|(_, item)| &item.id)
+    }
+}
+
+impl Lane {
+    /// While an account's own backlog is served, the others get work in proportion to their shares,
+    /// but no more than they have waiting.
+    fn ahead(&self, account: &id::Account, share: u32) -> Sum {
+        let own = self
+            .accounts
+            .get(account)
+            .map(|backlog| backlog.sum)
+            .unwrap_or_default();
+        let own_share = u64::from(share.max(1));
+        let other_shares: u64 = self
+            .ready
+            .iter()
+            .filter(|(_, other)| other != account)
+            .filter_map(|(_, other)| self.accounts.get(other))
+            .map(|backlog| backlog.share)
+            .sum();
+        let scale = |own: u64, all: u64| {
+            all.min(own.saturating_add(own.saturating_mul(other_shares) / own_share))
+        };
+        Sum {
+            requests: self.sum.requests,
+            prompt: scale(own.prompt, self.sum.prompt),
+            output: scale(own.output, self.sum.output),
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/shed.rs
@@ -0,0 +1,136 @@
+//! Early answers: what overfills the queue or cannot meet its deadline is refused at once.
+
+use std::time::{Duration, Instant};
+
+use super::call::State;
+use super::copy::share_of;
+use super::machine::Scheduler;
+use super::upstream::Verdict;
+use super::{Decision, Refusal};
+use crate::request::{Cost, Id, Request};
+
+/// The most waiting requests looked at in one tick for whether they still come in time.
+const MAX_REVIEWS: usize = 256;
+
+/// How far the expected wait must lie beyond what is left before a waiting request is given up, so
+/// that a passing slowness does not empty the queue.
+const REVIEW_MARGIN: f64 = 1.25;
+
+impl Scheduler {
+    /// Refuses the least important of what waits until the queue is within its bounds.
+    pub(super) fn shed(&mut self, now: Instant) {
+        while self.is_overfull() {
+            let Some(id) = self.queue.last().cloned() else {
+                break;
+            };
+            self.refuse(&id, Refusal::Shed, now);
+        }
+    }
+
+    fn is_overfull(&self) -> bool {
+        let sum = self.queue.sum();
+        let tokens = sum.tokens() > self.limits.waiting_tokens && sum.requests > 1;
+        sum.requests > self.limits.waiting || tokens
+    }
+
+    /// Whether a request that comes now would be granted too late to finish by its deadline.
+    pub(super) fn comes_too_late(&self, request: &Request, now: Instant) -> bool {
+        let Some(service) = self.fleet.seconds_for(request.cost) else {
+            return request.time_left.is_zero();
+        };
+        let wait = self.wait(request, now).unwrap_or(Duration::ZERO);
+        let left = request.time_left.as_secs_f64();
+        request.time_left.is_zero() || wait.as_secs_f64() + service > left
+    }
+
+    /// How long a request is expected to wait for its grant, once rates are known.
+    pub(super) fn wait(&self, request: &Request, now: Instant) -> Option<Duration> {
+        if let Some(until) = self.fleet.all_ejected_until(now) {
+            return Some(until.saturating_duration_since(now));
+        }
+        let share = share_of(&self.directory, &request.account);
+        let ahead = self.queue.ahead(request.tier, &request.account, share);
+        let cost = Cost {
+            prompt: gooseberrylb_config::number::Tokens(ahead.prompt),
+            output: gooseberrylb_config::number::Tokens(ahead.output),
+        };
+        let work = self.fleet.seconds_for(cost)?;
+        let capacity = f64::from(self.fleet.capacity(now).max(1));
+        Some(Duration::from_secs_f64((work / capacity).min(86_400.0)))
+    }
+
+    /// The last moment at which a waiting request can be granted and still finish in time.
+    pub(super) fn latest_start(&self, id: &Id) -> Instant {
+        let call = &self.calls[id];
+        let service = self.fleet.seconds_for(call.request.cost).unwrap_or(0.0);
+        call.deadline
+            .checked_sub(Duration::from_secs_f64(service.min(86_400.0)))
+            .unwrap_or(call.deadline)
+    }
+
+    /// Looks at a waiting request whose latest start has come, by the rates known now.
+    pub(super) fn review_call(&mut self, id: &Id, now: Instant) {
+        let latest = self.latest_start(id);
+        if latest > now {
+            self.set_timer(id, latest);
+        } else {
+            self.refuse(id, Refusal::TooLate, now);
+        }
+    }
+
+    /// Gives up the newest requests of each account that can no longer be reached in time.
+    pub(super) fn review(&mut self, now: Instant) {
+        let newest: Vec<Id> = self.queue.newest().take(MAX_REVIEWS).cloned().collect();
+        for id in newest {
+            let Some(call) = self.calls.get(&id) else {
+                continue;
+            };
+            let Some(wait) = self.wait(&call.request, now) else {
+                return;
+            };
+            let left = self.latest_start(&id).saturating_duration_since(now);
+            if wait > left.mul_f64(REVIEW_MARGIN) {
+                self.refuse(&id, Refusal::TooLate, now);
+            }
+        }
+    }
+
+    /// Refuses a request that was not granted. A key that may have been dispatched by an earlier
+    /// grant stays claimed until its entry withdraws the request.
+    pub(super) fn refuse(&mut self, id: &Id, reason: Refusal, now: Instant) {
+        let Some(call) = self.remove_call(id) else {
+            return;
+        };
+        match &call.state {
+            State::Waiting { position } => {
+                self.queue.remove(position);
+            }
+            State::Copying { grant, .. } => {
+                self.fleet.free(&grant.upstream, Verdict::Unjudged, now)
+            }
+            State::Attached | State::Running { .. } | State::Orphaned { .. } => {}
+        }
+        self.answer_refusal(&call.request, reason, now);
+        let Some(key) = call.request.key else {
+            return;
+        };
+        if !call.exposed {
+            self.claims.release(&key, now);
+        }
+        self.groups.leave(&key, id);
+        self.follow_up(&key, now);
+    }
+
+    pub(super) fn answer_refusal(&mut self, request: &Request, reason: Refusal, now: Instant) {
+        let retry_after = match (reason, self.lost_until) {
+            (Refusal::NotScheduler, Some(until)) => until.saturating_duration_since(now),
+            _ => self.retry_after(request, now),
+        };
+        self.counters.refused(request.tier, reason);
+        let decision = Decision::Refuse {
+            reason,
+            retry_after,
+        };
+        self.decide(request.id.clone(), decision);
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/stats.rs
@@ -0,0 +1,93 @@
+//! What a scheduler counts, for metrics and reports.
+
+use std::collections::BTreeMap;
+
+use gooseberrylb_config::id;
+use gooseberrylb_config::number::Tier;
+
+use super::machine::Scheduler;
+use super::queue::Sum;
+use super::{Decision, End, Grant, Refusal};
+use crate::request::Outcome;
+
+/// Counts since the scheduler was made.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Grants by version.
+    pub granted: BTreeMap<id::Version, u64>,
+    /// Refusals by tier and reason.
+    pub refused: BTreeMap<(Tier, Refusal), u64>,
+    /// Requests told to join another one's stream.
+    pub joined: u64,
+    /// Requests answered with what their key had come to.
+    pub ended_before: u64,
+    /// Dispatched requests by outcome.
+    pub ended: BTreeMap<Outcome, u64>,
+    /// Dispatched requests whose upstream failed.
+    pub failed: u64,
+}
+
+impl Counters {
+    pub(super) fn granted(&mut self, grant: &Grant) {
+        *self.granted.entry(grant.version.clone()).or_default() += 1;
+    }
+
+    pub(super) fn refused(&mut self, tier: Tier, reason: Refusal) {
+        *self.refused.entry((tier, reason)).or_default() += 1;
+    }
+
+    pub(super) fn decided(&mut self, decision: &Decision) {
+        match decision {
+            Decision::Join { .. } => self.joined += 1,
+            Decision::Ended { .. } => self.ended_before += 1,
+            Decision::Grant(_) | Decision::Refuse { .. } => {}
+        }
+    }
+
+    pub(super) fn ended(&mut self, end: &End) {
+        *self.ended.entry(end.outcome).or_default() += 1;
+        self.failed += u64::from(end.failed);
+    }
+}
+
+/// Where a scheduler stands.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// What waits, by tier.
+    pub waiting: BTreeMap<Tier, Sum>,
+    /// The requests that hold a slot, by upstream.
+    pub in_flight: BTreeMap<id::Upstream, u32>,
+    /// The requests that each upstream may run at once for now.
+    pub limits: BTreeMap<id::Upstream, u32>,
+    /// The upstreams that failed and are not used for now.
+    pub ejected: Vec<id::Upstream>,
+    /// The keys known.
+    pub claims: usize,
+    /// Whether it still waits for entries to tell what they run.
+    pub settling: bool,
+    /// What was counted.
+    pub counters: Counters,
+}
+
+impl Scheduler {
+    /// Where it stands.
+    pub fn stats(&self) -> Stats {
+        let upstreams = || self.fleet.in_flight();
+        Stats {
+            waiting: self.queue.by_tier().collect(),
+            in_flight: upstreams()
+                .map(|(name, upstream)| (name.clone(), upstream.in_flight))
+                .collect(),
+            limits: upstreams()
+                .map(|(name, upstream)| (name.clone(), upstream.limit()))
+                .collect(),
+            ejected: upstreams()
+                .filter(|(_, upstream)| upstream.is_probed())
+                .map(|(name, _)| name.clone())
+                .collect(),
+            claims: self.claims.count(),
+            settling: self.settling.is_some(),
+            counters: self.counters.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/takeover.rs
@@ -0,0 +1,75 @@
+//! What entries tell a scheduler that took over: which of their requests run.
+
+use std::time::Instant;
+
+use gooseberrylb_config::id;
+
+use super::call::{Call, State};
+use super::machine::Scheduler;
+use super::upstream::Verdict;
+use super::{Claim, Running};
+
+impl Scheduler {
+    pub(super) fn resume(&mut self, entry: &id::Instance, running: Vec<Running>, now: Instant) {
+        for running in running {
+            self.adopt(running, now);
+        }
+        if let Some(settling) = &mut self.settling {
+            settling.awaited.remove(entry);
+        }
+    }
+
+    /// Takes a dispatched request over, whatever was believed of it.
+    fn adopt(&mut self, running: Running, now: Instant) {
+        let Running { request, grant } = running;
+        let id = request.id.clone();
+        let known = self.calls.get(&id).and_then(Call::grant);
+        if known.is_some_and(|known| known.ticket == grant.ticket) {
+            return;
+        }
+        let key = request.key.clone();
+        if let Some(key) = &key {
+            match self.claims.get(key) {
+                Some(Claim::Ended { .. }) => return,
+                Some(Claim::Granted { id: other, .. }) if *other != id => {}
+                Some(Claim::Granted { .. } | Claim::Released) | None => {
+                    self.claims
+                        .grant(key.clone(), id.clone(), grant.clone(), now);
+                }
+            }
+        }
+        if let Some(call) = self.remove_call(&id) {
+            self.give_up_place(&call, Verdict::Unjudged, now);
+        }
+        self.insert_running(request, grant, now);
+        if let Some(key) = key {
+            self.groups.leave(&key, &id);
+            self.groups.lead(&key, id);
+            self.follow_up(&key, now);
+        }
+    }
+
+    fn insert_running(
+        &mut self,
+        request: crate::request::Request,
+        grant: super::Grant,
+        now: Instant,
+    ) {
+        let id = request.id.clone();
+        let deadline = now + request.time_left;
+        self.fleet.adopt(&grant.upstream);
+        let call = Call {
+            deadline,
+            timer: deadline,
+            state: State::Running {
+                grant,
+                position: None,
+            },
+            believed: 0,
+            exposed: true,
+            request,
+        };
+        self.calls.insert(id.clone(), call);
+        self.set_timer(&id, deadline + self.limits.end_grace);
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/scheduler/versions.rs
@@ -0,0 +1,128 @@
+//! Splits a service's traffic over its versions by their shares.
+//!
+//! A version that takes over another one's traffic is capped: it earns its share of a credit with
+//! each grant of the service and spends a whole one on each of its own, and an unused credit does
+//! not add up beyond one. Over any row of n grants it so gets at most its share of n, plus one.
+//! What it cannot take flows to the version that it replaces.
+
+use std::collections::BTreeMap;
+
+use gooseberrylb_config::directory::{Directory, Share};
+use gooseberrylb_config::id;
+use rand::Rng;
+
+const WHOLE: i64 = Share::WHOLE.0 as i64;
+
+/// One version of the service.
+#[derive(Debug)]
+struct Version {
+    /// Its share of the traffic.
+    share: i64,
+    /// What it has earned and not spent, in parts of a whole grant.
+    credit: i64,
+    /// Whether it may never exceed its share.
+    capped: bool,
+    /// The upstreams that run it.
+    upstreams: Vec<id::Upstream>,
+}
+
+/// The versions that take traffic.
+#[derive(Debug, Default)]
+pub struct Split {
+    versions: BTreeMap<id::Version, Version>,
+}
+
+impl Split {
+    /// Takes over the shares in force; `usable` says which upstreams belong to the scheduler.
+    pub fn update(
+        &mut self,
+        directory: &Directory,
+        service: &id::Service,
+        usable: impl Fn(&id::Upstream) -> bool,
+        rng: &mut impl Rng,
+    ) {
+        let mut old = std::mem::take(&mut self.versions);
+        for version in directory.versions.values() {
+            let share = share_of(directory, &version.name);
+            if version.service != *service || share == 0 {
+                continue;
+            }
+            let upstreams: Vec<_> = version
+                .upstreams
+                .iter()
+                .filter(|name| usable(name))
+                .cloned()
+                .collect();
+            let capped = version.replaces.as_ref().is_some_and(|replaced| {
+                directory.versions.get(replaced).is_some_and(|replaced| {
+                    share_of(directory, &replaced.name) > 0
+                        && replaced.upstreams.iter().any(&usable)
+                })
+            });
+            // A random first credit keeps the first grant from being early or late on average.
+            let credit = match old.remove(&version.name) {
+                Some(old) => old.credit,
+                None => rng.random_range(0..WHOLE),
+            };
+            let state = Version {
+                share,
+                credit,
+                capped,
+                upstreams,
+            };
+            self.versions.insert(version.name.clone(), state);
+        }
+    }
+
+    /// Whether the version takes traffic on the upstream.
+    pub fn allows(&self, version: &id::Version, upstream: &id::Upstream) -> bool {
+        self.versions
+            .get(version)
+            .is_some_and(|version| version.upstreams.contains(upstream))
+    }
+
+    /// Whether any version has an upstream.
+    pub fn is_served(&self) -> bool {
+        self.versions
+            .values()
+            .any(|version| !version.upstreams.is_empty())
+    }
+
+    /// The versions that may take the next grant, in the order in which they should.
+    pub fn order(&self) -> Vec<(&id::Version, &[id::Upstream])> {
+        let mut open: Vec<_> = self
+            .versions
+            .iter()
+            .filter(|(_, version)| !version.capped || version.credit + version.share >= WHOLE)
+            .collect();
+        open.sort_by_key(|(_, version)| (!version.capped, -(version.credit + version.share)));
+        open.into_iter()
+            .map(|(name, version)| (name, version.upstreams.as_slice()))
+            .collect()
+    }
+
+    /// Notes that the next grant went to `chosen`.
+    pub fn take(&mut self, chosen: &id::Version) {
+        let open: i64 = self
+            .versions
+            .values()
+            .filter(|version| !version.capped)
+            .map(|version| version.share)
+            .sum();
+        for (name, version) in &mut self.versions {
+            version.credit += version.share;
+            let price = if version.capped { WHOLE } else { open };
+            if name == chosen {
+                version.credit -= price;
+            }
+            version.credit = version.credit.clamp(-2 * WHOLE, WHOLE);
+        }
+    }
+}
+
+fn share_of(directory: &Directory, version: &id::Version) -> i64 {
+    directory
+        .shares
+        .get(version)
+        .map_or(0, |share| i64::from(share.0.min(Share::WHOLE.0)))
+}
--- /dev/null
+++ b/gooseberrylb_policy/tests/scheduler/claims.rs
@@ -0,0 +1,175 @@
+//! Keys: copied before they are granted, joined, answered, released and taken over.
+
+use std::time::Duration;
+
+use gooseberrylb_config::note::Kind;
+use gooseberrylb_policy::request::Outcome;
+use gooseberrylb_policy::scheduler::{Claim, Decision, Input, Refusal};
+
+use crate::fixture::*;
+
+fn bench(kind: Kind) -> Bench {
+    Bench::new(
+        directory(kind, &[("v1", 10_000, &["up-1", "up-2"], 2)]),
+        view(1, &["entry-2", "entry-3"]),
+    )
+}
+
+#[test]
+fn an_unkeyed_request_is_granted_at_once() {
+    let mut bench = bench(Kind::Engine);
+    let decisions = bench.enqueue(request("entry-1", 1, 1));
+    granted(&decisions, &id("entry-1", 1));
+    assert!(bench.copies.is_empty());
+}
+
+#[test]
+fn a_key_is_granted_only_once_it_is_held() {
+    let mut bench = bench(Kind::Plain);
+    assert!(bench.enqueue(once("entry-1", 1, "a")).is_empty());
+    assert_eq!(bench.copies.len(), 1);
+    assert!(bench.step(Input::Held(0)).is_empty());
+    granted(&bench.hold(), &id("entry-1", 1));
+}
+
+#[test]
+fn a_key_whose_copy_is_not_held_in_time_is_refused() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    let decisions = bench.pass(Duration::from_secs(1));
+    assert_eq!(refused(&decisions, &id("entry-1", 1)), Refusal::NoBackup);
+    assert!(
+        bench.hold().is_empty(),
+        "a late acknowledgement grants nothing"
+    );
+}
+
+#[test]
+fn a_resent_key_joins_a_running_stream() {
+    let mut bench = bench(Kind::Engine);
+    bench.enqueue(once("entry-1", 1, "a"));
+    assert!(
+        bench.enqueue(once("entry-2", 1, "a")).is_empty(),
+        "not before it runs"
+    );
+    let decisions = bench.hold();
+    assert_eq!(decisions.len(), 2);
+    assert!(matches!(decisions[0].1, Decision::Grant(_)));
+    assert!(
+        matches!(&decisions[1].1, Decision::Join { id: joined, .. } if *joined == id("entry-1", 1))
+    );
+}
+
+#[test]
+fn a_resent_key_of_a_plain_service_waits_for_the_end() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    let grant = granted(&bench.hold(), &id("entry-1", 1));
+    assert!(bench.enqueue(once("entry-2", 1, "a")).is_empty());
+    let decisions = bench.step(end(&id("entry-1", 1), &grant, Outcome::Served));
+    assert!(matches!(
+        decisions[..],
+        [(
+            _,
+            Decision::Ended {
+                outcome: Outcome::Served,
+                ..
+            }
+        )]
+    ));
+    let decisions = bench.enqueue(once("entry-3", 1, "a"));
+    assert!(matches!(
+        decisions[..],
+        [(
+            _,
+            Decision::Ended {
+                outcome: Outcome::Served,
+                ..
+            }
+        )]
+    ));
+}
+
+#[test]
+fn an_attached_request_ends_unknown_at_its_deadline() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    granted(&bench.hold(), &id("entry-1", 1));
+    bench.enqueue(once("entry-2", 1, "a"));
+    let decisions = bench.pass(Duration::from_secs(20));
+    assert!(matches!(
+        decisions[..],
+        [(
+            _,
+            Decision::Ended {
+                outcome: Outcome::Unknown,
+                ..
+            }
+        )]
+    ));
+}
+
+#[test]
+fn a_withdrawn_key_goes_to_the_one_that_waits_for_it() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    granted(&bench.hold(), &id("entry-1", 1));
+    bench.enqueue(once("entry-2", 1, "a"));
+    assert!(bench.step(Input::Withdraw(id("entry-1", 1))).is_empty());
+    granted(&bench.hold(), &id("entry-2", 1));
+}
+
+#[test]
+fn a_key_that_was_granted_before_stays_claimed_when_its_request_is_refused() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    granted(&bench.hold(), &id("entry-1", 1));
+    // The entry's second message crosses the grant; the new grant then finds no backup.
+    bench.enqueue(once("entry-1", 1, "a"));
+    let decisions = bench.pass(Duration::from_secs(1));
+    assert_eq!(refused(&decisions, &id("entry-1", 1)), Refusal::NoBackup);
+    bench.hold();
+    assert!(bench.enqueue(once("entry-2", 1, "a")).is_empty());
+    assert!(bench.hold().is_empty());
+}
+
+#[test]
+fn a_taken_over_key_is_granted_anew_to_its_own_request_only() {
+    let mut old = bench(Kind::Plain);
+    old.enqueue(once("entry-1", 1, "a"));
+    granted(&old.hold(), &id("entry-1", 1));
+    let claims = old
+        .scheduler
+        .snapshot()
+        .into_iter()
+        .map(|record| (record.key, record.claim))
+        .collect();
+    let directory = directory(Kind::Plain, &[("v1", 10_000, &["up-1"], 2)]);
+    let mut new = Bench::take_over(directory, view(2, &["entry-3"]), claims, old.now);
+    assert!(new.enqueue(once("entry-2", 1, "a")).is_empty());
+    assert!(new.enqueue(once("entry-1", 1, "a")).is_empty());
+    assert!(new.hold().is_empty(), "it settles first");
+    new.pass(Duration::from_secs(1));
+    granted(&new.hold(), &id("entry-1", 1));
+}
+
+#[test]
+fn a_dead_entrys_key_ends_unknown() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    granted(&bench.hold(), &id("entry-1", 1));
+    bench.enqueue(once("entry-2", 1, "a"));
+    let decisions = bench.step(Input::Died(name("entry-1")));
+    assert!(matches!(
+        decisions[..],
+        [(
+            _,
+            Decision::Ended {
+                outcome: Outcome::Unknown,
+                ..
+            }
+        )]
+    ));
+    let (_, records) = bench.copies.last().expect("the end is copied");
+    assert!(matches!(records[0].claim, Claim::Ended { .. }));
+}
--- /dev/null
+++ b/gooseberrylb_policy/tests/scheduler/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the scheduler through its inputs and outputs only.
+
+mod claims;
+mod fixture;
