Apply commands to the control state, and give the answers of the HTTP interface their types

State::apply_entry is a pure function of the entries in order. It keeps notes by number with their digests, moves, instances by incarnation, views, the leader, the audit trail and the counts of outcomes, each within a stated bound.

--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: what release notes have added up to.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,12 @@
     pub const NONE: Share = Share(0);
 }
 
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}%", self.0 / 100, self.0 % 100)
+    }
+}
+
 /// One instance as the control state knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
--- a/gooseberrylb_config/src/lib.rs
+++ b/gooseberrylb_config/src/lib.rs
@@ -5,6 +5,7 @@
 //! judge the same input alike. See `docs/NOTES.md` for the format of release notes and
 //! `docs/OPERATING.md` for the settings.
 
+pub mod answer;
 pub mod clock;
 pub mod directory;
 pub mod finding;
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -1,5 +1,7 @@
-//! What the entries of the log add up to.
+//! What the entries of the log add up to: a pure function of the commands in their order, so that
+//! every voter and learner holds the same.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -12,6 +14,19 @@
 use gooseberrylb_policy::request::Outcome;
 use serde::{Deserialize, Serialize};
 
+use crate::entry::{Entry, Payload};
+use crate::membership::Membership;
+
+pub mod audit;
+mod codec;
+mod instances;
+mod notes;
+mod query;
+pub mod report;
+mod steps;
+
+pub use codec::Error;
+
 /// One command, as an entry of the log carries it (in JSON, so that a later release can read it).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -80,6 +95,21 @@
     Tally(Tally),
 }
 
+impl Command {
+    /// When the leader made the command, where it says so.
+    pub fn at(&self) -> Option<SystemTime> {
+        match self {
+            Command::Submit { at, .. }
+            | Command::Join { at, .. }
+            | Command::Leave { at, .. }
+            | Command::View { at, .. }
+            | Command::Lead { at, .. } => Some(*at),
+            Command::Step(step) => Some(step.at),
+            Command::Tally(_) => None,
+        }
+    }
+}
+
 /// What a tally counts apart.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Label {
@@ -161,3 +191,182 @@
     #[serde(with = "note::time")]
     pub at: SystemTime,
 }
+
+/// The leader that the log knows of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Its name.
+    pub name: id::Instance,
+    /// Its term.
+    pub term: number::Term,
+    /// When it was elected.
+    #[serde(with = "note::time")]
+    pub at: SystemTime,
+}
+
+/// The control state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The last entry of the log that it holds.
+    applied: number::Index,
+    /// The time of the last command that carried one.
+    #[serde(with = "note::time::option")]
+    last_at: Option<SystemTime>,
+    /// The configuration.
+    directory: directory::Directory,
+    /// The accepted notes.
+    notes: BTreeMap<number::Note, notes::Record>,
+    /// The highest number of a note that is no longer kept.
+    forgotten: number::Note,
+    /// The moves by the version that takes traffic.
+    moves: BTreeMap<id::Version, moves::Move>,
+    /// The instances that have joined, those that have left too.
+    members: BTreeMap<id::Instance, instances::Member>,
+    /// The last view of each domain whose service was withdrawn, so that its numbers never recur.
+    retired_views: Vec<(directory::Cell, number::View)>,
+    /// The leader.
+    leader: Option<Leader>,
+    /// The audit trail.
+    audit: audit::Trail,
+    /// The counts of outcomes.
+    reports: report::Reports,
+}
+
+impl State {
+    /// Makes the state before the first entry.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies a committed entry, and gives the reply where it holds a command.
+    pub fn apply_entry(&mut self, entry: &Entry) -> Result<Option<Reply>, Error> {
+        match &entry.payload {
+            Payload::Noop => {
+                self.applied = self.applied.max(entry.index);
+                Ok(None)
+            }
+            Payload::Membership(membership) => {
+                self.change_membership(entry, membership);
+                Ok(None)
+            }
+            Payload::Command(bytes) => {
+                let command = Command::decode(bytes)?;
+                Ok(Some(self.apply(entry.index, &command)))
+            }
+        }
+    }
+
+    /// Applies the command of the entry at `index`. An entry that the state holds already changes
+    /// nothing.
+    pub fn apply(&mut self, index: number::Index, command: &Command) -> Reply {
+        if index <= self.applied {
+            return Reply::Stale;
+        }
+        self.applied = index;
+        self.last_at = command.at().or(self.last_at);
+        match command {
+            Command::Submit { note, via, at } => self.submit(note, via, *at),
+            Command::Join {
+                name,
+                instance,
+                incarnation,
+                at,
+            } => self.join(name, instance, *incarnation, *at),
+            Command::Leave {
+                name,
+                incarnation,
+                draining,
+                cause,
+                at,
+            } => self.leave(name, *incarnation, *draining, cause, *at),
+            Command::View {
+                cell,
+                view,
+                cause,
+                at,
+            } => self.change_view(cell, view, cause, *at),
+            Command::Step(step) => self.step(step),
+            Command::Lead { leader, term, at } => self.lead(leader, *term, *at),
+            Command::Tally(tally) => self.reports.merge(tally),
+        }
+    }
+
+    /// Records new voters; entries of the membership carry no time, so that of the last command
+    /// before them stands for it.
+    fn change_membership(&mut self, entry: &Entry, membership: &Membership) {
+        if entry.index <= self.applied {
+            return;
+        }
+        self.applied = entry.index;
+        let at = self.last_at.unwrap_or(SystemTime::UNIX_EPOCH);
+        let names = |members: &BTreeMap<id::Instance, _>| {
+            let names: Vec<_> = members.keys().map(|name| name.as_str()).collect();
+            names.join(", ")
+        };
+        let cause = format!(
+            "voters [{}], catching up [{}]",
+            names(&membership.voters),
+            names(&membership.learners)
+        );
+        let subject = format!("entry {}", entry.index);
+        let actor = self.leader_name();
+        self.audit
+            .add(at, actor, audit::Kind::Membership, subject, cause);
+    }
+
+    fn lead(&mut self, leader: &id::Instance, term: number::Term, at: SystemTime) -> Reply {
+        if self.leader.as_ref().is_some_and(|known| known.term >= term) {
+            return Reply::Stale;
+        }
+        self.leader = Some(Leader {
+            name: leader.clone(),
+            term,
+            at,
+        });
+        let subject = format!("term {term}");
+        let cause = format!("{leader} was elected");
+        self.audit
+            .add(at, leader.as_str(), audit::Kind::Leader, subject, cause);
+        Reply::Applied
+    }
+
+    fn change_view(
+        &mut self,
+        cell: &directory::Cell,
+        view: &directory::View,
+        cause: &Arc<str>,
+        at: SystemTime,
+    ) -> Reply {
+        let known = self.directory.service(&cell.service).is_some();
+        if !known || view.number != self.next_view(cell) {
+            return Reply::Stale;
+        }
+        self.directory.set_view(cell.clone(), view.clone());
+        self.raise_revision();
+        let backups: Vec<_> = view.backups.iter().map(|name| name.as_str()).collect();
+        let cause = format!(
+            "scheduler {}, backups [{}]: {cause}",
+            view.scheduler,
+            backups.join(", ")
+        );
+        let subject = format!(
+            "view {} of {} in {}",
+            view.number, cell.service, cell.region
+        );
+        let actor = self.leader_name();
+        self.audit
+            .add(at, actor, audit::Kind::ViewChange, subject, cause);
+        Reply::Applied
+    }
+
+    fn raise_revision(&mut self) {
+        self.directory.revision = self.directory.revision.next();
+    }
+
+    fn leader_name(&self) -> Arc<str> {
+        match &self.leader {
+            Some(leader) => Arc::from(leader.name.as_str()),
+            None => Arc::from("leader"),
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_control/src/state/instances.rs
@@ -0,0 +1,111 @@
+//! Instances that join and leave.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use gooseberrylb_config::{directory, id, note};
+use serde::{Deserialize, Serialize};
+
+use super::audit::Kind;
+use super::{Reply, State};
+
+/// The number of instances that have left and are remembered, so that a late message of theirs
+/// does not bring them back.
+pub const KEPT_LEFT: usize = 2_000;
+
+/// An instance that has joined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its start, as milliseconds since 1970.
+    pub incarnation: u64,
+    /// When it left, where it did.
+    #[serde(with = "note::time::option")]
+    pub left: Option<SystemTime>,
+}
+
+impl State {
+    pub(super) fn join(
+        &mut self,
+        name: &id::Instance,
+        instance: &directory::Instance,
+        incarnation: u64,
+        at: SystemTime,
+    ) -> Reply {
+        let known = self.members.get(name).map(|member| member.incarnation);
+        if known.is_some_and(|known| known > incarnation) {
+            return Reply::Stale;
+        }
+        if known == Some(incarnation) && self.directory.instances.get(name) == Some(instance) {
+            return Reply::Applied;
+        }
+        let member = Member {
+            incarnation,
+            left: None,
+        };
+        self.members.insert(name.clone(), member);
+        self.reports.begin(name, incarnation, at);
+        if self.directory.instances.get(name) != Some(instance) {
+            let instances = &mut self.directory.instances;
+            instances.insert(name.clone(), instance.clone());
+            self.raise_revision();
+        }
+        let subject = format!("instance {name}");
+        let cause = format!(
+            "incarnation {incarnation} in {}, for callers at {}",
+            instance.data_centre, instance.callers
+        );
+        self.audit
+            .add(at, name.as_str(), Kind::InstanceJoined, subject, cause);
+        Reply::Applied
+    }
+
+    pub(super) fn leave(
+        &mut self,
+        name: &id::Instance,
+        incarnation: u64,
+        draining: bool,
+        cause: &Arc<str>,
+        at: SystemTime,
+    ) -> Reply {
+        let Some(member) = self.members.get_mut(name) else {
+            return Reply::Stale;
+        };
+        if member.incarnation != incarnation || member.left.is_some() {
+            return Reply::Stale;
+        }
+        let kind = if draining {
+            match self.directory.instances.get_mut(name) {
+                Some(instance) if !instance.leaving => instance.leaving = true,
+                Some(_) | None => return Reply::Applied,
+            }
+            Kind::InstanceLeaving
+        } else {
+            member.left = Some(at);
+            self.directory.instances.remove(name);
+            self.reports.end(name, incarnation, cause);
+            self.forget_left();
+            Kind::InstanceLeft
+        };
+        self.raise_revision();
+        let subject = format!("instance {name}");
+        let actor = self.leader_name();
+        self.audit.add(at, actor, kind, subject, cause.clone());
+        Reply::Applied
+    }
+
+    fn forget_left(&mut self) {
+        let mut left: Vec<_> = self
+            .members
+            .iter()
+            .filter_map(|(name, member)| member.left.map(|at| (at, name.clone())))
+            .collect();
+        if left.len() <= KEPT_LEFT {
+            return;
+        }
+        left.sort();
+        for (_, name) in left.iter().take(left.len() - KEPT_LEFT) {
+            self.members.remove(name);
+            self.reports.forget(name);
+        }
+    }
+}
