Add the entry, the callers' and operators' interfaces and the start-up

Cause: requests need a way from a caller to an upstream through separate processes. Ruled out: the HTTP library's own accept loop, which has no bound and no planned stop.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -32,6 +32,7 @@
 mod rpc;
 mod thread;
 
+pub use links::Links;
 pub use peers::Accepted;
 pub use query::{Answer, Question};
 pub use thread::spawn;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -18,7 +18,7 @@
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
 use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
 use gooseberrylb_control::membership::{Change, Membership};
-use gooseberrylb_control::state::{Command, Reply, State};
+use gooseberrylb_control::state::{Reply, State};
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::plane::Control;
 
@@ -33,6 +33,9 @@
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
 
+/// The exit code of an instance that cannot read what it has agreed to.
+const EXIT_UNREADABLE: i32 = 65;
+
 /// How many entries are applied between two snapshots.
 const SNAPSHOT_INTERVAL: u64 = 1_000;
 
@@ -239,40 +242,35 @@
                 applied.membership = membership.clone();
             }
         }
-        if let Payload::Command(bytes) = &entry.payload {
-            self.apply_command(entry.index, bytes);
-        }
+        self.apply_to_state(&entry);
         self.snapshot_if_due();
     }
 
-    fn apply_command(&self, index: Index, bytes: &[u8]) {
-        let command: Command = match serde_json::from_slice(bytes) {
-            Ok(command) => command,
+    fn apply_to_state(&self, entry: &Entry) {
+        let applied = self.state.borrow_mut().apply_entry(entry);
+        match applied {
+            Ok(Some(reply)) => self.remember_reply(entry.index, reply),
+            Ok(None) => {}
             Err(error) => {
                 // Skipping it here while other voters apply it would split the state.
-                log::error!("entry {index} cannot be read, so this instance stops: {error}");
-                log::logger().flush();
-                std::process::exit(1);
+                stop_unreadable(&format!("entry {}", entry.index), &error);
             }
-        };
-        let reply = self.state.borrow_mut().apply(index, &command);
+        }
+        self.take_state();
+    }
+
+    fn remember_reply(&self, index: Index, reply: Reply) {
         let mut replies = self.replies.borrow_mut();
         replies.insert(index, reply);
         if replies.len() > KEPT_REPLIES {
             replies.pop_first();
         }
-        drop(replies);
-        self.take_state();
     }
 
     fn restore(&self, snapshot: &Snapshot) {
         match State::decode(&snapshot.state) {
             Ok(state) => *self.state.borrow_mut() = state,
-            Err(error) => {
-                log::error!("the snapshot cannot be read, so this instance stops: {error}");
-                log::logger().flush();
-                std::process::exit(1);
-            }
+            Err(error) => stop_unreadable("the snapshot", &error),
         }
         *self.applied.borrow_mut() = Applied {
             index: snapshot.index,
@@ -420,6 +418,12 @@
     }
 }
 
+fn stop_unreadable(what: &str, error: &dyn std::error::Error) -> ! {
+    log::error!("{what} cannot be read, so this instance stops: {error}");
+    log::logger().flush();
+    std::process::exit(EXIT_UNREADABLE)
+}
+
 /// Who says that a configuration is fresh.
 pub struct Source {
     /// The leader.
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use gooseberrylb_config::directory::{Cell, Directory};
+use gooseberrylb_config::directory::{self, Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_control::state::{Command, Reply};
@@ -43,13 +43,11 @@
     register(core).await?;
     bury(core).await?;
     place(core).await?;
-    super::repair::step(core).await;
     Ok(())
 }
 
 async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
-    let bytes = serde_json::to_vec(command).map_err(|e| Failure::Encoding(e.to_string().into()))?;
-    core.propose_here(bytes.into()).await
+    core.propose_here(command.encode().into()).await
 }
 
 /// Writes into the log who leads, once a term.
@@ -79,7 +77,7 @@
         described.leaving = false;
         let restarted = known_start.is_none_or(|known| known < report.incarnation);
         let moved = known.as_ref().is_none_or(|known| {
-            let known = gooseberrylb_config::directory::Instance { leaving: false, ..known.clone() };
+            let known = directory::Instance { leaving: false, ..known.clone() };
             known != described
         });
         if known_start.is_some_and(|known| known > report.incarnation) {
@@ -128,7 +126,7 @@
         let candidates = candidates(core, &directory, &cell);
         let plan = {
             let state = core.state.borrow();
-            let current = directory.view(&cell).zip(state.members(&cell));
+            let current = directory.view(&cell).zip(state.view_members(&cell));
             views::plan(&cell, current, &candidates)
         };
         let Some(plan) = plan else {
@@ -136,8 +134,10 @@
         };
         let cause = plan.cause.into();
         let at = core.clock.wall();
-        let (view, claims_lost) = (plan.view, plan.claims_lost);
-        propose(core, &Command::View { cell, view, cause, claims_lost, at }).await?;
+        // A service that was withdrawn and added again goes on counting where its views ended.
+        let number = core.state.borrow().next_view(&cell);
+        let view = View { number, ..plan.view };
+        propose(core, &Command::View { cell, view, cause, at }).await?;
     }
     Ok(())
 }
--- /dev/null
+++ b/gooseberrylb/src/control/query.rs
@@ -0,0 +1,154 @@
+//! Reads of the leader's state for operators.
+
+use std::sync::Arc;
+
+use gooseberrylb_config::answer;
+use gooseberrylb_config::answer::report::Filter;
+use gooseberrylb_config::answer::status;
+use gooseberrylb_config::directory::Directory;
+use gooseberrylb_config::number;
+use gooseberrylb_control::consensus::Role;
+use serde::{Deserialize, Serialize};
+
+use super::core::Core;
+use super::lead;
+
+/// What an operator wants to read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// One note.
+    Note(number::Note),
+    /// All notes.
+    Notes,
+    /// Who got what.
+    Report(Filter),
+    /// The audit trail behind an entry.
+    Audit {
+        /// The number of the entry.
+        after: u64,
+        /// The most entries wanted.
+        limit: usize,
+    },
+    /// How the system stands.
+    Status,
+}
+
+/// What is read, as the JSON of the operators' interface.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The answer's body.
+    Found(Arc<str>),
+    /// There is no such thing.
+    Missing,
+}
+
+fn found<T: Serialize>(value: &T) -> Answer {
+    match serde_json::to_string(value) {
+        Ok(text) => Answer::Found(text.into()),
+        Err(error) => {
+            log::error!("an answer cannot be encoded: {error}");
+            Answer::Missing
+        }
+    }
+}
+
+/// Answers a question from this instance's state.
+pub fn answer(core: &Core, question: &Question) -> Answer {
+    let state = core.state.borrow();
+    match question {
+        Question::Note(number) => match state.note(*number, number::Revision(0)) {
+            Some(mut note) => {
+                note.in_force = lead::is_in_force(core, note.revision);
+                found(&note)
+            }
+            None => Answer::Missing,
+        },
+        Question::Notes => {
+            let mut notes = state.notes(number::Revision(0));
+            for note in &mut notes.notes {
+                note.in_force = lead::is_in_force(core, note.revision);
+            }
+            found(&notes)
+        }
+        Question::Report(filter) => found(&state.report(filter)),
+        Question::Audit { after, limit } => found(&state.audit(*after, *limit)),
+        Question::Status => found(&status(core)),
+    }
+}
+
+/// How the system stands, as this instance knows it.
+pub fn status(core: &Core) -> status::Status {
+    let published = core.published();
+    let directory = core.feed.borrow().directory().clone();
+    let node = core.status();
+    let role = node.as_ref().map(|node| &node.role);
+    status::Status {
+        instance: core.identity.name.clone(),
+        role: role_name(role).into(),
+        leader: published.leader.clone().or_else(|| core.known_leader()),
+        term: node.as_ref().map_or(published.term, |node| node.term.max(published.term)),
+        committed: node.as_ref().map_or(number::Index(0), |node| node.committed),
+        revision: directory.revision,
+        fresh: published.is_fresh(core.clock.now()),
+        instances: instances(core, &directory),
+        views: views(&directory),
+        moves: moves(core),
+    }
+}
+
+fn role_name(role: Option<&Role>) -> &'static str {
+    match role {
+        None => "learner",
+        Some(Role::Unformed) => "unformed",
+        Some(Role::Follower { .. }) => "follower",
+        Some(Role::Candidate) => "candidate",
+        Some(Role::Leader) => "leader",
+    }
+}
+
+fn instances(core: &Core, directory: &Directory) -> Vec<status::Instance> {
+    let voters = core.status().map(|node| node.membership.voters).unwrap_or_default();
+    let followers = core.followers.borrow();
+    let known = directory.instances.iter();
+    known
+        .map(|(name, instance)| status::Instance {
+            name: name.clone(),
+            data_centre: instance.data_centre.clone(),
+            region: instance.region.clone(),
+            callers: instance.callers,
+            operators: instance.operators,
+            leaving: instance.leaving,
+            voter: voters.contains_key(name),
+            revision: followers.get(name).map(|follower| follower.report.revision),
+        })
+        .collect()
+}
+
+fn views(directory: &Directory) -> Vec<status::View> {
+    let known = directory.views.iter();
+    known
+        .map(|(cell, view)| status::View {
+            service: cell.service.clone(),
+            region: cell.region.clone(),
+            view: view.number,
+            scheduler: view.scheduler.clone(),
+            backups: view.backups.clone(),
+        })
+        .collect()
+}
+
+fn moves(core: &Core) -> Vec<status::Move> {
+    let state = core.state.borrow();
+    let open = state.open_moves();
+    open.map(|known| status::Move {
+        note: known.note,
+        service: known.service.clone(),
+        version: known.version.clone(),
+        replaces: known.replaces.clone(),
+        phase: known.phase.to_string().into(),
+        share: known.share,
+        move_by: known.move_by,
+        reason: known.reason.clone(),
+    })
+    .collect()
+}
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::rc::Rc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_std::net::TcpListener;
@@ -133,10 +133,7 @@
 async fn answer_ask(core: &Rc<Core>, ask: Ask) {
     match ask {
         Ask::Propose { command, reply } => {
-            let result = match serde_json::to_vec(&command) {
-                Ok(bytes) => ask_leader(core, Request::Propose(bytes)).await,
-                Err(error) => Err(Failure::Encoding(error.to_string().into())),
-            };
+            let result = ask_leader(core, Request::Propose(command.encode())).await;
             reply.send(result).ok();
         }
         Ask::Query { question, reply } => {
@@ -180,7 +177,7 @@
 
 /// Asks the leader until it answers; a command may reach it twice, so commands are idempotent.
 async fn ask_leader<T: Local>(core: &Rc<Core>, request: Request) -> Result<T, Failure> {
-    let started = Instant::now();
+    let started = core.clock.now();
     let mut tried = 0;
     loop {
         let local = if core.is_leading() {
@@ -194,7 +191,7 @@
             Err(failure) => failure,
         };
         tried += 1;
-        if started.elapsed() > ASK_TIMEOUT {
+        if core.clock.now() > started + ASK_TIMEOUT {
             return Err(match failure {
                 Failure::NotLeader { .. } => Failure::Unreachable,
                 other => other,
--- /dev/null
+++ b/gooseberrylb/src/daemon.rs
@@ -0,0 +1,241 @@
+//! Starts an instance, runs it, and stops it without cutting a request.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use anyhow::Context;
+use async_std::task;
+use gooseberrylb_config::clock::{Clock, System};
+use gooseberrylb_config::directory;
+use gooseberrylb_config::settings::Settings;
+use gooseberrylb_control::journal::{Journal, Recovered};
+use gooseberrylb_wire::handshake::Key;
+
+use crate::control::{self, Identity};
+use crate::entry::{self, Entry};
+use crate::listener::{self, Limits, Listener};
+use crate::operators::{self, Operators};
+use crate::published::Published;
+use crate::signal::Stop;
+use crate::tally::{Shipper, Tallies};
+use crate::{callers, cli, logging, traffic};
+
+/// The exit code where the settings or what they name cannot be used.
+const EXIT_USAGE: u8 = 2;
+
+/// The most operators' connections open at once.
+const OPERATOR_CONNECTIONS: usize = 256;
+
+/// The pause between two looks at what is still in flight.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long a planned stop waits for its schedulers and backups to be handed over.
+const HAND_OVER: Duration = Duration::from_secs(10);
+
+/// Runs an instance until it is told to stop; the exit code says how it went.
+pub fn run(options: cli::Options) -> ExitCode {
+    let settings = match Settings::load(&options.settings) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings.iter() {
+                eprintln!("{}: {finding}", options.settings.display());
+            }
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if options.check {
+        println!("{}: no findings", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logging::start(&settings.log) {
+        eprintln!("gooseberrylb: {error:#}");
+        return ExitCode::from(EXIT_USAGE);
+    }
+    match start(Arc::new(settings)) {
+        Ok(instance) => {
+            task::block_on(instance.serve());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            log::error!("cannot start: {error:#}");
+            eprintln!("gooseberrylb: {error:#}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+/// A started instance.
+struct Instance {
+    settings: Arc<Settings>,
+    stop: Stop,
+    entry: Arc<Entry>,
+    control: control::Handle,
+    published: Published,
+    callers: listener::Handle,
+    shipper: task::JoinHandle<()>,
+    end_of_tallies: async_channel::Sender<()>,
+}
+
+fn identity(settings: &Settings, key: Key, clock: &dyn Clock) -> Identity {
+    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Identity {
+        name: settings.name.clone(),
+        incarnation: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        instance: directory::Instance {
+            data_centre: settings.data_centre.clone(),
+            region: settings.region.clone(),
+            callers: settings.callers,
+            operators: settings.operators,
+            peers: settings.peers_listen,
+            leaving: false,
+        },
+        key,
+    }
+}
+
+fn open_journal(settings: &Settings) -> anyhow::Result<Option<(Journal, Recovered)>> {
+    let Some(folder) = &settings.data_folder else {
+        return Ok(None);
+    };
+    let opened = Journal::open(folder)
+        .with_context(|| format!("the data folder {} cannot be used", folder.display()))?;
+    Ok(Some(opened))
+}
+
+async fn bind(
+    name: &'static str,
+    address: SocketAddr,
+    limits: Limits,
+) -> anyhow::Result<Listener> {
+    Listener::bind(name, address, limits)
+        .await
+        .with_context(|| format!("cannot listen on {address} for {name} (settings: {name})"))
+}
+
+fn start(settings: Arc<Settings>) -> anyhow::Result<Instance> {
+    let clock: Arc<dyn Clock> = Arc::new(System);
+    let stop = Stop::new().context("cannot listen for signals")?;
+    let key = settings.cluster_key().context("the cluster's key cannot be read")?;
+    let token = settings.operator_token().context("the operators' token cannot be read")?;
+    let identity = identity(&settings, Key::new(key.expose().as_bytes()), &*clock);
+    let idle = Duration::from_millis(settings.limits.idle_ms);
+    let callers_limits = Limits { connections: settings.limits.connections, idle };
+    let operators_limits = Limits { connections: OPERATOR_CONNECTIONS, idle };
+    let callers = task::block_on(bind("callers", settings.callers, callers_limits))?;
+    let operators = task::block_on(bind("operators", settings.operators, operators_limits))?;
+    let peers = std::net::TcpListener::bind(settings.peers_listen)
+        .with_context(|| format!("cannot listen on {} for peers_listen", settings.peers_listen))?;
+    let journal = open_journal(&settings)?;
+
+    let published = Published::new();
+    let (control, asks) = control::Handle::new();
+    let (accepted, links) = async_channel::bounded(1024);
+    control::spawn(control::Start {
+        settings: settings.clone(),
+        identity: identity.clone(),
+        journal,
+        listener: peers,
+        traffic: accepted,
+        clock: clock.clone(),
+        published: published.clone(),
+        asks,
+        shared: control.shared.clone(),
+    })
+    .context("cannot start the control thread")?;
+    let (traffic, commands) = traffic::Handle::new();
+    traffic::spawn(traffic::Start {
+        identity: identity.clone(),
+        clock: clock.clone(),
+        published: published.clone(),
+        accepted: links,
+        commands,
+        shared: control.shared.clone(),
+    })
+    .context("cannot start the traffic thread")?;
+
+    let tallies = Arc::new(Tallies::default());
+    let shipper =
+        Shipper::new(identity.clone(), clock.clone(), tallies.clone(), control.clone());
+    let (end_of_tallies, stopped) = async_channel::bounded(1);
+    let shipper = task::spawn(shipper.run(stopped));
+    let entry = Entry::new(entry::Parts {
+        identity: identity.clone(),
+        clock: clock.clone(),
+        published: published.clone(),
+        traffic,
+        tallies,
+        limits: settings.limits.clone(),
+        shared: control.shared.clone(),
+    });
+    let callers_handle = callers.handle();
+    task::spawn(callers.run(callers::app(entry.clone())));
+    let state = Operators { identity, clock, control: control.clone(), token };
+    task::spawn(operators.run(operators::app(Arc::new(state))));
+    log::info!("{} serves callers on {}", settings.name, settings.callers);
+    Ok(Instance {
+        settings,
+        stop,
+        entry,
+        control,
+        published,
+        callers: callers_handle,
+        shipper,
+        end_of_tallies,
+    })
+}
+
+impl Instance {
+    /// Serves until a signal comes, then stops in good order.
+    async fn serve(mut self) {
+        let signal = self.stop.wait().await;
+        log::info!("{signal}: {} leaves", self.settings.name);
+        self.control.leave();
+        self.let_addresses_lapse().await;
+        self.drain().await;
+        self.hand_over().await;
+        self.end_of_tallies.close();
+        self.shipper.await;
+        log::info!("{} has stopped", self.settings.name);
+        log::logger().flush();
+    }
+
+    /// Goes on serving until callers have stopped using the addresses that they keep.
+    async fn let_addresses_lapse(&self) {
+        self.callers.close_after_requests();
+        task::sleep(Duration::from_millis(self.settings.limits.addresses_ttl_ms)).await;
+    }
+
+    /// Waits for the requests in flight, but not for ever.
+    async fn drain(&self) {
+        let clock = System;
+        let end = clock.now() + Duration::from_millis(self.settings.limits.drain_ms);
+        while self.entry.open() + self.callers.busy() > 0 && clock.now() < end {
+            task::sleep(DRAIN_INTERVAL).await;
+        }
+        self.callers.stop();
+        let left = self.entry.open();
+        if left > 0 {
+            log::warn!("{left} requests were still in flight when the time to drain was over");
+        }
+    }
+
+    /// Waits until no cell is scheduled or backed up here, so that no claim leaves with it.
+    async fn hand_over(&self) {
+        let clock = System;
+        let end = clock.now() + HAND_OVER;
+        while self.is_needed() && clock.now() < end {
+            task::sleep(DRAIN_INTERVAL).await;
+        }
+    }
+
+    fn is_needed(&self) -> bool {
+        let snapshot = self.published.read();
+        let name = &self.settings.name;
+        let alone = snapshot.directory.instances.values().all(|instance| instance.leaving);
+        let views = &snapshot.directory.views;
+        let member = views.iter().any(|(_, v)| v.scheduler == *name || v.backups.contains(name));
+        member && !alone && snapshot.is_fresh(System.now())
+    }
+}
--- /dev/null
+++ b/gooseberrylb/src/entry/incoming.rs
@@ -0,0 +1,227 @@
+//! Reads and checks a caller's request; whatever is wrong with it is told in one answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::future;
+use async_std::io::ReadExt;
+use gooseberrylb_config::directory::Directory;
+use gooseberrylb_config::finding::Findings;
+use gooseberrylb_config::id;
+use gooseberrylb_config::note::{Kind, Route};
+use gooseberrylb_policy::request::Outcome;
+use http_types::StatusCode;
+
+use super::Entry;
+use crate::answer::Error;
+use crate::connection::Peer;
+
+/// Names the client account that a request is charged to.
+const CLIENT_ACCOUNT: &str = "Client-Account";
+
+/// Makes a resent request the same as the first one.
+const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+
+/// Says how long the caller waits, in milliseconds.
+const REQUEST_TIMEOUT: &str = "Request-Timeout-Ms";
+
+/// The longest idempotency key accepted, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// The longest time that a caller may ask for.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
+
+/// A caller's request, checked.
+pub struct Incoming {
+    /// The service.
+    pub service: id::Service,
+    /// What the service's upstreams speak.
+    pub kind: Kind,
+    /// The route.
+    pub route: Route,
+    /// The client account.
+    pub account: id::Account,
+    /// The idempotency key.
+    pub key: Option<Arc<str>>,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// When it came.
+    pub arrived: Instant,
+    /// The path.
+    pub path: Arc<str>,
+    /// The type of the body.
+    pub content_type: Option<Arc<str>>,
+    /// The body.
+    pub body: Arc<[u8]>,
+    /// The caller's connection.
+    pub peer: Option<Peer>,
+}
+
+/// What a head says, before the body is read.
+struct Head {
+    service: id::Service,
+    kind: Kind,
+    route: Route,
+    account: id::Account,
+    key: Option<Arc<str>>,
+    timeout: Duration,
+}
+
+fn refuse(status: StatusCode, code: &'static str, message: impl Into<String>) -> Error {
+    Error::new(status, code, message).with_outcome(Outcome::NotRun)
+}
+
+impl Incoming {
+    /// Reads and checks a request.
+    pub async fn read(entry: &Entry, mut request: tide::Request<Arc<Entry>>) -> Result<Self, Error> {
+        let arrived = entry.clock.now();
+        let directory = entry.published.read().directory.clone();
+        let head = check_head(entry, &directory, &request)?;
+        let content_type = request.header("Content-Type").map(|v| v.as_str().into());
+        let body = read_body(entry, &mut request).await?;
+        Ok(Self {
+            service: head.service,
+            kind: head.kind,
+            route: head.route,
+            account: head.account,
+            key: head.key,
+            deadline: arrived + head.timeout,
+            arrived,
+            path: request.url().path().into(),
+            content_type,
+            body,
+            peer: request.ext::<Peer>().cloned(),
+        })
+    }
+}
+
+fn check_head(
+    entry: &Entry,
+    directory: &Directory,
+    request: &tide::Request<Arc<Entry>>,
+) -> Result<Head, Error> {
+    let (service, route) = check_path(directory, request)?;
+    let mut findings = Findings::new();
+    let account = check_account(request, &mut findings);
+    let key = check_key(request, &route, &mut findings);
+    let timeout = check_timeout(entry, request, &mut findings);
+    let Some(account) = account.filter(|_| findings.is_empty()) else {
+        let message = "the request's headers cannot be accepted";
+        return Err(refuse(StatusCode::BadRequest, "bad_request", message).with_findings(findings));
+    };
+    if !directory.accounts.contains_key(&account) {
+        let message = format!("there is no client account {account}");
+        return Err(refuse(StatusCode::Forbidden, "unknown_account", message)
+            .with_finding(CLIENT_ACCOUNT, "no release note has added this client account"));
+    }
+    let kind = directory.service(&service).map_or(Kind::Plain, |known| known.kind);
+    Ok(Head { service, kind, route, account, key, timeout })
+}
+
+fn check_path(
+    directory: &Directory,
+    request: &tide::Request<Arc<Entry>>,
+) -> Result<(id::Service, Route), Error> {
+    let service = request.param("service").unwrap_or_default();
+    let route = request.param("route").unwrap_or_default();
+    let known = id::Service::new(service).ok().filter(|s| directory.services.contains_key(s));
+    let Some(known) = known else {
+        let message = format!("there is no service {service:?}");
+        return Err(refuse(StatusCode::NotFound, "unknown_service", message)
+            .with_finding("service", "no release note has added this service"));
+    };
+    let found = id::Route::new(route).ok().and_then(|r| directory.route(&known, &r).cloned());
+    match found {
+        Some(route) => Ok((known, route)),
+        None => {
+            let message = format!("the service {known} has no route {route:?}");
+            Err(refuse(StatusCode::NotFound, "unknown_route", message)
+                .with_finding("route", "the service was not described with this route"))
+        }
+    }
+}
+
+fn check_account(
+    request: &tide::Request<Arc<Entry>>,
+    findings: &mut Findings,
+) -> Option<id::Account> {
+    let Some(header) = request.header(CLIENT_ACCOUNT) else {
+        findings.add(CLIENT_ACCOUNT, "this header is required");
+        return None;
+    };
+    match id::Account::new(header.as_str()) {
+        Ok(account) => Some(account),
+        Err(error) => {
+            findings.add(CLIENT_ACCOUNT, error.to_string());
+            None
+        }
+    }
+}
+
+fn check_key(
+    request: &tide::Request<Arc<Entry>>,
+    route: &Route,
+    findings: &mut Findings,
+) -> Option<Arc<str>> {
+    let Some(header) = request.header(IDEMPOTENCY_KEY) else {
+        if !route.repeatable {
+            findings.add(IDEMPOTENCY_KEY, "this header is required on a non-repeatable route");
+        }
+        return None;
+    };
+    let key = header.as_str();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let message = format!("a key must have 1 to {MAX_KEY_BYTES} bytes, not {}", key.len());
+        findings.add(IDEMPOTENCY_KEY, message);
+        return None;
+    }
+    Some(key.into())
+}
+
+fn check_timeout(
+    entry: &Entry,
+    request: &tide::Request<Arc<Entry>>,
+    findings: &mut Findings,
+) -> Duration {
+    let default = Duration::from_millis(entry.limits.timeout_ms);
+    let Some(header) = request.header(REQUEST_TIMEOUT) else {
+        return default;
+    };
+    match header.as_str().parse() {
+        Ok(ms) if ms > 0 => Duration::from_millis(ms).min(MAX_TIMEOUT),
+        _ => {
+            findings.add(REQUEST_TIMEOUT, "a whole number of milliseconds above 0 is required");
+            default
+        }
+    }
+}
+
+async fn read_body(
+    entry: &Entry,
+    request: &mut tide::Request<Arc<Entry>>,
+) -> Result<Arc<[u8]>, Error> {
+    let limit = entry.limits.body_bytes;
+    let too_large = || {
+        let message = format!("the body is larger than {limit} bytes");
+        refuse(StatusCode::PayloadTooLarge, "body_too_large", message)
+            .with_finding("body", "send a smaller body, or raise limits.body_bytes")
+    };
+    if request.len().is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    let mut bounded = request.take_body().take(limit as u64 + 1);
+    let receive = Duration::from_millis(entry.limits.receive_ms);
+    match future::timeout(receive, bounded.read_to_end(&mut body)).await {
+        Ok(Ok(_)) if body.len() > limit => Err(too_large()),
+        Ok(Ok(_)) => Ok(body.into()),
+        Ok(Err(error)) => {
+            let message = format!("the body cannot be read: {error}");
+            Err(refuse(StatusCode::BadRequest, "bad_body", message))
+        }
+        Err(_) => {
+            let message = format!("the body did not come within {} ms", receive.as_millis());
+            Err(refuse(StatusCode::RequestTimeout, "slow_body", message))
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb/src/operators.rs
@@ -0,0 +1,236 @@
+//! The operators' interface: release notes in, and what became of them out. `docs/INTERFACE.md`
+//! describes it.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use gooseberrylb_config::answer::Accepted;
+use gooseberrylb_config::answer::report::Filter;
+use gooseberrylb_config::clock::Clock;
+use gooseberrylb_config::note::Note;
+use gooseberrylb_config::number;
+use gooseberrylb_config::settings::secret::Secret;
+use gooseberrylb_control::state::{Command, Reply};
+use http_types::{Response, StatusCode, mime};
+
+use crate::answer::{Error, json};
+use crate::control::{self, Answer, Failure, Identity, Question};
+use crate::metrics::METRICS;
+
+mod query;
+
+/// The largest release note accepted, in bytes.
+const MAX_NOTE_BYTES: u64 = 4 * 1024 * 1024;
+
+/// When an operator may try again that reached no leader.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What operators' requests are answered with.
+pub struct Operators {
+    /// Who this instance is.
+    pub identity: Identity,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// The way to the control state.
+    pub control: control::Handle,
+    /// What operators must show.
+    pub token: Secret,
+}
+
+type Request = tide::Request<Arc<Operators>>;
+
+/// The application behind the operators' listener: commands and queries apart.
+pub fn app(operators: Arc<Operators>) -> tide::Server<Arc<Operators>> {
+    let mut app = tide::with_state(operators);
+    app.at("/health").get(health);
+    app.at("/metrics").get(metrics);
+    app.at("/v1/notes").post(submit).get(notes);
+    app.at("/v1/notes/:number").get(note);
+    app.at("/v1/status").get(status);
+    app.at("/v1/report").get(report);
+    app.at("/v1/audit").get(audit);
+    app.at("/").all(not_found);
+    app.at("/*").all(not_found);
+    app
+}
+
+async fn not_found(request: Request) -> tide::Result {
+    let message = format!("there is no {} {}", request.method(), request.url().path());
+    Ok(answer(Error::new(StatusCode::NotFound, "not_found", message)))
+}
+
+fn answer(response: impl Into<Response>) -> tide::Response {
+    response.into().into()
+}
+
+/// Refuses a request that does not show the operators' token.
+fn check_token(request: &Request) -> Result<(), Error> {
+    let header = request.header("Authorization").map(|values| values.as_str());
+    let shown = header.and_then(|value| value.strip_prefix("Bearer "));
+    match shown {
+        Some(token) if request.state().token.matches(token) => Ok(()),
+        _ => {
+            let message = "the operators' token is required";
+            Err(Error::new(StatusCode::Unauthorized, "unauthorized", message)
+                .with_finding("Authorization", "send the header `Authorization: Bearer TOKEN`"))
+        }
+    }
+}
+
+async fn health(_: Request) -> tide::Result {
+    Ok(answer(json(StatusCode::Ok, &serde_json::json!({ "status": "ok" }))))
+}
+
+async fn metrics(_: Request) -> tide::Result {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(METRICS.text());
+    response.set_content_type(mime::PLAIN);
+    Ok(answer(response))
+}
+
+// Commands.
+
+async fn submit(mut request: Request) -> tide::Result {
+    if let Err(error) = check_token(&request) {
+        return Ok(answer(error));
+    }
+    let text = match read_note(&mut request).await {
+        Ok(text) => text,
+        Err(error) => return Ok(answer(error)),
+    };
+    let note = match Note::parse(&text) {
+        Ok(note) => Box::new(note),
+        Err(findings) => return Ok(answer(invalid().with_findings(findings))),
+    };
+    let operators = request.state();
+    let via = operators.identity.name.clone();
+    let at = operators.clock.wall();
+    let result = operators.control.propose(Command::Submit { note, via, at }).await;
+    Ok(answer(explain_reply(result)))
+}
+
+async fn read_note(request: &mut Request) -> Result<String, Error> {
+    use async_std::io::ReadExt;
+    let mut bytes = Vec::new();
+    let mut bounded = request.take_body().take(MAX_NOTE_BYTES + 1);
+    let read = bounded.read_to_end(&mut bytes).await;
+    if bytes.len() as u64 > MAX_NOTE_BYTES {
+        let message = format!("the note is larger than {MAX_NOTE_BYTES} bytes");
+        return Err(Error::new(StatusCode::PayloadTooLarge, "note_too_large", message));
+    }
+    let bad = |message: String| Error::new(StatusCode::BadRequest, "bad_body", message);
+    read.map_err(|error| bad(format!("the note cannot be read: {error}")))?;
+    String::from_utf8(bytes).map_err(|error| bad(format!("the note is not UTF-8: {error}")))
+}
+
+fn invalid() -> Error {
+    let message = "the note cannot be accepted; nothing was changed";
+    Error::new(StatusCode::UnprocessableEntity, "invalid_note", message)
+}
+
+fn explain_reply(result: Result<Reply, Failure>) -> Response {
+    match result {
+        Ok(Reply::Accepted(acceptance)) => json(
+            StatusCode::Ok,
+            &Accepted {
+                note: acceptance.note,
+                revision: acceptance.revision,
+                digest: acceptance.digest,
+            },
+        ),
+        Ok(Reply::Conflict(other)) => {
+            let at = humantime::format_rfc3339_millis(other.at);
+            let message = format!(
+                "note {} was accepted with other content from {} at {at}, digest {}",
+                other.note, other.author, other.digest.0
+            );
+            Error::new(StatusCode::Conflict, "note_conflict", message)
+                .with_finding("note", "give the note another number")
+                .into()
+        }
+        Ok(Reply::Invalid(findings)) => invalid().with_findings(findings).into(),
+        Ok(Reply::Applied | Reply::Stale) => {
+            let message = "the control state gave an answer that does not fit a note";
+            Error::new(StatusCode::InternalServerError, "internal", message).into()
+        }
+        Err(failure) => explain_failure(&failure).into(),
+    }
+}
+
+fn explain_failure(failure: &Failure) -> Error {
+    let code = match failure {
+        Failure::Unreachable | Failure::NotLeader { .. } => "no_leader",
+        Failure::Full => "disk_full",
+        Failure::Encoding(_) => "bad_command",
+    };
+    Error::new(StatusCode::ServiceUnavailable, code, failure.to_string())
+        .with_retry_after(RETRY_AFTER)
+}
+
+// Queries.
+
+async fn ask(request: &Request, question: Question, missing: &str) -> tide::Response {
+    if let Err(error) = check_token(request) {
+        return answer(error);
+    }
+    match request.state().control.query(question).await {
+        Ok(Answer::Found(text)) => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(&*text);
+            response.set_content_type(mime::JSON);
+            answer(response)
+        }
+        Ok(Answer::Missing) => answer(Error::new(StatusCode::NotFound, "not_found", missing)),
+        Err(failure) => answer(explain_failure(&failure)),
+    }
+}
+
+async fn note(request: Request) -> tide::Result {
+    let text = request.param("number").unwrap_or_default();
+    let Ok(number) = text.parse::<number::Note>() else {
+        let error = Error::new(StatusCode::BadRequest, "bad_number", "a note's number is required")
+            .with_finding("number", &format!("{text:?} is not a whole number"));
+        return Ok(answer(error));
+    };
+    let missing = format!("there is no note {number}");
+    Ok(ask(&request, Question::Note(number), &missing).await)
+}
+
+async fn notes(request: Request) -> tide::Result {
+    Ok(ask(&request, Question::Notes, "there are no notes").await)
+}
+
+async fn status(request: Request) -> tide::Result {
+    Ok(ask(&request, Question::Status, "there is no status").await)
+}
+
+async fn audit(request: Request) -> tide::Result {
+    match query::audit(&request) {
+        Ok(question) => Ok(ask(&request, question, "there is no audit trail").await),
+        Err(error) => Ok(answer(error)),
+    }
+}
+
+async fn report(request: Request) -> tide::Result {
+    if let Err(error) = check_token(&request) {
+        return Ok(answer(error));
+    }
+    let wanted = match query::report(&request, request.state().clock.wall()) {
+        Ok(wanted) => wanted,
+        Err(error) => return Ok(answer(error)),
+    };
+    let question = Question::Report(wanted.filter);
+    let response = ask(&request, question, "there is no report").await;
+    Ok(query::format(response, wanted.format).await)
+}
+
+/// The time that a report begins at where none is named.
+fn default_from(to: SystemTime) -> SystemTime {
+    const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+    to.checked_sub(DAY).unwrap_or(SystemTime::UNIX_EPOCH)
+}
+
+/// A filter of everything up to `to`.
+fn everything(to: SystemTime) -> Filter {
+    Filter::new(default_from(to), to)
+}
--- /dev/null
+++ b/gooseberrylb/src/operators/query.rs
@@ -0,0 +1,141 @@
+//! The queries behind the question marks of the operators' interface.
+
+use std::time::SystemTime;
+
+use gooseberrylb_config::answer::report::{Filter, Report};
+use gooseberrylb_config::finding::Findings;
+use http_types::{Response, StatusCode};
+use serde::Deserialize;
+
+use super::{Request, default_from};
+use crate::answer::Error;
+use crate::control::Question;
+
+/// The entries of the audit trail given where no limit is named.
+const DEFAULT_ENTRIES: usize = 1_000;
+
+/// The most entries of the audit trail given at once.
+const MAX_ENTRIES: usize = 5_000;
+
+/// How a report is written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// As JSON.
+    #[default]
+    Json,
+    /// As rows of comma-separated values.
+    Csv,
+    /// As a table for people.
+    Table,
+}
+
+/// A report that is wanted.
+pub struct Wanted {
+    /// What is to be in it.
+    pub filter: Filter,
+    /// How it is written.
+    pub format: Format,
+}
+
+fn bad_query(findings: Findings) -> Error {
+    Error::new(StatusCode::BadRequest, "bad_query", "the query cannot be accepted")
+        .with_findings(findings)
+}
+
+/// Reads the pairs of a query, of which each may stand once; findings name the others.
+struct Pairs {
+    pairs: Vec<(String, String)>,
+    findings: Findings,
+}
+
+impl Pairs {
+    fn new(request: &Request) -> Self {
+        let pairs = request.url().query_pairs();
+        let pairs = pairs.map(|(name, value)| (name.into_owned(), value.into_owned())).collect();
+        Self { pairs, findings: Findings::new() }
+    }
+
+    fn take<T>(&mut self, name: &str, read: impl Fn(&str) -> Result<T, String>) -> Option<T> {
+        let at = self.pairs.iter().position(|(known, _)| known == name)?;
+        let (_, value) = self.pairs.remove(at);
+        match read(&value) {
+            Ok(value) => Some(value),
+            Err(message) => {
+                self.findings.add(name, message);
+                None
+            }
+        }
+    }
+
+    fn parse<T: std::str::FromStr>(&mut self, name: &str) -> Option<T>
+    where
+        T::Err: std::fmt::Display,
+    {
+        self.take(name, |text| text.parse().map_err(|error: T::Err| error.to_string()))
+    }
+
+    fn finish(mut self) -> Result<(), Error> {
+        for (name, _) in &self.pairs {
+            self.findings.add(name.as_str(), "this parameter is not known or stands twice");
+        }
+        if self.findings.is_empty() { Ok(()) } else { Err(bad_query(self.findings)) }
+    }
+}
+
+fn read_time(text: &str) -> Result<SystemTime, String> {
+    humantime::parse_rfc3339_weak(text)
+        .map_err(|error| format!("a time such as 2026-12-03T05:00:00Z is required: {error}"))
+}
+
+/// Reads which part of the audit trail is wanted.
+pub fn audit(request: &Request) -> Result<Question, Error> {
+    let mut pairs = Pairs::new(request);
+    let after = pairs.parse("after").unwrap_or(0);
+    let limit: usize = pairs.parse("limit").unwrap_or(DEFAULT_ENTRIES);
+    pairs.finish()?;
+    Ok(Question::Audit { after, limit: limit.min(MAX_ENTRIES) })
+}
+
+/// Reads which report is wanted.
+pub fn report(request: &Request, now: SystemTime) -> Result<Wanted, Error> {
+    let mut pairs = Pairs::new(request);
+    let to = pairs.take("to", read_time).unwrap_or(now);
+    let from = pairs.take("from", read_time).unwrap_or_else(|| default_from(to));
+    let mut filter = Filter::new(from, to);
+    filter.account = pairs.parse("account");
+    filter.tier = pairs.parse("tier");
+    filter.service = pairs.parse("service");
+    filter.version = pairs.parse("version");
+    let format = pairs.take("format", |text| match text {
+        "json" => Ok(Format::Json),
+        "csv" => Ok(Format::Csv),
+        "table" => Ok(Format::Table),
+        _ => Err("json, csv or table is required".to_owned()),
+    });
+    if from >= to {
+        pairs.findings.add("from", "the report must begin before it ends");
+    }
+    pairs.finish()?;
+    Ok(Wanted { filter, format: format.unwrap_or_default() })
+}
+
+/// Writes a report in the format that was asked for.
+pub async fn format(mut response: tide::Response, format: Format) -> tide::Response {
+    if format == Format::Json || !response.status().is_success() {
+        return response;
+    }
+    let Ok(report) = response.take_body().into_json::<Report>().await else {
+        let message = "the report cannot be read back";
+        let error = Error::new(StatusCode::InternalServerError, "internal", message);
+        return Response::from(error).into();
+    };
+    let (text, kind) = match format {
+        Format::Csv => (report.to_csv(), "text/csv; charset=utf-8"),
+        Format::Json | Format::Table => (report.to_table(), "text/plain; charset=utf-8"),
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(text);
+    response.insert_header("Content-Type", kind);
+    response.into()
+}
--- a/gooseberrylb_config/src/note.rs
+++ b/gooseberrylb_config/src/note.rs
@@ -109,6 +109,8 @@
 }
 
 /// A version of a service, run by some of its upstreams.
+///
+/// Its fields are always written, since it also travels in an encoding without field names.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Version {
@@ -119,13 +121,13 @@
     /// The upstreams that run it.
     pub upstreams: Vec<id::Upstream>,
     /// The version whose traffic it takes over.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub replaces: Option<id::Version>,
     /// The model that it runs, to be loaded before traffic moves.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub model: Option<id::Model>,
     /// The adapter that it runs.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub adapter: Option<id::Adapter>,
     /// The time by which the traffic of `replaces` is moved or given back.
     #[serde(
--- a/gooseberrylb_control/src/lib.rs
+++ b/gooseberrylb_control/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod journal;
 pub mod membership;
 pub mod state;
+pub mod views;
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::{Entry, Payload};
 use crate::membership::Membership;
+use crate::views;
 
 pub mod audit;
 mod codec;
@@ -224,6 +225,8 @@
     members: BTreeMap<id::Instance, instances::Member>,
     /// The last view of each domain whose service was withdrawn, so that its numbers never recur.
     retired_views: Vec<(directory::Cell, number::View)>,
+    /// Since when each instance has been a member of the current view of a cell.
+    view_members: Vec<(directory::Cell, views::Members)>,
     /// The leader.
     leader: Option<Leader>,
     /// The audit trail.
@@ -342,6 +345,7 @@
             return Reply::Stale;
         }
         self.directory.set_view(cell.clone(), view.clone());
+        self.note_view_members(cell, view);
         self.raise_revision();
         let backups: Vec<_> = view.backups.iter().map(|name| name.as_str()).collect();
         let cause = format!(
@@ -359,6 +363,15 @@
         Reply::Applied
     }
 
+    fn note_view_members(&mut self, cell: &directory::Cell, view: &directory::View) {
+        let known = self.view_members(cell).cloned().unwrap_or_default();
+        let members = views::joined(&known, view, |name| {
+            self.incarnation(name).unwrap_or_default()
+        });
+        self.view_members.retain(|(of, _)| of != cell);
+        self.view_members.push((cell.clone(), members));
+    }
+
     fn raise_revision(&mut self) {
         self.directory.revision = self.directory.revision.next();
     }
--- a/gooseberrylb_control/src/state/query.rs
+++ b/gooseberrylb_control/src/state/query.rs
@@ -8,6 +8,7 @@
 use super::instances::Member;
 use super::notes::Record;
 use super::{Leader, State};
+use crate::views::Members;
 
 impl State {
     /// The last entry of the log that the state holds.
@@ -33,6 +34,12 @@
         current.max(retired).unwrap_or_default().next()
     }
 
+    /// Since when each instance has been a member of the cell's current view.
+    pub fn view_members(&self, cell: &Cell) -> Option<&Members> {
+        let mut known = self.view_members.iter();
+        known.find(|(of, _)| of == cell).map(|(_, members)| members)
+    }
+
     /// The start of an instance that has joined and not left.
     pub fn incarnation(&self, name: &id::Instance) -> Option<u64> {
         let member = self.members.get(name)?;
