--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -2,7 +2,9 @@
 //! membership changes and snapshots. Pure: `Node::step` is told the time and what happened, and
 //! says what is to be done.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
@@ -11,6 +13,39 @@
 use crate::entry::{Entry, Snapshot};
 use crate::membership::{Change, Cluster, Folder, Membership};
 
+pub use message::{Body, Message, Position};
+pub use node::Node;
+
+mod election;
+mod follower;
+mod formation;
+mod lease;
+mod log;
+mod membership;
+mod message;
+mod node;
+mod progress;
+mod receive;
+mod replication;
+mod transfer;
+mod writer;
+
+/// How often a leader is heard when it has nothing to say.
+pub const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// The shortest time without a leader after which a node stands for election.
+pub const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest time without a leader after which a node stands for election.
+pub const MAX_ELECTION_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// How long a quorum's answers keep a leader certain that no other one was elected. It is shorter
+/// than [`MIN_ELECTION_TIMEOUT`], so that clocks may run at rates that differ by a fifth.
+pub const LEASE: Duration = Duration::from_millis(400);
+
+/// The entries kept in memory behind a snapshot, so that a slow follower needs no snapshot.
+pub const TAIL_ENTRIES: u64 = 1024;
+
 /// What a node is in its current term.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Role {
@@ -143,10 +178,6 @@
     },
 }
 
-/// A message between nodes. Filled in by the implementation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
-
 /// What a node starts with, as the journal recovered it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Persisted {
@@ -190,4 +221,21 @@
     pub last: Index,
     /// The membership in force at this node.
     pub membership: Membership,
+    /// Whether a membership change may be proposed now; false on all but the leader.
+    pub changeable: bool,
+    /// Instances that answer with another folder than the membership's, or that it does not name.
+    pub strangers: BTreeMap<id::Instance, Folder>,
+    /// What the leader knows of the other members; empty on all but the leader.
+    pub members: BTreeMap<id::Instance, Member>,
+}
+
+/// What a leader knows of another member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// The last entry that it has synced.
+    pub matched: Index,
+    /// When the last message that it answered was sent, if it answered this leader at all.
+    pub heard: Option<Instant>,
+    /// Whether it holds all committed entries and is being heard.
+    pub caught_up: bool,
 }
--- /dev/null
+++ b/gooseberrylb_control/src/consensus/lease.rs
@@ -0,0 +1,89 @@
+//! The leader's lease: how long it may be sure that no other leader was elected.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use gooseberrylb_config::id;
+
+use super::node::{Node, Stage};
+use super::{LEASE, MAX_ELECTION_TIMEOUT, MIN_ELECTION_TIMEOUT};
+
+/// The heartbeats whose answers are still of use.
+const KEPT_ROUNDS: usize = 32;
+
+/// When the latest heartbeats were sent.
+#[derive(Debug, Default)]
+pub(super) struct Rounds {
+    /// The number of the last one.
+    last: u64,
+    /// When they were sent, up to and with the last one.
+    sent: VecDeque<Instant>,
+}
+
+impl Rounds {
+    /// Starts a round.
+    pub(super) fn start(&mut self, now: Instant) {
+        self.last += 1;
+        self.sent.push_back(now);
+        if self.sent.len() > KEPT_ROUNDS {
+            self.sent.pop_front();
+        }
+    }
+
+    /// The number of the last round.
+    pub(super) fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// When a round started, if it is still of use.
+    pub(super) fn started(&self, round: u64) -> Option<Instant> {
+        let age = usize::try_from(self.last.checked_sub(round)?).ok()?;
+        let place = self.sent.len().checked_sub(age + 1)?;
+        self.sent.get(place).copied()
+    }
+}
+
+impl Node {
+    /// Whether this node leads, and no other leader can have been elected up to `now`.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.quorum_heard().is_some_and(|heard| now < heard + LEASE)
+    }
+
+    /// Whether the node must not help another to lead, since there may be a leader with a lease.
+    pub(super) fn honours_lease(&self) -> bool {
+        match &self.stage {
+            Stage::Leader(_) => self.holds_lease(self.now),
+            Stage::Unformed(_)
+            | Stage::Follower(_)
+            | Stage::PreCandidate(_)
+            | Stage::Candidate(_) => self.now < self.heard + MIN_ELECTION_TIMEOUT,
+        }
+    }
+
+    /// Whether a leader has not heard from a quorum for so long that another may be elected.
+    pub(super) fn is_cut_off(&self) -> bool {
+        let Stage::Leader(leadership) = &self.stage else {
+            return false;
+        };
+        let heard = self.quorum_heard().unwrap_or(leadership.elected);
+        self.now >= heard.max(leadership.elected) + MAX_ELECTION_TIMEOUT
+    }
+
+    /// The time up to which a quorum is known to have heard from this leader.
+    fn quorum_heard(&self) -> Option<Instant> {
+        let Stage::Leader(leadership) = &self.stage else {
+            return None;
+        };
+        let heard = |voter: &id::Instance| {
+            if *voter == self.identity.instance {
+                return Some(self.now);
+            }
+            leadership.members.get(voter)?.heard
+        };
+        let mut times: Vec<_> = self.membership.voters.keys().map(heard).collect();
+        times.sort_unstable();
+        times.reverse();
+        let quorum = self.membership.quorum();
+        times.get(quorum - 1).copied().flatten()
+    }
+}
--- /dev/null
+++ b/gooseberrylb_control/src/consensus/membership.rs
@@ -0,0 +1,104 @@
+//! Membership changes, one at a time.
+
+use std::collections::BTreeMap;
+
+use gooseberrylb_config::id;
+
+use super::node::{Node, Stage};
+use super::progress::Progress;
+use super::{MIN_ELECTION_TIMEOUT, Member, Proposal, Rejection};
+use crate::entry::Payload;
+use crate::membership::{Change, Membership};
+
+impl Node {
+    /// Makes a membership change, if it is safe now.
+    pub(super) fn change(&mut self, proposal: Proposal, change: &Change) {
+        if !matches!(self.stage, Stage::Leader(_)) {
+            let leader = self.leader();
+            self.reject(proposal, Rejection::NotLeader { leader });
+            return;
+        }
+        match self.changed(change) {
+            Some(membership) => self.propose(proposal, Payload::Membership(membership)),
+            None => self.reject(proposal, Rejection::NotReady),
+        }
+    }
+
+    /// Whether a change may be made now. The leader must have committed an entry of its own term,
+    /// or two leaders could each make a change that the other has not seen.
+    pub(super) fn is_changeable(&self) -> bool {
+        let Stage::Leader(leadership) = &self.stage else {
+            return false;
+        };
+        self.committed >= leadership.first && self.membership_index <= self.committed
+    }
+
+    /// The membership after `change`, unless the change is not allowed now.
+    fn changed(&self, change: &Change) -> Option<Membership> {
+        if !self.is_changeable() {
+            return None;
+        }
+        if let Change::Promote { instance } = change {
+            self.members().get(instance).filter(|m| m.caught_up)?;
+        }
+        let changed = self.membership.changed(change)?;
+        self.has_quorum(&changed).then_some(changed)
+    }
+
+    /// Whether enough voters of `membership` are heard to commit it.
+    fn has_quorum(&self, membership: &Membership) -> bool {
+        let members = self.members();
+        let is_heard = |voter: &id::Instance| {
+            let is_self = *voter == self.identity.instance;
+            is_self || members.get(voter).is_some_and(|m| self.is_recent(m))
+        };
+        let heard = membership.voters.keys().filter(|v| is_heard(v)).count();
+        heard >= membership.quorum()
+    }
+
+    fn is_recent(&self, member: &Member) -> bool {
+        member
+            .heard
+            .is_some_and(|heard| self.now < heard + MIN_ELECTION_TIMEOUT)
+    }
+
+    /// What the leader knows of the other members.
+    pub(super) fn members(&self) -> BTreeMap<id::Instance, Member> {
+        let Stage::Leader(leadership) = &self.stage else {
+            return BTreeMap::new();
+        };
+        leadership
+            .members
+            .iter()
+            .map(|(instance, progress)| (instance.clone(), self.member(progress)))
+            .collect()
+    }
+
+    fn member(&self, progress: &Progress) -> Member {
+        let mut member = Member {
+            matched: progress.matched,
+            heard: progress.heard,
+            caught_up: false,
+        };
+        let holds_committed = progress.matched >= self.committed;
+        member.caught_up = holds_committed && self.is_recent(&member);
+        member
+    }
+
+    /// Keeps the leader's followers in line with the membership in force.
+    pub(super) fn refresh_members(&mut self) {
+        let last = self.log.last().index;
+        let folders: BTreeMap<_, _> = self.membership.folders().collect();
+        let own = &self.identity.instance;
+        let Stage::Leader(leadership) = &mut self.stage else {
+            return;
+        };
+        let members = &mut leadership.members;
+        members.retain(|instance, progress| folders.get(instance) == Some(&progress.folder));
+        for (instance, folder) in folders {
+            if instance != *own && !members.contains_key(&instance) {
+                members.insert(instance, Progress::new(folder, last));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -0,0 +1,365 @@
+//! The node: what it holds, and the order of things within a step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+use gooseberrylb_config::number::{Index, Term};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::follower::Following;
+use super::formation::Formation;
+use super::log::Log;
+use super::message::{Body, Message};
+use super::replication::Leadership;
+use super::writer::{Batch, Deferred, Writer};
+use super::{
+    Identity, Input, MAX_ELECTION_TIMEOUT, MIN_ELECTION_TIMEOUT, Output, Persisted, Proposal,
+    Record, Rejection, Role, Status,
+};
+use crate::entry::{Payload, Snapshot};
+use crate::membership::{Cluster, Folder, Membership};
+
+/// How long after a refusal the journal is tried again.
+const RETRY_FULL: Duration = Duration::from_millis(500);
+
+/// Where a node is in its life; each stage holds only what is of use in it.
+#[derive(Debug)]
+pub(super) enum Stage {
+    /// No cluster was formed.
+    Unformed(Formation),
+    /// It follows.
+    Follower(Following),
+    /// It asks whether it would be voted for, before it disturbs anyone with a new term.
+    PreCandidate(BTreeSet<id::Instance>),
+    /// It asks for votes, and has these.
+    Candidate(BTreeSet<id::Instance>),
+    /// It leads.
+    Leader(Leadership),
+}
+
+/// One member of the control state, or one that is to become a member.
+#[derive(Debug)]
+pub struct Node {
+    /// Who the node is.
+    pub(super) identity: Identity,
+    /// The cluster that it belongs to.
+    pub(super) cluster: Option<Cluster>,
+    /// Its term.
+    pub(super) term: Term,
+    /// Its vote in the term.
+    pub(super) vote: Option<id::Instance>,
+    /// Its log.
+    pub(super) log: Log,
+    /// What its journal holds and is to hold.
+    pub(super) writer: Writer,
+    /// The last entry known to be committed.
+    pub(super) committed: Index,
+    /// The membership in force.
+    pub(super) membership: Membership,
+    /// The entry that names it.
+    pub(super) membership_index: Index,
+    /// Where it is in its life.
+    pub(super) stage: Stage,
+    /// When it last heard from a leader, or started and may have done so just before.
+    pub(super) heard: Instant,
+    /// When it stands for election unless it hears from a leader.
+    pub(super) deadline: Instant,
+    /// Who answers with a folder that the membership does not name.
+    pub(super) strangers: BTreeMap<id::Instance, Folder>,
+    /// The proposals made here and not yet committed.
+    pub(super) proposals: BTreeMap<Index, Proposal>,
+    /// The time of the step.
+    pub(super) now: Instant,
+    /// What is to be done after the step.
+    pub(super) outputs: Vec<Output>,
+    /// The last entry given out to be applied.
+    applied: Index,
+    /// The role and term given out last.
+    reported: (Role, Term),
+    /// The source of election timeouts.
+    random: ChaCha8Rng,
+}
+
+impl Node {
+    /// A node as its journal recovered it. Its first step restores the snapshot, if there is one.
+    pub fn new(identity: Identity, persisted: Persisted, now: Instant) -> Self {
+        // Without the cluster the rest was never relied upon: forming had not come to its end.
+        let persisted = match persisted.cluster {
+            Some(_) => persisted,
+            None => Persisted::default(),
+        };
+        let log = Log::new(&persisted);
+        let covered = log.base().index;
+        let synced = log.last().index;
+        let stage = match persisted.cluster {
+            Some(_) => Stage::Follower(Following::default()),
+            None => Stage::Unformed(Formation::new(&identity)),
+        };
+        let random = ChaCha8Rng::seed_from_u64(identity.seed);
+        let mut node = Self {
+            identity,
+            cluster: persisted.cluster,
+            term: persisted.term,
+            vote: persisted.vote,
+            log,
+            writer: Writer::new(synced),
+            committed: covered,
+            membership: Membership::default(),
+            membership_index: Index(0),
+            stage,
+            heard: now,
+            deadline: now,
+            strangers: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            now,
+            outputs: Vec::new(),
+            applied: covered,
+            reported: (Role::Unformed, Term(0)),
+            random,
+        };
+        node.outputs.extend(persisted.snapshot.map(Output::Restore));
+        node.refresh_membership();
+        node.postpone_election();
+        node
+    }
+
+    /// Takes note of what happened at `now`, and says what is to be done, in this order.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Output> {
+        self.now = now.max(self.now);
+        self.tick();
+        match input {
+            Input::Tick => {}
+            Input::Receive { from, message } => self.receive(from, message),
+            Input::Propose { proposal, command } => {
+                self.propose(proposal, Payload::Command(command));
+            }
+            Input::Change { proposal, change } => self.change(proposal, &change),
+            Input::Synced(sequence) => self.synced(sequence),
+            Input::Refused(sequence) => self.refused(sequence),
+            Input::Compact(snapshot) => self.compact(snapshot),
+        }
+        self.replicate();
+        self.persist();
+        self.report_role();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Where the node stands.
+    pub fn status(&self) -> Status {
+        Status {
+            role: self.role(),
+            term: self.term,
+            leader: self.leader(),
+            committed: self.committed,
+            last: self.log.last().index,
+            membership: self.membership.clone(),
+            changeable: self.is_changeable(),
+            strangers: self.strangers.clone(),
+            members: self.members(),
+        }
+    }
+
+    /// The cluster that the node belongs to.
+    pub fn cluster(&self) -> Option<Cluster> {
+        self.cluster
+    }
+
+    fn role(&self) -> Role {
+        match &self.stage {
+            Stage::Unformed(_) => Role::Unformed,
+            Stage::Follower(following) => Role::Follower {
+                leader: following.leader.clone(),
+            },
+            Stage::PreCandidate(_) | Stage::Candidate(_) => Role::Candidate,
+            Stage::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Who leads, as far as the node knows.
+    pub(super) fn leader(&self) -> Option<id::Instance> {
+        match &self.stage {
+            Stage::Follower(following) => following.leader.clone(),
+            Stage::Leader(_) => Some(self.identity.instance.clone()),
+            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => None,
+        }
+    }
+
+    fn tick(&mut self) {
+        match &self.stage {
+            Stage::Unformed(_) => self.probe_founders(),
+            Stage::Leader(_) => self.lead(),
+            Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => {
+                if self.now >= self.deadline {
+                    self.stand();
+                }
+            }
+        }
+    }
+
+    /// Puts the next election off by a random time.
+    pub(super) fn postpone_election(&mut self) {
+        let timeout = self
+            .random
+            .random_range(MIN_ELECTION_TIMEOUT..=MAX_ELECTION_TIMEOUT);
+        self.deadline = self.now + timeout;
+    }
+
+    /// Goes to `term` if it is later, and follows `leader` there.
+    pub(super) fn follow(&mut self, term: Term, leader: Option<id::Instance>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.writer.touch_vote();
+        }
+        self.abandon_proposals();
+        self.stage = Stage::Follower(Following::new(leader));
+        self.postpone_election();
+    }
+
+    fn abandon_proposals(&mut self) {
+        for (_, proposal) in std::mem::take(&mut self.proposals) {
+            self.reject(proposal, Rejection::Uncertain);
+        }
+    }
+
+    /// Answers a proposal that was not accepted.
+    pub(super) fn reject(&mut self, proposal: Proposal, reason: Rejection) {
+        self.outputs.push(Output::Rejected { proposal, reason });
+    }
+
+    /// Sends `body` in the present term.
+    pub(super) fn send(&mut self, to: &id::Instance, body: Body) {
+        self.send_in(self.term, to, body);
+    }
+
+    /// Sends `body` in the given term.
+    pub(super) fn send_in(&mut self, term: Term, to: &id::Instance, body: Body) {
+        let message = Message {
+            cluster: self.cluster,
+            folder: self.identity.folder,
+            addressee: self.membership.folder(to),
+            term,
+            body,
+        };
+        let to = to.clone();
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    /// Takes the membership from the log, after entries were added or dropped.
+    pub(super) fn refresh_membership(&mut self) {
+        let (index, membership) = self.log.membership(self.log.last().index);
+        let membership = membership.clone();
+        self.membership_index = index;
+        self.membership = membership;
+        let known = &self.membership;
+        self.strangers
+            .retain(|instance, folder| known.folder(instance) != Some(*folder));
+    }
+
+    /// Takes note that entries up to `index` are committed, and gives them out.
+    pub(super) fn commit(&mut self, index: Index) {
+        self.committed = self.committed.max(index);
+        while self.applied < self.committed {
+            let Some(entry) = self.log.entry(self.applied.next()) else {
+                return;
+            };
+            let entry = entry.clone();
+            let index = entry.index;
+            self.applied = index;
+            self.outputs.push(Output::Apply(entry));
+            if let Some(proposal) = self.proposals.remove(&index) {
+                self.outputs.push(Output::Accepted { proposal, index });
+            }
+        }
+    }
+
+    /// Takes a snapshot from the leader in place of the state and the log before it.
+    pub(super) fn restore(&mut self, snapshot: Snapshot) {
+        let follows_on = self.log.term(snapshot.index) == Some(snapshot.term);
+        if !follows_on {
+            self.writer.replaced();
+        }
+        self.committed = snapshot.index;
+        self.applied = snapshot.index;
+        self.log.install(snapshot.clone());
+        self.writer.touch_snapshot();
+        self.refresh_membership();
+        self.outputs.push(Output::Restore(snapshot));
+    }
+
+    fn compact(&mut self, snapshot: Snapshot) {
+        let covered = self.log.snapshot().map_or(Index(0), |s| s.index);
+        let is_new = snapshot.index > covered && snapshot.index <= self.applied;
+        let Some(term) = self.log.term(snapshot.index).filter(|_| is_new) else {
+            return;
+        };
+        let membership = self.log.membership(snapshot.index).1.clone();
+        self.log.compact(Snapshot {
+            term,
+            membership,
+            ..snapshot
+        });
+        self.writer.touch_snapshot();
+    }
+
+    fn synced(&mut self, sequence: u64) {
+        for action in self.writer.synced_to(sequence) {
+            match action {
+                Deferred::Grant { to, term } => {
+                    self.send_in(term, &to, Body::VoteAnswer { granted: true });
+                }
+                Deferred::Campaign { term, request } => self.campaign(term, &request),
+            }
+        }
+        self.tell_synced();
+        self.advance_commit();
+    }
+
+    fn refused(&mut self, sequence: u64) {
+        if self.writer.refused(sequence, self.now + RETRY_FULL) {
+            self.withdraw_unsynced();
+        }
+    }
+
+    fn persist(&mut self) {
+        let last = self.log.last().index;
+        let Some((sequence, batch)) = self.writer.next(self.now, last) else {
+            return;
+        };
+        let records = self.records(&batch);
+        self.outputs.push(Output::Persist { sequence, records });
+    }
+
+    /// The records of a batch. The cluster comes last: a torn batch leaves a node unformed.
+    fn records(&self, batch: &Batch) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut first = batch.first;
+        if let Some(snapshot) = self.log.snapshot().filter(|_| batch.snapshot) {
+            records.push(Record::Snapshot(snapshot.clone()));
+            first = first.map(|first| first.max(snapshot.index.next()));
+        }
+        if let Some(first) = first {
+            let entries = self.log.range(first, self.log.last().index);
+            records.extend(entries.cloned().map(Record::Entry));
+        }
+        if batch.vote {
+            records.push(Record::Vote {
+                term: self.term,
+                vote: self.vote.clone(),
+            });
+        }
+        records.extend(self.cluster.filter(|_| batch.cluster).map(Record::Cluster));
+        records
+    }
+
+    fn report_role(&mut self) {
+        let current = (self.role(), self.term);
+        if current != self.reported {
+            self.reported = current.clone();
+            let (role, term) = current;
+            self.outputs.push(Output::Role { role, term });
+        }
+    }
+}
--- /dev/null
+++ b/gooseberrylb_control/src/consensus/receive.rs
@@ -0,0 +1,169 @@
+//! Whether a message is for this node at all, and where it goes.
+
+use gooseberrylb_config::id;
+
+use super::follower::{Appended, Part};
+use super::message::{Body, Message};
+use super::node::Node;
+
+impl Node {
+    /// Takes a message, if sender and receiver belong to the same cluster with these folders.
+    pub(super) fn receive(&mut self, from: id::Instance, message: Message) {
+        match (self.cluster, message.cluster) {
+            (Some(own), Some(other)) if own != other => {}
+            (Some(_), Some(_)) => self.receive_member(from, message),
+            (Some(_), None) => self.receive_outsider(from, &message),
+            (None, Some(_)) => self.receive_invitation(from, message),
+            (None, None) => self.receive_unformed(from, message),
+        }
+    }
+
+    /// A message from an instance without a cluster: all that it can say is its folder.
+    fn receive_outsider(&mut self, from: id::Instance, message: &Message) {
+        if self.membership.folder(&from) != Some(message.folder) {
+            self.strangers.insert(from, message.folder);
+        }
+    }
+
+    /// A message from a cluster to a node without one. It joins only if the cluster names its
+    /// folder, so that it never votes in place of a lost one.
+    fn receive_invitation(&mut self, from: id::Instance, message: Message) {
+        if message.addressee != Some(self.identity.folder) {
+            self.answer_misaddressed(&from, &message);
+            return;
+        }
+        match message.body {
+            Body::Append { .. }
+            | Body::Snapshot { .. }
+            | Body::PreVote { .. }
+            | Body::Vote { .. } => {
+                if let Some(cluster) = message.cluster {
+                    self.join(cluster);
+                    self.dispatch(from, message);
+                }
+            }
+            Body::Probe { .. }
+            | Body::Stranger
+            | Body::PreVoteAnswer { .. }
+            | Body::VoteAnswer { .. }
+            | Body::AppendAnswer { .. }
+            | Body::SnapshotAnswer { .. } => {}
+        }
+    }
+
+    fn receive_unformed(&mut self, from: id::Instance, message: Message) {
+        if let Body::Probe { folders } = message.body {
+            self.probed(from, message.folder, folders);
+        }
+    }
+
+    fn receive_member(&mut self, from: id::Instance, message: Message) {
+        if message
+            .addressee
+            .is_some_and(|folder| folder != self.identity.folder)
+        {
+            self.answer_misaddressed(&from, &message);
+            return;
+        }
+        let known = self.membership.folder(&from);
+        if known == Some(message.folder) {
+            self.strangers.remove(&from);
+        } else {
+            self.strangers.insert(from.clone(), message.folder);
+        }
+        let is_replaced = known.is_some_and(|folder| folder != message.folder);
+        if is_replaced && message.body.is_answer() {
+            return;
+        }
+        self.dispatch(from, message);
+    }
+
+    /// Tells a sender that it takes this node for one with another folder.
+    fn answer_misaddressed(&mut self, from: &id::Instance, message: &Message) {
+        if message.addressee.is_some() && !message.body.is_answer() {
+            self.send(from, Body::Stranger);
+        }
+    }
+
+    fn dispatch(&mut self, from: id::Instance, message: Message) {
+        let Message {
+            folder, term, body, ..
+        } = message;
+        if body.is_answer() && !body.is_granted_pre_vote() && term > self.term {
+            self.follow(term, None);
+        }
+        match body {
+            Body::Probe { .. } | Body::Stranger => {}
+            Body::PreVote { last } => self.pre_vote_wanted(&from, folder, term, last),
+            Body::PreVoteAnswer { granted } => self.pre_vote_answered(from, term, granted),
+            Body::Vote { last } => self.vote_wanted(&from, folder, term, last),
+            Body::VoteAnswer { granted } => self.vote_answered(from, term, granted),
+            Body::Append {
+                previous,
+                entries,
+                committed,
+                round,
+            } => {
+                let sent = Appended {
+                    previous,
+                    entries,
+                    committed,
+                    round,
+                };
+                self.append_received(&from, term, sent);
+            }
+            Body::AppendAnswer {
+                round,
+                matched,
+                received,
+                conflict,
+            } => self.append_answered(&from, term, round, matched, received, conflict),
+            Body::Snapshot {
+                covers,
+                membership,
+                size,
+                offset,
+                part,
+                round,
+            } => {
+                let part = Part {
+                    covers,
+                    membership,
+                    size,
+                    offset,
+                    bytes: part,
+                    round,
+                };
+                self.snapshot_received(&from, term, part);
+            }
+            Body::SnapshotAnswer {
+                covers,
+                received,
+                round,
+            } => self.snapshot_answered(&from, term, round, covers, received),
+        }
+    }
+}
+
+impl Body {
+    /// Whether it answers another message.
+    fn is_answer(&self) -> bool {
+        match self {
+            Body::Stranger
+            | Body::PreVoteAnswer { .. }
+            | Body::VoteAnswer { .. }
+            | Body::AppendAnswer { .. }
+            | Body::SnapshotAnswer { .. } => true,
+            Body::Probe { .. }
+            | Body::PreVote { .. }
+            | Body::Vote { .. }
+            | Body::Append { .. }
+            | Body::Snapshot { .. } => false,
+        }
+    }
+
+    /// Whether it grants a pre-vote, whose term is not yet anyone's.
+    fn is_granted_pre_vote(&self) -> bool {
+        matches!(self, Body::PreVoteAnswer { granted: true })
+    }
+}
--- a/gooseberrylb_control/src/lib.rs
+++ b/gooseberrylb_control/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod entry;
 pub mod journal;
 pub mod membership;
+pub mod repair;
 pub mod state;
--- a/gooseberrylb_control/src/membership.rs
+++ b/gooseberrylb_control/src/membership.rs
@@ -60,3 +60,44 @@
         instance: id::Instance,
     },
 }
+
+impl Membership {
+    /// The number of voters that must agree.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// The folder that an instance is a member with.
+    pub fn folder(&self, instance: &id::Instance) -> Option<Folder> {
+        let voter = self.voters.get(instance);
+        voter.or_else(|| self.learners.get(instance)).copied()
+    }
+
+    /// All members and their folders.
+    pub fn folders(&self) -> impl Iterator<Item = (id::Instance, Folder)> {
+        let members = self.voters.iter().chain(&self.learners);
+        members.map(|(instance, folder)| (instance.clone(), *folder))
+    }
+
+    /// The membership after a change, or none if the change does not apply.
+    pub fn changed(&self, change: &Change) -> Option<Membership> {
+        let mut changed = self.clone();
+        match change {
+            Change::AddLearner { instance, folder } => {
+                if self.folder(instance).is_some() {
+                    return None;
+                }
+                changed.learners.insert(instance.clone(), *folder);
+            }
+            Change::Promote { instance } => {
+                let folder = changed.learners.remove(instance)?;
+                changed.voters.insert(instance.clone(), folder);
+            }
+            Change::Remove { instance } => {
+                let voter = changed.voters.remove(instance);
+                voter.or_else(|| changed.learners.remove(instance))?;
+            }
+        }
+        (!changed.voters.is_empty()).then_some(changed)
+    }
+}
--- /dev/null
+++ b/gooseberrylb_control/tests/journal.rs
@@ -0,0 +1,222 @@
+//! The journal against crashes, damage and full disks.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use gooseberrylb_config::number::{Bytes, Index, Term};
+use gooseberrylb_control::consensus::{Persisted, Record};
+use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
+use gooseberrylb_control::journal::{Error, Journal};
+use gooseberrylb_control::membership::{Cluster, Membership};
+use tempfile::TempDir;
+
+fn entry(index: u64, term: u64) -> Record {
+    Record::Entry(Entry {
+        index: Index(index),
+        term: Term(term),
+        payload: Payload::Command(vec![index as u8; 40].into()),
+    })
+}
+
+fn snapshot(index: u64, term: u64) -> Record {
+    Record::Snapshot(Snapshot {
+        index: Index(index),
+        term: Term(term),
+        membership: Membership::default(),
+        state: vec![7; 100].into(),
+    })
+}
+
+fn recover(folder: &Path) -> Result<Persisted, Error> {
+    Journal::open(folder).map(|(_, recovered)| recovered.persisted)
+}
+
+fn indices(persisted: &Persisted) -> Vec<u64> {
+    persisted.entries.iter().map(|e| e.index.0).collect()
+}
+
+/// The last segment in a folder.
+fn last_segment(folder: &Path) -> PathBuf {
+    let items = fs::read_dir(folder)
+        .unwrap()
+        .map(|item| item.unwrap().path());
+    let is_segment = |path: &PathBuf| path.extension().is_some_and(|e| e == "journal");
+    items.filter(is_segment).max().unwrap()
+}
+
+/// A folder with three appends, and the length of its segment after each.
+fn filled() -> (TempDir, PathBuf, Vec<u64>) {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    let path = last_segment(folder.path());
+    let mut lengths = Vec::new();
+    for index in 1..=3 {
+        journal.append(&[entry(index, 1)]).unwrap();
+        lengths.push(fs::metadata(&path).unwrap().len());
+    }
+    (folder, path, lengths)
+}
+
+#[test]
+fn what_was_appended_is_recovered_under_the_same_folder_id() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, first) = Journal::open(folder.path()).unwrap();
+    assert_eq!(first.persisted, Persisted::default());
+    let vote = Record::Vote {
+        term: Term(3),
+        vote: Some("a".parse().unwrap()),
+    };
+    let cluster = Record::Cluster(Cluster(9));
+    journal.append(&[entry(1, 1), entry(2, 1), vote]).unwrap();
+    journal.append(&[entry(2, 3), cluster]).unwrap();
+    drop(journal);
+    let (_, again) = Journal::open(folder.path()).unwrap();
+    assert_eq!(again.folder, first.folder);
+    assert_eq!(again.persisted.term, Term(3));
+    assert_eq!(again.persisted.cluster, Some(Cluster(9)));
+    assert_eq!(indices(&again.persisted), [1, 2]);
+    assert_eq!(again.persisted.entries[1].term, Term(3));
+}
+
+#[test]
+fn a_second_process_is_kept_out() {
+    let folder = TempDir::new().unwrap();
+    let _held = Journal::open(folder.path()).unwrap();
+    let second = Journal::open(folder.path());
+    assert!(matches!(second, Err(Error::Locked { .. })));
+}
+
+#[test]
+fn a_last_frame_torn_at_any_byte_is_cut_and_the_journal_goes_on() {
+    let (folder, path, lengths) = filled();
+    let whole = fs::read(&path).unwrap();
+    for length in lengths[1]..lengths[2] {
+        fs::write(&path, &whole[..length as usize]).unwrap();
+        let (mut journal, recovered) = Journal::open(folder.path()).unwrap();
+        assert_eq!(indices(&recovered.persisted), [1, 2], "torn at {length}");
+        journal.append(&[entry(3, 2)]).unwrap();
+        drop(journal);
+        let again = recover(folder.path()).unwrap();
+        assert_eq!(indices(&again), [1, 2, 3], "torn at {length}");
+        fs::remove_file(&path).unwrap();
+    }
+}
+
+#[test]
+fn a_byte_flipped_in_the_middle_is_refused_with_file_and_offset() {
+    let (folder, path, lengths) = filled();
+    let whole = fs::read(&path).unwrap();
+    for place in 0..lengths[1] as usize {
+        let mut bytes = whole.clone();
+        bytes[place] ^= 0x10;
+        fs::write(&path, &bytes).unwrap();
+        let Err(Error::Corrupt { file, offset, .. }) = recover(folder.path()) else {
+            panic!("a byte flipped at {place} went unnoticed");
+        };
+        assert_eq!(file, path);
+        let first = place as u64;
+        let begins: Vec<u64> = [0, 31, lengths[0]]
+            .into_iter()
+            .filter(|b| *b <= first)
+            .collect();
+        assert_eq!(Some(&offset), begins.last(), "flipped at {place}");
+        assert_eq!(fs::read(&path).unwrap(), bytes, "the evidence was changed");
+    }
+}
+
+#[test]
+fn a_closed_segment_is_never_taken_for_torn() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    let path = last_segment(folder.path());
+    let big = |index| {
+        Record::Entry(Entry {
+            index: Index(index),
+            term: Term(1),
+            payload: Payload::Command(vec![0; 3 << 20].into()),
+        })
+    };
+    for index in 1..=3 {
+        journal.append(&[big(index)]).unwrap();
+    }
+    drop(journal);
+    assert_ne!(last_segment(folder.path()), path);
+    assert_eq!(indices(&recover(folder.path()).unwrap()), [1, 2, 3]);
+    let mut bytes = fs::read(&path).unwrap();
+    bytes.pop();
+    fs::write(&path, &bytes).unwrap();
+    assert!(matches!(recover(folder.path()), Err(Error::Corrupt { .. })));
+    fs::remove_file(&path).unwrap();
+    assert!(matches!(recover(folder.path()), Err(Error::Corrupt { .. })));
+}
+
+#[test]
+fn snapshots_bound_the_journal_over_many_restarts() {
+    let folder = TempDir::new().unwrap();
+    let mut size = Bytes(0);
+    for round in 0..20 {
+        let (mut journal, recovered) = Journal::open(folder.path()).unwrap();
+        let first = round * 25 + 1;
+        let covered = recovered.persisted.snapshot.as_ref().map(|s| s.index.0);
+        assert_eq!(
+            covered.unwrap_or(0) + recovered.persisted.entries.len() as u64 + 1,
+            first
+        );
+        for index in first..first + 25 {
+            journal.append(&[entry(index, 1)]).unwrap();
+        }
+        journal.append(&[snapshot(first + 20, 1)]).unwrap();
+        size = journal.size();
+    }
+    assert!(
+        size.0 < 2000,
+        "20 rounds of which one is needed take {size} bytes"
+    );
+    let persisted = recover(folder.path()).unwrap();
+    assert_eq!(indices(&persisted), [497, 498, 499, 500]);
+}
+
+#[test]
+fn a_snapshot_from_another_log_drops_what_followed() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    journal
+        .append(&[entry(1, 1), entry(2, 1), entry(3, 1)])
+        .unwrap();
+    journal.append(&[snapshot(2, 2), entry(3, 2)]).unwrap();
+    drop(journal);
+    let persisted = recover(folder.path()).unwrap();
+    assert_eq!(indices(&persisted), [3]);
+    assert_eq!(persisted.entries[0].term, Term(2));
+}
+
+#[test]
+fn without_space_nothing_is_written_and_a_snapshot_makes_room() {
+    let folder = TempDir::new().unwrap();
+    let (journal, _) = Journal::open(folder.path()).unwrap();
+    let mut journal = journal.with_limit(Bytes(1000));
+    let mut index = 0;
+    let refusal = loop {
+        match journal.append(&[entry(index + 1, 1)]) {
+            Ok(()) => index += 1,
+            Err(error) => break error,
+        }
+    };
+    assert!(matches!(refusal, Error::Full));
+    journal.append(&[snapshot(index, 1)]).unwrap();
+    journal.append(&[entry(index + 1, 1)]).unwrap();
+    drop(journal);
+    assert_eq!(indices(&recover(folder.path()).unwrap()), [index + 1]);
+}
+
+#[test]
+fn a_gap_and_a_missing_folder_id_are_refused() {
+    let folder = TempDir::new().unwrap();
+    let (mut journal, _) = Journal::open(folder.path()).unwrap();
+    let gap = journal.append(&[entry(2, 1)]);
+    assert!(matches!(gap, Err(Error::Gap { index: Index(2) })));
+    journal.append(&[entry(1, 1)]).unwrap();
+    drop(journal);
+    fs::remove_file(folder.path().join("folder-id")).unwrap();
+    assert!(matches!(recover(folder.path()), Err(Error::Corrupt { .. })));
+}
