--- a/gooseberrylb/src/callers.rs
+++ b/gooseberrylb/src/callers.rs
@@ -30,7 +30,9 @@
 async fn not_found(request: tide::Request<Arc<Entry>>) -> tide::Result {
     let message = format!("there is no {} {}", request.method(), request.url().path());
     let error = Error::new(StatusCode::NotFound, "not_found", message);
-    Ok(tide::Response::from(http_types::Response::from(error.with_outcome(Outcome::NotRun))))
+    Ok(tide::Response::from(http_types::Response::from(
+        error.with_outcome(Outcome::NotRun),
+    )))
 }
 
 async fn serve(request: tide::Request<Arc<Entry>>) -> tide::Result {
@@ -65,9 +67,13 @@
 }
 
 fn bad_query(message: &str) -> http_types::Response {
-    Error::new(StatusCode::BadRequest, "bad_query", "the query cannot be accepted")
-        .with_finding("account", message)
-        .into()
+    Error::new(
+        StatusCode::BadRequest,
+        "bad_query",
+        "the query cannot be accepted",
+    )
+    .with_finding("account", message)
+    .into()
 }
 
 /// The addresses for an account: instances of this data centre first, then of this region, the
@@ -81,7 +87,10 @@
         .iter()
         .filter(|(_, instance)| !instance.leaving)
         .map(|(name, instance)| {
-            let distance = (instance.data_centre != here.data_centre, instance.region != here.region);
+            let distance = (
+                instance.data_centre != here.data_centre,
+                instance.region != here.region,
+            );
             let load = snapshot.loads.get(name).copied().unwrap_or(0);
             // Loads are compared by their magnitude only, so that a small difference of lagging
             // counts does not send every caller to the same instance.
@@ -90,7 +99,11 @@
         })
         .collect();
     known.sort();
-    let mut addresses: Vec<_> = known.into_iter().map(|(.., a)| a).take(MAX_ADDRESSES).collect();
+    let mut addresses: Vec<_> = known
+        .into_iter()
+        .map(|(.., a)| a)
+        .take(MAX_ADDRESSES)
+        .collect();
     if addresses.is_empty() {
         // Not joined yet: this instance answers for itself.
         addresses.push(here.callers);
--- a/gooseberrylb/src/cli.rs
+++ b/gooseberrylb/src/cli.rs
@@ -19,7 +19,9 @@
         .short('s')
         .help("The instance's settings: a file of JSON with comments")
         .argument::<PathBuf>("FILE");
-    let check = long("check").help("Check the settings, report all findings and stop").switch();
+    let check = long("check")
+        .help("Check the settings, report all findings and stop")
+        .switch();
     construct!(Options { settings, check })
         .to_options()
         .descr("Runs one instance of gooseberrylb, a request scheduler for unlike engines.")
--- a/gooseberrylb/src/connection.rs
+++ b/gooseberrylb/src/connection.rs
@@ -53,7 +53,12 @@
 impl Guarded {
     /// Guards `inner`, which may be silent for as long as `idle` while it is read.
     pub fn new(inner: TcpStream, idle: Duration) -> Self {
-        Self { inner, idle, reading: Stall::default(), writing: Stall::default() }
+        Self {
+            inner,
+            idle,
+            reading: Stall::default(),
+            writing: Stall::default(),
+        }
     }
 }
 
--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -29,6 +29,7 @@
 mod links;
 mod peers;
 mod query;
+mod repair;
 mod rpc;
 mod thread;
 
@@ -111,7 +112,13 @@
     /// Makes a handle, and the end that the control thread reads.
     pub fn new() -> (Self, Receiver<Ask>) {
         let (asks, receiver) = async_channel::bounded(1024);
-        (Self { asks, shared: Arc::default() }, receiver)
+        (
+            Self {
+                asks,
+                shared: Arc::default(),
+            },
+            receiver,
+        )
     }
 
     /// Has a command accepted by the voters; commands are idempotent, so that asking again is safe.
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -152,14 +152,18 @@
     /// The cluster that this instance belongs to, as far as it knows.
     pub fn cluster(&self) -> Option<u64> {
         let node = self.node.as_ref();
-        let formed = node.and_then(|node| node.borrow().cluster()).map(|cluster| cluster.0);
+        let formed = node
+            .and_then(|node| node.borrow().cluster())
+            .map(|cluster| cluster.0);
         formed.or(self.published.read().cluster)
     }
 
     /// Whether this instance leads and may act on it without asking the other voters.
     pub fn is_leading(&self) -> bool {
         let now = self.clock.now();
-        self.node.as_ref().is_some_and(|node| node.borrow().holds_lease(now))
+        self.node
+            .as_ref()
+            .is_some_and(|node| node.borrow().holds_lease(now))
     }
 
     /// The leader as this instance's consensus node knows it.
@@ -170,7 +174,10 @@
     /// Where another instance listens, by the configuration or the settings.
     pub fn address_of(&self, instance: &id::Instance) -> Option<SocketAddr> {
         let peers = &self.settings.peers;
-        let by_settings = peers.iter().find(|p| p.name == *instance).map(|p| p.address);
+        let by_settings = peers
+            .iter()
+            .find(|p| p.name == *instance)
+            .map(|p| p.address);
         let by_directory = || {
             let feed = self.feed.borrow();
             feed.directory().instances.get(instance).map(|i| i.peers)
@@ -335,7 +342,8 @@
 
     /// Has a membership change accepted, if this instance leads.
     pub async fn change_here(self: &Rc<Self>, change: Change) -> Result<Index, Rejection> {
-        self.commit(|proposal| Input::Change { proposal, change }).await
+        self.commit(|proposal| Input::Change { proposal, change })
+            .await
     }
 
     async fn commit(
@@ -372,7 +380,9 @@
     /// Reads the state, if this instance leads.
     pub fn query_here(&self, question: &Question) -> Result<Answer, Failure> {
         if !self.is_leading() {
-            let leader = self.known_leader().and_then(|leader| self.address_of(&leader));
+            let leader = self
+                .known_leader()
+                .and_then(|leader| self.address_of(&leader));
             return Err(Failure::NotLeader { leader });
         }
         Ok(super::query::answer(self, question))
@@ -382,7 +392,10 @@
     pub fn publish(&self, fresh_until: Option<(Instant, Source)>) {
         let before = self.published.read();
         let directory = self.feed.borrow().directory().clone();
-        let mut next = Publication { directory, ..(*before).clone() };
+        let mut next = Publication {
+            directory,
+            ..(*before).clone()
+        };
         if let Some((end, source)) = fresh_until {
             next.fresh_until = next.fresh_until.max(Some(end));
             next.leader = Some(source.leader);
@@ -390,7 +403,9 @@
             next.cluster = Some(source.cluster);
             next.loads = Arc::new(source.loads);
         }
-        METRICS.revision.set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
+        METRICS
+            .revision
+            .set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
         if self.published.publish(next) {
             self.wake();
         }
@@ -401,6 +416,12 @@
         self.published.read()
     }
 
+    fn add_waiter(&self, waiter: oneshot::Sender<()>) {
+        let mut waiters = self.changed.borrow_mut();
+        waiters.retain(|waiter| !waiter.is_canceled());
+        waiters.push(waiter);
+    }
+
     fn wake(&self) {
         for waiter in self.changed.borrow_mut().drain(..) {
             waiter.send(()).ok();
@@ -410,10 +431,7 @@
     /// Waits until the configuration changes, or for as long as `limit`.
     pub async fn changed(&self, limit: Duration) {
         let (waiter, change) = oneshot::channel();
-        let mut waiters = self.changed.borrow_mut();
-        waiters.retain(|waiter| !waiter.is_canceled());
-        waiters.push(waiter);
-        drop(waiters);
+        self.add_waiter(waiter);
         future::timeout(limit, change).await.ok();
     }
 }
--- a/gooseberrylb/src/control/disk.rs
+++ b/gooseberrylb/src/control/disk.rs
@@ -33,7 +33,9 @@
 pub fn spawn(journal: Journal) -> io::Result<(mpsc::Sender<Job>, Receiver<Done>)> {
     let (jobs, inbox) = mpsc::channel();
     let (done, outbox) = async_channel::unbounded();
-    thread::Builder::new().name("journal".into()).spawn(move || write(journal, &inbox, &done))?;
+    thread::Builder::new()
+        .name("journal".into())
+        .spawn(move || write(journal, &inbox, &done))?;
     Ok((jobs, outbox))
 }
 
@@ -52,7 +54,7 @@
             METRICS.journal_syncs.with_label_values(&["synced"]).inc();
             Done::Synced(sequence)
         }
-        Err(Error::Full { .. }) => {
+        Err(Error::Full) => {
             METRICS.journal_syncs.with_label_values(&["full"]).inc();
             Done::Refused(sequence)
         }
--- a/gooseberrylb/src/control/feed.rs
+++ b/gooseberrylb/src/control/feed.rs
@@ -52,7 +52,13 @@
         }
         let first = self.changes.iter().position(|(base, _)| *base == since);
         match first {
-            Some(at) => News::Changes(self.changes.iter().skip(at).map(|(_, d)| d.clone()).collect()),
+            Some(at) => News::Changes(
+                self.changes
+                    .iter()
+                    .skip(at)
+                    .map(|(_, d)| d.clone())
+                    .collect(),
+            ),
             None => News::Whole(Box::new((*self.directory).clone())),
         }
     }
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -44,6 +44,8 @@
     pub report: Report,
     /// When it came.
     pub heard: Instant,
+    /// When the first of an unbroken row of reports came.
+    pub since: Instant,
     /// The end of the last lease that it may hold, by this instance's clock.
     pub lease_until: Instant,
 }
@@ -59,7 +61,17 @@
             self.hear(child, now);
         }
         let lease_until = now + LEASE;
-        let follower = Follower { report, heard: now, lease_until };
+        let known = self
+            .0
+            .get(&report.name)
+            .filter(|known| now < known.heard + LEASE);
+        let since = known.map_or(now, |known| known.since);
+        let follower = Follower {
+            since,
+            report,
+            heard: now,
+            lease_until,
+        };
         self.0.insert(follower.report.name.clone(), follower);
     }
 
@@ -79,12 +91,18 @@
     }
 
     fn loads(&self) -> Vec<(id::Instance, u32)> {
-        self.0.iter().map(|(name, f)| (name.clone(), f.report.load)).collect()
+        self.0
+            .iter()
+            .map(|(name, f)| (name.clone(), f.report.load))
+            .collect()
     }
 
     /// Takes out the reports that are to be passed on.
     fn take_reports(&mut self) -> Vec<Report> {
-        std::mem::take(&mut self.0).into_values().map(|f| f.report).collect()
+        std::mem::take(&mut self.0)
+            .into_values()
+            .map(|f| f.report)
+            .collect()
     }
 }
 
@@ -94,7 +112,11 @@
         log::warn!("{} belongs to another cluster and is refused", report.name);
         return Update::Ask { address: None };
     }
-    if core.is_leading() { lead(core, report).await } else { relay(core, report).await }
+    if core.is_leading() {
+        lead(core, report).await
+    } else {
+        relay(core, report).await
+    }
 }
 
 fn other_cluster(core: &Core, report: &Report) -> bool {
@@ -106,10 +128,14 @@
 
 async fn lead(core: &Rc<Core>, report: Report) -> Update {
     if let Some(address) = relay_for(core, &report.name) {
-        return Update::Ask { address: Some(address) };
+        return Update::Ask {
+            address: Some(address),
+        };
     }
     let held = report.revision;
-    core.followers.borrow_mut().hear(report.clone(), core.clock.now());
+    core.followers
+        .borrow_mut()
+        .hear(report.clone(), core.clock.now());
     wait_for_news(core, held).await;
     // The lease is checked after the wait, and the answer is made in the same step: a leader that
     // was frozen meanwhile grants nothing.
@@ -132,7 +158,9 @@
 
 async fn relay(core: &Rc<Core>, report: Report) -> Update {
     let leader = core.published().leader.clone();
-    let elsewhere = || Update::Ask { address: leader.and_then(|name| core.address_of(&name)) };
+    let elsewhere = || Update::Ask {
+        address: leader.and_then(|name| core.address_of(&name)),
+    };
     if core.feed.borrow().directory().instances.len() <= MAX_DIRECT {
         return elsewhere();
     }
@@ -140,7 +168,9 @@
     core.followers.borrow_mut().hear(report, core.clock.now());
     wait_for_news(core, held).await;
     let published = core.published();
-    let left = published.fresh_until.map(|end| end.saturating_duration_since(core.clock.now()));
+    let left = published
+        .fresh_until
+        .map(|end| end.saturating_duration_since(core.clock.now()));
     match (left, &published.leader, published.cluster) {
         (Some(lease), Some(leader), Some(cluster)) if !lease.is_zero() => Update::Fresh {
             cluster,
@@ -148,7 +178,11 @@
             term: published.term,
             lease,
             news: core.feed.borrow().news(held),
-            loads: published.loads.iter().map(|(name, load)| (name.clone(), *load)).collect(),
+            loads: published
+                .loads
+                .iter()
+                .map(|(name, load)| (name.clone(), *load))
+                .collect(),
         },
         _ => elsewhere(),
     }
@@ -172,11 +206,16 @@
     }
     let group_size = instances.len().isqrt() + 1;
     let position = instances.keys().position(|n| n == name)?;
-    let group = instances.keys().skip(position - position % group_size).take(group_size);
+    let group = instances
+        .keys()
+        .skip(position - position % group_size)
+        .take(group_size);
     let followers = core.followers.borrow();
     let now = core.clock.now();
     let alive = |n: &&id::Instance| {
-        followers.get(n).is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
+        followers
+            .get(n)
+            .is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
     };
     let head = group.into_iter().find(alive)?;
     if head == name {
@@ -191,8 +230,20 @@
     loop {
         let started = core.clock.now();
         match report_once(&core, &target).await {
-            Some(Update::Fresh { cluster, leader, term, lease, news, loads }) => {
-                let source = Source { leader, term, cluster, loads: loads.into_iter().collect() };
+            Some(Update::Fresh {
+                cluster,
+                leader,
+                term,
+                lease,
+                news,
+                loads,
+            }) => {
+                let source = Source {
+                    leader,
+                    term,
+                    cluster,
+                    loads: loads.into_iter().collect(),
+                };
                 let fresh = take(&core, source, news, started + lease);
                 if !fresh {
                     task::sleep(RETRY_PAUSE).await;
@@ -207,7 +258,9 @@
                 task::sleep(RETRY_PAUSE).await;
             }
         }
-        METRICS.fresh.set(i64::from(core.published().is_fresh(core.clock.now())));
+        METRICS
+            .fresh
+            .set(i64::from(core.published().is_fresh(core.clock.now())));
         task::sleep(REPORT_PAUSE).await;
     }
 }
@@ -215,7 +268,10 @@
 /// Takes in what the leader sent; says whether the configuration is now as new as the leader's.
 fn take(core: &Core, source: Source, news: News, fresh_until: Instant) -> bool {
     if core.cluster().is_some_and(|own| own != source.cluster) {
-        log::warn!("the leader {} belongs to another cluster and is refused", source.leader);
+        log::warn!(
+            "the leader {} belongs to another cluster and is refused",
+            source.leader
+        );
         return false;
     }
     let whole = {
@@ -279,7 +335,12 @@
         revision: core.feed.borrow().directory().revision,
         cluster: core.cluster(),
         load: core.shared.load.load(Ordering::Relaxed),
-        holds: core.shared.holds.lock().map(|holds| holds.clone()).unwrap_or_default(),
+        holds: core
+            .shared
+            .holds
+            .lock()
+            .map(|holds| holds.clone())
+            .unwrap_or_default(),
         children,
     }
 }
@@ -292,7 +353,10 @@
 
 impl Target {
     fn new(core: &Core) -> Self {
-        let mut target = Self { named: None, next_peer: 0 };
+        let mut target = Self {
+            named: None,
+            next_peer: 0,
+        };
         target.advance(core);
         target
     }
@@ -317,7 +381,14 @@
             return;
         }
         let mut known: Vec<SocketAddr> = core.settings.peers.iter().map(|p| p.address).collect();
-        known.extend(core.feed.borrow().directory().instances.values().map(|i| i.peers));
+        known.extend(
+            core.feed
+                .borrow()
+                .directory()
+                .instances
+                .values()
+                .map(|i| i.peers),
+        );
         known.retain(|address| *address != own);
         known.dedup();
         if known.is_empty() {
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -43,6 +43,7 @@
     register(core).await?;
     bury(core).await?;
     place(core).await?;
+    super::repair::step(core).await;
     Ok(())
 }
 
@@ -60,24 +61,45 @@
     }
     let leader = core.identity.name.clone();
     let at = core.clock.wall();
-    propose(core, &Command::Lead { leader, term: status.term, at }).await?;
+    propose(
+        core,
+        &Command::Lead {
+            leader,
+            term: status.term,
+            at,
+        },
+    )
+    .await?;
     *announced = status.term;
     Ok(())
 }
 
 /// Registers instances that are new, restarted, moved or leaving.
 async fn register(core: &Rc<Core>) -> Result<(), Failure> {
-    let reports: Vec<_> =
-        core.followers.borrow().iter().map(|(_, f)| f.report.clone()).collect();
+    let reports: Vec<_> = core
+        .followers
+        .borrow()
+        .iter()
+        .map(|(_, f)| f.report.clone())
+        .collect();
     for report in reports {
         let known_start = core.state.borrow().incarnation(&report.name);
-        let known = core.feed.borrow().directory().instances.get(&report.name).cloned();
+        let known = core
+            .feed
+            .borrow()
+            .directory()
+            .instances
+            .get(&report.name)
+            .cloned();
         let at = core.clock.wall();
         let mut described = report.instance.clone();
         described.leaving = false;
         let restarted = known_start.is_none_or(|known| known < report.incarnation);
         let moved = known.as_ref().is_none_or(|known| {
-            let known = directory::Instance { leaving: false, ..known.clone() };
+            let known = directory::Instance {
+                leaving: false,
+                ..known.clone()
+            };
             known != described
         });
         if known_start.is_some_and(|known| known > report.incarnation) {
@@ -86,11 +108,26 @@
         let (name, incarnation) = (report.name, report.incarnation);
         if restarted || moved {
             let name = name.clone();
-            propose(core, &Command::Join { name, instance: described, incarnation, at }).await?;
+            propose(
+                core,
+                &Command::Join {
+                    name,
+                    instance: described,
+                    incarnation,
+                    at,
+                },
+            )
+            .await?;
         }
         if report.instance.leaving && !known.is_some_and(|known| known.leaving) {
             let cause = "a planned stop".into();
-            let leave = Command::Leave { name, incarnation, draining: true, cause, at };
+            let leave = Command::Leave {
+                name,
+                incarnation,
+                draining: true,
+                cause,
+                at,
+            };
             propose(core, &leave).await?;
         }
     }
@@ -103,17 +140,33 @@
     let Some(since) = core.leader_since.get() else {
         return Ok(());
     };
-    let names: Vec<id::Instance> =
-        core.feed.borrow().directory().instances.keys().cloned().collect();
+    let names: Vec<id::Instance> = core
+        .feed
+        .borrow()
+        .directory()
+        .instances
+        .keys()
+        .cloned()
+        .collect();
     for name in names {
-        let heard = core.followers.borrow().get(&name).map_or(since, |f| f.heard);
+        let heard = core
+            .followers
+            .borrow()
+            .get(&name)
+            .map_or(since, |f| f.heard);
         if name == core.identity.name || now < heard + DEAD_AFTER {
             continue;
         }
         let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
         let cause = format!("not heard of for {} ms", (now - heard).as_millis()).into();
         let at = core.clock.wall();
-        let leave = Command::Leave { name, incarnation, draining: false, cause, at };
+        let leave = Command::Leave {
+            name,
+            incarnation,
+            draining: false,
+            cause,
+            at,
+        };
         propose(core, &leave).await?;
     }
     Ok(())
@@ -136,8 +189,20 @@
         let at = core.clock.wall();
         // A service that was withdrawn and added again goes on counting where its views ended.
         let number = core.state.borrow().next_view(&cell);
-        let view = View { number, ..plan.view };
-        propose(core, &Command::View { cell, view, cause, at }).await?;
+        let view = View {
+            number,
+            ..plan.view
+        };
+        propose(
+            core,
+            &Command::View {
+                cell,
+                view,
+                cause,
+                at,
+            },
+        )
+        .await?;
     }
     Ok(())
 }
@@ -147,7 +212,10 @@
     let mut cells = Vec::new();
     for service in directory.services.keys() {
         for region in &regions {
-            cells.push(Cell { service: service.clone(), region: (*region).clone() });
+            cells.push(Cell {
+                service: service.clone(),
+                region: (*region).clone(),
+            });
         }
     }
     cells
@@ -160,7 +228,12 @@
     known
         .filter_map(|(name, instance)| {
             let follower = followers.get(name).filter(|f| now < f.heard + DEAD_AFTER)?;
-            let holds = follower.report.holds.iter().find(|h| h.cell == *cell).map(|h| h.view);
+            let holds = follower
+                .report
+                .holds
+                .iter()
+                .find(|h| h.cell == *cell)
+                .map(|h| h.view);
             let candidate = Candidate {
                 incarnation: follower.report.incarnation,
                 data_centre: instance.data_centre.clone(),
@@ -192,7 +265,10 @@
 fn all_heard(core: &Core) -> bool {
     let followers = core.followers.borrow();
     let feed = core.feed.borrow();
-    feed.directory().instances.keys().all(|name| followers.get(name).is_some())
+    feed.directory()
+        .instances
+        .keys()
+        .all(|name| followers.get(name).is_some())
 }
 
 /// Whether a follower's lease has certainly ended; one that follows a relay may have been handed a
--- a/gooseberrylb/src/control/links.rs
+++ b/gooseberrylb/src/control/links.rs
@@ -26,7 +26,11 @@
             incarnation: identity.incarnation,
             plane: P::NUMBER,
         };
-        Self { key: identity.key.clone(), own, links: RefCell::default() }
+        Self {
+            key: identity.key.clone(),
+            own,
+            links: RefCell::default(),
+        }
     }
 
     /// The link to `address`.
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use gooseberrylb_config::answer;
 use gooseberrylb_config::answer::report::Filter;
 use gooseberrylb_config::answer::status;
 use gooseberrylb_config::directory::Directory;
@@ -86,8 +85,12 @@
         instance: core.identity.name.clone(),
         role: role_name(role).into(),
         leader: published.leader.clone().or_else(|| core.known_leader()),
-        term: node.as_ref().map_or(published.term, |node| node.term.max(published.term)),
-        committed: node.as_ref().map_or(number::Index(0), |node| node.committed),
+        term: node
+            .as_ref()
+            .map_or(published.term, |node| node.term.max(published.term)),
+        committed: node
+            .as_ref()
+            .map_or(number::Index(0), |node| node.committed),
         revision: directory.revision,
         fresh: published.is_fresh(core.clock.now()),
         instances: instances(core, &directory),
@@ -107,7 +110,10 @@
 }
 
 fn instances(core: &Core, directory: &Directory) -> Vec<status::Instance> {
-    let voters = core.status().map(|node| node.membership.voters).unwrap_or_default();
+    let voters = core
+        .status()
+        .map(|node| node.membership.voters)
+        .unwrap_or_default();
     let followers = core.followers.borrow();
     let known = directory.instances.iter();
     known
--- /dev/null
+++ b/gooseberrylb/src/control/repair.rs
@@ -0,0 +1,73 @@
+//! Has lost voters replaced: feeds the repair policy with what the leader hears.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use gooseberrylb_config::id;
+use gooseberrylb_control::membership::Folder;
+use gooseberrylb_control::repair::{self, Disk, Liveness};
+
+use super::core::Core;
+use super::follow::Follower;
+use super::lead::DEAD_AFTER;
+
+/// Makes the membership change that is due, if any.
+pub async fn step(core: &Rc<Core>) {
+    let Some(status) = core.status() else {
+        return;
+    };
+    let founders = core.settings.peers.iter().filter(|peer| peer.voter).count();
+    let target = founders.max(1);
+    let disks = disks(core, &status.membership.voters);
+    let Some(change) = repair::next(&status, &disks, target, core.clock.now()) else {
+        return;
+    };
+    log::info!("membership change {change:?}");
+    if let Err(reason) = core.change_here(change).await {
+        log::info!("the membership change was not made: {reason:?}");
+    }
+}
+
+fn disks(core: &Core, voters: &BTreeMap<id::Instance, Folder>) -> BTreeMap<id::Instance, Disk> {
+    let followers = core.followers.borrow();
+    let reported = followers.iter().filter_map(|(name, follower)| {
+        let folder = Folder(follower.report.folder?);
+        Some((
+            name.clone(),
+            Disk {
+                folder,
+                liveness: liveness(core, follower),
+            },
+        ))
+    });
+    let mut disks: BTreeMap<_, _> = reported.collect();
+    disks.retain(|name, _| {
+        let leaving = followers
+            .get(name)
+            .is_some_and(|f| f.report.instance.leaving);
+        !leaving || voters.contains_key(name)
+    });
+    // A voter that this leader never heard of is silent since the leader was elected.
+    if let Some(since) = core.leader_since.get() {
+        for (name, folder) in voters {
+            let silent = Disk {
+                folder: *folder,
+                liveness: Liveness::Silent { since },
+            };
+            disks.entry(name.clone()).or_insert(silent);
+        }
+    }
+    disks
+}
+
+fn liveness(core: &Core, follower: &Follower) -> Liveness {
+    if core.clock.now() < follower.heard + DEAD_AFTER {
+        Liveness::Alive {
+            since: follower.since,
+        }
+    } else {
+        Liveness::Silent {
+            since: follower.heard,
+        }
+    }
+}
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -36,7 +36,9 @@
 
 /// Starts the control thread; it runs until the process ends.
 pub fn spawn(start: Start) -> io::Result<thread::JoinHandle<()>> {
-    thread::Builder::new().name("control".into()).spawn(move || task::block_on(run(start)))
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || task::block_on(run(start)))
 }
 
 async fn run(start: Start) {
@@ -96,7 +98,9 @@
     loop {
         core.step(Input::Tick);
         if let Some(status) = core.status() {
-            METRICS.committed.set(i64::try_from(status.committed.0).unwrap_or(i64::MAX));
+            METRICS
+                .committed
+                .set(i64::try_from(status.committed.0).unwrap_or(i64::MAX));
         }
         task::sleep(TICK).await;
     }
@@ -237,12 +241,21 @@
 /// The leader's address as far as it is known, else that of each peer in turn.
 fn leader_address(core: &Core, tried: usize) -> Option<std::net::SocketAddr> {
     let own = core.identity.instance.peers;
-    let named = core.known_leader().or_else(|| core.published().leader.clone());
-    let known = named.and_then(|name| core.address_of(&name)).filter(|a| *a != own);
-    if let (Some(address), true) = (known, tried % 2 == 0) {
+    let named = core
+        .known_leader()
+        .or_else(|| core.published().leader.clone());
+    let known = named
+        .and_then(|name| core.address_of(&name))
+        .filter(|a| *a != own);
+    if let (Some(address), true) = (known, tried.is_multiple_of(2)) {
         return Some(address);
     }
-    let peers: Vec<_> =
-        core.settings.peers.iter().map(|p| p.address).filter(|a| *a != own).collect();
+    let peers: Vec<_> = core
+        .settings
+        .peers
+        .iter()
+        .map(|p| p.address)
+        .filter(|a| *a != own)
+        .collect();
     peers.get(tried % peers.len().max(1)).copied()
 }
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -104,11 +104,7 @@
     Ok(Some(opened))
 }
 
-async fn bind(
-    name: &'static str,
-    address: SocketAddr,
-    limits: Limits,
-) -> anyhow::Result<Listener> {
+async fn bind(name: &'static str, address: SocketAddr, limits: Limits) -> anyhow::Result<Listener> {
     Listener::bind(name, address, limits)
         .await
         .with_context(|| format!("cannot listen on {address} for {name} (settings: {name})"))
@@ -117,16 +113,30 @@
 fn start(settings: Arc<Settings>) -> anyhow::Result<Instance> {
     let clock: Arc<dyn Clock> = Arc::new(System);
     let stop = Stop::new().context("cannot listen for signals")?;
-    let key = settings.cluster_key().context("the cluster's key cannot be read")?;
-    let token = settings.operator_token().context("the operators' token cannot be read")?;
+    let key = settings
+        .cluster_key()
+        .context("the cluster's key cannot be read")?;
+    let token = settings
+        .operator_token()
+        .context("the operators' token cannot be read")?;
     let identity = identity(&settings, Key::new(key.expose().as_bytes()), &*clock);
     let idle = Duration::from_millis(settings.limits.idle_ms);
-    let callers_limits = Limits { connections: settings.limits.connections, idle };
-    let operators_limits = Limits { connections: OPERATOR_CONNECTIONS, idle };
+    let callers_limits = Limits {
+        connections: settings.limits.connections,
+        idle,
+    };
+    let operators_limits = Limits {
+        connections: OPERATOR_CONNECTIONS,
+        idle,
+    };
     let callers = task::block_on(bind("callers", settings.callers, callers_limits))?;
     let operators = task::block_on(bind("operators", settings.operators, operators_limits))?;
-    let peers = std::net::TcpListener::bind(settings.peers_listen)
-        .with_context(|| format!("cannot listen on {} for peers_listen", settings.peers_listen))?;
+    let peers = std::net::TcpListener::bind(settings.peers_listen).with_context(|| {
+        format!(
+            "cannot listen on {} for peers_listen",
+            settings.peers_listen
+        )
+    })?;
     let journal = open_journal(&settings)?;
 
     let published = Published::new();
@@ -156,8 +166,12 @@
     .context("cannot start the traffic thread")?;
 
     let tallies = Arc::new(Tallies::default());
-    let shipper =
-        Shipper::new(identity.clone(), clock.clone(), tallies.clone(), control.clone());
+    let shipper = Shipper::new(
+        identity.clone(),
+        clock.clone(),
+        tallies.clone(),
+        control.clone(),
+    );
     let (end_of_tallies, stopped) = async_channel::bounded(1);
     let shipper = task::spawn(shipper.run(stopped));
     let entry = Entry::new(entry::Parts {
@@ -171,7 +185,12 @@
     });
     let callers_handle = callers.handle();
     task::spawn(callers.run(callers::app(entry.clone())));
-    let state = Operators { identity, clock, control: control.clone(), token };
+    let state = Operators {
+        identity,
+        clock,
+        control: control.clone(),
+        token,
+    };
     task::spawn(operators.run(operators::app(Arc::new(state))));
     log::info!("{} serves callers on {}", settings.name, settings.callers);
     Ok(Instance {
@@ -233,9 +252,15 @@
     fn is_needed(&self) -> bool {
         let snapshot = self.published.read();
         let name = &self.settings.name;
-        let alone = snapshot.directory.instances.values().all(|instance| instance.leaving);
+        let alone = snapshot
+            .directory
+            .instances
+            .values()
+            .all(|instance| instance.leaving);
         let views = &snapshot.directory.views;
-        let member = views.iter().any(|(_, v)| v.scheduler == *name || v.backups.contains(name));
+        let member = views
+            .iter()
+            .any(|(_, v)| v.scheduler == *name || v.backups.contains(name));
         member && !alone && snapshot.is_fresh(System.now())
     }
 }
--- a/gooseberrylb/src/entry.rs
+++ b/gooseberrylb/src/entry.rs
@@ -100,7 +100,10 @@
         self.shared.load.fetch_add(1, Ordering::Relaxed);
         self.open.fetch_add(1, Ordering::SeqCst);
         crate::metrics::METRICS.in_flight.inc();
-        Held { shared: self.shared.clone(), open: self.open.clone() }
+        Held {
+            shared: self.shared.clone(),
+            open: self.open.clone(),
+        }
     }
 
     /// The requests that are held for callers.
@@ -117,7 +120,10 @@
     }
 
     fn cell(&self, service: &id::Service) -> Cell {
-        Cell { service: service.clone(), region: self.identity.instance.region.clone() }
+        Cell {
+            service: service.clone(),
+            region: self.identity.instance.region.clone(),
+        }
     }
 }
 
--- a/gooseberrylb/src/entry/account.rs
+++ b/gooseberrylb/src/entry/account.rs
@@ -29,18 +29,33 @@
     /// A request that no upstream started.
     pub fn not_run(refused: bool) -> Self {
         let outcome = Outcome::NotRun;
-        Self { outcome, refused, version: None, figures: Figures::default() }
+        Self {
+            outcome,
+            refused,
+            version: None,
+            figures: Figures::default(),
+        }
     }
 
     /// A request whose upstream may have run it.
     pub fn unknown(version: Option<id::Version>) -> Self {
         let outcome = Outcome::Unknown;
-        Self { outcome, refused: false, version, figures: Figures::default() }
+        Self {
+            outcome,
+            refused: false,
+            version,
+            figures: Figures::default(),
+        }
     }
 
     /// A request that was served.
     pub fn served(version: Option<id::Version>, figures: Figures) -> Self {
-        Self { outcome: Outcome::Served, refused: false, version, figures }
+        Self {
+            outcome: Outcome::Served,
+            refused: false,
+            version,
+            figures,
+        }
     }
 }
 
@@ -73,12 +88,7 @@
 }
 
 /// Counts tokens that an upstream read for nothing.
-pub fn count_wasted(
-    entry: &Entry,
-    incoming: &Incoming,
-    request: &Request,
-    version: &id::Version,
-) {
+pub fn count_wasted(entry: &Entry, incoming: &Incoming, request: &Request, version: &id::Version) {
     let wasted = request.cost.prompt.0;
     count_tokens(incoming, "wasted", wasted);
     let label = Label {
@@ -89,7 +99,13 @@
         outcome: Outcome::Unknown,
         refused: false,
     };
-    entry.tallies.count(label, Counts { wasted_tokens: wasted, ..Counts::default() });
+    entry.tallies.count(
+        label,
+        Counts {
+            wasted_tokens: wasted,
+            ..Counts::default()
+        },
+    );
 }
 
 fn count_tokens(incoming: &Incoming, kind: &str, tokens: u64) {
@@ -102,7 +118,10 @@
 pub fn observe_first_token(incoming: &Incoming, waited: Duration) {
     let tier = incoming.route.tier.to_string();
     let labels = [incoming.service.as_str(), &tier];
-    METRICS.first_token.with_label_values(&labels).observe(waited.as_secs_f64());
+    METRICS
+        .first_token
+        .with_label_values(&labels)
+        .observe(waited.as_secs_f64());
 }
 
 /// What the scheduler is told of a dispatched request; told once, when the value is finished.
--- a/gooseberrylb/src/entry/attempt.rs
+++ b/gooseberrylb/src/entry/attempt.rs
@@ -15,10 +15,10 @@
 use super::relay::{self, Joined, Source};
 use super::{Entry, Held, SILENCE};
 use crate::answer::{REQUEST_OUTCOME, SERVED_UPSTREAM, SERVED_VERSION};
+use crate::upstream::Error;
 use crate::upstream::engine::{self, Completion, Line, Started};
 use crate::upstream::http::Reuse;
 use crate::upstream::plain::{self, Reply};
-use crate::upstream::Error;
 
 /// Answers up to this size are kept for a resent key, in bytes.
 pub const KEPT_ANSWER_BYTES: usize = 16 * 1024;
@@ -60,7 +60,9 @@
 impl Attempt {
     /// How long the caller goes on waiting.
     fn time_left(&self) -> Duration {
-        self.incoming.deadline.saturating_duration_since(self.entry.clock.now())
+        self.incoming
+            .deadline
+            .saturating_duration_since(self.entry.clock.now())
     }
 
     /// Whether an upstream's own error is not passed on, since another upstream may do better.
@@ -69,7 +71,11 @@
     }
 
     fn reuse(&self) -> Reuse {
-        if self.request.repeatable { Reuse::Allowed } else { Reuse::Never }
+        if self.request.repeatable {
+            Reuse::Allowed
+        } else {
+            Reuse::Never
+        }
     }
 
     /// The account of this dispatch.
@@ -100,7 +106,11 @@
                 account::count_wasted(&self.entry, &self.incoming, &self.request, version);
                 // The key of a request that is tried again must not stay with this dispatch.
                 let retried = self.may_retry && self.request.repeatable;
-                let outcome = if retried { Outcome::NotRun } else { Outcome::Unknown };
+                let outcome = if retried {
+                    Outcome::NotRun
+                } else {
+                    Outcome::Unknown
+                };
                 ending.finish(&self.entry, outcome);
                 Attempted::Unknown
             }
@@ -121,7 +131,10 @@
             Err(_) => return self.fail(&Error::timeout()),
         };
         let first_token = self.entry.clock.now() - dispatched;
-        account::observe_first_token(&self.incoming, self.entry.clock.now() - self.incoming.arrived);
+        account::observe_first_token(
+            &self.incoming,
+            self.entry.clock.now() - self.incoming.arrived,
+        );
         Attempted::Answered(self.answer_plain(reply, first_token, held))
     }
 
@@ -137,7 +150,9 @@
             plain::Answer::Whole(body) => {
                 let kept = keep(reply.status, reply.content_type.clone(), &body);
                 let figures = *ending.figures();
-                ending.with_answer(kept).finish(&self.entry, Outcome::Served);
+                ending
+                    .with_answer(kept)
+                    .finish(&self.entry, Outcome::Served);
                 let verdict = Verdict::served(Some(self.grant.version.clone()), figures);
                 account::count(&self.entry, &self.incoming, &verdict);
                 response.set_body(body);
@@ -202,7 +217,10 @@
             match within(self, deadline, first_line(resumed)).await {
                 Ok(Begun::Line(stream, line)) => {
                     let labels = [self.incoming.service.as_str()];
-                    crate::metrics::METRICS.resumed.with_label_values(&labels).inc();
+                    crate::metrics::METRICS
+                        .resumed
+                        .with_label_values(&labels)
+                        .inc();
                     return Ok(First::Line(Joined::new(stream, line)));
                 }
                 // The engine knows the stream and is only slow: that is no miss.
@@ -228,7 +246,9 @@
             ending = ending.with_failure();
         }
         let kept = keep(status, kind.clone(), &body);
-        ending.with_answer(kept).finish(&self.entry, Outcome::Served);
+        ending
+            .with_answer(kept)
+            .finish(&self.entry, Outcome::Served);
         let verdict = Verdict::served(Some(self.grant.version.clone()), Default::default());
         account::count(&self.entry, &self.incoming, &verdict);
         response.set_body(body);
@@ -257,14 +277,18 @@
             Ok(Begun::Line(stream, line))
         }
         Started::Duplicate => Ok(Begun::Duplicate),
-        Started::Failed { status, body, content_type } => {
-            Ok(Begun::Failed(status, body, content_type))
-        }
+        Started::Failed {
+            status,
+            body,
+            content_type,
+        } => Ok(Begun::Failed(status, body, content_type)),
     }
 }
 
 fn failed_status(status: StatusCode) -> Error {
-    Error::Lost(std::io::Error::other(format!("the upstream answered {status}")))
+    Error::Lost(std::io::Error::other(format!(
+        "the upstream answered {status}"
+    )))
 }
 
 async fn within<T>(
@@ -301,7 +325,11 @@
 /// Keeps a small answer for a resent key.
 pub fn keep(status: StatusCode, content_type: Option<Arc<str>>, body: &[u8]) -> Option<Answer> {
     let small = body.len() <= KEPT_ANSWER_BYTES;
-    small.then(|| Answer { status: status.into(), content_type, body: body.into() })
+    small.then(|| Answer {
+        status: status.into(),
+        content_type,
+        body: body.into(),
+    })
 }
 
 fn plain_call(incoming: &Incoming, request: &Request) -> plain::Call {
@@ -315,5 +343,9 @@
     if let Some(key) = &incoming.key {
         headers.push(("Idempotency-Key", key.clone()));
     }
-    plain::Call { path: incoming.path.clone(), headers, body: incoming.body.clone() }
+    plain::Call {
+        path: incoming.path.clone(),
+        headers,
+        body: incoming.body.clone(),
+    }
 }
--- a/gooseberrylb/src/entry/budget.rs
+++ b/gooseberrylb/src/entry/budget.rs
@@ -25,13 +25,17 @@
     /// Gives back a retry that was not needed.
     pub fn give_back(&self) {
         let add = |saved: u32| Some((saved + RETRY).min(MOST));
-        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok();
+        self.0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .ok();
     }
 
     /// Notes a new request.
     pub fn earn(&self) {
         let add = |saved: u32| Some((saved + EARNED).min(MOST));
-        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok();
+        self.0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .ok();
     }
 
     /// Spends one retry, if it is `wanted` and there is one.
@@ -40,6 +44,8 @@
             return false;
         }
         let take = |saved: u32| saved.checked_sub(RETRY);
-        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+        self.0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
+            .is_ok()
     }
 }
--- a/gooseberrylb/src/entry/cost.rs
+++ b/gooseberrylb/src/entry/cost.rs
@@ -48,7 +48,10 @@
         match incoming.kind {
             Kind::Engine => Self::of_engine(&incoming.body),
             Kind::Plain => Ok(Self {
-                cost: Cost { prompt: Tokens(1), output: Tokens(1) },
+                cost: Cost {
+                    prompt: Tokens(1),
+                    output: Tokens(1),
+                },
                 ..Self::default()
             }),
         }
@@ -56,13 +59,27 @@
 
     fn of_engine(body: &[u8]) -> Result<Self, Error> {
         let parameters = parameters(body)?;
-        let text = parameters.get("prompt").map(prompt_text).unwrap_or_default();
-        let wanted = parameters.get("max_tokens").and_then(Value::as_u64).map(Tokens);
-        let streams = parameters.get("stream").and_then(Value::as_bool).unwrap_or(true);
+        let text = parameters
+            .get("prompt")
+            .map(prompt_text)
+            .unwrap_or_default();
+        let wanted = parameters
+            .get("max_tokens")
+            .and_then(Value::as_u64)
+            .map(Tokens);
+        let streams = parameters
+            .get("stream")
+            .and_then(Value::as_bool)
+            .unwrap_or(true);
         let prompt = Tokens((text.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1));
         let output = wanted.unwrap_or(DEFAULT_OUTPUT).max(Tokens(1));
         let prefix = fingerprints(text.as_bytes());
-        Ok(Self { parameters, streams, cost: Cost { prompt, output }, prefix })
+        Ok(Self {
+            parameters,
+            streams,
+            cost: Cost { prompt, output },
+            prefix,
+        })
     }
 }
 
--- a/gooseberrylb/src/entry/dispatch.rs
+++ b/gooseberrylb/src/entry/dispatch.rs
@@ -40,9 +40,14 @@
         Err(error) => return refuse(&entry, &incoming, false, error),
     };
     entry.retries.earn();
-    Serving { cell: entry.cell(&incoming.service), entry, incoming: Arc::new(incoming), prompt }
-        .run(held)
-        .await
+    Serving {
+        cell: entry.cell(&incoming.service),
+        entry,
+        incoming: Arc::new(incoming),
+        prompt,
+    }
+    .run(held)
+    .await
 }
 
 /// Answers a request that was not run, and counts it.
@@ -76,14 +81,20 @@
                     let held = held.take().unwrap_or_else(|| self.entry.hold());
                     self.dispatch(request, grant, attempts, held).await
                 }
-                Decision::Refuse { reason, retry_after } => {
-                    Next::Answer(self.refuse(reason, retry_after))
-                }
+                Decision::Refuse {
+                    reason,
+                    retry_after,
+                } => Next::Answer(self.refuse(reason, retry_after)),
                 Decision::Join { grant, id } => {
                     let held = held.take().unwrap_or_else(|| self.entry.hold());
                     Next::Answer(join::serve(&self.entry, &self.incoming, grant, id, held).await)
                 }
-                Decision::Ended { outcome, version, upstream, answer } => {
+                Decision::Ended {
+                    outcome,
+                    version,
+                    upstream,
+                    answer,
+                } => {
                     let served = Served { version, upstream };
                     Next::Answer(self.repeat(outcome, served, answer))
                 }
@@ -98,7 +109,10 @@
     fn request(&self) -> Request {
         let incoming = &self.incoming;
         let account = incoming.account.clone();
-        let key = incoming.key.clone().map(|text| Key { account: account.clone(), text });
+        let key = incoming.key.clone().map(|text| Key {
+            account: account.clone(),
+            text,
+        });
         Request {
             id: self.entry.next_id(),
             key,
@@ -108,7 +122,9 @@
             repeatable: incoming.route.repeatable,
             cost: self.prompt.cost,
             prefix: self.prompt.prefix.clone(),
-            time_left: incoming.deadline.saturating_duration_since(self.entry.clock.now()),
+            time_left: incoming
+                .deadline
+                .saturating_duration_since(self.entry.clock.now()),
             data_centre: self.entry.identity.instance.data_centre.clone(),
         }
     }
@@ -132,11 +148,18 @@
         let Some(address) = upstream.map(|upstream| upstream.address).filter(|_| fresh) else {
             // The upstream was withdrawn, or this instance was cut off, while the grant was under way.
             self.entry.traffic.withdraw(self.cell.clone(), request.id);
-            return if attempts < MAX_ATTEMPTS { Next::Again } else { self.refuse_again() };
+            return if attempts < MAX_ATTEMPTS {
+                Next::Again
+            } else {
+                self.refuse_again()
+            };
         };
         let repeatable = request.repeatable;
         let may_retry = attempts < MAX_ATTEMPTS && self.entry.retries.spend_if(repeatable);
-        let running = Running { request: request.clone(), grant: grant.clone() };
+        let running = Running {
+            request: request.clone(),
+            grant: grant.clone(),
+        };
         self.entry.traffic.dispatched(self.cell.clone(), running);
         let version = grant.version.clone();
         let attempt = Attempt {
@@ -215,7 +238,11 @@
         if let Some(upstream) = &served.upstream {
             response.insert_header(SERVED_UPSTREAM, upstream.as_str());
         }
-        let verdict = Verdict { outcome, version: served.version, ..Verdict::not_run(false) };
+        let verdict = Verdict {
+            outcome,
+            version: served.version,
+            ..Verdict::not_run(false)
+        };
         account::count(&self.entry, &self.incoming, &verdict);
         response
     }
--- a/gooseberrylb/src/entry/incoming.rs
+++ b/gooseberrylb/src/entry/incoming.rs
@@ -73,7 +73,10 @@
 
 impl Incoming {
     /// Reads and checks a request.
-    pub async fn read(entry: &Entry, mut request: tide::Request<Arc<Entry>>) -> Result<Self, Error> {
+    pub async fn read(
+        entry: &Entry,
+        mut request: tide::Request<Arc<Entry>>,
+    ) -> Result<Self, Error> {
         let arrived = entry.clock.now();
         let directory = entry.published.read().directory.clone();
         let head = check_head(entry, &directory, &request)?;
@@ -111,11 +114,24 @@
     };
     if !directory.accounts.contains_key(&account) {
         let message = format!("there is no client account {account}");
-        return Err(refuse(StatusCode::Forbidden, "unknown_account", message)
-            .with_finding(CLIENT_ACCOUNT, "no release note has added this client account"));
+        return Err(
+            refuse(StatusCode::Forbidden, "unknown_account", message).with_finding(
+                CLIENT_ACCOUNT,
+                "no release note has added this client account",
+            ),
+        );
     }
-    let kind = directory.service(&service).map_or(Kind::Plain, |known| known.kind);
-    Ok(Head { service, kind, route, account, key, timeout })
+    let kind = directory
+        .service(&service)
+        .map_or(Kind::Plain, |known| known.kind);
+    Ok(Head {
+        service,
+        kind,
+        route,
+        account,
+        key,
+        timeout,
+    })
 }
 
 fn check_path(
@@ -124,13 +140,17 @@
 ) -> Result<(id::Service, Route), Error> {
     let service = request.param("service").unwrap_or_default();
     let route = request.param("route").unwrap_or_default();
-    let known = id::Service::new(service).ok().filter(|s| directory.services.contains_key(s));
+    let known = id::Service::new(service)
+        .ok()
+        .filter(|s| directory.services.contains_key(s));
     let Some(known) = known else {
         let message = format!("there is no service {service:?}");
         return Err(refuse(StatusCode::NotFound, "unknown_service", message)
             .with_finding("service", "no release note has added this service"));
     };
-    let found = id::Route::new(route).ok().and_then(|r| directory.route(&known, &r).cloned());
+    let found = id::Route::new(route)
+        .ok()
+        .and_then(|r| directory.route(&known, &r).cloned());
     match found {
         Some(route) => Ok((known, route)),
         None => {
@@ -165,13 +185,19 @@
 ) -> Option<Arc<str>> {
     let Some(header) = request.header(IDEMPOTENCY_KEY) else {
         if !route.repeatable {
-            findings.add(IDEMPOTENCY_KEY, "this header is required on a non-repeatable route");
+            findings.add(
+                IDEMPOTENCY_KEY,
+                "this header is required on a non-repeatable route",
+            );
         }
         return None;
     };
     let key = header.as_str();
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
-        let message = format!("a key must have 1 to {MAX_KEY_BYTES} bytes, not {}", key.len());
+        let message = format!(
+            "a key must have 1 to {MAX_KEY_BYTES} bytes, not {}",
+            key.len()
+        );
         findings.add(IDEMPOTENCY_KEY, message);
         return None;
     }
@@ -190,7 +216,10 @@
     match header.as_str().parse() {
         Ok(ms) if ms > 0 => Duration::from_millis(ms).min(MAX_TIMEOUT),
         _ => {
-            findings.add(REQUEST_TIMEOUT, "a whole number of milliseconds above 0 is required");
+            findings.add(
+                REQUEST_TIMEOUT,
+                "a whole number of milliseconds above 0 is required",
+            );
             default
         }
     }
--- a/gooseberrylb/src/entry/join.rs
+++ b/gooseberrylb/src/entry/join.rs
@@ -25,12 +25,21 @@
     held: Held,
 ) -> Response {
     let directory = entry.published.read().directory.clone();
-    let address = directory.upstreams.get(&grant.upstream).map(|upstream| upstream.address);
+    let address = directory
+        .upstreams
+        .get(&grant.upstream)
+        .map(|upstream| upstream.address);
     while let Some(address) = address.filter(|_| entry.clock.now() < incoming.deadline) {
         let resumed = engine::resume(address, &id.to_string(), 0, SILENCE).await;
         if let Ok(Started::Stream(stream)) = resumed {
-            let verdict = Verdict { outcome: Outcome::Served, ..Verdict::not_run(false) };
-            let verdict = Verdict { version: Some(grant.version.clone()), ..verdict };
+            let verdict = Verdict {
+                outcome: Outcome::Served,
+                ..Verdict::not_run(false)
+            };
+            let verdict = Verdict {
+                version: Some(grant.version.clone()),
+                ..verdict
+            };
             account::count(entry, incoming, &verdict);
             return relay::joined(stream, &grant, held);
         }
--- a/gooseberrylb/src/entry/relay.rs
+++ b/gooseberrylb/src/entry/relay.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use async_std::io::BufReader;
 use async_std::task;
+use futures::future::{BoxFuture, Fuse};
 use futures::{FutureExt, TryStreamExt};
 use gooseberrylb_policy::request::{Figures, Outcome};
 use gooseberrylb_policy::scheduler::Grant;
@@ -59,7 +60,12 @@
 impl Joined {
     /// Takes a stream and its first line.
     pub fn new(stream: Stream, line: Line) -> Self {
-        Self { stream: Some(stream), next: Some(line), lines: 0, first_token: Duration::ZERO }
+        Self {
+            stream: Some(stream),
+            next: Some(line),
+            lines: 0,
+            first_token: Duration::ZERO,
+        }
     }
 }
 
@@ -81,11 +87,27 @@
     Left,
 }
 
+/// What reading on came to.
+enum Advance {
+    /// A line that is not the last.
+    Line(String),
+    /// The end, with the last line where there is one.
+    Ended(Option<String>, Ended),
+}
+
+/// Ends once the caller has hung up and its grace is over.
+type Left = Fuse<BoxFuture<'static, ()>>;
+
 impl Source {
     /// Reads on behind the first line of `joined`.
     pub fn new(attempt: Attempt, joined: Joined, held: Held) -> Self {
         let started = attempt.entry.clock.now();
-        Self { attempt, joined, started, _held: held }
+        Self {
+            attempt,
+            joined,
+            started,
+            _held: held,
+        }
     }
 
     /// The next line, over a new connection where the last one broke.
@@ -111,7 +133,10 @@
             if misses > 1 {
                 task::sleep(RESUME_PAUSE).await;
             }
-            METRICS.resumed.with_label_values(&[self.attempt.incoming.service.as_str()]).inc();
+            METRICS
+                .resumed
+                .with_label_values(&[self.attempt.incoming.service.as_str()])
+                .inc();
         }
     }
 
@@ -132,24 +157,19 @@
         }
     }
 
-    /// Reads all lines, and hands each to `take`.
-    async fn read_all(&mut self, mut take: impl AsyncFnMut(String)) -> Ended {
-        let left = left(self.attempt.incoming.clone()).fuse();
-        futures::pin_mut!(left);
-        loop {
-            let line = futures::select! {
-                line = self.next().fuse() => line,
-                () = left => return Ended::Left,
-            };
-            match line {
-                Ok(Line::Token(text)) => take(text).await,
-                Ok(Line::End(text, summary)) => {
-                    take(text).await;
-                    self.finish_stream();
-                    return Ended::Whole(summary);
-                }
-                Err(_) => return Ended::Broken,
+    /// Reads the next line, unless the caller leaves meanwhile.
+    async fn advance(&mut self, mut left: &mut Left) -> Advance {
+        let line = futures::select! {
+            line = self.next().fuse() => line,
+            () = left => return Advance::Ended(None, Ended::Left),
+        };
+        match line {
+            Ok(Line::Token(text)) => Advance::Line(text),
+            Ok(Line::End(text, summary)) => {
+                self.finish_stream();
+                Advance::Ended(Some(text), Ended::Whole(summary))
             }
+            Err(_) => Advance::Ended(None, Ended::Broken),
         }
     }
 
@@ -178,15 +198,21 @@
             Ended::Whole(summary) => {
                 let figures = self.figures(*summary);
                 *ending.figures() = figures;
-                ending.with_answer(answer).finish(&attempt.entry, Outcome::Served);
+                ending
+                    .with_answer(answer)
+                    .finish(&attempt.entry, Outcome::Served);
                 Verdict::served(version, figures)
             }
             Ended::Broken => {
-                ending.with_failure().finish(&attempt.entry, Outcome::Unknown);
+                ending
+                    .with_failure()
+                    .finish(&attempt.entry, Outcome::Unknown);
                 Verdict::unknown(version)
             }
             Ended::Left => {
-                ending.with_cancellation().finish(&attempt.entry, Outcome::Unknown);
+                ending
+                    .with_cancellation()
+                    .finish(&attempt.entry, Outcome::Unknown);
                 Verdict::unknown(version)
             }
         };
@@ -210,12 +236,21 @@
         return futures::future::pending().await;
     };
     peer.hung_up().await;
-    task::sleep(if incoming.key.is_some() { KEYED_GRACE } else { GRACE }).await;
+    task::sleep(if incoming.key.is_some() {
+        KEYED_GRACE
+    } else {
+        GRACE
+    })
+    .await;
 }
 
 /// Answers with an engine's stream, as it comes or in one piece.
 pub async fn engine(source: Source, streams: bool) -> Attempted {
-    if streams { Attempted::Answered(stream(source)) } else { whole(source).await }
+    if streams {
+        Attempted::Answered(stream(source))
+    } else {
+        whole(source).await
+    }
 }
 
 fn stream(source: Source) -> Response {
@@ -229,19 +264,30 @@
 }
 
 async fn pump(mut source: Source, pieces: Sender<io::Result<Vec<u8>>>) {
+    let mut left: Left = left(source.attempt.incoming.clone()).boxed().fuse();
     let mut kept = Vec::new();
-    let ended = source
-        .read_all(async |line| {
+    let ended = loop {
+        let (line, ended) = match source.advance(&mut left).await {
+            Advance::Line(line) => (Some(line), None),
+            Advance::Ended(line, ended) => (line, Some(ended)),
+        };
+        if let Some(line) = line {
             if kept.len() <= KEPT_ANSWER_BYTES {
                 kept.extend_from_slice(line.as_bytes());
             }
             // A caller that hung up is noticed by its connection; within its grace, the stream is
             // read on for the caller's next attempt.
             pieces.send(Ok(line.into_bytes())).await.ok();
-        })
-        .await;
+        }
+        if let Some(ended) = ended {
+            break ended;
+        }
+    };
     if matches!(ended, Ended::Broken) {
-        let error = io::Error::new(io::ErrorKind::ConnectionAborted, "the stream was broken off");
+        let error = io::Error::new(
+            io::ErrorKind::ConnectionAborted,
+            "the stream was broken off",
+        );
         pieces.send(Err(error)).await.ok();
     }
     let answer = keep(StatusCode::Ok, Some(STREAM_TYPE.into()), &kept);
@@ -249,8 +295,14 @@
 }
 
 async fn whole(mut source: Source) -> Attempted {
+    let mut left: Left = left(source.attempt.incoming.clone()).boxed().fuse();
     let mut text = String::new();
-    let ended = source.read_all(async |line| text.push_str(&token_text(&line))).await;
+    let ended = loop {
+        match source.advance(&mut left).await {
+            Advance::Line(line) => text.push_str(&token_text(&line)),
+            Advance::Ended(_, ended) => break ended,
+        }
+    };
     let Ended::Whole(summary) = ended else {
         source.conclude(&ended, None);
         return Attempted::Concluded;
@@ -273,14 +325,17 @@
 
 fn token_text(line: &str) -> String {
     let parsed: Option<Value> = serde_json::from_str(line).ok();
-    let text = parsed.as_ref().and_then(|line| line.get("text")).and_then(Value::as_str);
+    let text = parsed
+        .as_ref()
+        .and_then(|line| line.get("text"))
+        .and_then(Value::as_str);
     text.unwrap_or_default().to_owned()
 }
 
 /// The body of an answer whose pieces are sent to it; it ends when the sender is dropped.
 fn pipe() -> (Sender<io::Result<Vec<u8>>>, Body) {
     let (pieces, receiver): (_, Receiver<io::Result<Vec<u8>>>) = async_channel::bounded(PIECES);
-    let reader = BufReader::new(receiver.into_async_read());
+    let reader = BufReader::new(Box::pin(receiver).into_async_read());
     (pieces, Body::from_reader(reader, None))
 }
 
@@ -316,7 +371,9 @@
             Err(error) => {
                 let error = io::Error::new(io::ErrorKind::ConnectionAborted, error.to_string());
                 pieces.send(Err(error)).await.ok();
-                ending.with_failure().finish(&attempt.entry, Outcome::Unknown);
+                ending
+                    .with_failure()
+                    .finish(&attempt.entry, Outcome::Unknown);
                 let verdict = Verdict::unknown(version);
                 return account::count(&attempt.entry, &attempt.incoming, &verdict);
             }
@@ -335,11 +392,7 @@
     response
 }
 
-async fn pump_joined(
-    mut stream: Stream,
-    pieces: Sender<io::Result<Vec<u8>>>,
-    _held: Held,
-) {
+async fn pump_joined(mut stream: Stream, pieces: Sender<io::Result<Vec<u8>>>, _held: Held) {
     loop {
         let (piece, last) = match stream.next().await {
             Ok(Line::Token(text)) => (Ok(text.into_bytes()), false),
--- a/gooseberrylb/src/listener.rs
+++ b/gooseberrylb/src/listener.rs
@@ -86,13 +86,14 @@
 
 impl Listener {
     /// Binds `address`; `name` stands in metrics.
-    pub async fn bind(
-        name: &'static str,
-        address: SocketAddr,
-        limits: Limits,
-    ) -> io::Result<Self> {
+    pub async fn bind(name: &'static str, address: SocketAddr, limits: Limits) -> io::Result<Self> {
         let inner = TcpListener::bind(address).await?;
-        Ok(Self { name, inner, limits, handle: Handle::default() })
+        Ok(Self {
+            name,
+            inner,
+            limits,
+            handle: Handle::default(),
+        })
     }
 
     /// The handle for draining.
@@ -124,7 +125,10 @@
         let shared = self.handle.0.clone();
         let stopped = shared.stopped.load(Ordering::SeqCst);
         if stopped || shared.open.load(Ordering::SeqCst) >= self.limits.connections {
-            METRICS.connections_refused.with_label_values(&[self.name]).inc();
+            METRICS
+                .connections_refused
+                .with_label_values(&[self.name])
+                .inc();
             return;
         }
         stream.set_nodelay(true).ok();
--- a/gooseberrylb/src/logging.rs
+++ b/gooseberrylb/src/logging.rs
@@ -36,7 +36,9 @@
 fn to_file(file: &Path, filter: LevelFilter) -> anyhow::Result<()> {
     let folder = file.parent().unwrap_or(Path::new("."));
     let name = file.file_name().context("log.file names no file")?;
-    let keep = KEPT_FILES.try_into().context("no log files would be kept")?;
+    let keep = KEPT_FILES
+        .try_into()
+        .context("no log files would be kept")?;
     let append = FileBuilder::new(folder, name.to_string_lossy())
         .rollover_daily()
         .max_log_files(keep)
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -49,26 +49,34 @@
 
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid metric");
-    registry.register(Box::new(counters.clone())).expect("a new metric");
+    registry
+        .register(Box::new(counters.clone()))
+        .expect("a new metric");
     counters
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("a valid metric");
-    registry.register(Box::new(gauge.clone())).expect("a new metric");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("a new metric");
     gauge
 }
 
 fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let gauges = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid metric");
-    registry.register(Box::new(gauges.clone())).expect("a new metric");
+    registry
+        .register(Box::new(gauges.clone()))
+        .expect("a new metric");
     gauges
 }
 
 fn histograms(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BUCKETS.to_vec());
     let histograms = HistogramVec::new(options, labels).expect("a valid metric");
-    registry.register(Box::new(histograms.clone())).expect("a new metric");
+    registry
+        .register(Box::new(histograms.clone()))
+        .expect("a new metric");
     histograms
 }
 
@@ -100,7 +108,12 @@
                 "Time to the first byte of the answer.",
                 &["service", "tier"],
             ),
-            waiting: gauges(&r, "waiting_requests", "Requests waiting.", &["service", "tier"]),
+            waiting: gauges(
+                &r,
+                "waiting_requests",
+                "Requests waiting.",
+                &["service", "tier"],
+            ),
             in_flight: gauge(&r, "in_flight_requests", "Requests held for callers."),
             connections: gauges(&r, "connections", "Open connections.", &["listener"]),
             connections_refused: counters(
@@ -109,14 +122,31 @@
                 "Connections refused for want of room.",
                 &["listener"],
             ),
-            revision: gauge(&r, "configuration_revision", "The configuration's revision."),
-            fresh: gauge(&r, "configuration_fresh", "1 while the configuration is fresh."),
+            revision: gauge(
+                &r,
+                "configuration_revision",
+                "The configuration's revision.",
+            ),
+            fresh: gauge(
+                &r,
+                "configuration_fresh",
+                "1 while the configuration is fresh.",
+            ),
             leader: gauge(&r, "leader", "1 while this instance leads."),
             term: gauge(&r, "term", "The term of the control state."),
-            committed: gauge(&r, "committed_index", "The last committed entry of the log."),
+            committed: gauge(
+                &r,
+                "committed_index",
+                "The last committed entry of the log.",
+            ),
             journal_syncs: counters(&r, "journal_syncs_total", "Journal syncs.", &["result"]),
             moves: gauges(&r, "moves", "Moves between versions by phase.", &["phase"]),
-            resumed: counters(&r, "streams_resumed_total", "Streams resumed.", &["service"]),
+            resumed: counters(
+                &r,
+                "streams_resumed_total",
+                "Streams resumed.",
+                &["service"],
+            ),
             registry: r,
         }
     }
--- a/gooseberrylb/src/operators.rs
+++ b/gooseberrylb/src/operators.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, SystemTime};
 
 use gooseberrylb_config::answer::Accepted;
-use gooseberrylb_config::answer::report::Filter;
 use gooseberrylb_config::clock::Clock;
 use gooseberrylb_config::note::Note;
 use gooseberrylb_config::number;
@@ -18,6 +17,7 @@
 use crate::metrics::METRICS;
 
 mod query;
+mod sheet;
 
 /// The largest release note accepted, in bytes.
 const MAX_NOTE_BYTES: u64 = 4 * 1024 * 1024;
@@ -56,7 +56,11 @@
 
 async fn not_found(request: Request) -> tide::Result {
     let message = format!("there is no {} {}", request.method(), request.url().path());
-    Ok(answer(Error::new(StatusCode::NotFound, "not_found", message)))
+    Ok(answer(Error::new(
+        StatusCode::NotFound,
+        "not_found",
+        message,
+    )))
 }
 
 fn answer(response: impl Into<Response>) -> tide::Response {
@@ -65,20 +69,29 @@
 
 /// Refuses a request that does not show the operators' token.
 fn check_token(request: &Request) -> Result<(), Error> {
-    let header = request.header("Authorization").map(|values| values.as_str());
+    let header = request
+        .header("Authorization")
+        .map(|values| values.as_str());
     let shown = header.and_then(|value| value.strip_prefix("Bearer "));
     match shown {
         Some(token) if request.state().token.matches(token) => Ok(()),
         _ => {
             let message = "the operators' token is required";
-            Err(Error::new(StatusCode::Unauthorized, "unauthorized", message)
-                .with_finding("Authorization", "send the header `Authorization: Bearer TOKEN`"))
+            Err(
+                Error::new(StatusCode::Unauthorized, "unauthorized", message).with_finding(
+                    "Authorization",
+                    "send the header `Authorization: Bearer TOKEN`",
+                ),
+            )
         }
     }
 }
 
 async fn health(_: Request) -> tide::Result {
-    Ok(answer(json(StatusCode::Ok, &serde_json::json!({ "status": "ok" }))))
+    Ok(answer(json(
+        StatusCode::Ok,
+        &serde_json::json!({ "status": "ok" }),
+    )))
 }
 
 async fn metrics(_: Request) -> tide::Result {
@@ -105,7 +118,10 @@
     let operators = request.state();
     let via = operators.identity.name.clone();
     let at = operators.clock.wall();
-    let result = operators.control.propose(Command::Submit { note, via, at }).await;
+    let result = operators
+        .control
+        .propose(Command::Submit { note, via, at })
+        .await;
     Ok(answer(explain_reply(result)))
 }
 
@@ -116,7 +132,11 @@
     let read = bounded.read_to_end(&mut bytes).await;
     if bytes.len() as u64 > MAX_NOTE_BYTES {
         let message = format!("the note is larger than {MAX_NOTE_BYTES} bytes");
-        return Err(Error::new(StatusCode::PayloadTooLarge, "note_too_large", message));
+        return Err(Error::new(
+            StatusCode::PayloadTooLarge,
+            "note_too_large",
+            message,
+        ));
     }
     let bad = |message: String| Error::new(StatusCode::BadRequest, "bad_body", message);
     read.map_err(|error| bad(format!("the note cannot be read: {error}")))?;
@@ -188,8 +208,12 @@
 async fn note(request: Request) -> tide::Result {
     let text = request.param("number").unwrap_or_default();
     let Ok(number) = text.parse::<number::Note>() else {
-        let error = Error::new(StatusCode::BadRequest, "bad_number", "a note's number is required")
-            .with_finding("number", &format!("{text:?} is not a whole number"));
+        let error = Error::new(
+            StatusCode::BadRequest,
+            "bad_number",
+            "a note's number is required",
+        )
+        .with_finding("number", &format!("{text:?} is not a whole number"));
         return Ok(answer(error));
     };
     let missing = format!("there is no note {number}");
@@ -229,8 +253,3 @@
     const DAY: Duration = Duration::from_secs(24 * 60 * 60);
     to.checked_sub(DAY).unwrap_or(SystemTime::UNIX_EPOCH)
 }
-
-/// A filter of everything up to `to`.
-fn everything(to: SystemTime) -> Filter {
-    Filter::new(default_from(to), to)
-}
--- a/gooseberrylb/src/operators/query.rs
+++ b/gooseberrylb/src/operators/query.rs
@@ -26,8 +26,6 @@
     Json,
     /// As rows of comma-separated values.
     Csv,
-    /// As a table for people.
-    Table,
 }
 
 /// A report that is wanted.
@@ -39,8 +37,12 @@
 }
 
 fn bad_query(findings: Findings) -> Error {
-    Error::new(StatusCode::BadRequest, "bad_query", "the query cannot be accepted")
-        .with_findings(findings)
+    Error::new(
+        StatusCode::BadRequest,
+        "bad_query",
+        "the query cannot be accepted",
+    )
+    .with_findings(findings)
 }
 
 /// Reads the pairs of a query, of which each may stand once; findings name the others.
@@ -52,8 +54,13 @@
 impl Pairs {
     fn new(request: &Request) -> Self {
         let pairs = request.url().query_pairs();
-        let pairs = pairs.map(|(name, value)| (name.into_owned(), value.into_owned())).collect();
-        Self { pairs, findings: Findings::new() }
+        let pairs = pairs
+            .map(|(name, value)| (name.into_owned(), value.into_owned()))
+            .collect();
+        Self {
+            pairs,
+            findings: Findings::new(),
+        }
     }
 
     fn take<T>(&mut self, name: &str, read: impl Fn(&str) -> Result<T, String>) -> Option<T> {
@@ -72,14 +79,21 @@
     where
         T::Err: std::fmt::Display,
     {
-        self.take(name, |text| text.parse().map_err(|error: T::Err| error.to_string()))
+        self.take(name, |text| {
+            text.parse().map_err(|error: T::Err| error.to_string())
+        })
     }
 
     fn finish(mut self) -> Result<(), Error> {
         for (name, _) in &self.pairs {
-            self.findings.add(name.as_str(), "this parameter is not known or stands twice");
+            self.findings
+                .add(name.as_str(), "this parameter is not known or stands twice");
+        }
+        if self.findings.is_empty() {
+            Ok(())
+        } else {
+            Err(bad_query(self.findings))
         }
-        if self.findings.is_empty() { Ok(()) } else { Err(bad_query(self.findings)) }
     }
 }
 
@@ -94,14 +108,19 @@
     let after = pairs.parse("after").unwrap_or(0);
     let limit: usize = pairs.parse("limit").unwrap_or(DEFAULT_ENTRIES);
     pairs.finish()?;
-    Ok(Question::Audit { after, limit: limit.min(MAX_ENTRIES) })
+    Ok(Question::Audit {
+        after,
+        limit: limit.min(MAX_ENTRIES),
+    })
 }
 
 /// Reads which report is wanted.
 pub fn report(request: &Request, now: SystemTime) -> Result<Wanted, Error> {
     let mut pairs = Pairs::new(request);
     let to = pairs.take("to", read_time).unwrap_or(now);
-    let from = pairs.take("from", read_time).unwrap_or_else(|| default_from(to));
+    let from = pairs
+        .take("from", read_time)
+        .unwrap_or_else(|| default_from(to));
     let mut filter = Filter::new(from, to);
     filter.account = pairs.parse("account");
     filter.tier = pairs.parse("tier");
@@ -110,14 +129,18 @@
     let format = pairs.take("format", |text| match text {
         "json" => Ok(Format::Json),
         "csv" => Ok(Format::Csv),
-        "table" => Ok(Format::Table),
-        _ => Err("json, csv or table is required".to_owned()),
+        _ => Err("json or csv is required".to_owned()),
     });
     if from >= to {
-        pairs.findings.add("from", "the report must begin before it ends");
+        pairs
+            .findings
+            .add("from", "the report must begin before it ends");
     }
     pairs.finish()?;
-    Ok(Wanted { filter, format: format.unwrap_or_default() })
+    Ok(Wanted {
+        filter,
+        format: format.unwrap_or_default(),
+    })
 }
 
 /// Writes a report in the format that was asked for.
@@ -130,12 +153,15 @@
         let error = Error::new(StatusCode::InternalServerError, "internal", message);
         return Response::from(error).into();
     };
-    let (text, kind) = match format {
-        Format::Csv => (report.to_csv(), "text/csv; charset=utf-8"),
-        Format::Json | Format::Table => (report.to_table(), "text/plain; charset=utf-8"),
+    let text = match super::sheet::write(&report) {
+        Ok(text) => text,
+        Err(error) => {
+            let status = StatusCode::InternalServerError;
+            return Response::from(Error::new(status, "internal", error.to_string())).into();
+        }
     };
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(text);
-    response.insert_header("Content-Type", kind);
+    response.insert_header("Content-Type", "text/csv; charset=utf-8");
     response.into()
 }
--- a/gooseberrylb/src/published.rs
+++ b/gooseberrylb/src/published.rs
@@ -34,7 +34,11 @@
 
     /// The view of a cell.
     pub fn view(&self, cell: &Cell) -> Option<&View> {
-        self.directory.views.iter().find(|(c, _)| c == cell).map(|(_, view)| view)
+        self.directory
+            .views
+            .iter()
+            .find(|(c, _)| c == cell)
+            .map(|(_, view)| view)
     }
 }
 
--- a/gooseberrylb/src/tally.rs
+++ b/gooseberrylb/src/tally.rs
@@ -65,13 +65,22 @@
         control: Handle,
     ) -> Self {
         let from = clock.wall();
-        Self { identity, clock, tallies, control, number: 0, from }
+        Self {
+            identity,
+            clock,
+            tallies,
+            control,
+            number: 0,
+            from,
+        }
     }
 
     /// Ships a tally now and then, until `stop` is closed; then the last one.
     pub async fn run(mut self, stop: async_channel::Receiver<()>) {
         loop {
-            let stopped = async_std::future::timeout(INTERVAL, stop.recv()).await.is_ok();
+            let stopped = async_std::future::timeout(INTERVAL, stop.recv())
+                .await
+                .is_ok();
             let tally = self.next(stopped);
             if !self.ship(tally, stopped).await || stopped {
                 return;
@@ -98,7 +107,12 @@
     async fn ship(&self, tally: Tally, last: bool) -> bool {
         let started = self.clock.now();
         loop {
-            if self.control.propose(Command::Tally(tally.clone())).await.is_ok() {
+            if self
+                .control
+                .propose(Command::Tally(tally.clone()))
+                .await
+                .is_ok()
+            {
                 return true;
             }
             if last && self.clock.now() > started + LAST_PATIENCE {
--- a/gooseberrylb/src/traffic.rs
+++ b/gooseberrylb/src/traffic.rs
@@ -72,18 +72,28 @@
     pub fn enqueue(&self, cell: Cell, request: Request) -> oneshot::Receiver<Decision> {
         let (reply, decision) = oneshot::channel();
         let request = Box::new(request);
-        self.send(Command::Enqueue { cell, request, reply });
+        self.send(Command::Enqueue {
+            cell,
+            request,
+            reply,
+        });
         decision
     }
 
     /// Notes that a request is about to be dispatched.
     pub fn dispatched(&self, cell: Cell, running: Running) {
-        self.send(Command::Dispatched { cell, running: Box::new(running) });
+        self.send(Command::Dispatched {
+            cell,
+            running: Box::new(running),
+        });
     }
 
     /// Notes how a dispatched request ended.
     pub fn end(&self, cell: Cell, end: End) {
-        self.send(Command::End { cell, end: Box::new(end) });
+        self.send(Command::End {
+            cell,
+            end: Box::new(end),
+        });
     }
 
     /// Gives up a granted request that was not dispatched.
--- a/gooseberrylb/src/traffic/client.rs
+++ b/gooseberrylb/src/traffic/client.rs
@@ -41,14 +41,22 @@
 impl Client {
     /// Makes the client of one instance.
     pub fn new(start: &Start, host: Rc<Host>) -> Rc<Self> {
-        Rc::new(Self { host, clock: start.clock.clone(), outboxes: RefCell::default() })
+        Rc::new(Self {
+            host,
+            clock: start.clock.clone(),
+            outboxes: RefCell::default(),
+        })
     }
 
     /// Takes commands until the process ends.
     pub async fn run(self: Rc<Self>, commands: Receiver<Command>) {
         while let Ok(command) = commands.recv().await {
             match command {
-                Command::Enqueue { cell, request, reply } => {
+                Command::Enqueue {
+                    cell,
+                    request,
+                    reply,
+                } => {
                     task::spawn_local(self.clone().enqueue(cell, *request, reply));
                 }
                 Command::Dispatched { cell, running } => self.outbox(&cell).add_running(*running),
@@ -74,7 +82,9 @@
             return outbox.clone();
         }
         let outbox = Rc::new(Outbox::default());
-        self.outboxes.borrow_mut().insert(cell.clone(), outbox.clone());
+        self.outboxes
+            .borrow_mut()
+            .insert(cell.clone(), outbox.clone());
         task::spawn_local(self.clone().tell(cell.clone(), outbox.clone()));
         outbox
     }
@@ -111,13 +121,20 @@
         loop {
             let now = self.clock.now();
             let time_left = deadline.saturating_duration_since(now);
-            let request = Request { time_left, ..request.clone() };
+            let request = Request {
+                time_left,
+                ..request.clone()
+            };
             let decision = match self.view(cell) {
                 Some(view) => self.ask(cell, &view, request).await,
                 None => None,
             };
             match decision {
-                Some(Decision::Refuse { reason: Refusal::NotScheduler, .. }) | None => {}
+                Some(Decision::Refuse {
+                    reason: Refusal::NotScheduler,
+                    ..
+                })
+                | None => {}
                 Some(decision) => return decision,
             }
             if self.clock.now() >= patience {
@@ -129,11 +146,17 @@
 
     fn view(&self, cell: &Cell) -> Option<View> {
         let snapshot = self.host.published.read();
-        snapshot.is_fresh(self.clock.now()).then(|| snapshot.view(cell).cloned())?
+        snapshot
+            .is_fresh(self.clock.now())
+            .then(|| snapshot.view(cell).cloned())?
     }
 
     async fn ask(&self, cell: &Cell, view: &View, request: Request) -> Option<Decision> {
-        let call = Call { cell: cell.clone(), view: view.number, request };
+        let call = Call {
+            cell: cell.clone(),
+            view: view.number,
+            request,
+        };
         if view.scheduler == self.host.identity.name {
             return Some(self.host.enqueue(call).await);
         }
@@ -159,7 +182,10 @@
         loop {
             task::sleep(RETRY_PAUSE).await;
             let snapshot = self.host.published.read();
-            if snapshot.view(cell).is_none_or(|current| current.scheduler != view.scheduler) {
+            if snapshot
+                .view(cell)
+                .is_none_or(|current| current.scheduler != view.scheduler)
+            {
                 return;
             }
         }
@@ -167,17 +193,25 @@
 
     fn address_of(&self, view: &View) -> Option<std::net::SocketAddr> {
         let snapshot = self.host.published.read();
-        snapshot.directory.instances.get(&view.scheduler).map(|instance| instance.peers)
+        snapshot
+            .directory
+            .instances
+            .get(&view.scheduler)
+            .map(|instance| instance.peers)
     }
 
     /// Tells the cell's scheduler what happens to this instance's requests.
     async fn tell(self: Rc<Self>, cell: Cell, outbox: Rc<Outbox>) {
         loop {
             let view = self.view(&cell);
-            let is_new = view.as_ref().is_some_and(|v| outbox.told_view() < Some(v.number));
+            let is_new = view
+                .as_ref()
+                .is_some_and(|v| outbox.told_view() < Some(v.number));
             if view.is_none() || (outbox.is_empty() && !is_new) {
                 // Woken by a new event or view; the pause bounds how long a missed one waits.
-                future::timeout(Duration::from_millis(200), outbox.woken()).await.ok();
+                future::timeout(Duration::from_millis(200), outbox.woken())
+                    .await
+                    .ok();
                 continue;
             }
             let Some(view) = view else { continue };
@@ -185,10 +219,17 @@
             let mut events = Vec::with_capacity(queued.len() + 1);
             if is_new {
                 let entry = self.host.identity.name.clone();
-                events.push(Event::Resume { entry, running: outbox.running() });
+                events.push(Event::Resume {
+                    entry,
+                    running: outbox.running(),
+                });
             }
             events.extend(queued.iter().cloned());
-            let notice = Notice { cell: cell.clone(), view: view.number, events };
+            let notice = Notice {
+                cell: cell.clone(),
+                view: view.number,
+                events,
+            };
             match self.notify(&view, notice).await {
                 Some(Receipt::Taken) => outbox.set_told_view(view.number),
                 Some(Receipt::NotScheduler) | None => {
--- a/gooseberrylb/src/traffic/copier.rs
+++ b/gooseberrylb/src/traffic/copier.rs
@@ -97,25 +97,41 @@
         let (cell, view) = (hosted.cell.clone(), self.view);
         if self.synced.get() {
             let parts = self.queue.borrow().iter().cloned().collect();
-            return Batch { cell, view, whole: false, parts };
+            return Batch {
+                cell,
+                view,
+                whole: false,
+                parts,
+            };
         }
         let (sequence, records) = hosted.read(|s| (s.sequence(), s.snapshot()));
         let mut queue = self.queue.borrow_mut();
         queue.retain(|part| part.sequence > sequence);
-        Batch { cell, view, whole: true, parts: vec![Part { sequence, records }] }
+        Batch {
+            cell,
+            view,
+            whole: true,
+            parts: vec![Part { sequence, records }],
+        }
     }
 
     fn note(&self, hosted: &Hosted, answer: Held) {
         match answer {
             Held::UpTo(sequence) => {
-                self.queue.borrow_mut().retain(|part| part.sequence > sequence);
+                self.queue
+                    .borrow_mut()
+                    .retain(|part| part.sequence > sequence);
                 self.held.set(sequence);
                 self.synced.set(true);
                 hosted.acknowledge();
             }
             Held::Missing | Held::NotBackup => self.synced.set(false),
             Held::Later(view) => {
-                log::info!("{:?} has moved to view {view}, so view {} ends", hosted.cell, self.view);
+                log::info!(
+                    "{:?} has moved to view {view}, so view {} ends",
+                    hosted.cell,
+                    self.view
+                );
                 hosted.retire();
             }
         }
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -77,7 +77,10 @@
                 self.back_up(cell, view);
             }
         }
-        let gone = before.instances.keys().filter(|name| !next.instances.contains_key(*name));
+        let gone = before
+            .instances
+            .keys()
+            .filter(|name| !next.instances.contains_key(*name));
         gone.for_each(|name| self.bury(name));
         self.feed_all(|| Input::Directory(next.clone()));
     }
@@ -108,7 +111,10 @@
             }
             _ => self.take_over(cell, view, directory),
         };
-        let backups = view.backups.iter().filter_map(|name| directory.instances.get(name));
+        let backups = view
+            .backups
+            .iter()
+            .filter_map(|name| directory.instances.get(name));
         let links = backups.map(|instance| self.links.to(instance.peers));
         let copiers = links.map(|link| Copier::start(&hosted, link)).collect();
         hosted.set_copiers(copiers);
@@ -117,8 +123,14 @@
     fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
         let copy = self.copies.borrow_mut().remove(cell);
         let holds = copy.as_ref().and_then(|copy| copy.holds);
-        let claims = copy.map(|copy| copy.backup.claims().clone()).unwrap_or_default();
-        log::info!("scheduling {cell:?} in view {} with {} claims", view.number, claims.len());
+        let claims = copy
+            .map(|copy| copy.backup.claims().clone())
+            .unwrap_or_default();
+        log::info!(
+            "scheduling {cell:?} in view {} with {} claims",
+            view.number,
+            claims.len()
+        );
         let now = self.clock.now();
         let seed = rand::random();
         let directory = directory.clone();
@@ -128,7 +140,9 @@
             scheduler = scheduler.with_claims_lost(now, LOST_CLAIMS_WINDOW);
         }
         let hosted = Hosted::new(cell.clone(), scheduler, holds, self.clock.clone());
-        self.hosted.borrow_mut().insert(cell.clone(), hosted.clone());
+        self.hosted
+            .borrow_mut()
+            .insert(cell.clone(), hosted.clone());
         hosted
     }
 
@@ -139,7 +153,10 @@
             self.copies.borrow_mut().insert(cell.clone(), copy);
         }
         let mut copies = self.copies.borrow_mut();
-        let new = || Copy { backup: Backup::new(view.number), holds: None };
+        let new = || Copy {
+            backup: Backup::new(view.number),
+            holds: None,
+        };
         let copy = copies.entry(cell.clone()).or_insert_with(new);
         copy.backup.advance(view.number);
     }
@@ -173,7 +190,9 @@
 
     fn report_holdings(&self) {
         let hosted = self.hosted.borrow();
-        let scheduled = hosted.iter().map(|(cell, hosted)| (cell.clone(), hosted.holds()));
+        let scheduled = hosted
+            .iter()
+            .map(|(cell, hosted)| (cell.clone(), hosted.holds()));
         let copies = self.copies.borrow();
         let copied = copies.iter().map(|(cell, copy)| (cell.clone(), copy.holds));
         let holdings = scheduled
@@ -242,9 +261,11 @@
         let mut held = Held::Missing;
         for part in batch.parts {
             let taken = if batch.whole {
-                copy.backup.sync(batch.view, part.sequence, part.records, now)
+                copy.backup
+                    .sync(batch.view, part.sequence, part.records, now)
             } else {
-                copy.backup.accept(batch.view, part.sequence, part.records, now)
+                copy.backup
+                    .accept(batch.view, part.sequence, part.records, now)
             };
             match taken {
                 Ok(taken) => held = Held::UpTo(taken.sequence),
--- a/gooseberrylb/src/traffic/hosted.rs
+++ b/gooseberrylb/src/traffic/hosted.rs
@@ -37,7 +37,10 @@
 
 /// The refusal of a request that came to the wrong scheduler.
 pub fn not_scheduler() -> Decision {
-    Decision::Refuse { reason: Refusal::NotScheduler, retry_after: NOT_SCHEDULER_RETRY }
+    Decision::Refuse {
+        reason: Refusal::NotScheduler,
+        retry_after: NOT_SCHEDULER_RETRY,
+    }
 }
 
 impl Hosted {
@@ -87,7 +90,12 @@
         if self.retired.get() {
             return self.holds.get();
         }
-        if self.copiers.borrow().iter().all(|copier| copier.is_synced()) {
+        if self
+            .copiers
+            .borrow()
+            .iter()
+            .all(|copier| copier.is_synced())
+        {
             self.holds.set(Some(self.view()));
         }
         self.holds.get()
@@ -104,7 +112,10 @@
 
     /// Moves to a view with other backups.
     pub fn change_view(&self, view: gooseberrylb_config::directory::View) {
-        let outputs = self.scheduler.borrow_mut().change_view(view, self.clock.now());
+        let outputs = self
+            .scheduler
+            .borrow_mut()
+            .change_view(view, self.clock.now());
         self.carry_out(outputs);
     }
 
@@ -133,7 +144,12 @@
 
     /// Tells the scheduler how far every backup has come.
     pub fn acknowledge(&self) {
-        let held = self.copiers.borrow().iter().map(|copier| copier.held()).min();
+        let held = self
+            .copiers
+            .borrow()
+            .iter()
+            .map(|copier| copier.held())
+            .min();
         if let Some(held) = held {
             self.step(Input::Held(held));
         }
@@ -148,8 +164,14 @@
         let turn = self.turns.get() + 1;
         self.turns.set(turn);
         let (reply, decision) = oneshot::channel();
-        self.waiters.borrow_mut().insert(id.clone(), Waiter { turn, reply });
-        let guard = Guard { hosted: self.clone(), id, turn };
+        self.waiters
+            .borrow_mut()
+            .insert(id.clone(), Waiter { turn, reply });
+        let guard = Guard {
+            hosted: self.clone(),
+            id,
+            turn,
+        };
         self.step(Input::Enqueue(request));
         let decision = decision.await;
         drop(guard);
@@ -177,7 +199,10 @@
     fn drop(&mut self) {
         let mut waiters = self.hosted.waiters.borrow_mut();
         // A later call for the same request has a turn of its own.
-        if waiters.get(&self.id).is_some_and(|waiter| waiter.turn == self.turn) {
+        if waiters
+            .get(&self.id)
+            .is_some_and(|waiter| waiter.turn == self.turn)
+        {
             waiters.remove(&self.id);
             drop(waiters);
             self.hosted.step(Input::Withdraw(self.id.clone()));
--- a/gooseberrylb/src/traffic/notices.rs
+++ b/gooseberrylb/src/traffic/notices.rs
@@ -28,7 +28,9 @@
 impl Outbox {
     /// Notes a request that is about to be dispatched.
     pub fn add_running(&self, running: Running) {
-        self.running.borrow_mut().insert(running.request.id.clone(), running);
+        self.running
+            .borrow_mut()
+            .insert(running.request.id.clone(), running);
     }
 
     /// Queues an event; a request that ended runs no longer.
--- a/gooseberrylb/src/traffic/thread.rs
+++ b/gooseberrylb/src/traffic/thread.rs
@@ -21,7 +21,9 @@
 
 /// Starts the traffic thread; it runs until the process ends.
 pub fn spawn(start: Start) -> io::Result<thread::JoinHandle<()>> {
-    thread::Builder::new().name("traffic".into()).spawn(move || task::block_on(run(start)))
+    thread::Builder::new()
+        .name("traffic".into())
+        .spawn(move || task::block_on(run(start)))
 }
 
 async fn run(start: Start) {
@@ -33,6 +35,7 @@
         host.refresh();
         client.refresh();
         host.tick();
+        host.measure();
         task::sleep(TICK).await;
     }
 }
--- a/gooseberrylb/src/upstream/engine.rs
+++ b/gooseberrylb/src/upstream/engine.rs
@@ -140,11 +140,18 @@
     if status == StatusCode::Conflict {
         return Ok(Started::Duplicate);
     }
-    let content_type = exchange.response.content_type().map(|mime| mime.to_string().into());
+    let content_type = exchange
+        .response
+        .content_type()
+        .map(|mime| mime.to_string().into());
     let mut body = Vec::new();
     let mut reader = exchange.response.take_body().take(MAX_ERROR_BYTES);
     reader.read_to_end(&mut body).await.map_err(Error::Lost)?;
-    Ok(Started::Failed { status, body, content_type })
+    Ok(Started::Failed {
+        status,
+        body,
+        content_type,
+    })
 }
 
 impl Stream {
--- a/gooseberrylb/src/upstream/http.rs
+++ b/gooseberrylb/src/upstream/http.rs
@@ -64,7 +64,10 @@
         let mut pool = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let idle = pool.entry(address).or_default();
         if idle.len() < MAX_IDLE {
-            idle.push(Idle { stream, since: Instant::now() });
+            idle.push(Idle {
+                stream,
+                since: Instant::now(),
+            });
         }
     }
 }
@@ -91,7 +94,12 @@
 impl Connection {
     fn new(inner: TcpStream, limit: Duration) -> Self {
         let silence = Arc::new(Mutex::new(None));
-        Self { inner, sent: Arc::default(), limit, silence }
+        Self {
+            inner,
+            sent: Arc::default(),
+            limit,
+            silence,
+        }
     }
 
     fn watch<T>(&self, cx: &mut Context<'_>, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -163,9 +171,10 @@
 impl Exchange {
     /// Keeps the connection for another call; only for an answer that was read to its end.
     pub fn recycle(self) {
-        let closes = self.response.header("Connection").is_some_and(|value| {
-            value.as_str().eq_ignore_ascii_case("close")
-        });
+        let closes = self
+            .response
+            .header("Connection")
+            .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
         if !closes {
             POOL.put(self.address, self.stream);
         }
@@ -190,11 +199,19 @@
     let connection = Connection::new(stream.clone(), silence);
     let sent = connection.sent.clone();
     match async_h1::connect(connection, request).await {
-        Ok(response) => Ok(Exchange { response, address, stream }),
+        Ok(response) => Ok(Exchange {
+            response,
+            address,
+            stream,
+        }),
         Err(error) => {
             let error = io::Error::other(error.to_string());
             let left = sent.load(Ordering::SeqCst);
-            Err(if left { Error::Lost(error) } else { Error::NotSent(error) })
+            Err(if left {
+                Error::Lost(error)
+            } else {
+                Error::NotSent(error)
+            })
         }
     }
 }
--- a/gooseberrylb/src/upstream/plain.rs
+++ b/gooseberrylb/src/upstream/plain.rs
@@ -77,7 +77,10 @@
 
 async fn read(mut exchange: Exchange) -> Result<Reply, Error> {
     let status = exchange.response.status();
-    let content_type = exchange.response.header("Content-Type").map(|v| v.as_str().into());
+    let content_type = exchange
+        .response
+        .header("Content-Type")
+        .map(|v| v.as_str().into());
     let mut body = exchange.response.take_body();
     let mut begun = Vec::new();
     let mut buffer = vec![0; 16 * 1024];
@@ -85,9 +88,17 @@
         let length = body.read(&mut buffer).await.map_err(Error::Lost)?;
         if length == 0 {
             exchange.recycle();
-            return Ok(Reply { status, content_type, answer: Answer::Whole(begun) });
+            return Ok(Reply {
+                status,
+                content_type,
+                answer: Answer::Whole(begun),
+            });
         }
         begun.extend_from_slice(&buffer[..length]);
     }
-    Ok(Reply { status, content_type, answer: Answer::Begun(begun, Rest { body }) })
+    Ok(Reply {
+        status,
+        content_type,
+        answer: Answer::Begun(begun, Rest { body }),
+    })
 }
