--- /dev/null
+++ b/gooseberrylb_config/tests/settings.rs
@@ -0,0 +1,115 @@
+//! Settings are read with all findings at once, those about the files they name too.
+
+use std::fs;
+
+use gooseberrylb_config::finding::Findings;
+use gooseberrylb_config::settings::{Limits, Secret, Settings};
+
+const GOOD: &str = r#"{
+  "name": "lodi-1", "data_centre": "lodi", "region": "padana", // A comment.
+  "callers": "127.0.0.1:7001", "operators": "127.0.0.1:7101", "peers_listen": "127.0.0.1:7201",
+  "peers": [{ "name": "lodi-1", "address": "127.0.0.1:7201", "voter": true }],
+  "data_folder": "data",
+  "cluster_key_file": "cluster.key",
+  "operator_token_file": "operator.token",
+}"#;
+
+fn places(findings: &Findings) -> Vec<String> {
+    findings.iter().map(|f| f.place.to_string()).collect()
+}
+
+#[test]
+fn settings_without_optional_fields_take_the_defaults() {
+    let settings = Settings::parse(GOOD).unwrap();
+    assert_eq!(settings.limits, Limits::default());
+    assert!(settings.peers[0].voter);
+}
+
+#[test]
+fn all_findings_come_together_with_line_column_and_path() {
+    let text = r#"{
+  "name": "lodi-1", "data_centre": "", "region": "padana",
+  "callers": "127.0.0.1:7001", "operators": "127.0.0.1:7001", "peers_listen": "0.0.0.0:7201",
+  "peers": [{ "name": "x", "address": "localhost:1" }],
+  "limits": { "body_bytes": 0, "idle_ms": "long", "speed": 3 },
+  "cluster_key_file": "k"
+}"#;
+    let findings = Settings::parse(text).unwrap_err();
+    assert_eq!(
+        places(&findings),
+        [
+            "2:36 data_centre",
+            "4:39 peers[0].address",
+            "1:1 operator_token_file",
+            "5:43 limits.idle_ms",
+            "5:51 limits.speed",
+        ]
+    );
+    let mended = text
+        .replace("\"\"", "\"lodi\"")
+        .replace("localhost:1", "127.0.0.1:1")
+        .replace("\"long\", \"speed\": 3", "5")
+        .replace("\"k\"", "\"k\", \"operator_token_file\": \"t\"");
+    let findings = Settings::parse(&mended).unwrap_err();
+    assert_eq!(
+        places(&findings),
+        [
+            "3:45 operators",
+            "3:79 peers_listen",
+            "5:29 limits.body_bytes"
+        ]
+    );
+}
+
+#[test]
+fn peers_have_names_and_addresses_of_their_own() {
+    let peers = r#""peers": [{ "name": "a", "address": "127.0.0.1:1" },
+      { "name": "a", "address": "127.0.0.1:1" }, { "name": "b", "address": "127.0.0.1:7201" }],"#;
+    let text = GOOD.replace(
+        "\"peers\": [{ \"name\": \"lodi-1\", \"address\": \"127.0.0.1:7201\", \"voter\": true }],",
+        peers,
+    );
+    let findings = Settings::parse(&text).unwrap_err();
+    assert_eq!(
+        places(&findings),
+        [
+            "5:17 peers[1].name",
+            "5:33 peers[1].address",
+            "5:76 peers[2].address"
+        ]
+    );
+}
+
+#[test]
+fn missing_files_and_folders_are_found_by_load_and_paths_are_relative_to_the_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.json");
+    assert_eq!(places(&Settings::load(&path).unwrap_err()).len(), 1);
+    fs::write(&path, GOOD).unwrap();
+    fs::write(folder.path().join("operator.token"), "short").unwrap();
+    let findings = Settings::load(&path).unwrap_err();
+    assert_eq!(
+        places(&findings),
+        [
+            "6:23 cluster_key_file",
+            "7:26 operator_token_file",
+            "5:18 data_folder"
+        ]
+    );
+    fs::write(folder.path().join("operator.token"), "0123456789abcdef\n").unwrap();
+    fs::write(folder.path().join("cluster.key"), "0123456789abcdef").unwrap();
+    fs::create_dir(folder.path().join("data")).unwrap();
+    let settings = Settings::load(&path).unwrap();
+    assert_eq!(settings.data_folder, Some(folder.path().join("data")));
+    let token = settings.operator_token().unwrap();
+    assert!(token.matches("0123456789abcdef") && !token.matches("0123456789abcdee"));
+}
+
+#[test]
+fn a_secret_is_never_shown() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("key");
+    fs::write(&path, "0123456789abcdef").unwrap();
+    let secret = Secret::read(&path).unwrap();
+    assert_eq!(format!("{secret:?}"), "Secret(..)");
+}
