Add the operator's tool

gooseberryctl submits notes and reads back notes, status, audit trail and report from whichever instance answers.

--- a/gooseberryctl/src/main.rs
+++ b/gooseberryctl/src/main.rs
@@ -1,2 +1,57 @@
-//! Placeholder, replaced as the crate grows.
-fn main() {}
+//! The operator's tool of gooseberrylb: submits release notes and reads back what became of them.
+//!
+//! It talks HTTP to any instance; `docs/INTERFACE.md` tells the requests, `docs/NOTES.md` the notes.
+
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+
+use crate::failure::Failure;
+
+mod cli;
+mod client;
+mod failure;
+mod notes;
+mod queries;
+mod table;
+
+/// The width that usage texts are wrapped to, in characters.
+const USAGE_WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let options = match cli::options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => return usage(&failure),
+    };
+    match async_std::task::block_on(run(options)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+fn usage(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(USAGE_WIDTH);
+    match failure {
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+        ParseFailure::Stderr(_) => ExitCode::from(failure::USAGE),
+    }
+}
+
+async fn run(options: cli::Options) -> Result<(), Failure> {
+    let cli::Options { access, command } = options;
+    match command {
+        cli::Command::Submit { file } => notes::submit(&access, &file).await,
+        cli::Command::Show { note } => notes::show(&access, note).await,
+        cli::Command::List => notes::list(&access).await,
+        cli::Command::Watch { note } => notes::watch(&access, note).await,
+        cli::Command::Status => queries::status(&access).await,
+        cli::Command::Addresses { account, callers } => {
+            queries::addresses(&access, &account, &callers).await
+        }
+        cli::Command::Audit { after } => queries::audit(&access, after).await,
+        cli::Command::Report(report) => queries::report(&access, &report).await,
+    }
+}
--- a/gooseberrylb_config/src/answer/report.rs
+++ b/gooseberrylb_config/src/answer/report.rs
@@ -1,5 +1,6 @@
 //! Who got what: the outcomes of requests by client account, tier, service and version.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -120,6 +121,15 @@
     GaveBack,
 }
 
+impl fmt::Display for Direction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Direction::Took => "took",
+            Direction::GaveBack => "gave back",
+        })
+    }
+}
+
 /// One change of the share that a version takes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
--- a/gooseberrylb_config/src/note/time.rs
+++ b/gooseberrylb_config/src/note/time.rs
@@ -4,6 +4,16 @@
 
 use serde::{Deserialize, Deserializer, Serializer, de};
 
+/// The text of a time.
+pub fn show(time: SystemTime) -> String {
+    humantime::format_rfc3339_millis(time).to_string()
+}
+
+/// The time that a text says.
+pub fn parse(text: &str) -> Result<SystemTime, humantime::TimestampError> {
+    humantime::parse_rfc3339(text)
+}
+
 /// Writes the time.
 pub fn serialize<S: Serializer>(time: &SystemTime, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(&humantime::format_rfc3339_millis(*time))
