Show that a refusal is final for the operator's tool

Cause: the test of a refused note passed with the fault that it was meant to find, since no other instance was there to accept the note. Seen failing with a fault put in on purpose, removed again since: - a refusal is taken elsewhere: a_refusal_is_told_with_its_findings_and_not_taken_elsewhere - a server error is final: a_note_goes_to_the_next_instance_where_one_does_not_answer_or_cannot - notes are not checked before they are sent: a_bad_note_is_found_before_any_instance_is_asked Conclusion: with the faults removed, the 6 tests of the tool pass.

--- a/gooseberryctl/tests/commands.rs
+++ b/gooseberryctl/tests/commands.rs
@@ -87,8 +87,9 @@
     let body = r#"{"error":{"code":"conflict","message":"taken by bianchi",
         "findings":[{"place":"note","message":"the number is taken"}]}}"#;
     let (address, _answered) = instance("409 Conflict", body);
+    let (other, _unasked) = instance("200 OK", ACCEPTED);
     let submit = ["note", "submit", "note.json"];
-    let output = run(folder.path(), &[address, nobody()], &submit);
+    let output = run(folder.path(), &[address, other], &submit);
     assert_eq!(output.status.code(), Some(1));
     let wanted = "conflict: taken by bianchi\nnote: the number is taken\n";
     assert_eq!(stderr(&output), wanted);
