Test tier order, fair shares, version shares and early refusal; hold grants while settling

Cause: a scheduler that took over granted lower tiers before the entries had come back with higher ones. Change: for up to 250 ms, or until every entry has told what it runs, it grants nothing, and until then it sheds only beyond twice the bound. The first eight waiting requests are tried for a slot, since one may be too slow for the first one's deadline. A share may be lowered ahead of the control state.

Faults put in on purpose and seen to fail: shedding the highest tier, serving the lowest first, granting while settling (tier test); charging by request (fairness); unused credit adding up, no cap (share); not checking a grant that comes back from the backups (withdrawal); no headroom; no wait in the early refusal.

--- a/gooseberrylb_policy/src/scheduler.rs
+++ b/gooseberrylb_policy/src/scheduler.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gooseberrylb_config::directory::{Directory, Share};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
 use serde::{Deserialize, Serialize};
@@ -211,7 +212,10 @@
     /// An instance is known to have died: its requests neither wait nor end any more.
     Died(id::Instance),
     /// The configuration changed.
-    Directory(Arc<gooseberrylb_config::directory::Directory>),
+    Directory(Arc<Directory>),
+    /// A version looks bad: it takes no more than this share until the control state gives it
+    /// another one. It only ever lowers.
+    Lower(id::Version, Share),
     /// An engine reported its load.
     Load(id::Upstream, Load),
     /// An engine's prefix cache changed.
--- a/gooseberrylb_policy/src/scheduler/fleet.rs
+++ b/gooseberrylb_policy/src/scheduler/fleet.rs
@@ -1,14 +1,14 @@
 //! The upstreams of a scheduler and the choice among them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use gooseberrylb_config::directory::{Cell, Directory};
+use gooseberrylb_config::directory::{Cell, Directory, Share};
 use gooseberrylb_config::id;
 use rand::Rng;
 
 use super::rate::Rate;
-use super::upstream::{Upstream, Verdict};
+use super::upstream::{Typical, Upstream, Verdict};
 use super::versions::Split;
 use super::{CacheChange, Grant, Load};
 use crate::request::{Cost, Figures, Request};
@@ -16,6 +16,17 @@
 /// How much of the weight of earlier observations each new one leaves, over all upstreams.
 const RATE_MEMORY: f64 = 0.98;
 
+/// How much the time to write an answer counts beside the time to first token.
+const DECODE_WEIGHT: f64 = 0.1;
+
+/// A request in search of a place.
+struct Wanted<'a> {
+    request: &'a Request,
+    left: f64,
+    headroom_percent: u32,
+    now: Instant,
+}
+
 /// Where a request is to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
@@ -66,6 +77,18 @@
         self.split.update(directory, &cell.service, usable, rng);
     }
 
+    /// Lowers a version's share; it takes effect when the configuration is next taken over.
+    pub fn lower(&mut self, directory: &Directory, version: &id::Version, share: Share) {
+        self.split.lower(directory, version, share);
+    }
+
+    /// Whether any upstream has a slot.
+    pub fn has_slot(&self, now: Instant) -> bool {
+        self.upstreams
+            .values()
+            .any(|upstream| upstream.has_slot(0, now))
+    }
+
     /// Whether any upstream takes traffic.
     pub fn is_served(&self) -> bool {
         self.split.is_served()
@@ -76,66 +99,83 @@
         self.split.allows(&grant.version, &grant.upstream)
     }
 
-    /// Chooses where a request runs, if any upstream has a slot for it, and takes the slot.
+    /// Chooses where a request runs that has `left` until its deadline, if a slot suits it.
     pub fn place(
         &mut self,
         request: &Request,
+        left: Duration,
         headroom_percent: u32,
         now: Instant,
     ) -> Option<Place> {
-        let place = self.choose(request, headroom_percent, now)?;
+        let wanted = Wanted {
+            request,
+            left: left.as_secs_f64(),
+            headroom_percent,
+            now,
+        };
+        // An upstream that may still be failing is tried with a request that can be run again.
+        let place = match request.repeatable {
+            true => self.choose(&wanted, true)?,
+            false => self
+                .choose(&wanted, false)
+                .or_else(|| self.choose(&wanted, true))?,
+        };
         self.split.take(&place.version);
         Some(place)
     }
 
-    fn choose(&self, request: &Request, headroom_percent: u32, now: Instant) -> Option<Place> {
-        // An upstream that may still be failing is tried with a request that can be run again.
-        let order = self.split.order();
-        let probes = [request.repeatable, true];
-        let first = if request.repeatable { 1 } else { 0 };
-        for allow_probe in &probes[first..] {
-            for (version, upstreams) in &order {
-                if let Some(upstream) =
-                    self.best(upstreams, request, headroom_percent, *allow_probe, now)
-                {
-                    return Some(Place {
-                        upstream,
-                        version: (*version).clone(),
-                    });
-                }
-            }
-        }
-        None
+    fn choose(&self, wanted: &Wanted<'_>, allow_probe: bool) -> Option<Place> {
+        self.split
+            .order()
+            .into_iter()
+            .find_map(|(version, upstreams)| {
+                let upstream = self.best(upstreams, wanted, allow_probe)?;
+                Some(Place {
+                    upstream: upstream.clone(),
+                    version: version.clone(),
+                })
+            })
     }
 
-    fn best(
+    fn best<'a>(
         &self,
-        names: &[id::Upstream],
-        request: &Request,
-        headroom_percent: u32,
+        names: &'a [id::Upstream],
+        wanted: &Wanted<'_>,
         allow_probe: bool,
-        now: Instant,
-    ) -> Option<id::Upstream> {
-        let typical = self.prefill.per_second();
+    ) -> Option<&'a id::Upstream> {
+        let typical = self.typical();
         let mut best: Option<(f64, &id::Upstream)> = None;
         for name in names {
             let Some(upstream) = self.upstreams.get(name) else {
                 continue;
             };
-            if !upstream.has_slot(headroom_percent, now) || upstream.is_probed() && !allow_probe {
+            let open = upstream.has_slot(wanted.headroom_percent, wanted.now);
+            if !open || upstream.is_probed() && !allow_probe {
                 continue;
             }
-            let expected = upstream.expected(request, &request.data_centre, typical, now);
-            if best.is_none_or(|(least, _)| expected < least) {
-                best = Some((expected, name));
+            let first_token = upstream.first_token(wanted.request, typical, wanted.now);
+            let decode = upstream.decode_time(wanted.request, typical);
+            if first_token + decode > wanted.left {
+                continue;
+            }
+            let score = first_token + decode * DECODE_WEIGHT;
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, name));
             }
         }
-        best.map(|(_, name)| name.clone())
+        best.map(|(_, name)| name)
+    }
+
+    fn typical(&self) -> Typical {
+        Typical {
+            prefill: self.prefill.per_second(),
+            decode: self.decode.per_second(),
+        }
     }
 
     /// Takes the slot of a place for a request, and returns the blocks believed to be cached there.
     pub fn take(&mut self, upstream: &id::Upstream, request: &Request, now: Instant) -> usize {
-        let typical = self.prefill.per_second();
+        let typical = self.typical();
         self.upstreams
             .get_mut(upstream)
             .map_or(0, |upstream| upstream.take(request, typical, now))
--- a/gooseberrylb_policy/src/scheduler/limits.rs
+++ b/gooseberrylb_policy/src/scheduler/limits.rs
@@ -19,8 +19,12 @@
     pub retention: Duration,
     /// How long backups may take to hold a claim before its request is refused.
     pub copy_timeout: Duration,
-    /// How long a new scheduler waits for entries to tell what they run.
+    /// How long a new scheduler waits for all entries to tell what they run before it grants a
+    /// key.
     pub settle: Duration,
+    /// How long it waits for them before it grants anything, so that what has come back first does
+    /// not overtake a higher tier.
+    pub settle_all: Duration,
     /// The part of an upstream's slots, in percent, that lower tiers leave free.
     pub headroom_percent: u32,
     /// How long after the last higher-tier request lower tiers leave headroom.
@@ -46,6 +50,7 @@
             retention: Duration::from_secs(300),
             copy_timeout: Duration::from_secs(1),
             settle: Duration::from_secs(1),
+            settle_all: Duration::from_millis(250),
             headroom_percent: 12,
             headroom_memory: Duration::from_secs(30),
             orphan_grace: Duration::from_secs(10),
--- a/gooseberrylb_policy/src/scheduler/machine.rs
+++ b/gooseberrylb_policy/src/scheduler/machine.rs
@@ -22,6 +22,9 @@
 use super::{Claim, Decision, Input, Output, Record, Refusal};
 use crate::request::{Id, Key};
 
+/// The most waiting requests tried for a free slot that the first one cannot use in time.
+const MAX_CANDIDATES: usize = 8;
+
 /// Grants the upstreams of one service in one region to its requests.
 ///
 /// Running work of a lower tier is not cancelled for waiting work of a higher one: what was read
@@ -53,7 +56,9 @@
 /// Until when a new scheduler waits for entries to tell what they run.
 #[derive(Debug)]
 pub(super) struct Settling {
-    /// The latest time.
+    /// From when on requests without a key are granted.
+    pub(super) open: Instant,
+    /// From when on all are.
     pub(super) until: Instant,
     /// The entries that have not told yet.
     pub(super) awaited: BTreeSet<id::Instance>,
@@ -83,7 +88,7 @@
             fleet: Fleet::default(),
             copies: Copies::default(),
             tickets: 0,
-            settling: Settling::new(&view, &directory, now + limits.settle),
+            settling: Settling::new(&view, &directory, &limits, now),
             lost_until: None,
             incarnations: BTreeMap::new(),
             tier_seen: BTreeMap::new(),
@@ -124,6 +129,10 @@
                 self.directory = directory;
                 self.configure(now);
             }
+            Input::Lower(version, share) => {
+                self.fleet.lower(&self.directory, &version, share);
+                self.configure(now);
+            }
             Input::Load(upstream, load) => self.fleet.report(&upstream, load, now),
             Input::Cache(upstream, changes) => self.fleet.cache(&upstream, changes),
             Input::Held(sequence) => self.held(sequence, now),
@@ -162,34 +171,53 @@
     }
 
     fn configure(&mut self, now: Instant) {
+        if let Some(settling) = &mut self.settling {
+            let known = &self.directory.instances;
+            settling.awaited.retain(|entry| known.contains_key(entry));
+        }
         let service = self.directory.services.get(&self.cell.service);
         self.kind = service.map_or(Kind::Plain, |service| service.kind);
         self.fleet
             .configure(&self.directory, &self.cell, &mut self.rng, now);
     }
 
-    /// Grants waiting requests, in order, until the first one finds no slot.
+    /// Grants waiting requests, in order, until none of the first few finds a slot that suits it.
     fn dispatch(&mut self, now: Instant) {
         self.end_settling(now);
-        while let Some(id) = self.queue.first().cloned() {
+        if self
+            .settling
+            .as_ref()
+            .is_some_and(|settling| now < settling.open)
+        {
+            return;
+        }
+        while self.fleet.has_slot(now) && self.dispatch_one(now) {}
+    }
+
+    /// Grants or refuses one of the first waiting requests; false where none can be.
+    fn dispatch_one(&mut self, now: Instant) -> bool {
+        let first: Vec<Id> = self.queue.first(MAX_CANDIDATES).cloned().collect();
+        for id in first {
             let Some(call) = self.calls.get(&id) else {
                 debug_assert!(false, "a queued request has no call");
-                break;
+                return false;
             };
             let keyed = call.request.key.is_some();
             if keyed && self.settling.is_some() {
-                break;
+                continue;
             }
             if keyed && !self.can_claim(&id, now) {
                 self.refuse(&id, Refusal::NoBackup, now);
-                continue;
+                return true;
             }
             let headroom = self.headroom(call.request.tier, now);
-            let Some(place) = self.fleet.place(&call.request, headroom, now) else {
-                break;
-            };
-            self.grant(&id, place, now);
+            let left = call.deadline.saturating_duration_since(now);
+            if let Some(place) = self.fleet.place(&call.request, left, headroom, now) {
+                self.grant(&id, place, now);
+                return true;
+            }
         }
+        false
     }
 
     fn can_claim(&self, id: &Id, now: Instant) -> bool {
@@ -265,12 +293,13 @@
 }
 
 impl Settling {
-    fn new(view: &View, directory: &Directory, until: Instant) -> Option<Self> {
+    fn new(view: &View, directory: &Directory, limits: &Limits, now: Instant) -> Option<Self> {
         if view.number.0 <= 1 {
             return None;
         }
         Some(Self {
-            until,
+            open: now + limits.settle_all,
+            until: now + limits.settle,
             awaited: directory.instances.keys().cloned().collect(),
         })
     }
--- a/gooseberrylb_policy/src/scheduler/queue.rs
+++ b/gooseberrylb_policy/src/scheduler/queue.rs
@@ -242,12 +242,15 @@
         true
     }
 
-    /// The request to be served next: the highest tier's, of the account with the least tag.
-    pub fn first(&self) -> Option<&Id> {
-        let lane = self.lanes.values().find(|lane| lane.sum.requests > 0)?;
-        let (_, account) = lane.ready.first()?;
-        let (_, item) = lane.accounts.get(account)?.items.first_key_value()?;
-        Some(&item.id)
+    /// The requests to be served next, at most `count`: the highest tier first, in it the account
+    /// with the least tag, and of each account its oldest.
+    pub fn first(&self, count: usize) -> impl Iterator<Item = &Id> {
+        self.lanes
+            .values()
+            .flat_map(|lane| lane.ready.iter().map(move |(_, account)| (lane, account)))
+            .filter_map(|(lane, account)| lane.accounts.get(account)?.items.first_key_value())
+            .map(|(_, item)| &item.id)
+            .take(count)
     }
 
     /// The request to be shed next: the newest of the account whose backlog is largest for its
--- a/gooseberrylb_policy/src/scheduler/shed.rs
+++ b/gooseberrylb_policy/src/scheduler/shed.rs
@@ -30,7 +30,9 @@
     fn is_overfull(&self) -> bool {
         let sum = self.queue.sum();
         let tokens = sum.tokens() > self.limits.waiting_tokens && sum.requests > 1;
-        sum.requests > self.limits.waiting || tokens
+        // While entries still come back with what waits, a lower tier may not be here yet.
+        let settling = if self.settling.is_some() { 2 } else { 1 };
+        sum.requests > self.limits.waiting * settling || tokens && settling == 1
     }
 
     /// Whether a request that comes now would be granted too late to finish by its deadline.
--- a/gooseberrylb_policy/src/scheduler/upstream.rs
+++ b/gooseberrylb_policy/src/scheduler/upstream.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use gooseberrylb_config::id;
 use gooseberrylb_config::note;
 
 use super::Load;
@@ -67,6 +66,15 @@
     Unjudged,
 }
 
+/// The rates of the service's upstreams together, for one that was not observed itself yet.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Typical {
+    /// The tokens read in a second, where any were.
+    pub prefill: Option<f64>,
+    /// The tokens written in a second for one request, where any were.
+    pub decode: Option<f64>,
+}
+
 /// One upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -163,20 +171,13 @@
         }
     }
 
-    /// The expected time to first token of a request sent to it now, in seconds. `typical` is the
-    /// prefill rate of the service's upstreams, for one that was not observed itself yet.
-    pub fn expected(
-        &self,
-        request: &Request,
-        from: &id::DataCentre,
-        typical: Option<f64>,
-        now: Instant,
-    ) -> f64 {
+    /// The expected time to first token of a request sent to it now, in seconds.
+    pub fn first_token(&self, request: &Request, typical: Typical, now: Instant) -> f64 {
         let rate = self.prefill_rate(typical);
         let prefill = self.uncached(request) as f64 / rate;
         let queue = self.busy_until.saturating_duration_since(now).as_secs_f64();
         let load = f64::from(self.in_flight + 1) / f64::from(self.limit()) * LOAD_SECONDS;
-        let distance = if self.description.data_centre == *from {
+        let distance = if self.description.data_centre == request.data_centre {
             0.0
         } else {
             REMOTE_SECONDS
@@ -195,10 +196,19 @@
         weight * f64::from(load.waiting) * request.cost.prompt.0 as f64 / rate
     }
 
-    fn prefill_rate(&self, typical: Option<f64>) -> f64 {
+    /// The expected time from the first token of a request to its last, in seconds; none before
+    /// any upstream was observed.
+    pub fn decode_time(&self, request: &Request, typical: Typical) -> f64 {
+        self.decode
+            .per_second()
+            .or(typical.decode)
+            .map_or(0.0, |rate| request.cost.output.0 as f64 / rate)
+    }
+
+    fn prefill_rate(&self, typical: Typical) -> f64 {
         self.prefill
             .per_second()
-            .or(typical)
+            .or(typical.prefill)
             .unwrap_or(FIRST_PREFILL_RATE)
     }
 
@@ -213,7 +223,7 @@
     }
 
     /// Takes a slot for a request, and returns the number of its blocks believed to be cached.
-    pub fn take(&mut self, request: &Request, typical: Option<f64>, now: Instant) -> usize {
+    pub fn take(&mut self, request: &Request, typical: Typical, now: Instant) -> usize {
         let believed = self.prefix.held(&request.prefix);
         let seconds = self.uncached(request) as f64 / self.prefill_rate(typical);
         self.busy_until = self.busy_until.max(now) + Duration::from_secs_f64(seconds.min(60.0));
--- a/gooseberrylb_policy/src/scheduler/versions.rs
+++ b/gooseberrylb_policy/src/scheduler/versions.rs
@@ -30,6 +30,16 @@
 #[derive(Debug, Default)]
 pub struct Split {
     versions: BTreeMap<id::Version, Version>,
+    ceilings: BTreeMap<id::Version, Ceiling>,
+}
+
+/// A share lowered ahead of the control state.
+#[derive(Debug)]
+struct Ceiling {
+    /// The most that the version takes.
+    share: i64,
+    /// The share that the control state gave it at that time; once it gives another, that stands.
+    replaced: i64,
 }
 
 impl Split {
@@ -42,8 +52,10 @@
         rng: &mut impl Rng,
     ) {
         let mut old = std::mem::take(&mut self.versions);
+        self.ceilings
+            .retain(|version, ceiling| share_of(directory, version) == ceiling.replaced);
         for version in directory.versions.values() {
-            let share = share_of(directory, &version.name);
+            let share = self.share(directory, &version.name);
             if version.service != *service || share == 0 {
                 continue;
             }
@@ -55,7 +67,7 @@
                 .collect();
             let capped = version.replaces.as_ref().is_some_and(|replaced| {
                 directory.versions.get(replaced).is_some_and(|replaced| {
-                    share_of(directory, &replaced.name) > 0
+                    self.share(directory, &replaced.name) > 0
                         && replaced.upstreams.iter().any(&usable)
                 })
             });
@@ -74,6 +86,24 @@
         }
     }
 
+    /// Lowers a version's share until the control state gives it another one.
+    pub fn lower(&mut self, directory: &Directory, version: &id::Version, share: Share) {
+        let ceiling = Ceiling {
+            share: i64::from(share.0),
+            replaced: share_of(directory, version),
+        };
+        self.ceilings.insert(version.clone(), ceiling);
+    }
+
+    fn share(&self, directory: &Directory, version: &id::Version) -> i64 {
+        let share = share_of(directory, version);
+        let ceiling = self
+            .ceilings
+            .get(version)
+            .map_or(share, |ceiling| ceiling.share);
+        share.min(ceiling)
+    }
+
     /// Whether the version takes traffic on the upstream.
     pub fn allows(&self, version: &id::Version, upstream: &id::Upstream) -> bool {
         self.versions
--- a/gooseberrylb_policy/tests/scheduler/main.rs
+++ b/gooseberrylb_policy/tests/scheduler/main.rs
@@ -2,4 +2,5 @@
 
 mod claims;
 mod fixture;
+mod order;
 mod safety;
