--- a/gooseberrylb_policy/tests/scheduler/main.rs
+++ b/gooseberrylb_policy/tests/scheduler/main.rs
@@ -2,3 +2,5 @@
 
 mod claims;
 mod fixture;
+mod order;
+mod safety;
