--- /dev/null
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -0,0 +1,6 @@
+//! What gooseberrylb is developed against: stand-ins for its surroundings, a fault-injecting proxy,
+//! fleets of real processes, and the replay of recorded traces. Nothing here is part of a release.
+
+pub mod engine;
+pub mod http;
+pub mod standin;
--- /dev/null
+++ b/gooseberrylb_testbed/src/standin/plain.rs
@@ -0,0 +1,141 @@
+//! A plain service: it runs each request that arrives, once per arrival, and echoes it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::future;
+use async_std::task;
+use gooseberrylb_config::clock::{Clock, System};
+use http_types::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::engine::cache::{fnv_extend, fnv_start};
+use crate::http::Server;
+use crate::http::server::{error_answer, json_answer};
+use crate::standin::execution::{Execution, wall_ms};
+
+/// What becomes of an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Loss {
+    /// It is sent.
+    #[default]
+    None,
+    /// The request is run, and the connection closed without an answer.
+    Close,
+    /// The request is run, and nothing is ever said of it.
+    Silent,
+}
+
+/// The faults of a plain service, switchable at any time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// How long each request takes, in milliseconds.
+    pub delay_ms: u64,
+    /// What becomes of answers.
+    pub loss: Loss,
+    /// Whether requests fail, with status 500.
+    pub fail: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    executions: Vec<Execution>,
+    faults: Faults,
+}
+
+/// A running plain service. Dropping it ends it as a crash would.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// Starts a plain service on `address`.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let server = Server::start(address, move |request| handle(shared.clone(), request)).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What it ran so far.
+    pub fn executions(&self) -> Vec<Execution> {
+        lock(&self.state).executions.clone()
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn handle(state: Arc<Mutex<State>>, mut request: Request) -> http_types::Result<Response> {
+    match (request.method(), request.url().path()) {
+        (Method::Get, "/debug/executions") => json_answer(StatusCode::Ok, &lock(&state).executions),
+        (Method::Post, "/debug/faults") => {
+            let faults: Faults = request.body_json().await?;
+            lock(&state).faults = faults;
+            json_answer(StatusCode::Ok, &json!({}))
+        }
+        _ => execute(state, request).await,
+    }
+}
+
+async fn execute(state: Arc<Mutex<State>>, mut request: Request) -> http_types::Result<Response> {
+    let body = request.body_bytes().await?;
+    let header = |name: &str| request.header(name).map(|v| v.last().as_str().to_owned());
+    let path = request.url().path().to_owned();
+    let execution = Execution {
+        request_id: header("Request-Id"),
+        key: header("Idempotency-Key"),
+        route: path.rsplit('/').next().map(str::to_owned),
+        started_at: wall_ms(System.wall()),
+        body_digest: format!("{:016x}", fnv_extend(fnv_start(), &body)),
+        ..Execution::default()
+    };
+    let echo = json!({
+        "path": path,
+        "request_id": execution.request_id,
+        "key": execution.key,
+        "body_digest": execution.body_digest,
+        "body": String::from_utf8_lossy(&body),
+    });
+    let (number, faults) = begin(&state, execution);
+    task::sleep(Duration::from_millis(faults.delay_ms)).await;
+    lock(&state).executions[number].finished = !faults.fail;
+    lock(&state).executions[number].failed = faults.fail;
+    match faults.loss {
+        Loss::None if faults.fail => error_answer(
+            StatusCode::InternalServerError,
+            "failed",
+            "the service was made to fail",
+        ),
+        Loss::None => json_answer(StatusCode::Ok, &echo),
+        Loss::Close => Err(http_types::Error::from_str(
+            StatusCode::InternalServerError,
+            "the answer was made to be lost",
+        )),
+        Loss::Silent => future::pending().await,
+    }
+}
+
+fn begin(state: &Mutex<State>, execution: Execution) -> (usize, Faults) {
+    let mut state = lock(state);
+    state.executions.push(execution);
+    (state.executions.len() - 1, state.faults.clone())
+}
