Add a fault-injecting TCP proxy

Integration tests need links that are cut, frozen, late, one-way or silent while new connections work.

--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod engine;
 pub mod http;
+pub mod proxy;
 pub mod standin;
--- /dev/null
+++ b/gooseberrylb_testbed/tests/proxy.rs
@@ -0,0 +1,146 @@
+//! The proxy does the harm that it is told to do, and no other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::future;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use gooseberrylb_testbed::proxy::{Direction, Faults, Flow, Link};
+
+/// Long enough for a loopback exchange on a busy machine.
+const SOON: Duration = Duration::from_secs(10);
+/// How long nothing must come to count as silence; it can only make a broken proxy pass.
+const SILENCE: Duration = Duration::from_millis(100);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Starts a service that sends back what it gets, and a link to it.
+async fn echo() -> Link {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let target = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            task::spawn(async move { async_std::io::copy(&stream, &stream).await });
+        }
+    });
+    Link::start("echo", any_port(), target).unwrap()
+}
+
+async fn send(stream: &mut TcpStream, text: &[u8]) {
+    stream.write_all(text).await.unwrap();
+}
+
+/// Reads as many bytes as `text` has, and compares.
+async fn expect(stream: &mut TcpStream, text: &[u8]) {
+    let mut got = vec![0; text.len()];
+    future::timeout(SOON, stream.read_exact(&mut got))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(got, text);
+}
+
+async fn expect_silence(stream: &mut TcpStream) {
+    let mut got = [0; 1];
+    assert!(
+        future::timeout(SILENCE, stream.read(&mut got))
+            .await
+            .is_err()
+    );
+}
+
+async fn connect(link: &Link) -> TcpStream {
+    TcpStream::connect(link.address()).await.unwrap()
+}
+
+#[async_std::test]
+async fn cut_resets_open_connections_and_new_ones_work() {
+    let link = echo().await;
+    let mut old = connect(&link).await;
+    send(&mut old, b"one").await;
+    expect(&mut old, b"one").await;
+    link.cut();
+    let end = future::timeout(SOON, old.read(&mut [0; 1])).await.unwrap();
+    assert!(end.is_err(), "a reset is an error, not an end: {end:?}");
+    let mut new = connect(&link).await;
+    send(&mut new, b"two").await;
+    expect(&mut new, b"two").await;
+}
+
+#[async_std::test]
+async fn frozen_link_keeps_bytes_until_it_thaws() {
+    let link = echo().await;
+    let mut stream = connect(&link).await;
+    link.set_faults(Faults::frozen());
+    send(&mut stream, b"one").await;
+    expect_silence(&mut stream).await;
+    link.set_faults(Faults::default());
+    expect(&mut stream, b"one").await;
+}
+
+#[async_std::test]
+async fn silenced_connection_stays_silent_while_a_new_one_works() {
+    let link = echo().await;
+    let mut old = connect(&link).await;
+    send(&mut old, b"one").await;
+    expect(&mut old, b"one").await;
+    link.silence();
+    send(&mut old, b"two").await;
+    let mut new = connect(&link).await;
+    send(&mut new, b"three").await;
+    expect(&mut new, b"three").await;
+    expect_silence(&mut old).await;
+}
+
+#[async_std::test]
+async fn one_way_drop_lets_the_other_way_pass() {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let link = Link::start("talk", any_port(), target).unwrap();
+    let mut caller = connect(&link).await;
+    let (mut server, _) = listener.accept().await.unwrap();
+    let to_caller = Direction {
+        flow: Flow::Discard,
+        ..Direction::default()
+    };
+    link.set_faults(Faults {
+        to_caller,
+        ..Faults::default()
+    });
+    send(&mut caller, b"one").await;
+    expect(&mut server, b"one").await;
+    send(&mut server, b"two").await;
+    expect_silence(&mut caller).await;
+    link.set_faults(Faults::default());
+    send(&mut server, b"three").await;
+    let end = future::timeout(SOON, caller.read(&mut [0; 1]))
+        .await
+        .unwrap();
+    assert!(end.is_err(), "bytes behind a hole must not pass: {end:?}");
+}
+
+#[async_std::test]
+async fn refusing_link_resets_new_connections() {
+    let link = echo().await;
+    let mut old = connect(&link).await;
+    send(&mut old, b"one").await;
+    expect(&mut old, b"one").await;
+    link.set_faults(Faults {
+        refuse: true,
+        ..Faults::default()
+    });
+    let refused = match TcpStream::connect(link.address()).await {
+        Ok(mut stream) => future::timeout(SOON, stream.read(&mut [0; 1]))
+            .await
+            .unwrap()
+            .is_err(),
+        Err(_) => true,
+    };
+    assert!(refused);
+    send(&mut old, b"two").await;
+    expect(&mut old, b"two").await;
+}
