Add fleets of real processes, callers and operators

Tests need instances that can be killed, frozen, restarted and stripped of their disk, callers that check the whole answer and tally outcomes, and operators that resend notes safely. Not run against a daemon yet: compiled and linted only.

--- /dev/null
+++ b/gooseberrylb_testbed/src/client.rs
@@ -0,0 +1,8 @@
+//! The people and programs that use the system: callers and operators.
+
+pub mod caller;
+pub mod operator;
+pub mod tally;
+
+pub use caller::Caller;
+pub use operator::Operator;
--- /dev/null
+++ b/gooseberrylb_testbed/src/fleet.rs
@@ -0,0 +1,359 @@
+//! Fleets of real processes on loopback, which tests start, harm and watch.
+
+pub mod instance;
+mod network;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use std::{fs, io};
+
+use async_std::task;
+use serde_json::{Value, json};
+use thiserror::Error;
+
+use crate::client::{Caller, Operator};
+use crate::proxy::Link;
+
+pub use instance::Instance;
+use network::{Network, Ports};
+
+/// How long a fleet may take until every instance answers.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How often a condition is looked at while it is waited for.
+pub(crate) const POLL: Duration = Duration::from_millis(25);
+
+/// The cluster's key in a fleet's settings.
+const CLUSTER_KEY: &str = "6f1d2c3b4a5968778695a4b3c2d1e0f00112233445566778899aabbccddeeff0\n";
+
+/// The operators' token in a fleet's settings.
+const OPERATOR_TOKEN: &str = "testbed-operator-token-0123456789\n";
+
+/// Why a fleet cannot do what is asked of it.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A file, a port or a process could not be had.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was being done.
+        what: String,
+        /// The machine's answer.
+        error: io::Error,
+    },
+    /// An instance did not answer in time, or ended.
+    #[error("instance {name} is not healthy within {waited:?}; its last output:\n{output}")]
+    Unhealthy {
+        /// The instance.
+        name: String,
+        /// How long it was waited for.
+        waited: Duration,
+        /// The end of what it wrote.
+        output: String,
+    },
+    /// A process did not end in time.
+    #[error("instance {name} has not ended within {waited:?}")]
+    StillRunning {
+        /// The instance.
+        name: String,
+        /// How long it was waited for.
+        waited: Duration,
+    },
+}
+
+/// Notes what was being done when the machine refused.
+pub(crate) fn while_doing<T>(what: impl Into<String>, result: io::Result<T>) -> Result<T, Error> {
+    result.map_err(|error| Error::Io {
+        what: what.into(),
+        error,
+    })
+}
+
+/// How a fleet is laid out.
+#[derive(Debug, Clone)]
+pub struct Builder {
+    program: PathBuf,
+    instances: usize,
+    voters: usize,
+    region: String,
+    data_centres: Vec<String>,
+    proxied: bool,
+    weight_store: Option<SocketAddr>,
+    limits: Value,
+    log_level: String,
+}
+
+impl Builder {
+    /// Lays out three instances, all voters, in the three data centres of padana; `program` is the
+    /// testbed's own binary, which runs again as an instance.
+    pub fn new(program: impl Into<PathBuf>) -> Self {
+        Self {
+            program: program.into(),
+            instances: 3,
+            voters: 3,
+            region: "padana".into(),
+            data_centres: ["cremona", "lodi", "mantova"].map(String::from).into(),
+            proxied: false,
+            weight_store: None,
+            limits: json!({"addresses_ttl_ms": 1_000, "drain_ms": 20_000}),
+            log_level: "info".into(),
+        }
+    }
+
+    /// Sets the number of instances.
+    pub fn with_instances(mut self, instances: usize) -> Self {
+        self.instances = instances;
+        self
+    }
+
+    /// Sets how many of the instances, from the first one on, are voters with a data folder.
+    pub fn with_voters(mut self, voters: usize) -> Self {
+        self.voters = voters;
+        self
+    }
+
+    /// Sets the region and its data centres, over which instances are spread in turn.
+    pub fn with_places(mut self, region: &str, data_centres: &[&str]) -> Self {
+        self.region = region.into();
+        self.data_centres = data_centres.iter().copied().map(String::from).collect();
+        self
+    }
+
+    /// Puts a proxy on the link from each instance to each other one.
+    pub fn with_proxied_peers(mut self) -> Self {
+        self.proxied = true;
+        self
+    }
+
+    /// Names a weight store.
+    pub fn with_weight_store(mut self, address: SocketAddr) -> Self {
+        self.weight_store = Some(address);
+        self
+    }
+
+    /// Sets one of the limits in the settings.
+    pub fn with_limit(mut self, name: &str, value: u64) -> Self {
+        self.limits[name] = value.into();
+        self
+    }
+
+    /// Sets what instances log.
+    pub fn with_log_level(mut self, level: &str) -> Self {
+        self.log_level = level.into();
+        self
+    }
+
+    /// Writes the settings, starts all instances, and waits until each answers.
+    pub async fn start(self) -> Result<Fleet, Error> {
+        let folder = while_doing("making a temporary folder", tempfile::tempdir())?;
+        write(&folder.path().join("cluster.key"), CLUSTER_KEY)?;
+        write(&folder.path().join("operator.token"), OPERATOR_TOKEN)?;
+        let network = Network::new();
+        let ports = (0..self.instances)
+            .map(|i| while_doing("finding free ports", network.ports(i)))
+            .collect::<Result<Vec<Ports>, Error>>()?;
+        let links = self.start_links(&ports)?;
+        for i in 0..self.instances {
+            self.write_settings(folder.path(), &ports, &links, i)?;
+        }
+        let mut instances = Vec::new();
+        for (i, ports) in ports.into_iter().enumerate() {
+            let home = folder.path().join(name(i));
+            let addresses = ports.release();
+            instances.push(Instance::new(
+                name(i),
+                home,
+                addresses,
+                self.program.clone(),
+            ));
+        }
+        let mut fleet = Fleet {
+            instances,
+            links,
+            _folder: folder,
+        };
+        for instance in &mut fleet.instances {
+            instance.start()?;
+        }
+        fleet.wait_healthy(START_TIMEOUT).await?;
+        Ok(fleet)
+    }
+
+    fn start_links(&self, ports: &[Ports]) -> Result<Vec<Arc<Link>>, Error> {
+        if !self.proxied {
+            return Ok(Vec::new());
+        }
+        let mut links = Vec::new();
+        for (i, from) in ports.iter().enumerate() {
+            for (j, to) in ports.iter().enumerate().filter(|(j, _)| *j != i) {
+                let listen = SocketAddr::new(from.addresses().peers.ip(), 0);
+                let link = Link::start(&link_name(i, j), listen, to.addresses().peers);
+                links.push(Arc::new(while_doing("starting a proxy", link)?));
+            }
+        }
+        Ok(links)
+    }
+
+    fn write_settings(
+        &self,
+        folder: &Path,
+        ports: &[Ports],
+        links: &[Arc<Link>],
+        i: usize,
+    ) -> Result<(), Error> {
+        let home = folder.join(name(i));
+        let data = home.join("data");
+        while_doing("making a data folder", fs::create_dir_all(&data))?;
+        let peers: Vec<Value> = (0..self.instances)
+            .filter(|j| *j != i)
+            .map(|j| {
+                let link = links.iter().find(|link| link.name() == link_name(i, j));
+                let address = link.map_or(ports[j].addresses().peers, |link| link.address());
+                json!({"name": name(j), "address": address, "voter": j < self.voters})
+            })
+            .chain([json!({
+                "name": name(i),
+                "address": ports[i].addresses().peers,
+                "voter": i < self.voters,
+            })])
+            .collect();
+        let mut settings = json!({
+            "name": name(i),
+            "data_centre": self.data_centres[i % self.data_centres.len()],
+            "region": self.region,
+            "callers": ports[i].addresses().callers,
+            "operators": ports[i].addresses().operators,
+            "peers_listen": ports[i].addresses().peers,
+            "peers": peers,
+            "cluster_key_file": folder.join("cluster.key"),
+            "operator_token_file": folder.join("operator.token"),
+            "log": {"level": self.log_level},
+            "limits": self.limits,
+        });
+        if i < self.voters {
+            settings["data_folder"] = json!(data);
+        }
+        if let Some(store) = self.weight_store {
+            settings["weight_store"] = json!(store);
+        }
+        write(&home.join("settings.json"), &format!("{settings:#}\n"))
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    while_doing(format!("writing {}", path.display()), fs::write(path, text))
+}
+
+/// The name of instance `i`.
+fn name(i: usize) -> String {
+    format!("entry-{}", i + 1)
+}
+
+fn link_name(i: usize, j: usize) -> String {
+    format!("{}-to-{}", name(i), name(j))
+}
+
+/// A running fleet. Dropping it kills every process and removes its files.
+#[derive(Debug)]
+pub struct Fleet {
+    instances: Vec<Instance>,
+    links: Vec<Arc<Link>>,
+    _folder: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// The instances.
+    pub fn instances(&self) -> &[Instance] {
+        &self.instances
+    }
+
+    /// One instance, to be harmed.
+    pub fn instance_mut(&mut self, i: usize) -> &mut Instance {
+        &mut self.instances[i]
+    }
+
+    /// The proxies on peer links.
+    pub fn links(&self) -> &[Arc<Link>] {
+        &self.links
+    }
+
+    /// The proxy on the link from instance `i` to instance `j`.
+    pub fn link(&self, i: usize, j: usize) -> Option<&Arc<Link>> {
+        let name = link_name(i, j);
+        self.links.iter().find(|link| link.name() == name)
+    }
+
+    /// The links from and to instance `i`.
+    pub fn links_of(&self, i: usize) -> impl Iterator<Item = &Arc<Link>> {
+        let (from, to) = (format!("{}-to-", name(i)), format!("-to-{}", name(i)));
+        self.links
+            .iter()
+            .filter(move |link| link.name().starts_with(&from) || link.name().ends_with(&to))
+    }
+
+    /// A caller that asks every instance for addresses.
+    pub fn caller(&self, account: &str) -> Caller {
+        Caller::new(
+            account,
+            self.instances.iter().map(Instance::callers).collect(),
+        )
+    }
+
+    /// An operator that tries the instances in turn.
+    pub fn operator(&self) -> Operator {
+        let addresses = self.instances.iter().map(Instance::operators).collect();
+        Operator::new(addresses, OPERATOR_TOKEN.trim())
+    }
+
+    /// The operators' token.
+    pub fn operator_token(&self) -> &'static str {
+        OPERATOR_TOKEN.trim()
+    }
+
+    /// Waits until every running instance answers.
+    pub async fn wait_healthy(&mut self, timeout: Duration) -> Result<(), Error> {
+        for instance in self.instances.iter_mut().filter(|i| i.is_started()) {
+            instance.wait_healthy(timeout).await?;
+        }
+        Ok(())
+    }
+
+    /// Stops every instance in good order, all at once, and waits until they have ended.
+    pub async fn stop(mut self, timeout: Duration) -> Result<(), Error> {
+        for instance in &self.instances {
+            instance.terminate()?;
+        }
+        for instance in &mut self.instances {
+            instance.wait_end(timeout).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until `condition` holds, and tells whether it came to hold in time.
+pub async fn wait_until(timeout: Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    loop {
+        if condition().await {
+            return true;
+        }
+        if begun.elapsed() > timeout {
+            return false;
+        }
+        task::sleep(POLL).await;
+    }
+}
+
+/// Sends a signal to a process by its id, through the system's `kill` command.
+pub(crate) fn signal(name: &str, id: u32) -> Result<(), Error> {
+    let mut kill = Command::new("kill");
+    let status = kill.arg(format!("-{name}")).arg(id.to_string()).status();
+    let status = while_doing("running kill", status)?;
+    if status.success() {
+        return Ok(());
+    }
+    let error = io::Error::other(format!("kill -{name} {id} ended with {status}"));
+    while_doing("sending a signal", Err(error))
+}
--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -1,7 +1,9 @@
 //! What gooseberrylb is developed against: stand-ins for its surroundings, a fault-injecting proxy,
 //! fleets of real processes, and the replay of recorded traces. Nothing here is part of a release.
 
+pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod proxy;
 pub mod standin;
