--- /dev/null
+++ b/gooseberrylb_testbed/src/demo.rs
@@ -0,0 +1,148 @@
+//! The demonstration: a fleet, its surroundings, a release note, some calls, and what came of them.
+
+use std::env;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, anyhow};
+use futures::future;
+use gooseberrylb_config::note::Note;
+use serde_json::{Value, json};
+
+use crate::client::Operator;
+use crate::client::caller::Call;
+use crate::client::tally::Tally;
+use crate::fleet::{Builder, Fleet};
+use crate::surroundings::Surroundings;
+
+/// The note that the demonstration submits, with the addresses of its stand-ins filled in.
+const NOTE: &str = include_str!("../../examples/demo.json");
+
+/// How long the note may take to be in force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long the fleet may take to stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The tokens that each model request asks for.
+const TOKENS: u64 = 24;
+
+/// Runs the demonstration.
+pub async fn run() -> anyhow::Result<()> {
+    let mut note = Note::parse(NOTE).map_err(|findings| anyhow!("the note:\n{findings}"))?;
+    let surroundings = Surroundings::start(&mut note).await?;
+    println!("Starting three instances with data folders on loopback.");
+    let program = env::current_exe().context("finding this program")?;
+    let fleet = Builder::new(program).start().await?;
+    for instance in fleet.instances() {
+        println!(
+            "  {} takes callers at {}",
+            instance.name(),
+            instance.callers()
+        );
+    }
+    submit(&fleet.operator(), &note).await?;
+    call(&fleet).await?;
+    show_executions(&surroundings);
+    show_report(&fleet.operator()).await;
+    fleet.stop(STOP_TIMEOUT).await?;
+    println!("\nAll instances stopped in good order.");
+    Ok(())
+}
+
+async fn submit(operator: &Operator, note: &Note) -> anyhow::Result<()> {
+    let accepted = operator.submit(&json!(note)).await?;
+    println!("\nNote {} is accepted: {accepted}", note.note);
+    let read_back = operator
+        .wait_in_force(note.note.0, IN_FORCE_TIMEOUT)
+        .await?;
+    println!(
+        "It reads back as {}, in force everywhere:",
+        text(&read_back["state"])
+    );
+    for item in read_back["items"].as_array().into_iter().flatten() {
+        println!(
+            "  {} {}: {} ({})",
+            text(&item["what"]),
+            text(&item["name"]),
+            text(&item["state"]),
+            text(&item["reason"])
+        );
+    }
+    Ok(())
+}
+
+/// Sends calls through an instance that does not lead.
+async fn call(fleet: &Fleet) -> anyhow::Result<()> {
+    let leader = leader(&fleet.operator()).await?;
+    let entry = fleet.instances().iter().find(|i| i.name() != leader);
+    let entry = entry.context("every instance leads")?;
+    println!("\n{leader} leads; calls go through {}:", entry.name());
+    let caller = fleet.caller("cascina-rossi").with_attempts(3);
+    let caller = Arc::new(caller.with_address(entry.callers()));
+    let calls = calls();
+    let records = future::join_all(calls.iter().map(|call| caller.call(call))).await;
+    for record in &records {
+        println!("  {record}");
+    }
+    println!("  in all: {}", Tally::new(&records));
+    if records.iter().all(|record| record.is_served()) {
+        return Ok(());
+    }
+    let errors: Vec<_> = records.iter().filter_map(|r| r.error.clone()).collect();
+    Err(anyhow!("not every call was served: {errors:?}"))
+}
+
+fn calls() -> Vec<Call> {
+    let fault = "The centre pivot on field 7 stops at 140 degrees every morning. ".repeat(20);
+    vec![
+        Call::prompt("agronomo", "plan", "A watering plan for field 3.", TOKENS).with_key("plan-3"),
+        Call::prompt("agronomo", "diagnosis", &fault, TOKENS).with_key("fault-7"),
+        Call::prompt("agronomo", "summary", "This morning in one line.", TOKENS),
+        Call::plain("comando", "start", "pivot 7").with_key("start-7"),
+        Call::plain("comando", "stop", "pivot 9").with_key("stop-9"),
+        Call::plain("comando", "reading", "pressure 7"),
+    ]
+}
+
+/// Names the instance that leads.
+pub async fn leader(operator: &Operator) -> anyhow::Result<String> {
+    let status = operator.get("/v1/status").await?;
+    let leader = status["leader"].as_str();
+    leader
+        .map(str::to_owned)
+        .with_context(|| format!("no leader in {status}"))
+}
+
+fn show_executions(surroundings: &Surroundings) {
+    println!("\nThe upstreams ran:");
+    let engines = surroundings
+        .engines()
+        .map(|(name, e)| (name, e.executions()));
+    let services = surroundings
+        .services()
+        .map(|(name, s)| (name, s.executions()));
+    for (name, executions) in engines.chain(services) {
+        let routes: Vec<_> = executions
+            .iter()
+            .filter_map(|e| e.route.as_deref())
+            .collect();
+        println!(
+            "  {name}: {} requests {}",
+            executions.len(),
+            routes.join(" ")
+        );
+    }
+}
+
+async fn show_report(operator: &Operator) {
+    println!("\nThe report:");
+    match operator.get("/v1/report").await {
+        Ok(report) => println!("{report:#}"),
+        Err(error) => println!("  none: {error}"),
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("-")
+}
--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -2,8 +2,10 @@
 //! fleets of real processes, and the replay of recorded traces. Nothing here is part of a release.
 
 pub mod client;
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod http;
 pub mod proxy;
 pub mod standin;
+pub mod surroundings;
--- /dev/null
+++ b/gooseberrylb_testbed/tests/whole_path.rs
@@ -0,0 +1,86 @@
+//! Requests go from a caller through an instance that does not lead to an upstream and back, all as
+//! separate processes, and a release note decides where they go.
+
+use std::time::Duration;
+
+use gooseberrylb_config::note::Note;
+use gooseberrylb_testbed::client::caller::Call;
+use gooseberrylb_testbed::client::tally::Check;
+use gooseberrylb_testbed::demo::leader;
+use gooseberrylb_testbed::fleet::{Builder, Fleet};
+use gooseberrylb_testbed::surroundings::Surroundings;
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gooseberrylb_testbed");
+const NOTE: &str = include_str!("../../examples/demo.json");
+/// A bound on waiting that a busy machine keeps; no test asserts how long anything took.
+const SOON: Duration = Duration::from_secs(30);
+
+async fn start() -> (Fleet, Surroundings) {
+    let mut note = Note::parse(NOTE).unwrap();
+    let surroundings = Surroundings::start(&mut note).await.unwrap();
+    let fleet = Builder::new(PROGRAM).start().await.unwrap();
+    let operator = fleet.operator();
+    operator.submit(&json!(note)).await.unwrap();
+    operator.wait_in_force(note.note.0, SOON).await.unwrap();
+    (fleet, surroundings)
+}
+
+#[async_std::test]
+async fn model_request_and_plain_call_go_through_a_non_leader() {
+    let (fleet, surroundings) = start().await;
+    let leader = leader(&fleet.operator()).await.unwrap();
+    let entry = fleet
+        .instances()
+        .iter()
+        .find(|i| i.name() != leader)
+        .unwrap();
+    let caller = fleet.caller("cascina-rossi").with_address(entry.callers());
+
+    let plan = Call::prompt("agronomo", "plan", "Water for field 3.", 12).with_key("plan-3");
+    let record = caller.call(&plan).await;
+    assert!(record.is_served(), "{record} {:?}", record.error);
+    assert_eq!(record.version.as_deref(), Some("agronomo@1"));
+    let upstream = record.upstream.unwrap();
+    let executions = surroundings.engine(&upstream).unwrap().executions();
+    assert_eq!(executions.len(), 1);
+    assert!(executions[0].finished);
+    assert_eq!(executions[0].request_id, record.request_id);
+
+    let start = Call::plain("comando", "start", "pivot 7").with_key("start-7");
+    let record = caller.call(&start).await;
+    assert!(record.is_served(), "{record} {:?}", record.error);
+    assert_eq!(record.version.as_deref(), Some("comando@1"));
+    let upstream = record.upstream.unwrap();
+    assert_eq!(
+        surroundings.service(&upstream).unwrap().executions().len(),
+        1
+    );
+
+    fleet.stop(SOON).await.unwrap();
+}
+
+#[async_std::test]
+async fn request_without_account_or_key_is_refused_and_not_run() {
+    let (fleet, surroundings) = start().await;
+    let caller = fleet.caller("nobody");
+    let unknown = caller.call(&Call::plain("comando", "reading", "x")).await;
+    assert!(matches!(unknown.status, Some(401 | 403)), "{unknown}");
+    let caller = fleet.caller("cascina-rossi");
+    let keyless = caller.call(&Call::plain("comando", "start", "x")).await;
+    assert_eq!(keyless.status, Some(400), "{keyless}");
+    let unknown = caller.call(&Call::plain("comando", "nowhere", "x")).await;
+    assert_eq!(unknown.status, Some(404), "{unknown}");
+    for record in caller.records() {
+        assert_eq!(
+            record.outcome.map(|o| o.to_string()).as_deref(),
+            Some("not-run")
+        );
+        assert_eq!(record.check, Check::None);
+    }
+    let ran: usize = surroundings
+        .services()
+        .map(|(_, s)| s.executions().len())
+        .sum();
+    assert_eq!(ran, 0);
+}
