Decide about moves between versions from schedulers' evidence

Cause: a move had types but no decisions.

Change: schedulers compare each request of the new version with requests of the old one from the same seconds (sequential, scope, trial), stop a bad version at once by themselves (brake) and report cumulative, numbered findings (evidence). The leader takes the steps (mover) at a pace reckoned backwards from the deadline (plan), orders weights by deadline (weights) and keeps its orders to engines (order). `moves` itself only gained its submodules.

Ruled out: windows of buckets shipped to the leader and tested there, which delays the stop by a window and costs the leader more; comparing with the old version's past, which blames a new version for a general slowdown.

--- a/gooseberrylb_policy/src/moves.rs
+++ b/gooseberrylb_policy/src/moves.rs
@@ -11,6 +11,18 @@
 use gooseberrylb_config::number;
 use serde::{Deserialize, Serialize};
 
+pub mod brake;
+pub mod evidence;
+pub mod mover;
+pub mod order;
+pub mod plan;
+pub mod sequential;
+pub mod trial;
+pub mod weights;
+
+mod meter;
+mod scope;
+
 /// How far a move has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- /dev/null
+++ b/gooseberrylb_policy/src/moves/brake.rs
@@ -0,0 +1,151 @@
+//! What a scheduler does by itself about versions under a move: it stops one that shows itself bad
+//! at once, and limits how many requests run on one of which little is known. Only the control
+//! state raises a share again. See `docs/MOVES.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Instant, SystemTime};
+
+use gooseberrylb_config::directory::{Cell, Directory};
+use gooseberrylb_config::id;
+use gooseberrylb_config::number;
+
+use crate::moves::evidence::{Report, Sample, Trip};
+use crate::moves::plan::Pace;
+use crate::moves::trial::{self, Terms, Trial};
+use crate::moves::{Move, Phase};
+
+/// How often a good version is taken for bad, over a whole move and all regions.
+pub const FALSE_ALARM_RATE: f64 = 0.005;
+
+/// One scheduler's trials of the versions under a move.
+#[derive(Debug, Clone)]
+pub struct Brake {
+    cell: Cell,
+    view: number::View,
+    incarnation: u64,
+    reports: u64,
+    pace: Pace,
+    trials: BTreeMap<id::Version, Trial>,
+}
+
+impl Brake {
+    /// Makes a brake for the scheduler of a service in a region; `incarnation` is the scheduler's
+    /// start as milliseconds since 1970.
+    pub fn new(cell: Cell, incarnation: u64) -> Self {
+        Self {
+            cell,
+            view: number::View(0),
+            incarnation,
+            reports: 0,
+            pace: Pace::default(),
+            trials: BTreeMap::new(),
+        }
+    }
+
+    /// Uses another pace than the default one; the leader must use the same.
+    pub fn with_pace(mut self, pace: Pace) -> Self {
+        self.pace = pace;
+        self
+    }
+
+    /// Follows the control state; called at each of its changes and at every new view.
+    pub fn configure(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        view: number::View,
+        moves: &BTreeMap<id::Version, Move>,
+        directory: &Directory,
+    ) {
+        self.view = view;
+        let pace = self.pace;
+        let service = self.cell.service.clone();
+        let watched = |m: &Move| m.service == service && is_watched(m, wall, &pace);
+        self.trials
+            .retain(|version, _| moves.get(version).is_some_and(&watched));
+        for (version, of) in moves.iter().filter(|(_, m)| watched(m)) {
+            match self.trials.get_mut(version) {
+                Some(trial) => trial.follow(of),
+                None => {
+                    let trial = Trial::new(terms(of, directory), now, of);
+                    self.trials.insert(version.clone(), trial);
+                }
+            }
+        }
+    }
+
+    /// Takes in what became of a request; gives the proof once a version is shown to be bad. From
+    /// then on [`Brake::allows`] refuses it.
+    pub fn record(&mut self, now: Instant, sample: &Sample) -> Option<Trip> {
+        self.trials
+            .values_mut()
+            .filter_map(|trial| trial.record(now, sample))
+            .next()
+    }
+
+    /// Whether one more request may be sent to a version on which `outstanding` run from here.
+    pub fn allows(&self, version: &id::Version, outstanding: u32) -> bool {
+        self.trials
+            .get(version)
+            .is_none_or(|trial| trial.allows(outstanding))
+    }
+
+    /// The proof that a version is bad, where there is one.
+    pub fn trip(&self, version: &id::Version) -> Option<&Trip> {
+        self.trials.get(version).and_then(Trial::trip)
+    }
+
+    /// What the leader is to know; sent every second and at once after a trip.
+    pub fn report(&mut self, now: Instant) -> Report {
+        self.reports += 1;
+        Report {
+            cell: self.cell.clone(),
+            view: self.view,
+            incarnation: self.incarnation,
+            number: self.reports,
+            findings: self
+                .trials
+                .iter()
+                .map(|(version, trial)| (version.clone(), trial.finding(now)))
+                .collect(),
+        }
+    }
+}
+
+fn is_watched(of: &Move, wall: SystemTime, pace: &Pace) -> bool {
+    match of.phase {
+        Phase::Planned | Phase::Canary | Phase::Ramping => true,
+        Phase::Done => wall < of.since + pace.watch,
+        Phase::Reverted => false,
+    }
+}
+
+fn terms(of: &Move, directory: &Directory) -> Terms {
+    let routes = directory
+        .services
+        .get(&of.service)
+        .map_or(1, |service| service.routes.len());
+    let regions = directory
+        .views
+        .iter()
+        .filter(|(cell, _)| cell.service == of.service)
+        .count();
+    Terms {
+        version: of.version.clone(),
+        replaces: of.replaces.clone(),
+        scopes: trial::scope_count(routes, data_centres(of, directory)),
+        limit: regions.max(1) as f64 / FALSE_ALARM_RATE,
+    }
+}
+
+fn data_centres(of: &Move, directory: &Directory) -> usize {
+    [&of.version, &of.replaces]
+        .into_iter()
+        .filter_map(|version| directory.versions.get(version))
+        .flat_map(|version| &version.upstreams)
+        .filter_map(|upstream| directory.upstreams.get(upstream))
+        .map(|upstream| &upstream.data_centre)
+        .collect::<BTreeSet<_>>()
+        .len()
+        .max(1)
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/moves/plan.rs
@@ -0,0 +1,118 @@
+//! The pace of a move, reckoned backwards from the time by which it must be done.
+
+use std::time::{Duration, SystemTime};
+
+use gooseberrylb_config::directory::Share;
+
+use crate::moves::Move;
+
+/// The smallest share of a canary.
+const MIN_CANARY: Share = Share(100);
+
+/// The largest share of a canary, for services with little traffic.
+const MAX_CANARY: Share = Share(1_000);
+
+/// The requests that a canary should get in the time of one step.
+const CANARY_REQUESTS: f64 = 60.0;
+
+/// The shares that a move goes through behind the canary; the next one is all of the traffic.
+const LADDER: [Share; 4] = [Share(500), Share(2_000), Share(5_000), Share(9_000)];
+
+/// The fewest steps that a move is held at before it is done.
+const FEWEST_HOLDS: u32 = 3;
+
+/// The part of a move's time that is kept free before its deadline.
+const MARGIN_DIVISOR: u32 = 20;
+
+/// The bounds of time and traffic that every move is paced by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// The least time at each step.
+    pub shortest_hold: Duration,
+    /// The most time at each step where there is traffic enough to judge.
+    pub longest_hold: Duration,
+    /// The least time kept free before the deadline.
+    pub shortest_margin: Duration,
+    /// The most time kept free before the deadline.
+    pub longest_margin: Duration,
+    /// How long a version is watched, and the old one kept warm, after a move is done.
+    pub watch: Duration,
+    /// How long schedulers' reports are awaited before the canary, to know the rate of requests.
+    pub settling: Duration,
+    /// How old a scheduler's report may be for a share to be raised on it.
+    pub freshness: Duration,
+    /// The requests that the new version must end at a step before its share is raised.
+    pub step_requests: u64,
+    /// The requests below which a finished move is said to have had little evidence.
+    pub full_evidence: u64,
+    /// The requests below which nothing can be said, and the move is reverted at its deadline.
+    pub least_evidence: u64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            shortest_hold: Duration::from_secs(5),
+            longest_hold: Duration::from_secs(600),
+            shortest_margin: Duration::from_secs(3),
+            longest_margin: Duration::from_secs(60),
+            watch: Duration::from_secs(900),
+            settling: Duration::from_secs(5),
+            freshness: Duration::from_secs(5),
+            step_requests: 50,
+            full_evidence: 200,
+            least_evidence: 20,
+        }
+    }
+}
+
+impl Pace {
+    /// When a move must have been decided, a margin before its deadline.
+    pub fn finish(&self, of: &Move) -> SystemTime {
+        let window = of.move_by.duration_since(of.accepted).unwrap_or_default();
+        let margin = (window / MARGIN_DIVISOR).clamp(self.shortest_margin, self.longest_margin);
+        of.move_by - margin
+    }
+
+    /// The least time that a move takes from its canary on, without its margin.
+    pub fn shortest(&self) -> Duration {
+        self.shortest_hold * FEWEST_HOLDS
+    }
+
+    /// How long a step is held when `holds` of them, this one among them, share the time left.
+    pub fn hold(&self, left: Duration, holds: u32) -> Duration {
+        (left / holds.max(1)).clamp(self.shortest_hold, self.longest_hold)
+    }
+
+    /// The latest time at which a step is left so that the `holds` behind it still fit.
+    pub fn latest(&self, finish: SystemTime, holds: u32) -> SystemTime {
+        finish - self.shortest_hold * holds
+    }
+
+    /// The canary's share, by the requests a second of the service.
+    pub fn canary(&self, rate: f64, left: Duration) -> Share {
+        let hold = self.hold(left, holds_from(Share::NONE));
+        let expected = rate * hold.as_secs_f64();
+        if expected <= 0.0 {
+            return MAX_CANARY;
+        }
+        let wanted = CANARY_REQUESTS / expected * f64::from(Share::WHOLE.0);
+        let clamped = wanted.clamp(f64::from(MIN_CANARY.0), f64::from(MAX_CANARY.0));
+        Share(clamped.ceil() as u16)
+    }
+
+    /// The share that follows, passing over steps that do not fit into the time left.
+    pub fn next(&self, share: Share, left: Duration) -> Share {
+        let above = LADDER.into_iter().filter(|rung| *rung > share);
+        above
+            .into_iter()
+            .find(|rung| self.shortest_hold * holds_from(*rung) <= left)
+            .unwrap_or(Share::WHOLE)
+    }
+}
+
+/// The steps that are held from a share on, until all of the traffic has moved.
+pub fn holds_from(share: Share) -> u32 {
+    let above = LADDER.into_iter().filter(|rung| *rung > share).count();
+    above as u32 + 1
+}
--- /dev/null
+++ b/gooseberrylb_policy/tests/moves/main.rs
@@ -0,0 +1,116 @@
+//! Moves between versions, replayed from the traces at the repository's root.
+
+mod replay;
+mod trace;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gooseberrylb_config::directory::Share;
+use gooseberrylb_policy::moves::evidence::Evidence;
+use gooseberrylb_policy::moves::mover::Mover;
+use gooseberrylb_policy::moves::{Phase, weights};
+
+use crate::replay::{Replay, Run, directory, new_version};
+use crate::trace::{Outcome, Trace};
+
+const SEEDS: u64 = 50;
+const HARM_FLOOR: u64 = 20;
+const LAST_REQUEST_S: f64 = 2.0;
+
+/// Whether a run ended as its trace states, by its time.
+fn as_stated(trace: &Trace, run: &Run) -> bool {
+    let phase = match trace.expected.outcome {
+        Outcome::Done => Phase::Done,
+        Outcome::Reverted => Phase::Reverted,
+    };
+    run.phase == phase
+        && run.ended <= trace.expected.by_s
+        && run.reason.contains(&trace.expected.reason)
+}
+
+fn check(name: &str) {
+    let trace = Trace::read(name);
+    let runs: Vec<Run> = (0..SEEDS)
+        .map(|seed| Replay::new(&trace, seed).finish())
+        .collect();
+    let missed: Vec<&Run> = runs.iter().filter(|run| !as_stated(&trace, run)).collect();
+    let stops = runs
+        .iter()
+        .filter_map(|run| run.tripped.map(|at| (run.last_sent - at).max(0.0)));
+    let slowest_stop = stops.fold(0.0, f64::max);
+    let most_harmed = runs.iter().map(|run| run.harmed).max().unwrap_or(0);
+    let mut ended: Vec<f64> = runs.iter().map(|run| run.ended).collect();
+    ended.sort_by(f64::total_cmp);
+    println!(
+        "{name}: {} of {SEEDS} as stated; ended at {:.1} s (median), {:.1} s (last); \
+         most harmed {most_harmed}; slowest stop {slowest_stop:.2} s; e.g. {}",
+        runs.len() - missed.len(),
+        ended[ended.len() / 2],
+        ended[ended.len() - 1],
+        runs[0].reason,
+    );
+    for run in &runs {
+        let decided = matches!(run.phase_at_deadline, Phase::Done | Phase::Reverted);
+        assert!(decided, "{name}: pending at the deadline: {run:?}");
+        if trace.expected.bounded_harm {
+            let bound = (run.requests / 100).max(HARM_FLOOR);
+            assert!(run.harmed <= bound, "{name}: harmed {} {run:?}", run.harmed);
+        }
+    }
+    assert!(slowest_stop <= LAST_REQUEST_S, "{name}: {slowest_stop} s");
+    assert!(missed.is_empty(), "{name}: {missed:#?}");
+}
+
+#[test]
+fn good_version_is_done_on_time() {
+    check("good");
+}
+
+#[test]
+fn version_bad_at_once_is_taken_back() {
+    check("bad-at-once");
+}
+
+#[test]
+fn new_leader_goes_on_where_the_old_one_stopped() {
+    let trace = Trace::read("good");
+    for (seed, at) in [(1, 2), (2, 8), (3, 60), (4, 120), (5, 250)] {
+        let mut replay = Replay::new(&trace, seed);
+        replay.until(Duration::from_secs(at));
+        replay.change_leader();
+        let run = replay.finish();
+        assert!(as_stated(&trace, &run), "change at {at} s: {run:?}");
+        let numbers: Vec<u32> = run.steps.iter().map(|step| step.number).collect();
+        let expected: Vec<u32> = (1..=numbers.len() as u32).collect();
+        assert_eq!(numbers, expected, "change at {at} s");
+    }
+}
+
+#[test]
+fn new_leader_does_not_widen_without_evidence() {
+    let trace = Trace::read("good");
+    let mut replay = Replay::new(&trace, 1);
+    replay.until(Duration::from_secs(60));
+    let share = replay.standing().share;
+    let action = |evidence: &Evidence| {
+        let wall = replay.standing().since + Duration::from_secs(200);
+        let moves = BTreeMap::from([(new_version(), replay.standing().clone())]);
+        let weights = weights::State::default();
+        Mover::new().decide(wall, &moves, &directory(&trace), evidence, &weights)
+    };
+    assert!(share > Share::NONE);
+    assert_eq!(action(&Evidence::new()), Vec::new());
+}
+
+#[test]
+fn new_scheduler_still_finds_a_bad_version() {
+    let trace = Trace::read("bad-at-once");
+    for seed in 0..5 {
+        let mut replay = Replay::new(&trace, seed);
+        replay.until(Duration::from_secs(6));
+        replay.change_scheduler(0);
+        let run = replay.finish();
+        assert!(as_stated(&trace, &run), "{run:?}");
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/tests/moves/replay.rs
@@ -0,0 +1,436 @@
+//! Replays a trace in virtual time: schedulers with brakes, a leader with a mover.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use gooseberrylb_config::directory::{Cell, Directory, Share, View};
+use gooseberrylb_config::{id, note, number};
+use gooseberrylb_policy::moves::brake::Brake;
+use gooseberrylb_policy::moves::evidence::{Evidence, Report, Sample};
+use gooseberrylb_policy::moves::mover::{Action, Mover};
+use gooseberrylb_policy::moves::plan::Pace;
+use gooseberrylb_policy::moves::{Move, Phase, Step, weights};
+use gooseberrylb_policy::request::Figures;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::trace::{Fault, Trace, Victim};
+
+const DECIDE_EVERY: Duration = Duration::from_millis(250);
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+const COMMIT_TIME: Duration = Duration::from_millis(100);
+const SPREAD: f64 = 0.3;
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub phase: Phase,
+    pub phase_at_deadline: Phase,
+    pub ended: f64,
+    pub reason: String,
+    pub harmed: u64,
+    pub requests: u64,
+    pub tripped: Option<f64>,
+    pub last_sent: f64,
+    pub steps: Vec<Step>,
+}
+
+struct Running {
+    sample: Sample,
+    region: usize,
+}
+
+/// A replay under way.
+pub struct Replay {
+    trace: Arc<Trace>,
+    rng: ChaCha8Rng,
+    start: Instant,
+    epoch: SystemTime,
+    now: Duration,
+    moves: BTreeMap<id::Version, Move>,
+    directory: Directory,
+    evidence: Evidence,
+    weights: weights::State,
+    mover: Mover,
+    pub brakes: Vec<Brake>,
+    outstanding: Vec<u32>,
+    running: BTreeMap<u64, Running>,
+    ends: BinaryHeap<Reverse<(Duration, u64)>>,
+    proposed: Option<(Duration, Step)>,
+    run: Run,
+}
+
+pub fn new_version() -> id::Version {
+    id::Version::new("model@2").unwrap()
+}
+
+fn old_version() -> id::Version {
+    id::Version::new("model@1").unwrap()
+}
+
+fn cells(trace: &Trace) -> Vec<Cell> {
+    (0..trace.regions.len())
+        .map(|i| Cell {
+            service: id::Service::new("model").unwrap(),
+            region: id::Region::new(&format!("region-{i}")).unwrap(),
+        })
+        .collect()
+}
+
+/// A configuration with both versions on an engine of their own in each data centre.
+pub fn directory(trace: &Trace) -> Directory {
+    let mut directory = Directory::default();
+    let service = id::Service::new("model").unwrap();
+    let routes = trace.routes.iter().map(|route| note::Route {
+        name: id::Route::new(&route.name).unwrap(),
+        tier: number::Tier(1),
+        repeatable: true,
+    });
+    let described = note::Service {
+        name: service.clone(),
+        kind: note::Kind::Engine,
+        routes: routes.collect(),
+    };
+    directory.services.insert(service.clone(), described);
+    let model = id::Model::new("weights").unwrap();
+    let bytes = number::Bytes(trace.weights_mb * 1_000_000);
+    let name = model.clone();
+    directory
+        .models
+        .insert(model.clone(), note::Model { name, bytes });
+    for version in [old_version(), new_version()] {
+        let mut upstreams = Vec::new();
+        for (i, place) in trace.regions.iter().flatten().enumerate() {
+            let name = format!("{}-{i}", version.as_str().replace('@', "-"));
+            let upstream = note::Upstream {
+                name: id::Upstream::new(&name).unwrap(),
+                service: service.clone(),
+                kind: note::Kind::Engine,
+                address: "127.0.0.1:9".parse().unwrap(),
+                data_centre: id::DataCentre::new(place).unwrap(),
+                slots: number::Slots(64),
+                checks_fencing: true,
+            };
+            upstreams.push(upstream.name.clone());
+            directory.upstreams.insert(upstream.name.clone(), upstream);
+        }
+        let is_new = version == new_version();
+        let described = note::Version {
+            name: version.clone(),
+            service: service.clone(),
+            upstreams,
+            replaces: is_new.then(old_version),
+            model: (is_new && trace.weights_mb > 0).then(|| model.clone()),
+            adapter: None,
+            move_by: None,
+        };
+        directory.versions.insert(version, described);
+    }
+    let scheduler = id::Instance::new("entry-1").unwrap();
+    for cell in cells(trace) {
+        let view = View {
+            number: number::View(1),
+            scheduler: scheduler.clone(),
+            backups: Vec::new(),
+        };
+        directory.views.push((cell, view));
+    }
+    directory
+}
+
+/// A move as it is when its note is accepted.
+pub fn planned(trace: &Trace, epoch: SystemTime) -> Move {
+    Move {
+        note: number::Note(1),
+        service: id::Service::new("model").unwrap(),
+        version: new_version(),
+        replaces: old_version(),
+        move_by: epoch + Duration::from_secs_f64(trace.move_by_s),
+        accepted: epoch,
+        phase: Phase::Planned,
+        share: Share::NONE,
+        steps: 0,
+        since: epoch,
+        reason: "accepted".into(),
+    }
+}
+
+impl Replay {
+    pub fn new(trace: &Trace, seed: u64) -> Self {
+        let epoch = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        let pace = Pace::default();
+        let rate = trace.weight_store_mb_per_s;
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            start: Instant::now(),
+            epoch,
+            now: Duration::ZERO,
+            moves: BTreeMap::from([(new_version(), planned(trace, epoch))]),
+            directory: directory(trace),
+            evidence: Evidence::new(),
+            weights: weights::State {
+                rate: (rate > 0).then_some(weights::Rate(rate * 1_000_000)),
+                ..weights::State::default()
+            },
+            mover: Mover::new().with_pace(pace),
+            brakes: cells(trace).into_iter().map(|c| Brake::new(c, 1)).collect(),
+            outstanding: vec![0; trace.regions.len()],
+            running: BTreeMap::new(),
+            ends: BinaryHeap::new(),
+            proposed: None,
+            run: Run {
+                phase: Phase::Planned,
+                phase_at_deadline: Phase::Planned,
+                ended: 0.0,
+                reason: String::new(),
+                harmed: 0,
+                requests: 0,
+                tripped: None,
+                last_sent: 0.0,
+                steps: Vec::new(),
+            },
+            trace: Arc::new(trace.clone()),
+        }
+    }
+
+    /// Runs the whole trace.
+    pub fn finish(mut self) -> Run {
+        let end = Duration::from_secs_f64(self.trace.run_s);
+        self.until(end);
+        self.run.phase = self.standing().phase;
+        self.run
+    }
+
+    /// Runs up to a time.
+    pub fn until(&mut self, end: Duration) {
+        self.configure();
+        let (mut decide, mut report) = (self.now, self.now);
+        let mut arrival = self.now;
+        while self.now < end {
+            let next_end = self.ends.peek().map_or(end, |Reverse((at, _))| *at);
+            let next_step = self.proposed.as_ref().map_or(end, |(at, _)| *at);
+            self.now = [arrival, decide, report, next_end, next_step]
+                .into_iter()
+                .fold(end, Duration::min);
+            if self.now == next_step {
+                self.apply();
+            }
+            if self.now == next_end {
+                self.end_one();
+            }
+            if self.now == arrival {
+                self.arrive();
+                arrival += self.pause();
+            }
+            if self.now == report {
+                (0..self.brakes.len()).for_each(|region| self.report(region));
+                report += REPORT_EVERY;
+            }
+            if self.now == decide {
+                self.decide();
+                decide += DECIDE_EVERY;
+            }
+        }
+    }
+
+    /// Replaces the leader by one that holds no evidence.
+    pub fn change_leader(&mut self) {
+        self.evidence = Evidence::new();
+        self.proposed = None;
+    }
+
+    /// Replaces the scheduler of a region by one that has seen nothing.
+    pub fn change_scheduler(&mut self, region: usize) {
+        let (cell, view) = &mut self.directory.views[region];
+        view.number = view.number.next();
+        self.brakes[region] = Brake::new(cell.clone(), 2);
+        self.configure();
+    }
+
+    /// The move as it stands.
+    pub fn standing(&self) -> &Move {
+        &self.moves[&new_version()]
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + self.now
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.epoch + self.now
+    }
+
+    fn pause(&mut self) -> Duration {
+        let uniform: f64 = self.rng.random();
+        Duration::from_secs_f64(-(1.0 - uniform).ln() / self.trace.rate)
+    }
+
+    fn configure(&mut self) {
+        let (now, wall) = (self.instant(), self.wall());
+        for (brake, (_, view)) in self.brakes.iter_mut().zip(&self.directory.views) {
+            brake.configure(now, wall, view.number, &self.moves, &self.directory);
+        }
+    }
+
+    fn report(&mut self, region: usize) {
+        let now = self.instant();
+        let report: Report = self.brakes[region].report(now);
+        self.evidence.merge(self.wall(), report);
+    }
+
+    fn decide(&mut self) {
+        let actions = self.mover.decide(
+            self.wall(),
+            &self.moves,
+            &self.directory,
+            &self.evidence,
+            &self.weights,
+        );
+        for action in actions {
+            match action {
+                Action::Step(step) if self.proposed.is_none() => {
+                    self.proposed = Some((self.now + COMMIT_TIME, step));
+                }
+                Action::Step(_) => {}
+                Action::Order(order) => self.obey(&order),
+            }
+        }
+        if self.now.as_secs_f64() <= self.trace.move_by_s {
+            self.run.phase_at_deadline = self.standing().phase;
+        }
+    }
+
+    /// The engines load one after the other, at the weight store's rate.
+    fn obey(&mut self, order: &gooseberrylb_policy::moves::order::Order) {
+        let done = self.weights.confirmed.len() as u64;
+        let loaded = done * self.trace.weights_mb / 2;
+        let rate = self.trace.weight_store_mb_per_s.max(1);
+        let time = (loaded + self.trace.weights_mb) / rate;
+        if !order.kind.loads() || self.now >= Duration::from_secs(time) {
+            self.weights.confirmed.insert(order.id.clone());
+        }
+    }
+
+    fn apply(&mut self) {
+        let Some((_, step)) = self.proposed.take() else {
+            return;
+        };
+        let at = self.now.as_secs_f64();
+        let standing = self.moves.get_mut(&new_version()).unwrap();
+        assert_eq!(step.number, standing.steps + 1, "steps come in order");
+        standing.steps = step.number;
+        standing.phase = step.phase;
+        standing.share = step.share;
+        standing.since = step.at;
+        standing.reason = step.reason.clone();
+        if matches!(step.phase, Phase::Done | Phase::Reverted) {
+            self.run.ended = at;
+            self.run.reason = step.reason.to_string();
+        }
+        self.run.steps.push(step);
+        self.configure();
+    }
+
+    fn arrive(&mut self) {
+        self.run.requests += 1;
+        let share = self.standing().share;
+        let region = self.rng.random_range(0..self.trace.regions.len());
+        let drawn = self.rng.random_range(0..Share::WHOLE.0) < share.0;
+        let allowed = self.brakes[region].allows(&new_version(), self.outstanding[region]);
+        let new = drawn && allowed;
+        let (sample, harmed) = self.sample(region, new);
+        if new {
+            self.outstanding[region] += 1;
+            self.run.harmed += u64::from(harmed);
+            self.run.last_sent = self.now.as_secs_f64();
+        }
+        let took = sample.figures.first_token + sample.figures.decode;
+        let number = self.run.requests;
+        self.ends.push(Reverse((self.now + took, number)));
+        self.running.insert(number, Running { sample, region });
+    }
+
+    fn end_one(&mut self) {
+        let Some(Reverse((_, number))) = self.ends.pop() else {
+            return;
+        };
+        let Running { sample, region } = self.running.remove(&number).unwrap();
+        if sample.version == new_version() {
+            self.outstanding[region] -= 1;
+        }
+        let now = self.instant();
+        if self.brakes[region].record(now, &sample).is_some() {
+            let at = self.now.as_secs_f64();
+            self.run.tripped.get_or_insert(at);
+            self.report(region);
+        }
+    }
+
+    fn sample(&mut self, region: usize, new: bool) -> (Sample, bool) {
+        let mut place: f64 = self.rng.random();
+        let trace = Arc::clone(&self.trace);
+        let drawn = trace.routes.iter().find(|route| {
+            place -= route.share;
+            place < 0.0
+        });
+        let route = drawn.unwrap_or(&trace.routes[0]);
+        let centres = &trace.regions[region];
+        let centre = &centres[self.rng.random_range(0..centres.len())];
+        let mut failure = self.trace.background_failure;
+        let mut slowdown = 1.0;
+        let mut harmed = false;
+        for fault in &trace.faults {
+            if self.strikes(fault, new, &route.name, centre) {
+                failure += fault.failure;
+                slowdown *= fault.slowdown;
+                harmed |= fault.version == Victim::New && fault.slowdown > 1.0;
+            }
+        }
+        let failed = self.rng.random::<f64>() < failure;
+        harmed |= new && failed;
+        let prompt = (route.prompt as f64 * self.noise()).ceil();
+        let output = (route.output as f64 * self.noise()).ceil();
+        let first = slowdown * (0.03 + prompt * 0.0001) * self.noise();
+        let decode = slowdown * output * 0.02 * self.noise();
+        let figures = Figures {
+            first_token: Duration::from_secs_f64(first),
+            decode: Duration::from_secs_f64(if failed { 0.0 } else { decode }),
+            prompt: number::Tokens(prompt as u64),
+            cached: number::Tokens(0),
+            output: number::Tokens(output as u64),
+        };
+        let version = if new { new_version() } else { old_version() };
+        let sample = Sample {
+            version,
+            route: id::Route::new(&route.name).unwrap(),
+            data_centre: id::DataCentre::new(centre).unwrap(),
+            failed,
+            figures,
+        };
+        (sample, harmed)
+    }
+
+    fn strikes(&self, fault: &Fault, new: bool, route: &str, centre: &str) -> bool {
+        let at = self.now.as_secs_f64();
+        let standing = self.standing();
+        let from = match fault.after_done_s {
+            Some(_) if standing.phase != Phase::Done => f64::INFINITY,
+            Some(after) => self.run.ended + after,
+            None => fault.from_s,
+        };
+        (new || fault.version == Victim::Both)
+            && at >= from
+            && fault.to_s.is_none_or(|to| at < to)
+            && fault.route.as_ref().is_none_or(|r| r == route)
+            && fault.data_centre.as_ref().is_none_or(|d| d == centre)
+            && standing.share.0 >= fault.from_share
+    }
+
+    fn noise(&mut self) -> f64 {
+        let (a, b): (f64, f64) = (self.rng.random(), self.rng.random());
+        let normal = (-2.0 * (1.0 - a).ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+        (SPREAD * normal).exp()
+    }
+}
