--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: what release notes have added up to.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,15 @@
 use crate::note;
 use crate::number;
 
+mod check;
+mod delta;
+mod query;
+mod update;
+
+pub use check::Moving;
+pub use delta::{Delta, Gap};
+pub use query::Serving;
+
 /// The share of a service's traffic that a version takes, in parts of [`Share::WHOLE`].
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -23,6 +33,12 @@
     pub const NONE: Share = Share(0);
 }
 
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}%", self.0 / 100, self.0 % 100)
+    }
+}
+
 /// One instance as the control state knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
