Run instances from the testbed by the daemon's own code, and wait for a fresh configuration

Cause: the whole-path test was answered 503 cut_off by an instance that had started a moment before. Ruled out: a lost lease in running; the lease had never been granted yet. Change: a request waits up to 1 s for the configuration to be fresh before it is refused. Before: whole_path 1 passed, 1 failed. After: 2 passed (run twice; 2.3 s and 18.9 s on the busy machine).

--- a/gooseberrylb/src/entry/dispatch.rs
+++ b/gooseberrylb/src/entry/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task;
 use futures::FutureExt;
 use gooseberrylb_config::directory::Cell;
 use gooseberrylb_policy::request::{Answer, Key, Outcome, Request};
@@ -24,6 +25,12 @@
 /// When a caller may try again that came to an instance cut off from the others.
 const CUT_OFF_RETRY: Duration = Duration::from_secs(1);
 
+/// How long a request waits for the configuration to be fresh.
+const FRESH_PATIENCE: Duration = Duration::from_secs(1);
+
+/// The pause between two looks at whether it is.
+const FRESH_INTERVAL: Duration = Duration::from_millis(10);
+
 /// What becomes of a decision.
 enum Next {
     /// The caller is answered.
@@ -68,7 +75,7 @@
         let mut held = Some(held);
         let mut attempts = 0;
         loop {
-            if !self.entry.published.read().is_fresh(self.entry.clock.now()) {
+            if !self.wait_until_fresh().await {
                 return self.refuse_cut_off();
             }
             let request = self.request();
@@ -106,6 +113,20 @@
         }
     }
 
+    /// Waits for a short while until the configuration may be acted on: an instance that has just
+    /// started, or whose leader has just changed, soon hears of it.
+    async fn wait_until_fresh(&self) -> bool {
+        let clock = &self.entry.clock;
+        let patience = (clock.now() + FRESH_PATIENCE).min(self.incoming.deadline);
+        while !self.entry.published.read().is_fresh(clock.now()) {
+            if clock.now() >= patience {
+                return false;
+            }
+            task::sleep(FRESH_INTERVAL).await;
+        }
+        true
+    }
+
     fn request(&self) -> Request {
         let incoming = &self.incoming;
         let account = incoming.account.clone();
--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -118,8 +118,11 @@
 fn main() -> ExitCode {
     let done = match options().run() {
         Command::Instance { settings } => {
-            eprintln!("{} is not run yet", settings.display());
-            return ExitCode::FAILURE;
+            let options = gooseberrylb::cli::Options {
+                settings,
+                check: false,
+            };
+            return gooseberrylb::run(options);
         }
         Command::Demo => task::block_on(demo::run()),
         Command::Engine {
