--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -213,9 +213,11 @@
         self.control.leave();
         self.let_addresses_lapse().await;
         self.drain().await;
-        self.hand_over().await;
+        // The last tally goes before the hand-over: when all instances stop at once, there is still a
+        // quorum to take it.
         self.end_of_tallies.close();
-        self.shipper.await;
+        (&mut self.shipper).await;
+        self.hand_over().await;
         log::info!("{} has stopped", self.settings.name);
         log::logger().flush();
     }
--- a/gooseberrylb/src/upstream.rs
+++ b/gooseberrylb/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams: engines by their protocol, plain services as they are.
 //!
 //! What matters most here is to know whether any byte of a request may have left: only then may it
-//! have been run. [`Error`] keeps the two cases apart.
+//! have been run. [`enum@Error`] keeps the two cases apart.
 
 use std::io;
 
