--- a/gooseberrylb_control/src/views.rs
+++ b/gooseberrylb_control/src/views.rs
@@ -98,7 +98,9 @@
 }
 
 fn leaves(name: &id::Instance, candidates: &Candidates) -> bool {
-    candidates.get(name).is_some_and(|candidate| candidate.leaving)
+    candidates
+        .get(name)
+        .is_some_and(|candidate| candidate.leaving)
 }
 
 /// The members that are alive and hold every claim.
@@ -129,7 +131,9 @@
     cell: &'a Cell,
     candidates: &'a Candidates,
 ) -> impl Iterator<Item = (&'a id::Instance, &'a Candidate)> {
-    candidates.iter().filter(|(_, c)| c.region == cell.region && !c.leaving)
+    candidates
+        .iter()
+        .filter(|(_, c)| c.region == cell.region && !c.leaving)
 }
 
 fn first(cell: &Cell, candidates: &Candidates) -> Option<Plan> {
@@ -139,7 +143,11 @@
         scheduler: scheduler.clone(),
         backups: fill(cell, scheduler, Vec::new(), candidates),
     };
-    Some(Plan { view, cause: "the service has no scheduler yet", claims_lost: false })
+    Some(Plan {
+        view,
+        cause: "the service has no scheduler yet",
+        claims_lost: false,
+    })
 }
 
 /// Adds backups up to [`BACKUPS`], from data centres that have no member yet where there are such.
@@ -179,48 +187,84 @@
         let stays = |name: &&id::Instance| name != scheduler && candidates.contains_key(*name);
         // A leaving scheduler stays as a backup until a new one is synced, since it holds all claims.
         let all = std::iter::once(&view.scheduler).chain(&view.backups);
-        let backups = all.filter(stays).filter(|n| holders.contains(n)).cloned().collect();
-        let view = View { number, scheduler: (*scheduler).clone(), backups };
+        let backups = all
+            .filter(stays)
+            .filter(|n| holders.contains(n))
+            .cloned()
+            .collect();
+        let view = View {
+            number,
+            scheduler: (*scheduler).clone(),
+            backups,
+        };
         let cause = "the scheduler died, restarted or leaves";
-        return Some(Plan { view, cause, claims_lost: false });
+        return Some(Plan {
+            view,
+            cause,
+            claims_lost: false,
+        });
     }
     if !holders.is_empty() {
         // Only leaving members hold the claims: a backup has to be synced before they may go.
         return grow(cell, view, candidates);
     }
     let plan = first(cell, candidates)?;
-    let view = View { number, ..plan.view };
-    Some(Plan { view, cause: "every holder of the claims was lost", claims_lost: true })
+    let view = View {
+        number,
+        ..plan.view
+    };
+    Some(Plan {
+        view,
+        cause: "every holder of the claims was lost",
+        claims_lost: true,
+    })
 }
 
 /// Drops dead backups at once; adds new ones, and lets leaving ones go, only from a synced view.
-fn repair(
-    cell: &Cell,
-    view: &View,
-    members: &Members,
-    candidates: &Candidates,
-) -> Option<Plan> {
+fn repair(cell: &Cell, view: &View, members: &Members, candidates: &Candidates) -> Option<Plan> {
     let alive = |name: &&id::Instance| is_same_start(name, members, candidates);
     let backups: Vec<id::Instance> = view.backups.iter().filter(alive).cloned().collect();
     if backups.len() < view.backups.len() {
-        let view = View { number: view.number.next(), scheduler: view.scheduler.clone(), backups };
-        return Some(Plan { view, cause: "a backup died or restarted", claims_lost: false });
+        let view = View {
+            number: view.number.next(),
+            scheduler: view.scheduler.clone(),
+            backups,
+        };
+        return Some(Plan {
+            view,
+            cause: "a backup died or restarted",
+            claims_lost: false,
+        });
     }
     let scheduler = candidates.get(&view.scheduler);
     if scheduler.and_then(|candidate| candidate.holds) != Some(view.number) {
         return None;
     }
-    let staying: Vec<id::Instance> =
-        backups.iter().filter(|name| !leaves(name, candidates)).cloned().collect();
+    let staying: Vec<id::Instance> = backups
+        .iter()
+        .filter(|name| !leaves(name, candidates))
+        .cloned()
+        .collect();
     let wanted = fill(cell, &view.scheduler, staying, candidates);
     let adds = wanted.iter().any(|name| !view.backups.contains(name));
     if !adds && wanted.len() == view.backups.len() {
         return None;
     }
-    let cause = if adds { "a backup is added" } else { "a backup leaves" };
-    let view =
-        View { number: view.number.next(), scheduler: view.scheduler.clone(), backups: wanted };
-    Some(Plan { view, cause, claims_lost: false })
+    let cause = if adds {
+        "a backup is added"
+    } else {
+        "a backup leaves"
+    };
+    let view = View {
+        number: view.number.next(),
+        scheduler: view.scheduler.clone(),
+        backups: wanted,
+    };
+    Some(Plan {
+        view,
+        cause,
+        claims_lost: false,
+    })
 }
 
 /// Adds a backup to a view whose scheduler leaves and has nobody to hand over to.
@@ -230,8 +274,16 @@
         return None;
     }
     let number = view.number.next();
-    let view = View { number, scheduler: view.scheduler.clone(), backups };
-    Some(Plan { view, cause: "the scheduler leaves and needs an heir", claims_lost: false })
+    let view = View {
+        number,
+        scheduler: view.scheduler.clone(),
+        backups,
+    };
+    Some(Plan {
+        view,
+        cause: "the scheduler leaves and needs an heir",
+        claims_lost: false,
+    })
 }
 
 /// Who has been a member since when, once `next` follows the view of `members`.
@@ -243,8 +295,14 @@
     let all = std::iter::once(&next.scheduler).chain(&next.backups);
     all.map(|name| {
         let incarnation = incarnation(name);
-        let new = Joined { view: next.number, incarnation };
-        let known = members.get(name).copied().filter(|joined| joined.incarnation == incarnation);
+        let new = Joined {
+            view: next.number,
+            incarnation,
+        };
+        let known = members
+            .get(name)
+            .copied()
+            .filter(|joined| joined.incarnation == incarnation);
         (name.clone(), known.unwrap_or(new))
     })
     .collect()
