--- /dev/null
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -0,0 +1,12 @@
+//! What gooseberrylb is developed against: stand-ins for its surroundings, a fault-injecting proxy,
+//! fleets of real processes, and the replay of recorded traces. Nothing here is part of a release.
+
+pub mod client;
+pub mod demo;
+pub mod engine;
+pub mod fleet;
+pub mod http;
+pub mod proxy;
+pub mod replay;
+pub mod standin;
+pub mod surroundings;
