End the operator's tool in good order when its reader goes away

Cause: in a trial with three instances, gooseberryctl status | head panicked on the broken pipe. Change: all output goes through one function that ends the process there. Seen failing with exit code 1 put in on purpose: a_reader_that_goes_away_is_no_failure.

--- a/gooseberryctl/src/client.rs
+++ b/gooseberryctl/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::cli::Access;
 use crate::failure::Failure;
+use crate::output::say;
 
 /// How long an instance may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -96,7 +97,7 @@
 ) -> Result<Option<T>, Failure> {
     let body = ask(access, call).await?;
     if access.json {
-        println!("{}", body.trim_end());
+        say!("{}", body.trim_end());
         return Ok(None);
     }
     parse(&body).map(Some)
--- a/gooseberryctl/src/main.rs
+++ b/gooseberryctl/src/main.rs
@@ -12,6 +12,7 @@
 mod client;
 mod failure;
 mod notes;
+mod output;
 mod queries;
 mod table;
 
--- a/gooseberryctl/src/notes.rs
+++ b/gooseberryctl/src/notes.rs
@@ -10,6 +10,7 @@
 use crate::cli::Access;
 use crate::client::{self, Call};
 use crate::failure::Failure;
+use crate::output::say;
 use crate::table;
 
 /// How often a note that is followed is asked for.
@@ -28,9 +29,11 @@
     })?;
     let call = Call::post("/v1/notes", text);
     if let Some(accepted) = client::ask_for::<Accepted>(access, &call).await? {
-        println!(
+        say!(
             "note {} accepted, revision {}, digest {}",
-            accepted.note, accepted.revision, accepted.digest
+            accepted.note,
+            accepted.revision,
+            accepted.digest
         );
     }
     Ok(())
@@ -58,7 +61,7 @@
 }
 
 fn print_head(note: &answer::Note) {
-    println!(
+    say!(
         "note {} of {}, accepted {}, revision {}: {}, {}",
         note.note,
         note.author,
@@ -67,7 +70,7 @@
         note.state,
         in_force(note.in_force)
     );
-    println!("digest {}", note.digest);
+    say!("digest {}", note.digest);
 }
 
 fn print_items(items: &[Item]) {
@@ -147,10 +150,10 @@
 
 fn print_change(access: &Access, body: &str, note: &answer::Note, before: Option<&answer::Note>) {
     if access.json {
-        println!("{}", body.trim_end());
+        say!("{}", body.trim_end());
         return;
     }
-    println!(
+    say!(
         "note {}: {}, {}",
         note.note,
         note.state,
@@ -159,7 +162,7 @@
     let known = before.map_or(&[][..], |before| &before.items);
     for item in note.items.iter().filter(|item| !known.contains(item)) {
         let share = item.share.map(|share| format!(", share {share}"));
-        println!(
+        say!(
             "  {} {} {}: {}{}: {}",
             time::show(item.since),
             item.what,
--- a/gooseberryctl/src/queries.rs
+++ b/gooseberryctl/src/queries.rs
@@ -11,6 +11,7 @@
 use crate::cli::{self, Access, Format};
 use crate::client::{self, Call};
 use crate::failure::Failure;
+use crate::output::say;
 use crate::table;
 
 /// The number of audit entries asked for at a time.
@@ -27,7 +28,7 @@
 
 fn print_status(status: &Status) {
     let leader = status.leader.as_ref().map(|leader| leader.to_string());
-    println!(
+    say!(
         "{}, {}; leader {}, term {}, committed {}, revision {}, configuration {}",
         status.instance,
         status.role,
@@ -63,7 +64,7 @@
         "state",
         "revision",
     ];
-    println!();
+    say!("");
     table::print(&heads, &rows);
     print_views(status);
     print_moves(status);
@@ -87,7 +88,7 @@
             ]
         })
         .collect();
-    println!();
+    say!("");
     table::print(
         &["service", "region", "view", "scheduler", "backups"],
         &rows,
@@ -116,7 +117,7 @@
     let heads = [
         "service", "version", "replaces", "phase", "share", "move by", "reason",
     ];
-    println!();
+    say!("");
     table::print(&heads, &rows);
 }
 
@@ -129,14 +130,14 @@
     let path = with_query("/v1/addresses", &[("account", Some(account.to_string()))]);
     let body = client::ask_any(callers, &Call::get(path), None).await?;
     if access.json {
-        println!("{}", body.trim_end());
+        say!("{}", body.trim_end());
         return Ok(());
     }
     let answer: Addresses = client::parse(&body)?;
     for address in &answer.addresses {
-        println!("{address}");
+        say!("{address}");
     }
-    println!("to be asked again after {} ms", answer.ttl_ms);
+    say!("to be asked again after {} ms", answer.ttl_ms);
     Ok(())
 }
 
@@ -148,7 +149,7 @@
         let body = client::ask(access, &call).await?;
         let page: Audit = client::parse(&body)?;
         if access.json {
-            println!("{}", body.trim_end());
+            say!("{}", body.trim_end());
         } else {
             print_audit(&page, after);
         }
@@ -161,14 +162,14 @@
 
 fn print_audit(page: &Audit, after: u64) {
     if page.oldest > after + 1 {
-        println!(
+        say!(
             "entries {} to {} are no longer kept",
             after + 1,
             page.oldest - 1
         );
     }
     for entry in &page.entries {
-        println!(
+        say!(
             "{} {} {} {} {}: {}",
             entry.sequence,
             time::show(entry.at),
@@ -207,7 +208,7 @@
     ];
     let body = client::ask(access, &Call::get(with_query("/v1/report", &query))).await?;
     if access.json || wanted.format != Format::Table {
-        println!("{}", body.trim_end());
+        say!("{}", body.trim_end());
         return Ok(());
     }
     print_report(&client::parse(&body)?);
@@ -215,9 +216,9 @@
 }
 
 fn print_report(report: &Report) {
-    println!("{} to {}", time::show(report.from), time::show(report.to));
+    say!("{} to {}", time::show(report.from), time::show(report.to));
     if let Some(kept) = report.kept_from {
-        println!("counts before {} are no longer kept", time::show(kept));
+        say!("counts before {} are no longer kept", time::show(kept));
     }
     let heads = [
         "account",
@@ -256,7 +257,7 @@
     table::print(&heads, &rows);
     for gap in &report.gaps {
         let to = gap.to.map_or("now".to_owned(), time::show);
-        println!(
+        say!(
             "gap: counts of {} from {} to {to} are lost: {}",
             gap.instance,
             time::show(gap.from),
@@ -265,7 +266,7 @@
     }
     for change in &report.moves {
         let direction = change.direction;
-        println!(
+        say!(
             "{} {} {} {direction} traffic, share {}: {}",
             time::show(change.at),
             change.service,
@@ -276,7 +277,7 @@
     }
     for counted in &report.counted {
         let until = time::show(counted.until);
-        println!("{} is counted up to {until}", counted.instance);
+        say!("{} is counted up to {until}", counted.instance);
     }
 }
 
--- a/gooseberryctl/tests/commands.rs
+++ b/gooseberryctl/tests/commands.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 use std::thread::{self, JoinHandle};
 
 const NOTE: &str = r#"{ "note": 1, "author": "rossi" } // Nothing."#;
@@ -44,7 +44,7 @@
     address
 }
 
-fn run(folder: &Path, instances: &[SocketAddr], arguments: &[&str]) -> Output {
+fn command(folder: &Path, instances: &[SocketAddr], arguments: &[&str]) -> Command {
     std::fs::write(folder.join("token"), TOKEN).unwrap();
     std::fs::write(folder.join("note.json"), NOTE).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberryctl"));
@@ -52,7 +52,12 @@
     for address in instances {
         command.arg("--instance").arg(address.to_string());
     }
-    command.args(arguments).output().unwrap()
+    command.args(arguments);
+    command
+}
+
+fn run(folder: &Path, instances: &[SocketAddr], arguments: &[&str]) -> Output {
+    command(folder, instances, arguments).output().unwrap()
 }
 
 fn stdout(output: &Output) -> &str {
@@ -161,3 +166,18 @@
     let sent = answered.join().unwrap();
     assert!(sent.contains("&account=a&format=json"), "{sent}");
 }
+
+#[test]
+fn a_reader_that_goes_away_is_no_failure() {
+    let folder = tempfile::tempdir().unwrap();
+    let (address, _answered) = instance("200 OK", r#"{ "notes": [] }"#);
+    let mut command = command(folder.path(), &[address], &["note", "list"]);
+    let mut child = command
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+}
