Give membership changes in the audit trail the time of the next command

Cause: in a trial, the record of the founding membership bore the time 1970-01-01, since entries of the membership carry no time and no command came before them.

--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -97,16 +97,16 @@
 }
 
 impl Command {
-    /// When the leader made the command, where it says so.
-    pub fn at(&self) -> Option<SystemTime> {
+    /// When the command was made.
+    pub fn at(&self) -> SystemTime {
         match self {
             Command::Submit { at, .. }
             | Command::Join { at, .. }
             | Command::Leave { at, .. }
             | Command::View { at, .. }
-            | Command::Lead { at, .. } => Some(*at),
-            Command::Step(step) => Some(step.at),
-            Command::Tally(_) => None,
+            | Command::Lead { at, .. } => *at,
+            Command::Step(step) => step.at,
+            Command::Tally(tally) => tally.to,
         }
     }
 }
@@ -210,9 +210,9 @@
 pub struct State {
     /// The last entry of the log that it holds.
     applied: number::Index,
-    /// The time of the last command that carried one.
-    #[serde(with = "note::time::option")]
-    last_at: Option<SystemTime>,
+    /// The memberships whose record in the audit trail waits for the time of the next command, since
+    /// entries of the membership carry none.
+    unrecorded: Vec<(number::Index, Membership)>,
     /// The configuration.
     directory: directory::Directory,
     /// The accepted notes.
@@ -266,7 +266,7 @@
             return Reply::Stale;
         }
         self.applied = index;
-        self.last_at = command.at().or(self.last_at);
+        self.record_memberships(command.at());
         match command {
             Command::Submit { note, via, at } => self.submit(note, via, *at),
             Command::Join {
@@ -294,27 +294,31 @@
         }
     }
 
-    /// Records new voters; entries of the membership carry no time, so that of the last command
-    /// before them stands for it.
     fn change_membership(&mut self, entry: &Entry, membership: &Membership) {
         if entry.index <= self.applied {
             return;
         }
         self.applied = entry.index;
-        let at = self.last_at.unwrap_or(SystemTime::UNIX_EPOCH);
+        let record = (entry.index, membership.clone());
+        self.unrecorded.push(record);
+    }
+
+    fn record_memberships(&mut self, at: SystemTime) {
         let names = |members: &BTreeMap<id::Instance, _>| {
             let names: Vec<_> = members.keys().map(|name| name.as_str()).collect();
             names.join(", ")
         };
-        let cause = format!(
-            "voters [{}], catching up [{}]",
-            names(&membership.voters),
-            names(&membership.learners)
-        );
-        let subject = format!("entry {}", entry.index);
-        let actor = self.leader_name();
-        self.audit
-            .add(at, actor, audit::Kind::Membership, subject, cause);
+        for (index, membership) in std::mem::take(&mut self.unrecorded) {
+            let cause = format!(
+                "voters [{}], catching up [{}]",
+                names(&membership.voters),
+                names(&membership.learners)
+            );
+            let subject = format!("entry {index}");
+            let actor = self.leader_name();
+            self.audit
+                .add(at, actor, audit::Kind::Membership, subject, cause);
+        }
     }
 
     fn lead(&mut self, leader: &id::Instance, term: number::Term, at: SystemTime) -> Reply {
--- a/gooseberrylb_control/tests/state.rs
+++ b/gooseberrylb_control/tests/state.rs
@@ -1,5 +1,6 @@
 //! The control state takes each command once and in order, and answers resends alike.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,6 +9,8 @@
 use gooseberrylb_config::directory::{Cell, Instance, Share, View};
 use gooseberrylb_config::note::Note;
 use gooseberrylb_config::number::{self, Index, Revision};
+use gooseberrylb_control::entry::{Entry, Payload};
+use gooseberrylb_control::membership::{Folder, Membership};
 use gooseberrylb_control::state::{Command, Counts, Label, Reply, State, Tally};
 use gooseberrylb_policy::moves::{Phase, Step};
 use gooseberrylb_policy::request::Outcome;
@@ -328,6 +331,32 @@
     assert!(State::decode(b"{").is_err());
 }
 
+#[test]
+fn membership_changes_stand_in_the_audit_trail_with_the_time_of_the_next_command() {
+    let mut fed = Fed::default();
+    for n in 1..=2 {
+        let folder = Folder(u64::MAX - n);
+        let membership = Membership {
+            voters: BTreeMap::from([(format!("i{n}").parse().unwrap(), folder)]),
+            learners: BTreeMap::new(),
+        };
+        fed.index = fed.index.next();
+        let entry = Entry {
+            index: fed.index,
+            term: number::Term(1),
+            payload: Payload::Membership(membership),
+        };
+        assert_eq!(fed.state.apply_entry(&entry).unwrap(), None);
+        fed.state = State::decode(&fed.state.encode()).unwrap();
+    }
+    fed.join(1, 70);
+    let entries = fed.state.audit(0, 10).entries;
+    let causes: Vec<_> = entries.iter().map(|entry| &*entry.cause).collect();
+    let voters = ["voters [i1], catching up []", "voters [i2], catching up []"];
+    assert_eq!(causes[..2], voters);
+    assert!(entries.iter().all(|entry| entry.at == at(70)));
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(11),
