--- a/gooseberrylb_control/tests/state.rs
+++ b/gooseberrylb_control/tests/state.rs
@@ -357,6 +357,31 @@
     assert!(entries.iter().all(|entry| entry.at == at(70)));
 }
 
+/// A state that holds something of each kind.
+fn full() -> Fed {
+    let mut fed = with_move();
+    fed.join(1, 0);
+    fed.view(1);
+    fed.tally(1, 1, (0, 10), false);
+    fed.tally(1, 3, (20, 30), false);
+    fed.step(1, Phase::Canary, 100);
+    let leader = "i1".parse().unwrap();
+    let term = number::Term(2);
+    fed.apply(Command::Lead {
+        leader,
+        term,
+        at: at(40),
+    });
+    fed
+}
+
+#[test]
+fn a_state_that_an_earlier_release_wrote_is_read() {
+    let stored = include_bytes!("data/state-format-1.json");
+    let state = State::decode(stored).unwrap();
+    assert_eq!(state, full().state);
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(11),
