Replay recorded traces in virtual time beside two baselines

A trace is recorded from a fixed seed and kept as a file; loads below the recorded one thin it evenly. Compressing time to raise the load was ruled out: the burst then ends before deadlines matter.

Run: replay traces/*.json (release).

--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod http;
 pub mod proxy;
+pub mod replay;
 pub mod standin;
 pub mod surroundings;
--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -4,9 +4,12 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::{Context, bail};
 use async_std::{future, task};
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, Parser, construct, long, positional};
 use gooseberrylb_testbed::demo;
+use gooseberrylb_testbed::replay::trace::Trace;
+use gooseberrylb_testbed::replay::{self, recorder};
 use gooseberrylb_testbed::standin::engine::{Engine, Settings};
 use gooseberrylb_testbed::standin::plain::Service;
 
@@ -24,6 +27,13 @@
     Plain {
         listen: SocketAddr,
     },
+    Replay {
+        traces: Vec<PathBuf>,
+    },
+    Record {
+        seed: u64,
+        name: String,
+    },
 }
 
 fn instance() -> impl Parser<Command> {
@@ -71,12 +81,36 @@
         .command("plain")
 }
 
+fn replay() -> impl Parser<Command> {
+    let traces = positional::<PathBuf>("TRACE")
+        .help("A recorded trace")
+        .some("a trace is needed");
+    construct!(Command::Replay { traces })
+        .to_options()
+        .descr("Replays traces in virtual time, and compares the scheduler with two baselines.")
+        .command("replay")
+}
+
+fn record() -> impl Parser<Command> {
+    let seed = long("seed")
+        .help("The seed that the requests are drawn from")
+        .argument::<u64>("N")
+        .fallback(1);
+    let name = positional::<String>("NAME").help("orsenigo-dawn or benammar-launch");
+    construct!(Command::Record { seed, name })
+        .to_options()
+        .descr("Records a trace in the shape of a firm's workload, and writes it to the output.")
+        .command("record")
+}
+
 fn options() -> OptionParser<Command> {
     let instance = instance();
     let demo = demonstration();
     let engine = engine();
     let plain = plain();
-    construct!([instance, demo, engine, plain])
+    let replay = replay();
+    let record = record();
+    construct!([instance, demo, engine, plain, replay, record])
         .to_options()
         .descr("Stand-ins, fleets and replays for developing gooseberrylb.")
 }
@@ -93,6 +127,8 @@
             checks_fencing,
         } => task::block_on(run_engine(listen, checks_fencing)),
         Command::Plain { listen } => task::block_on(run_plain(listen)),
+        Command::Replay { traces } => run_replay(&traces),
+        Command::Record { seed, name } => run_record(&name, seed),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -118,3 +154,32 @@
     println!("plain service at {}", service.address());
     future::pending().await
 }
+
+fn run_replay(traces: &[PathBuf]) -> anyhow::Result<()> {
+    for path in traces {
+        let trace = Trace::load(path).with_context(|| format!("reading {}", path.display()))?;
+        println!("{}", replay::report(&trace));
+    }
+    Ok(())
+}
+
+fn run_record(name: &str, seed: u64) -> anyhow::Result<()> {
+    let trace = match name {
+        "orsenigo-dawn" => recorder::orsenigo_dawn(seed)?,
+        "benammar-launch" => recorder::benammar_launch(seed)?,
+        _ => bail!("no trace is called {name}"),
+    };
+    let requests = trace.requests.iter().map(serde_json::to_string);
+    let rows = requests.collect::<Result<Vec<_>, _>>()?.join(",\n");
+    let head = Trace {
+        requests: Vec::new(),
+        ..trace
+    };
+    // One row a line keeps the file readable and its differences small.
+    let head = serde_json::to_string_pretty(&head)?;
+    println!(
+        "{}",
+        head.replace("\"requests\": []", &format!("\"requests\": [\n{rows}\n]"))
+    );
+    Ok(())
+}
