--- a/gooseberrylb_control/src/lib.rs
+++ b/gooseberrylb_control/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod entry;
 pub mod journal;
 pub mod membership;
+pub mod repair;
 pub mod state;
+pub mod views;
