Run instances by the daemon's own code, and wait for their leases

A fleet counts as started once every instance holds a lease on its configuration; before that an entry rightly answers not-run with cut_off. The lease is read from each instance's own metrics, since the operators' status is answered by the leader.

--- a/gooseberrylb_testbed/src/fleet.rs
+++ b/gooseberrylb_testbed/src/fleet.rs
@@ -145,7 +145,7 @@
         self
     }
 
-    /// Writes the settings, starts all instances, and waits until each answers.
+    /// Writes the settings, starts all instances, and waits until each may start work upstream.
     pub async fn start(self) -> Result<Fleet, Error> {
         let folder = while_doing("making a temporary folder", tempfile::tempdir())?;
         write(&folder.path().join("cluster.key"), CLUSTER_KEY)?;
@@ -178,6 +178,7 @@
             instance.start()?;
         }
         fleet.wait_healthy(START_TIMEOUT).await?;
+        fleet.wait_fresh(START_TIMEOUT).await?;
         Ok(fleet)
     }
 
@@ -320,6 +321,16 @@
         Ok(())
     }
 
+    /// Waits until every running instance holds a lease on its configuration.
+    pub async fn wait_fresh(&self, timeout: Duration) -> Result<(), Error> {
+        for instance in self.instances.iter().filter(|i| i.is_started()) {
+            if !wait_until(timeout, async || instance.is_fresh().await).await {
+                return Err(instance.unhealthy(timeout));
+            }
+        }
+        Ok(())
+    }
+
     /// Stops every instance in good order, all at once, and waits until they have ended.
     pub async fn stop(mut self, timeout: Duration) -> Result<(), Error> {
         for instance in &self.instances {
--- a/gooseberrylb_testbed/src/fleet/instance.rs
+++ b/gooseberrylb_testbed/src/fleet/instance.rs
@@ -16,6 +16,9 @@
 /// How long one question about health may take.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The line of the metrics that says that an instance holds a lease on its configuration.
+const FRESH: &str = "gooseberrylb_configuration_fresh 1";
+
 /// The end of an instance's output that is shown when it is not healthy, in bytes.
 const OUTPUT_BYTES: usize = 4_000;
 
@@ -143,16 +146,23 @@
                 return Ok(());
             }
             if begun.elapsed() > timeout || self.has_ended()? {
-                return Err(Error::Unhealthy {
-                    name: self.name.clone(),
-                    waited: begun.elapsed(),
-                    output: self.last_output(),
-                });
+                return Err(self.unhealthy(begun.elapsed()));
             }
             task::sleep(POLL).await;
         }
     }
 
+    /// Whether it holds a lease on its configuration, by its own metrics: the operators' status is
+    /// the leader's.
+    pub async fn is_fresh(&self) -> bool {
+        let client = Client::new(self.operators(), HEALTH_TIMEOUT);
+        let Ok(answer) = client.get("/metrics").await else {
+            return false;
+        };
+        let text = String::from_utf8_lossy(&answer.body);
+        text.lines().any(|line| line == FRESH)
+    }
+
     /// Waits until its process has ended.
     pub async fn wait_end(&mut self, timeout: Duration) -> Result<Option<ExitStatus>, Error> {
         let begun = Instant::now();
@@ -180,6 +190,14 @@
         String::from_utf8_lossy(&output[from..]).into_owned()
     }
 
+    pub(super) fn unhealthy(&self, waited: Duration) -> Error {
+        Error::Unhealthy {
+            name: self.name.clone(),
+            waited,
+            output: self.last_output(),
+        }
+    }
+
     fn output(&self) -> PathBuf {
         self.home.join("output.log")
     }
--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -118,8 +118,8 @@
 fn main() -> ExitCode {
     let done = match options().run() {
         Command::Instance { settings } => {
-            eprintln!("{} is not run yet", settings.display());
-            return ExitCode::FAILURE;
+            let check = false;
+            return gooseberrylb::run(gooseberrylb::cli::Options { settings, check });
         }
         Command::Demo => task::block_on(demo::run()),
         Command::Engine {
