--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -118,8 +118,11 @@
 fn main() -> ExitCode {
     let done = match options().run() {
         Command::Instance { settings } => {
-            let check = false;
-            return gooseberrylb::run(gooseberrylb::cli::Options { settings, check });
+            let options = gooseberrylb::cli::Options {
+                settings,
+                check: false,
+            };
+            return gooseberrylb::run(options);
         }
         Command::Demo => task::block_on(demo::run()),
         Command::Engine {
