Stop a whole fleet without waiting for a quorum that has gone

Cause: SIGTERM to all three instances at once left the leader 17 s behind the others: its last tally waited for voters that had exited (seen in its log; the two others ended after 1.1 s). Ruled out: the hand-over of schedulers and the drain, which ended at once. Change: an instance with nothing left to do votes for 1 s more; the last tally is given up after 3 s.

--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -16,7 +16,7 @@
 
 use super::core::{Core, Parts};
 use super::disk::{self, Done};
-use super::{Answer, Ask, Failure, Start, follow, lead, peers};
+use super::{Answer, Ask, Failure, Question, Start, follow, lead, peers, query};
 use crate::metrics::METRICS;
 
 /// The time between two ticks of the consensus.
@@ -140,6 +140,13 @@
             let result = ask_leader(core, Request::Propose(command.encode())).await;
             reply.send(result).ok();
         }
+        // Each instance tells how the system stands as it sees it.
+        Ask::Query {
+            question: question @ Question::Status,
+            reply,
+        } => {
+            reply.send(Ok(query::answer(core, &question))).ok();
+        }
         Ask::Query { question, reply } => {
             let result = match codec::encode(&question) {
                 Ok(bytes) => ask_leader(core, Request::Query(question, bytes)).await,
@@ -153,7 +160,7 @@
 /// What is asked of the leader, wherever it is.
 enum Request {
     Propose(Vec<u8>),
-    Query(super::Question, Vec<u8>),
+    Query(Question, Vec<u8>),
 }
 
 /// An answer's type, and how this instance gives it where it leads itself.
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -34,6 +34,10 @@
 /// How long a planned stop waits for its schedulers and backups to be handed over.
 const HAND_OVER: Duration = Duration::from_secs(10);
 
+/// How long an instance with nothing left to do still votes, so that others which stop at the same
+/// time get their last tallies accepted.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Runs an instance until it is told to stop; the exit code says how it went.
 pub fn run(options: cli::Options) -> ExitCode {
     let settings = match Settings::load(&options.settings) {
@@ -218,6 +222,7 @@
         self.end_of_tallies.close();
         (&mut self.shipper).await;
         self.hand_over().await;
+        task::sleep(LINGER).await;
         log::info!("{} has stopped", self.settings.name);
         log::logger().flush();
     }
--- a/gooseberrylb/src/tally.rs
+++ b/gooseberrylb/src/tally.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use async_std::task;
+use async_std::{future, task};
 use gooseberrylb_config::clock::Clock;
 use gooseberrylb_control::state::{Command, Counts, Label, Tally};
 
@@ -20,7 +20,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// How long a planned stop tries to get the last tally accepted.
-const LAST_PATIENCE: Duration = Duration::from_secs(10);
+const LAST_PATIENCE: Duration = Duration::from_secs(3);
 
 type Rows = BTreeMap<Label, Counts>;
 
@@ -78,9 +78,7 @@
     /// Ships a tally now and then, until `stop` is closed; then the last one.
     pub async fn run(mut self, stop: async_channel::Receiver<()>) {
         loop {
-            let stopped = async_std::future::timeout(INTERVAL, stop.recv())
-                .await
-                .is_ok();
+            let stopped = future::timeout(INTERVAL, stop.recv()).await.is_ok();
             let tally = self.next(stopped);
             if !self.ship(tally, stopped).await || stopped {
                 return;
