--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -47,6 +47,10 @@
             Record::Cluster(cluster) => self.kept.cluster = Some(*cluster),
             Record::Entry(entry) => {
                 let covered = self.kept.snapshot.as_ref().map_or(0, |s| s.index.0);
+                assert!(
+                    entry.index.0 > covered,
+                    "an entry under a snapshot is replaced"
+                );
                 let place = (entry.index.0 - covered - 1) as usize;
                 assert!(place <= self.kept.entries.len(), "a gap on disk");
                 self.kept.entries.truncate(place);
@@ -283,6 +287,19 @@
         self.feed(name, Input::Compact(snapshot));
     }
 
+    /// Cuts two hosts off from each other.
+    pub fn part(&mut self, one: &id::Instance, other: &id::Instance) {
+        self.cut.insert((one.clone(), other.clone()));
+        self.cut.insert((other.clone(), one.clone()));
+    }
+
+    /// Cuts a host off from all others.
+    pub fn isolate(&mut self, name: &id::Instance) {
+        for other in self.hosts.keys().cloned().collect::<Vec<_>>() {
+            self.part(name, &other);
+        }
+    }
+
     pub fn run(&mut self, time: Duration) {
         let end = self.now_ms + time.as_millis() as u64;
         while self.now_ms < end {
@@ -318,6 +335,25 @@
                 self.feed(name, Input::Tick);
             }
         }
+        self.check_lease();
+    }
+
+    /// Checks that no node, frozen or not, trusts a lease while a later leader was elected.
+    fn check_lease(&self) {
+        let latest = self.leaders.last_key_value();
+        for (name, host) in &self.hosts {
+            if host
+                .node
+                .as_ref()
+                .is_some_and(|n| n.holds_lease(self.now()))
+            {
+                assert_eq!(
+                    latest.map(|(_, leader)| leader),
+                    Some(name),
+                    "a lease overlaps"
+                );
+            }
+        }
     }
 
     fn deliver(&mut self, mut flight: Flight) {
@@ -442,8 +478,12 @@
         let now = self.now();
         for (name, host) in &self.hosts {
             let is_alive = host.node.is_some() && host.frozen_until <= self.now_ms;
-            let folder = host.disk.folder;
-            let liveness = match (is_alive, self.disks.get(name).map(|disk| disk.liveness)) {
+            let known = self.disks.get(name);
+            let folder = match known {
+                Some(disk) if !is_alive => disk.folder,
+                Some(_) | None => host.disk.folder,
+            };
+            let liveness = match (is_alive, known.map(|disk| disk.liveness)) {
                 (true, Some(known @ Liveness::Alive { .. })) => known,
                 (false, Some(known @ Liveness::Silent { .. })) => known,
                 (true, _) => Liveness::Alive { since: now },
