Let deltas with versions survive the peers' encoding

Cause: the encoding between instances has no field names, and a version's time to move by was left out where there is none, and written without the mark of an option where there is one. An instance that is no voter could read no configuration with a version in it: found by a round trip through postcard, which failed with DeserializeBadOption. Change: the field is always written, as an option. Conclusion: a_delta_survives_an_encoding_without_field_names fails before and passes after.

--- a/gooseberrylb_config/src/note.rs
+++ b/gooseberrylb_config/src/note.rs
@@ -130,11 +130,7 @@
     #[serde(default)]
     pub adapter: Option<id::Adapter>,
     /// The time by which the traffic of `replaces` is moved or given back.
-    #[serde(
-        default,
-        skip_serializing_if = "Option::is_none",
-        with = "crate::note::time::option"
-    )]
+    #[serde(default, with = "crate::note::time::option")]
     pub move_by: Option<SystemTime>,
 }
 
--- a/gooseberrylb_config/src/note/time.rs
+++ b/gooseberrylb_config/src/note/time.rs
@@ -38,7 +38,7 @@
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
         match time {
-            Some(time) => super::serialize(time, serializer),
+            Some(time) => serializer.serialize_some(&super::show(*time)),
             None => serializer.serialize_none(),
         }
     }
--- a/gooseberrylb_config/tests/directory.rs
+++ b/gooseberrylb_config/tests/directory.rs
@@ -87,3 +87,19 @@
     assert_eq!(gap, Err(Gap { have, from }));
     assert_eq!(directory, Directory::default());
 }
+
+#[test]
+fn a_delta_survives_an_encoding_without_field_names() {
+    let text = r#"{ "note": 1, "author": "a", "added": {
+        "versions": [{ "name": "v1", "service": "s", "upstreams": ["u"] },
+            { "name": "v2", "service": "s", "upstreams": ["u"], "replaces": "v1",
+              "move_by": "2030-01-01T00:00:00Z" }] } }"#;
+    let note = note::Note::parse(text).unwrap();
+    let mut newer = Directory::default().with_note(&note);
+    newer.revision = Revision(1);
+    let delta = Directory::default().diff(&newer);
+    let bytes = postcard::to_stdvec(&(delta.clone(), 7)).unwrap();
+    assert_eq!(postcard::from_bytes(&bytes), Ok((delta, 7)));
+    let bytes = postcard::to_stdvec(&(newer.clone(), 7)).unwrap();
+    assert_eq!(postcard::from_bytes(&bytes), Ok((newer, 7)));
+}
