Make the digest of a note independent of how a release encodes it

Cause: writing a field that used to be left out changed the digests of notes, so that a resend after an upgrade would have been taken for a conflict; the stored state of format 1 showed it. Change: the digest is taken over a canonical form of its own, without fields that hold nothing and in the order of names.

--- a/gooseberrylb_config/src/note.rs
+++ b/gooseberrylb_config/src/note.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
-use std::sync::Arc;
 use std::time::SystemTime;
 
 use serde::{Deserialize, Serialize};
@@ -14,8 +13,11 @@
 use crate::reader::{self, read_object};
 
 mod check;
+mod digest;
 pub mod time;
 
+pub use digest::Digest;
+
 /// Whether an upstream or a service speaks the engines' protocol or is passed requests as they are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -201,17 +203,6 @@
     pub withdrawn: Withdrawals,
 }
 
-/// A digest of a note's content, by which a resend is told from a conflict.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Digest(pub Arc<str>);
-
-impl fmt::Display for Digest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
 /// The text names no kind of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the kinds are engine and plain")]
@@ -295,10 +286,4 @@
     pub fn parse(text: &str) -> Result<Self, Findings> {
         reader::parse(text, Self::check)
     }
-
-    /// The digest of the content, which comments and the order of fields do not change.
-    pub fn digest(&self) -> Digest {
-        let canonical = serde_json::to_vec(self).expect("a note has only text keys");
-        Digest(Arc::from(blake3::hash(&canonical).to_hex().as_str()))
-    }
 }
--- a/gooseberrylb_config/tests/notes.rs
+++ b/gooseberrylb_config/tests/notes.rs
@@ -122,6 +122,12 @@
     assert_ne!(plain.digest(), content.digest());
 }
 
+#[test]
+fn a_digest_stays_the_same_from_release_to_release() {
+    let digest = parse(BASE).digest();
+    assert_eq!(digest.to_string(), "4c8b0b88a5821b8d1d632772d457c25633f44aae1240968123389e546a12e854");
+}
+
 #[test]
 fn a_note_that_fits_has_no_findings() {
     let body = v2(r#""replaces": "v1", "move_by": "2030-01-01T00:00:00Z""#);
