--- a/gooseberrylb_testbed/src/replay.rs
+++ b/gooseberrylb_testbed/src/replay.rs
@@ -107,6 +107,11 @@
         trace.engines.len(),
         trace.requests.len()
     );
+    let densest = LOADS.into_iter().fold(0.0, f64::max);
+    if !is_dense_enough(trace, capacity, densest) {
+        text.push_str("the trace has too few requests for the highest load\n");
+        return text;
+    }
     let comparisons = LOADS.map(|load| compare(trace, capacity, load));
     for comparison in &comparisons {
         // Writing to a string cannot fail.
@@ -138,6 +143,10 @@
         let label = format!("goodput, tier {tier}");
         row(&label, &|f| format!("{:.2}%", 100.0 * f.goodput(tier)));
     }
+    row("good tokens a second", &|f| {
+        format!("{:.0}", f.good_tokens(trace))
+    });
+    row("refused", &|f| format!("{:.2}%", 100.0 * f.refused()));
     row("wasted prefill", &|f| format!("{:.2}%", 100.0 * f.waste()));
     for tier in trace.tiers() {
         let label = format!("fairness, tier {tier}");
