Replay traces of bad, slow, late and good versions, and bound the harm by region

Cause: two regions doubled the requests that a bad version could harm; an engine's crash looked like a bad version; a quiet service's canary got too few requests to judge; one trip's reason named all routes for a bad one.

Schedulers report by Brake::poll: each second, and at once at a new step or when evidence grows.

Ruled out: a canary in one region only, which starves it where that region is quiet.

--- a/gooseberrylb_policy/src/moves/brake.rs
+++ b/gooseberrylb_policy/src/moves/brake.rs
@@ -3,7 +3,7 @@
 //! state raises a share again. See `docs/MOVES.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use gooseberrylb_config::directory::{Cell, Directory};
 use gooseberrylb_config::id;
@@ -17,6 +17,24 @@
 /// How often a good version is taken for bad, over a whole move and all regions.
 pub const FALSE_ALARM_RATE: f64 = 0.005;
 
+/// The requests that may run on a version of which nothing is known yet, over all regions.
+const FIRST_OUTSTANDING: u64 = 4;
+
+/// How often the leader is told what was seen, where nothing of weight is new.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// By how much the evidence against a version grows before the leader is told at once.
+const REPORT_GROWTH: f64 = 2.0;
+
+/// What the leader was told last.
+#[derive(Debug, Clone, PartialEq)]
+struct Told {
+    /// When.
+    at: Instant,
+    /// The step and the evidence of each version.
+    findings: BTreeMap<id::Version, (u32, f64)>,
+}
+
 /// One scheduler's trials of the versions under a move.
 #[derive(Debug, Clone)]
 pub struct Brake {
@@ -24,6 +42,7 @@
     view: number::View,
     incarnation: u64,
     reports: u64,
+    told: Option<Told>,
     pace: Pace,
     trials: BTreeMap<id::Version, Trial>,
 }
@@ -37,6 +56,7 @@
             view: number::View(0),
             incarnation,
             reports: 0,
+            told: None,
             pace: Pace::default(),
             trials: BTreeMap::new(),
         }
@@ -95,7 +115,39 @@
         self.trials.get(version).and_then(Trial::trip)
     }
 
-    /// What the leader is to know; sent every second and at once after a trip.
+    /// The next report for the leader when one is due: every second, and at once at a new step or
+    /// when the evidence against a version has grown. Called every 100 ms or so.
+    pub fn poll(&mut self, now: Instant) -> Option<Report> {
+        let current: BTreeMap<_, _> = self
+            .trials
+            .iter()
+            .map(|(version, trial)| (version.clone(), (trial.step(), trial.doubt())))
+            .collect();
+        if !self.is_due(now, &current) {
+            return None;
+        }
+        self.told = Some(Told {
+            at: now,
+            findings: current,
+        });
+        Some(self.report(now))
+    }
+
+    fn is_due(&self, now: Instant, current: &BTreeMap<id::Version, (u32, f64)>) -> bool {
+        let Some(told) = &self.told else {
+            return true;
+        };
+        if now.saturating_duration_since(told.at) >= REPORT_INTERVAL {
+            return true;
+        }
+        current.iter().any(|(version, (step, doubt))| {
+            told.findings
+                .get(version)
+                .is_none_or(|(told, known)| told != step || *doubt > known.max(1.0) * REPORT_GROWTH)
+        })
+    }
+
+    /// The next report for the leader, whether one is due or not.
     pub fn report(&mut self, now: Instant) -> Report {
         self.reports += 1;
         Report {
@@ -112,6 +164,23 @@
     }
 }
 
+/// The evidence at which a version is taken for bad from the requests of one of so many regions.
+///
+/// Half of the false-alarm rate is split over the regions, where there are several; the other half
+/// is [`joint_limit`]'s.
+pub fn limit(regions: usize) -> f64 {
+    match regions {
+        0 | 1 => 1.0 / FALSE_ALARM_RATE,
+        regions => 2.0 * regions as f64 / FALSE_ALARM_RATE,
+    }
+}
+
+/// The product of all regions' evidence at which a version is taken for bad. The regions' requests
+/// are independent, so that the product is a test martingale too.
+pub fn joint_limit() -> f64 {
+    2.0 / FALSE_ALARM_RATE
+}
+
 fn is_watched(of: &Move, wall: SystemTime, pace: &Pace) -> bool {
     match of.phase {
         Phase::Planned | Phase::Canary | Phase::Ramping => true,
@@ -134,7 +203,8 @@
         version: of.version.clone(),
         replaces: of.replaces.clone(),
         scopes: trial::scope_count(routes, data_centres(of, directory)),
-        limit: regions.max(1) as f64 / FALSE_ALARM_RATE,
+        limit: limit(regions),
+        first_outstanding: (FIRST_OUTSTANDING / regions.max(1) as u64).max(1),
     }
 }
 
--- a/gooseberrylb_policy/src/moves/evidence.rs
+++ b/gooseberrylb_policy/src/moves/evidence.rs
@@ -52,6 +52,11 @@
     pub fn good(self) -> u64 {
         self.requests - self.failed.min(self.requests)
     }
+
+    /// The part of the requests that failed; none where there were none.
+    pub fn failure_rate(self) -> f64 {
+        self.failed as f64 / self.requests.max(1) as f64
+    }
 }
 
 impl AddAssign for Counts {
@@ -131,6 +136,8 @@
     pub scope: Scope,
     /// The new version's requests.
     pub new: Counts,
+    /// The last few of the new version's requests.
+    pub recent: Counts,
     /// The old version's requests.
     pub old: Counts,
     /// The new version's time to the first token as a multiple of the old one's, where known.
@@ -140,7 +147,7 @@
 }
 
 /// What one scheduler has seen of one version under a move.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Finding {
     /// The step of the move that the scheduler works by.
     pub step: u32,
@@ -152,6 +159,8 @@
     pub rate: f64,
     /// The evidence against the version; the trip comes at the reciprocal of the false-alarm rate.
     pub doubt: f64,
+    /// What speaks most against the version, in words and figures; empty while nothing does.
+    pub leading: Arc<str>,
     /// The proof that it is bad, once there is one.
     pub trip: Option<Trip>,
     /// The figures of each scope.
--- a/gooseberrylb_policy/src/moves/mover.rs
+++ b/gooseberrylb_policy/src/moves/mover.rs
@@ -9,7 +9,8 @@
 use gooseberrylb_config::directory::{Directory, Share};
 use gooseberrylb_config::id;
 
-use crate::moves::evidence::{Counts, Evidence, Trip};
+use crate::moves::brake;
+use crate::moves::evidence::{Counts, Evidence};
 use crate::moves::order::{Kind, Order};
 use crate::moves::plan::{self, Pace};
 use crate::moves::weights;
@@ -183,10 +184,7 @@
         }
         let rate = self.rate(scene, of);
         let share = self.pace.canary(rate, left);
-        let reason = format!(
-            "a first {} for a service of {rate:.1} requests/s",
-            percent(share)
-        );
+        let reason = format!("a first {} of a service with {rate:.1} requests/s", share);
         Some(step(wall, of, Phase::Canary, share, reason))
     }
 
@@ -207,11 +205,11 @@
 
     fn moving(&self, scene: Scene<'_>, of: &Move) -> Option<Step> {
         let wall = scene.wall;
-        if let Some(trip) = tripped(scene, of) {
-            return Some(revert(wall, of, trip.reason.to_string()));
+        if let Some(reason) = tripped(scene, of) {
+            return Some(revert(wall, of, reason));
         }
         if wall >= of.move_by {
-            let reason = format!("the deadline passed at {}", percent(of.share));
+            let reason = format!("the deadline passed at a share of {}", of.share);
             return Some(revert(wall, of, reason));
         }
         let finish = self.pace.finish(of);
@@ -231,11 +229,12 @@
     ) -> Option<Step> {
         let holds = plan::holds_from(of.share);
         let available = finish.duration_since(of.since).unwrap_or_default();
-        let due = of.since + self.pace.hold(available, holds);
-        if wall < due || !standing.whole || standing.doubt >= DOUBTFUL {
+        let hold = self.pace.hold(available, holds);
+        if wall < of.since + hold || !standing.whole || standing.doubt >= DOUBTFUL {
             return None;
         }
-        let enough = standing.in_step.requests >= self.pace.step_requests;
+        let quota = self.pace.quota(standing.rate * fraction(of.share), hold);
+        let enough = standing.in_step.requests >= quota;
         let pressed = wall >= self.pace.latest(finish, holds - 1);
         let some = standing.total.requests >= self.pace.least_evidence;
         let allowed = enough || (pressed && some);
@@ -245,13 +244,11 @@
         let left = finish.duration_since(wall).unwrap_or_default();
         let share = self.pace.next(of.share, left);
         if share == Share::WHOLE {
-            return Some(self.last(wall, of, standing));
+            return some.then(|| self.last(wall, of, standing));
         }
         let reason = format!(
-            "{} at {}, evidence against it {:.2}",
-            standing.in_step,
-            percent(of.share),
-            standing.doubt
+            "{} at a share of {}, evidence against it {:.2}",
+            standing.in_step, of.share, standing.doubt
         );
         Some(step(wall, of, Phase::Ramping, share, reason))
     }
@@ -291,8 +288,8 @@
         if scene.wall >= of.since + self.pace.watch {
             return None;
         }
-        let trip = tripped(scene, of)?;
-        let reason = format!("after it was done: {}", trip.reason);
+        let reason = tripped(scene, of)?;
+        let reason = format!("after it was done: {reason}");
         Some(revert(scene.wall, of, reason))
     }
 
@@ -310,6 +307,7 @@
             in_step: Counts::default(),
             total: scene.evidence.total(&of.version),
             doubt: 0.0,
+            rate: 0.0,
         };
         for (cell, view) in in_charge() {
             let finding = scene.evidence.fresh(
@@ -323,6 +321,7 @@
                 Some(finding) => {
                     standing.in_step += finding.in_step;
                     standing.doubt = standing.doubt.max(finding.doubt);
+                    standing.rate += finding.rate;
                 }
                 None => standing.whole = false,
             }
@@ -342,13 +341,29 @@
     total: Counts,
     /// The evidence against the version in the region where it is worst.
     doubt: f64,
+    /// The requests a second of the service.
+    rate: f64,
 }
 
-fn tripped<'a>(scene: Scene<'a>, of: &'a Move) -> Option<&'a Trip> {
-    scene
-        .evidence
-        .findings(&of.version)
-        .find_map(|(_, finding)| finding.trip.as_ref())
+/// Why a version is bad, where a scheduler or all of them together have shown it.
+fn tripped(scene: Scene<'_>, of: &Move) -> Option<String> {
+    let findings = || scene.evidence.findings(&of.version);
+    if let Some(trip) = findings().find_map(|(_, finding)| finding.trip.as_ref()) {
+        return Some(trip.reason.to_string());
+    }
+    let regions = findings().count();
+    let joint: f64 = findings().map(|(_, finding)| finding.doubt).product();
+    if regions < 2 || joint < brake::joint_limit() {
+        return None;
+    }
+    let leading: Vec<String> = findings()
+        .map(|(cell, finding)| format!("in {}, {}", cell.region, finding.leading))
+        .collect();
+    Some(format!(
+        "{}; joint evidence {joint:.0} against a limit of {:.0}",
+        leading.join("; "),
+        brake::joint_limit(),
+    ))
 }
 
 fn limit_loads(orders: Vec<Order>) -> impl Iterator<Item = Order> {
@@ -374,7 +389,6 @@
     }
 }
 
-fn percent(share: Share) -> String {
-    let percent = f64::from(share.0) * 100.0 / f64::from(Share::WHOLE.0);
-    format!("{percent}% of the traffic")
+fn fraction(share: Share) -> f64 {
+    f64::from(share.0) / f64::from(Share::WHOLE.0)
 }
--- a/gooseberrylb_policy/src/moves/plan.rs
+++ b/gooseberrylb_policy/src/moves/plan.rs
@@ -10,7 +10,7 @@
 const MIN_CANARY: Share = Share(100);
 
 /// The largest share of a canary, for services with little traffic.
-const MAX_CANARY: Share = Share(1_000);
+const MAX_CANARY: Share = Share(2_000);
 
 /// The requests that a canary should get in the time of one step.
 const CANARY_REQUESTS: f64 = 60.0;
@@ -43,6 +43,8 @@
     pub freshness: Duration,
     /// The requests that the new version must end at a step before its share is raised.
     pub step_requests: u64,
+    /// The same where the service has too few requests to come to that in the time of the step.
+    pub least_step_requests: u64,
     /// The requests below which a finished move is said to have had little evidence.
     pub full_evidence: u64,
     /// The requests below which nothing can be said, and the move is reverted at its deadline.
@@ -60,6 +62,7 @@
             settling: Duration::from_secs(5),
             freshness: Duration::from_secs(5),
             step_requests: 50,
+            least_step_requests: 10,
             full_evidence: 200,
             least_evidence: 20,
         }
@@ -84,6 +87,16 @@
         (left / holds.max(1)).clamp(self.shortest_hold, self.longest_hold)
     }
 
+    /// The requests that are awaited at a step, by the requests a second that it gets.
+    pub fn quota(&self, rate: f64, hold: Duration) -> u64 {
+        let expected = rate * hold.as_secs_f64();
+        if expected < self.step_requests as f64 {
+            self.least_step_requests
+        } else {
+            self.step_requests
+        }
+    }
+
     /// The latest time at which a step is left so that the `holds` behind it still fit.
     pub fn latest(&self, finish: SystemTime, holds: u32) -> SystemTime {
         finish - self.shortest_hold * holds
--- a/gooseberrylb_policy/src/moves/scope.rs
+++ b/gooseberrylb_policy/src/moves/scope.rs
@@ -5,9 +5,11 @@
 
 use crate::moves::evidence::{Comparison, Counts, Measure, Sample, Scope};
 use crate::moves::sequential::{self, Process};
-use crate::moves::trial::COMPARABLE;
 use crate::request::Figures;
 
+/// How long requests of the old version stand for what holds now.
+const COMPARABLE: Duration = Duration::from_secs(10);
+
 /// The most requests of the old version that one of the new is compared with.
 const MAX_GROUP: usize = 32;
 
@@ -17,6 +19,9 @@
 /// The requests of the old version that are kept to compare with when it has no traffic.
 const MAX_HISTORY: usize = 64;
 
+/// The last requests of the new version that read-back tells of.
+const MAX_RECENT: usize = 24;
+
 /// The kept requests of the old version that one of the new is compared with.
 const HISTORY_GROUP: usize = 8;
 
@@ -97,6 +102,7 @@
     baseline: Option<f64>,
     turn: usize,
     tests: Tests,
+    doubt: f64,
 }
 
 impl Requests {
@@ -109,11 +115,21 @@
         self.pair(now, wanted);
     }
 
+    /// Counts a request of the new version that is left out of the tests.
+    pub fn count_new(&mut self, sample: &Sample) {
+        self.new_counts.add(sample.failed);
+    }
+
+    /// The requests of the new version.
+    pub fn new_counts(&self) -> Counts {
+        self.new_counts
+    }
+
     /// Takes in a request of the new version.
     pub fn record_new(&mut self, now: Instant, sample: &Sample, wanted: usize) {
         let observation = Observation::new(now, sample);
-        self.new_counts.add(sample.failed);
-        push_bounded(&mut self.recent, observation, MAX_HISTORY);
+        self.count_new(sample);
+        push_bounded(&mut self.recent, observation, MAX_RECENT);
         if self.baseline.is_some() {
             self.compare_with_history(observation);
             return;
@@ -127,6 +143,7 @@
         self.tests.failures.start();
         self.tests.first_token.start();
         self.tests.output_token.start();
+        self.weigh();
     }
 
     /// Takes what was seen so far for what is to be expected, now that the old version has no
@@ -142,8 +159,7 @@
 
     /// The evidence against the new version, summed over the measures.
     pub fn doubt(&self) -> f64 {
-        let tests = &self.tests;
-        tests.failures.value() + tests.first_token.value() + tests.output_token.value()
+        self.doubt
     }
 
     /// The measure that speaks most against the new version, and how much.
@@ -164,12 +180,19 @@
         Comparison {
             scope,
             new: self.new_counts,
+            recent: self.recent_counts(),
             old: self.old_counts,
             first_token: self.ratio(Measure::FirstToken),
             output_token: self.ratio(Measure::OutputToken),
         }
     }
 
+    fn recent_counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        self.recent.iter().for_each(|o| counts.add(o.failed));
+        counts
+    }
+
     fn ratio(&self, measure: Measure) -> Option<f64> {
         let new = median(&self.recent, measure)?;
         let old = median(&self.history, measure)?;
@@ -209,6 +232,7 @@
         if let Some(baseline) = self.baseline {
             let factors = sequential::failure_against(new.failed, baseline);
             self.tests.failures.bet(factors);
+            self.weigh();
         }
         if self.history.len() < HISTORY_GROUP {
             return;
@@ -237,6 +261,13 @@
             let factors = sequential::rank(below, others.len());
             self.process(measure).bet(factors);
         }
+        self.weigh();
+    }
+
+    fn weigh(&mut self) {
+        let tests = &self.tests;
+        let times = tests.first_token.value() + tests.output_token.value();
+        self.doubt = tests.failures.value() + times;
     }
 
     fn process(&mut self, measure: Measure) -> &mut Process {
--- a/gooseberrylb_policy/tests/moves/trace.rs
+++ b/gooseberrylb_policy/tests/moves/trace.rs
@@ -82,6 +82,8 @@
     pub weights_mb: u64,
     #[serde(default)]
     pub weight_store_mb_per_s: u64,
+    #[serde(default)]
+    pub crash_at_s: Option<f64>,
     pub faults: Vec<Fault>,
     pub expected: Expected,
 }
