--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -18,7 +18,7 @@
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
 use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
 use gooseberrylb_control::membership::{Change, Membership};
-use gooseberrylb_control::state::{Command, Reply, State};
+use gooseberrylb_control::state::{Reply, State};
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::plane::Control;
 
@@ -33,6 +33,9 @@
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
 
+/// The exit code of an instance that cannot read what it has agreed to.
+const EXIT_UNREADABLE: i32 = 65;
+
 /// How many entries are applied between two snapshots.
 const SNAPSHOT_INTERVAL: u64 = 1_000;
 
@@ -149,14 +152,18 @@
     /// The cluster that this instance belongs to, as far as it knows.
     pub fn cluster(&self) -> Option<u64> {
         let node = self.node.as_ref();
-        let formed = node.and_then(|node| node.borrow().cluster()).map(|cluster| cluster.0);
+        let formed = node
+            .and_then(|node| node.borrow().cluster())
+            .map(|cluster| cluster.0);
         formed.or(self.published.read().cluster)
     }
 
     /// Whether this instance leads and may act on it without asking the other voters.
     pub fn is_leading(&self) -> bool {
         let now = self.clock.now();
-        self.node.as_ref().is_some_and(|node| node.borrow().holds_lease(now))
+        self.node
+            .as_ref()
+            .is_some_and(|node| node.borrow().holds_lease(now))
     }
 
     /// The leader as this instance's consensus node knows it.
@@ -167,7 +174,10 @@
     /// Where another instance listens, by the configuration or the settings.
     pub fn address_of(&self, instance: &id::Instance) -> Option<SocketAddr> {
         let peers = &self.settings.peers;
-        let by_settings = peers.iter().find(|p| p.name == *instance).map(|p| p.address);
+        let by_settings = peers
+            .iter()
+            .find(|p| p.name == *instance)
+            .map(|p| p.address);
         let by_directory = || {
             let feed = self.feed.borrow();
             feed.directory().instances.get(instance).map(|i| i.peers)
@@ -239,40 +249,35 @@
                 applied.membership = membership.clone();
             }
         }
-        if let Payload::Command(bytes) = &entry.payload {
-            self.apply_command(entry.index, bytes);
-        }
+        self.apply_to_state(&entry);
         self.snapshot_if_due();
     }
 
-    fn apply_command(&self, index: Index, bytes: &[u8]) {
-        let command: Command = match serde_json::from_slice(bytes) {
-            Ok(command) => command,
+    fn apply_to_state(&self, entry: &Entry) {
+        let applied = self.state.borrow_mut().apply_entry(entry);
+        match applied {
+            Ok(Some(reply)) => self.remember_reply(entry.index, reply),
+            Ok(None) => {}
             Err(error) => {
                 // Skipping it here while other voters apply it would split the state.
-                log::error!("entry {index} cannot be read, so this instance stops: {error}");
-                log::logger().flush();
-                std::process::exit(1);
+                stop_unreadable(&format!("entry {}", entry.index), &error);
             }
-        };
-        let reply = self.state.borrow_mut().apply(index, &command);
+        }
+        self.take_state();
+    }
+
+    fn remember_reply(&self, index: Index, reply: Reply) {
         let mut replies = self.replies.borrow_mut();
         replies.insert(index, reply);
         if replies.len() > KEPT_REPLIES {
             replies.pop_first();
         }
-        drop(replies);
-        self.take_state();
     }
 
     fn restore(&self, snapshot: &Snapshot) {
         match State::decode(&snapshot.state) {
             Ok(state) => *self.state.borrow_mut() = state,
-            Err(error) => {
-                log::error!("the snapshot cannot be read, so this instance stops: {error}");
-                log::logger().flush();
-                std::process::exit(1);
-            }
+            Err(error) => stop_unreadable("the snapshot", &error),
         }
         *self.applied.borrow_mut() = Applied {
             index: snapshot.index,
@@ -337,7 +342,8 @@
 
     /// Has a membership change accepted, if this instance leads.
     pub async fn change_here(self: &Rc<Self>, change: Change) -> Result<Index, Rejection> {
-        self.commit(|proposal| Input::Change { proposal, change }).await
+        self.commit(|proposal| Input::Change { proposal, change })
+            .await
     }
 
     async fn commit(
@@ -374,7 +380,9 @@
     /// Reads the state, if this instance leads.
     pub fn query_here(&self, question: &Question) -> Result<Answer, Failure> {
         if !self.is_leading() {
-            let leader = self.known_leader().and_then(|leader| self.address_of(&leader));
+            let leader = self
+                .known_leader()
+                .and_then(|leader| self.address_of(&leader));
             return Err(Failure::NotLeader { leader });
         }
         Ok(super::query::answer(self, question))
@@ -384,7 +392,10 @@
     pub fn publish(&self, fresh_until: Option<(Instant, Source)>) {
         let before = self.published.read();
         let directory = self.feed.borrow().directory().clone();
-        let mut next = Publication { directory, ..(*before).clone() };
+        let mut next = Publication {
+            directory,
+            ..(*before).clone()
+        };
         if let Some((end, source)) = fresh_until {
             next.fresh_until = next.fresh_until.max(Some(end));
             next.leader = Some(source.leader);
@@ -392,7 +403,9 @@
             next.cluster = Some(source.cluster);
             next.loads = Arc::new(source.loads);
         }
-        METRICS.revision.set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
+        METRICS
+            .revision
+            .set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
         if self.published.publish(next) {
             self.wake();
         }
@@ -403,6 +416,12 @@
         self.published.read()
     }
 
+    fn add_waiter(&self, waiter: oneshot::Sender<()>) {
+        let mut waiters = self.changed.borrow_mut();
+        waiters.retain(|waiter| !waiter.is_canceled());
+        waiters.push(waiter);
+    }
+
     fn wake(&self) {
         for waiter in self.changed.borrow_mut().drain(..) {
             waiter.send(()).ok();
@@ -412,14 +431,17 @@
     /// Waits until the configuration changes, or for as long as `limit`.
     pub async fn changed(&self, limit: Duration) {
         let (waiter, change) = oneshot::channel();
-        let mut waiters = self.changed.borrow_mut();
-        waiters.retain(|waiter| !waiter.is_canceled());
-        waiters.push(waiter);
-        drop(waiters);
+        self.add_waiter(waiter);
         future::timeout(limit, change).await.ok();
     }
 }
 
+fn stop_unreadable(what: &str, error: &dyn std::error::Error) -> ! {
+    log::error!("{what} cannot be read, so this instance stops: {error}");
+    log::logger().flush();
+    std::process::exit(EXIT_UNREADABLE)
+}
+
 /// Who says that a configuration is fresh.
 pub struct Source {
     /// The leader.
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::rc::Rc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_std::net::TcpListener;
@@ -36,7 +36,9 @@
 
 /// Starts the control thread; it runs until the process ends.
 pub fn spawn(start: Start) -> io::Result<thread::JoinHandle<()>> {
-    thread::Builder::new().name("control".into()).spawn(move || task::block_on(run(start)))
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || task::block_on(run(start)))
 }
 
 async fn run(start: Start) {
@@ -96,7 +98,9 @@
     loop {
         core.step(Input::Tick);
         if let Some(status) = core.status() {
-            METRICS.committed.set(i64::try_from(status.committed.0).unwrap_or(i64::MAX));
+            METRICS
+                .committed
+                .set(i64::try_from(status.committed.0).unwrap_or(i64::MAX));
         }
         task::sleep(TICK).await;
     }
@@ -133,10 +137,7 @@
 async fn answer_ask(core: &Rc<Core>, ask: Ask) {
     match ask {
         Ask::Propose { command, reply } => {
-            let result = match serde_json::to_vec(&command) {
-                Ok(bytes) => ask_leader(core, Request::Propose(bytes)).await,
-                Err(error) => Err(Failure::Encoding(error.to_string().into())),
-            };
+            let result = ask_leader(core, Request::Propose(command.encode())).await;
             reply.send(result).ok();
         }
         Ask::Query { question, reply } => {
@@ -180,7 +181,7 @@
 
 /// Asks the leader until it answers; a command may reach it twice, so commands are idempotent.
 async fn ask_leader<T: Local>(core: &Rc<Core>, request: Request) -> Result<T, Failure> {
-    let started = Instant::now();
+    let started = core.clock.now();
     let mut tried = 0;
     loop {
         let local = if core.is_leading() {
@@ -194,7 +195,7 @@
             Err(failure) => failure,
         };
         tried += 1;
-        if started.elapsed() > ASK_TIMEOUT {
+        if core.clock.now() > started + ASK_TIMEOUT {
             return Err(match failure {
                 Failure::NotLeader { .. } => Failure::Unreachable,
                 other => other,
@@ -240,12 +241,21 @@
 /// The leader's address as far as it is known, else that of each peer in turn.
 fn leader_address(core: &Core, tried: usize) -> Option<std::net::SocketAddr> {
     let own = core.identity.instance.peers;
-    let named = core.known_leader().or_else(|| core.published().leader.clone());
-    let known = named.and_then(|name| core.address_of(&name)).filter(|a| *a != own);
-    if let (Some(address), true) = (known, tried % 2 == 0) {
+    let named = core
+        .known_leader()
+        .or_else(|| core.published().leader.clone());
+    let known = named
+        .and_then(|name| core.address_of(&name))
+        .filter(|a| *a != own);
+    if let (Some(address), true) = (known, tried.is_multiple_of(2)) {
         return Some(address);
     }
-    let peers: Vec<_> =
-        core.settings.peers.iter().map(|p| p.address).filter(|a| *a != own).collect();
+    let peers: Vec<_> = core
+        .settings
+        .peers
+        .iter()
+        .map(|p| p.address)
+        .filter(|a| *a != own)
+        .collect();
     peers.get(tried % peers.len().max(1)).copied()
 }
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::{Entry, Payload};
 use crate::membership::Membership;
+use crate::views;
 
 pub mod audit;
 mod codec;
@@ -96,16 +97,16 @@
 }
 
 impl Command {
-    /// When the leader made the command, where it says so.
-    pub fn at(&self) -> Option<SystemTime> {
+    /// When the command was made.
+    pub fn at(&self) -> SystemTime {
         match self {
             Command::Submit { at, .. }
             | Command::Join { at, .. }
             | Command::Leave { at, .. }
             | Command::View { at, .. }
-            | Command::Lead { at, .. } => Some(*at),
-            Command::Step(step) => Some(step.at),
-            Command::Tally(_) => None,
+            | Command::Lead { at, .. } => *at,
+            Command::Step(step) => step.at,
+            Command::Tally(tally) => tally.to,
         }
     }
 }
@@ -209,9 +210,9 @@
 pub struct State {
     /// The last entry of the log that it holds.
     applied: number::Index,
-    /// The time of the last command that carried one.
-    #[serde(with = "note::time::option")]
-    last_at: Option<SystemTime>,
+    /// The memberships whose record in the audit trail waits for the time of the next command, since
+    /// entries of the membership carry none.
+    unrecorded: Vec<(number::Index, Membership)>,
     /// The configuration.
     directory: directory::Directory,
     /// The accepted notes.
@@ -224,6 +225,8 @@
     members: BTreeMap<id::Instance, instances::Member>,
     /// The last view of each domain whose service was withdrawn, so that its numbers never recur.
     retired_views: Vec<(directory::Cell, number::View)>,
+    /// Since when each instance has been a member of the current view of a cell.
+    view_members: Vec<(directory::Cell, views::Members)>,
     /// The leader.
     leader: Option<Leader>,
     /// The audit trail.
@@ -263,7 +266,7 @@
             return Reply::Stale;
         }
         self.applied = index;
-        self.last_at = command.at().or(self.last_at);
+        self.record_memberships(command.at());
         match command {
             Command::Submit { note, via, at } => self.submit(note, via, *at),
             Command::Join {
@@ -291,27 +294,31 @@
         }
     }
 
-    /// Records new voters; entries of the membership carry no time, so that of the last command
-    /// before them stands for it.
     fn change_membership(&mut self, entry: &Entry, membership: &Membership) {
         if entry.index <= self.applied {
             return;
         }
         self.applied = entry.index;
-        let at = self.last_at.unwrap_or(SystemTime::UNIX_EPOCH);
+        let record = (entry.index, membership.clone());
+        self.unrecorded.push(record);
+    }
+
+    fn record_memberships(&mut self, at: SystemTime) {
         let names = |members: &BTreeMap<id::Instance, _>| {
             let names: Vec<_> = members.keys().map(|name| name.as_str()).collect();
             names.join(", ")
         };
-        let cause = format!(
-            "voters [{}], catching up [{}]",
-            names(&membership.voters),
-            names(&membership.learners)
-        );
-        let subject = format!("entry {}", entry.index);
-        let actor = self.leader_name();
-        self.audit
-            .add(at, actor, audit::Kind::Membership, subject, cause);
+        for (index, membership) in std::mem::take(&mut self.unrecorded) {
+            let cause = format!(
+                "voters [{}], catching up [{}]",
+                names(&membership.voters),
+                names(&membership.learners)
+            );
+            let subject = format!("entry {index}");
+            let actor = self.leader_name();
+            self.audit
+                .add(at, actor, audit::Kind::Membership, subject, cause);
+        }
     }
 
     fn lead(&mut self, leader: &id::Instance, term: number::Term, at: SystemTime) -> Reply {
@@ -342,6 +349,7 @@
             return Reply::Stale;
         }
         self.directory.set_view(cell.clone(), view.clone());
+        self.note_view_members(cell, view);
         self.raise_revision();
         let backups: Vec<_> = view.backups.iter().map(|name| name.as_str()).collect();
         let cause = format!(
@@ -359,6 +367,15 @@
         Reply::Applied
     }
 
+    fn note_view_members(&mut self, cell: &directory::Cell, view: &directory::View) {
+        let known = self.view_members(cell).cloned().unwrap_or_default();
+        let members = views::joined(&known, view, |name| {
+            self.incarnation(name).unwrap_or_default()
+        });
+        self.view_members.retain(|(of, _)| of != cell);
+        self.view_members.push((cell.clone(), members));
+    }
+
     fn raise_revision(&mut self) {
         self.directory.revision = self.directory.revision.next();
     }
