Judge a done version also under a scheduler that never saw the old one

Cause: a scheduler that took over after a move was done had no baseline, so a version that turned bad later was never found.

Change: scopes of a done move start from a prior of one failure in 20 requests, which also keeps a rarely used route from a baseline of nothing.

Ruled out: carrying the baseline in the control state, which grows it by every scope of every move.

--- a/gooseberrylb_policy/src/moves/scope.rs
+++ b/gooseberrylb_policy/src/moves/scope.rs
@@ -34,6 +34,9 @@
 /// The failure rate that is taken for granted while the old version has no traffic.
 const HISTORY_FAILURE_RATE: f64 = 0.01;
 
+/// The requests that stand for what was expected before any was seen, one of which failed.
+const PRIOR_REQUESTS: u64 = 20;
+
 /// How much more often than before a version may fail while the old one has no traffic.
 const HISTORY_FAILURE_MULTIPLE: f64 = 2.0;
 
@@ -106,6 +109,13 @@
 }
 
 impl Requests {
+    /// Makes one for a version that has all of the traffic already, as a new scheduler must.
+    pub fn without_old() -> Self {
+        let mut requests = Self::default();
+        requests.freeze();
+        requests
+    }
+
     /// Takes in a request of the old version.
     pub fn record_old(&mut self, now: Instant, sample: &Sample, wanted: usize) {
         let observation = Observation::new(now, sample);
@@ -151,7 +161,7 @@
     pub fn freeze(&mut self) {
         let mut seen = self.old_counts;
         seen += self.new_counts;
-        let rate = (seen.failed + 1) as f64 / (seen.requests + 1) as f64;
+        let rate = (seen.failed + 1) as f64 / (seen.requests + PRIOR_REQUESTS) as f64;
         let expected = (rate * HISTORY_FAILURE_MULTIPLE).max(HISTORY_FAILURE_RATE);
         self.baseline = Some(expected.min(0.5));
         self.pending.clear();
--- a/gooseberrylb_policy/src/moves/trial.rs
+++ b/gooseberrylb_policy/src/moves/trial.rs
@@ -180,7 +180,13 @@
             if !self.scopes.contains_key(&scope) && self.scopes.len() >= self.terms.scopes {
                 continue;
             }
-            let requests = self.scopes.entry(scope).or_default();
+            let requests = self
+                .scopes
+                .entry(scope)
+                .or_insert_with(|| match self.phase {
+                    Phase::Done => Requests::without_old(),
+                    _ => Requests::default(),
+                });
             if repeated {
                 requests.count_new(sample);
             } else if new {
--- a/gooseberrylb_policy/tests/moves/main.rs
+++ b/gooseberrylb_policy/tests/moves/main.rs
@@ -151,16 +151,18 @@
 
 #[test]
 fn new_leader_goes_on_where_the_old_one_stopped() {
-    let trace = Trace::read("good");
-    for (seed, at) in [(1, 2), (2, 8), (3, 60), (4, 120), (5, 250)] {
-        let mut replay = Replay::new(&trace, seed);
-        replay.until(Duration::from_secs(at));
-        replay.change_leader();
-        let run = replay.finish();
-        assert!(as_stated(&trace, &run), "change at {at} s: {run:?}");
-        let numbers: Vec<u32> = run.steps.iter().map(|step| step.number).collect();
-        let expected: Vec<u32> = (1..=numbers.len() as u32).collect();
-        assert_eq!(numbers, expected, "change at {at} s");
+    for name in ["good", "bad-at-once", "bad-under-load", "bad-late"] {
+        let trace = Trace::read(name);
+        for (seed, at) in [(1, 2), (2, 8), (3, 60), (4, 107), (5, 189), (6, 212)] {
+            let mut replay = Replay::new(&trace, seed);
+            replay.until(Duration::from_secs(at));
+            replay.change_leader();
+            let run = replay.finish();
+            assert!(as_stated(&trace, &run), "{name}, {at} s: {run:?}");
+            let numbers: Vec<u32> = run.steps.iter().map(|step| step.number).collect();
+            let expected: Vec<u32> = (1..=numbers.len() as u32).collect();
+            assert_eq!(numbers, expected, "{name}, {at} s");
+        }
     }
 }
 
@@ -182,12 +184,18 @@
 
 #[test]
 fn new_scheduler_still_finds_a_bad_version() {
-    let trace = Trace::read("bad-at-once");
-    for seed in 0..5 {
-        let mut replay = Replay::new(&trace, seed);
-        replay.until(Duration::from_secs(6));
-        replay.change_scheduler(0);
-        let run = replay.finish();
-        assert!(as_stated(&trace, &run), "{run:?}");
+    for (name, at) in [
+        ("bad-at-once", 6),
+        ("bad-under-load", 100),
+        ("bad-late", 200),
+    ] {
+        let trace = Trace::read(name);
+        for seed in 0..5 {
+            let mut replay = Replay::new(&trace, seed);
+            replay.until(Duration::from_secs(at));
+            replay.change_scheduler(0);
+            let run = replay.finish();
+            assert!(as_stated(&trace, &run), "{name}, {at} s: {run:?}");
+        }
     }
 }
