Test outcomes under failures with real processes

Six tests harm a loaded fleet (kill -9 of scheduler and entry, lost answers, withdrawal, planned stop, frozen leader) and judge it by the upstreams' logs and the callers' tally. A scene runs one at a time, since the machine is shared.

--- a/gooseberrylb_testbed/src/client.rs
+++ b/gooseberrylb_testbed/src/client.rs
@@ -1,6 +1,8 @@
 //! The people and programs that use the system: callers and operators.
 
 pub mod caller;
+pub mod judge;
+pub mod load;
 pub mod operator;
 pub mod tally;
 
--- a/gooseberrylb_testbed/src/client/caller.rs
+++ b/gooseberrylb_testbed/src/client/caller.rs
@@ -12,10 +12,10 @@
 use serde_json::{Value, json};
 
 use crate::client::tally::{Check, Record};
-use crate::engine::cache::{fnv_extend, fnv_start};
 use crate::engine::text::Text;
 use crate::http::Client;
 use crate::http::client::{Answer, Error};
+use crate::standin::execution::digest;
 
 /// How long an answer for addresses may take.
 const ADDRESSES_TIMEOUT: Duration = Duration::from_secs(2);
@@ -43,6 +43,15 @@
 }
 
 impl Payload {
+    /// The digest that upstreams log.
+    pub fn digest(&self) -> String {
+        let bytes = match self {
+            Payload::Prompt { prompt, .. } => prompt.as_bytes(),
+            Payload::Plain(body) => body,
+        };
+        digest(bytes)
+    }
+
     fn body(&self) -> Vec<u8> {
         match self {
             Payload::Prompt {
@@ -164,6 +173,11 @@
         lock(&self.records).clone()
     }
 
+    /// The number of requests that ended.
+    pub fn count(&self) -> usize {
+        lock(&self.records).len()
+    }
+
     /// The addresses to use, asked for where the kept ones have lapsed.
     pub async fn addresses(&self) -> Vec<SocketAddr> {
         if let Some(address) = self.fixed {
@@ -253,6 +267,7 @@
         service: call.service.clone(),
         route: call.route.clone(),
         key: call.key.clone(),
+        digest: call.payload.digest(),
         status: None,
         outcome: None,
         version: None,
@@ -356,8 +371,7 @@
 
 fn check_echo(sent: &[u8], body: &[u8]) -> Result<(), String> {
     let answer = parse(body)?;
-    let digest = format!("{:016x}", fnv_extend(fnv_start(), sent));
-    if answer["body_digest"] != digest {
+    if answer["body_digest"] != digest(sent) {
         return Err("the echo is not of the body that was sent".into());
     }
     Ok(())
--- /dev/null
+++ b/gooseberrylb_testbed/src/client/judge.rs
@@ -0,0 +1,51 @@
+//! Holds what callers were told against what upstreams truly ran.
+
+use std::collections::HashMap;
+
+use gooseberrylb_config::note::Note;
+use gooseberrylb_policy::request::Outcome;
+
+use super::tally::{Check, Record};
+use crate::standin::execution::Execution;
+
+/// Lists what speaks against the promises to callers. Each record's prompt or body must be unlike
+/// that of every other request, so that its executions can be told.
+pub fn violations(note: &Note, records: &[Record], executions: &[Execution]) -> Vec<String> {
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for execution in executions {
+        *runs.entry(&execution.body_digest).or_default() += 1;
+    }
+    records
+        .iter()
+        .filter_map(|record| {
+            let runs = runs.get(&*record.digest).copied().unwrap_or(0);
+            let fault = fault(record, runs, is_repeatable(note, record))?;
+            Some(format!(
+                "{fault}: {record}, {runs} runs, error {:?}",
+                record.error
+            ))
+        })
+        .collect()
+}
+
+fn fault(record: &Record, runs: usize, repeatable: bool) -> Option<&'static str> {
+    if matches!(record.check, Check::Wrong(_)) {
+        return Some("a wrong answer");
+    }
+    if runs > 1 && !repeatable {
+        return Some("run more than once");
+    }
+    match record.outcome {
+        Some(Outcome::NotRun) if runs > 0 => Some("told not-run, but run"),
+        Some(Outcome::Served) if runs == 0 => Some("told served, but not run"),
+        _ => None,
+    }
+}
+
+fn is_repeatable(note: &Note, record: &Record) -> bool {
+    let services = note.added.services.iter();
+    let mut routes = services
+        .filter(|service| service.name.as_str() == record.service)
+        .flat_map(|service| &service.routes);
+    routes.any(|route| route.name.as_str() == record.route && route.repeatable)
+}
--- a/gooseberrylb_testbed/src/client/tally.rs
+++ b/gooseberrylb_testbed/src/client/tally.rs
@@ -28,6 +28,8 @@
     pub route: String,
     /// The idempotency key sent.
     pub key: Option<String>,
+    /// The digest of the prompt or body, by which upstreams log what they ran.
+    pub digest: String,
     /// The status; `None` where no answer came.
     pub status: Option<u16>,
     /// What the caller was told; `None` where nothing was said.
--- a/gooseberrylb_testbed/src/demo.rs
+++ b/gooseberrylb_testbed/src/demo.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, anyhow};
+use anyhow::{Context, anyhow, ensure};
 use futures::future;
 use gooseberrylb_config::note::Note;
 use serde_json::{Value, json};
@@ -12,7 +12,7 @@
 use crate::client::Operator;
 use crate::client::caller::Call;
 use crate::client::tally::Tally;
-use crate::fleet::{Builder, Fleet};
+use crate::fleet::{Builder, Fleet, wait_until};
 use crate::surroundings::Surroundings;
 
 /// The note that the demonstration submits, with the addresses of its stand-ins filled in.
@@ -21,6 +21,9 @@
 /// How long the note may take to be in force everywhere.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long the report may take to count every call.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How long the fleet may take to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -44,7 +47,7 @@
     submit(&fleet.operator(), &note).await?;
     call(&fleet).await?;
     show_executions(&surroundings);
-    show_report(&fleet.operator()).await;
+    show_report(&fleet.operator(), calls().len() as u64).await?;
     fleet.stop(STOP_TIMEOUT).await?;
     println!("\nAll instances stopped in good order.");
     Ok(())
@@ -123,24 +126,46 @@
         .services()
         .map(|(name, s)| (name, s.executions()));
     for (name, executions) in engines.chain(services) {
-        let routes: Vec<_> = executions
-            .iter()
-            .filter_map(|e| e.route.as_deref())
-            .collect();
+        println!("  {name}: {} requests", executions.len());
+    }
+}
+
+/// Waits until the instances have handed in what they counted, and shows who got what.
+async fn show_report(operator: &Operator, calls: u64) -> anyhow::Result<()> {
+    let mut report = Value::Null;
+    wait_until(REPORT_TIMEOUT, async || {
+        report = operator.get("/v1/report").await.unwrap_or_default();
+        served(&report) >= calls
+    })
+    .await;
+    println!("\nThe report (served, refused, not run, unknown):");
+    for row in rows(&report) {
         println!(
-            "  {name}: {} requests {}",
-            executions.len(),
-            routes.join(" ")
+            "  {}, tier {}, {}, {}: {}, {}, {}, {}",
+            text(&row["account"]),
+            row["tier"],
+            text(&row["service"]),
+            text(&row["version"]),
+            row["served"],
+            row["refused"],
+            row["not_run"],
+            row["unknown"]
         );
     }
+    let served = served(&report);
+    ensure!(
+        served == calls,
+        "the report counts {served} of {calls} calls as served"
+    );
+    Ok(())
 }
 
-async fn show_report(operator: &Operator) {
-    println!("\nThe report:");
-    match operator.get("/v1/report").await {
-        Ok(report) => println!("{report:#}"),
-        Err(error) => println!("  none: {error}"),
-    }
+fn rows(report: &Value) -> impl Iterator<Item = &Value> {
+    report["rows"].as_array().into_iter().flatten()
+}
+
+fn served(report: &Value) -> u64 {
+    rows(report).filter_map(|row| row["served"].as_u64()).sum()
 }
 
 fn text(value: &Value) -> &str {
--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod http;
 pub mod proxy;
 pub mod replay;
+pub mod scene;
 pub mod standin;
 pub mod surroundings;
--- /dev/null
+++ b/gooseberrylb_testbed/src/scene.rs
@@ -0,0 +1,112 @@
+//! A fleet with its surroundings and a release note in force, ready to be harmed by a test.
+
+use std::time::Duration;
+
+use async_std::sync::{Mutex, MutexGuard};
+use gooseberrylb_config::note::Note;
+use serde_json::json;
+use thiserror::Error;
+
+use crate::client::judge::violations;
+use crate::client::load::Load;
+use crate::client::operator;
+use crate::client::tally::Record;
+use crate::fleet::{self, Builder, Fleet, wait_until};
+use crate::standin::execution::Execution;
+use crate::surroundings::{self, Surroundings};
+
+/// How long the note may take to be in force.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long a load may take to end so many requests.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Held by the running scene, so that tests of one program do not crowd the machine.
+static STAGE: Mutex<()> = Mutex::new(());
+
+/// Why a scene cannot be set up.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The note cannot be read.
+    #[error("the note cannot be read:\n{0}")]
+    Note(gooseberrylb_config::finding::Findings),
+    /// The fleet does not start.
+    #[error(transparent)]
+    Fleet(#[from] fleet::Error),
+    /// A stand-in does not start.
+    #[error(transparent)]
+    Surroundings(#[from] surroundings::Error),
+    /// The note is not accepted or not in force.
+    #[error(transparent)]
+    Operator(#[from] operator::Error),
+}
+
+/// A fleet with its surroundings.
+pub struct Scene {
+    /// The fleet.
+    pub fleet: Fleet,
+    /// The stand-ins for the note's upstreams.
+    pub surroundings: Surroundings,
+    /// The note in force.
+    pub note: Note,
+    _stage: MutexGuard<'static, ()>,
+}
+
+impl Scene {
+    /// Starts stand-ins for the upstreams of `note`, a fleet, and submits the note.
+    pub async fn start(builder: Builder, note: &str) -> Result<Self, Error> {
+        let stage = STAGE.lock().await;
+        let mut note = Note::parse(note).map_err(Error::Note)?;
+        let surroundings = Surroundings::start(&mut note).await?;
+        let fleet = builder.start().await?;
+        let operator = fleet.operator();
+        operator.submit(&json!(note)).await?;
+        operator
+            .wait_in_force(note.note.0, IN_FORCE_TIMEOUT)
+            .await?;
+        Ok(Self {
+            fleet,
+            surroundings,
+            note,
+            _stage: stage,
+        })
+    }
+
+    /// All that the upstreams ran.
+    pub fn executions(&self) -> Vec<Execution> {
+        let engines = self.surroundings.engines().map(|(_, e)| e.executions());
+        let services = self.surroundings.services().map(|(_, s)| s.executions());
+        engines.chain(services).flatten().collect()
+    }
+
+    /// What speaks against the promises to callers.
+    pub fn violations(&self, records: &[Record]) -> Vec<String> {
+        violations(&self.note, records, &self.executions())
+    }
+
+    /// The position of the instance that leads.
+    pub async fn leader(&self) -> Option<usize> {
+        let status = self.fleet.operator().get("/v1/status").await.ok()?;
+        let leader = status["leader"].as_str()?.to_owned();
+        self.position(&leader)
+    }
+
+    /// The position of the instance that schedules a service.
+    pub async fn scheduler(&self, service: &str) -> Option<usize> {
+        let status = self.fleet.operator().get("/v1/status").await.ok()?;
+        let views = status["views"].as_array()?;
+        let view = views.iter().find(|view| view["service"] == service)?;
+        let scheduler = view["scheduler"].as_str()?.to_owned();
+        self.position(&scheduler)
+    }
+
+    fn position(&self, name: &str) -> Option<usize> {
+        self.fleet.instances().iter().position(|i| i.name() == name)
+    }
+}
+
+/// Waits until a load has ended `more` further requests; `false` if it does not in time.
+pub async fn let_run(load: &Load, more: usize) -> bool {
+    let target = load.ended() + more;
+    wait_until(LOAD_TIMEOUT, async || load.ended() >= target).await
+}
--- a/gooseberrylb_testbed/src/standin/engine/state.rs
+++ b/gooseberrylb_testbed/src/standin/engine/state.rs
@@ -10,10 +10,10 @@
 use super::order::{Order, Verdict};
 use super::{Faults, Settings};
 use crate::engine::Model;
-use crate::engine::cache::{Change, count_tokens, fingerprints, fnv_extend, fnv_start};
+use crate::engine::cache::{Change, count_tokens, fingerprints};
 use crate::engine::model::{Action, Event, Job};
 use crate::engine::text::Text;
-use crate::standin::execution::{Execution, wall_ms};
+use crate::standin::execution::{Execution, digest, wall_ms};
 
 /// The load reports and cache events that are kept for late publication.
 const KEPT: usize = 10_000;
@@ -196,10 +196,7 @@
             started_at: wall_ms(self.clock.wall()),
             failed,
             prompt_tokens,
-            body_digest: format!(
-                "{:016x}",
-                fnv_extend(fnv_start(), completion.prompt.as_bytes())
-            ),
+            body_digest: digest(completion.prompt.as_bytes()),
             ..Execution::default()
         });
         let stream = Stream {
--- a/gooseberrylb_testbed/src/standin/execution.rs
+++ b/gooseberrylb_testbed/src/standin/execution.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::engine::cache::{fnv_extend, fnv_start};
+
 /// One request that a stand-in ran or began to run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -28,7 +30,7 @@
     pub cached_tokens: u64,
     /// The tokens written for it.
     pub output_tokens: u64,
-    /// The FNV-1a hash of its body, in hexadecimal digits.
+    /// The [`digest`] of its prompt or body.
     pub body_digest: String,
 }
 
@@ -37,3 +39,8 @@
     now.duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
 }
+
+/// The digest by which bodies are logged: their FNV-1a hash in hexadecimal digits.
+pub fn digest(body: &[u8]) -> String {
+    format!("{:016x}", fnv_extend(fnv_start(), body))
+}
--- a/gooseberrylb_testbed/src/standin/plain.rs
+++ b/gooseberrylb_testbed/src/standin/plain.rs
@@ -12,10 +12,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::engine::cache::{fnv_extend, fnv_start};
 use crate::http::Server;
 use crate::http::server::{error_answer, json_answer};
-use crate::standin::execution::{Execution, wall_ms};
+use crate::standin::execution::{Execution, digest, wall_ms};
 
 /// What becomes of an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,7 +104,7 @@
         key: header("Idempotency-Key"),
         route: path.rsplit('/').next().map(str::to_owned),
         started_at: wall_ms(System.wall()),
-        body_digest: format!("{:016x}", fnv_extend(fnv_start(), &body)),
+        body_digest: digest(&body),
         ..Execution::default()
     };
     let echo = json!({
--- /dev/null
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -0,0 +1,224 @@
+//! What callers are told stays true while processes die, freeze, stop and lose answers. Judged by
+//! the upstreams' own logs and the callers' own tally.
+
+use std::time::Duration;
+
+use gooseberrylb_policy::request::Outcome;
+use gooseberrylb_testbed::client::caller::Call;
+use gooseberrylb_testbed::client::load::Load;
+use gooseberrylb_testbed::client::tally::{Record, Tally};
+use gooseberrylb_testbed::fleet::Builder;
+use gooseberrylb_testbed::scene::{Scene, let_run};
+use gooseberrylb_testbed::standin::plain::{Faults, Loss};
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gooseberrylb_testbed");
+const NOTE: &str = include_str!("../../examples/demo.json");
+/// A bound on waiting that a busy machine keeps.
+const SOON: Duration = Duration::from_secs(40);
+/// How long after a withdrawal is accepted its upstream may still be granted, in milliseconds.
+const WITHDRAWAL_MS: u64 = 2_000;
+const CALLERS: usize = 8;
+
+async fn scene() -> Scene {
+    Scene::start(Builder::new(PROGRAM), NOTE).await.unwrap()
+}
+
+/// A mixture of model requests and plain calls, each unlike every other.
+fn mixture(number: u64) -> Call {
+    let text = format!("request {number} for field {}", number % 40);
+    let key = format!("key-{number}");
+    match number % 4 {
+        0 => Call::prompt("agronomo", "plan", &text, 12).with_key(&key),
+        1 => Call::prompt("agronomo", "diagnosis", &text, 6).with_key(&key),
+        2 => Call::plain("comando", "start", &text).with_key(&key),
+        _ => Call::plain("comando", "stop", &text).with_key(&key),
+    }
+}
+
+fn load(scene: &Scene) -> Load {
+    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi"));
+    Load::start(callers.collect(), mixture)
+}
+
+fn assert_true(scene: &Scene, records: &[Record]) {
+    let violations = scene.violations(records);
+    assert!(
+        violations.is_empty(),
+        "{}\n{}",
+        Tally::new(records),
+        violations.join("\n")
+    );
+}
+
+#[async_std::test]
+async fn outcomes_stay_true_when_the_scheduler_is_killed() {
+    let mut scene = scene().await;
+    let load = load(&scene);
+    assert!(let_run(&load, 40).await);
+    let scheduler = scene.scheduler("agronomo").await.unwrap();
+    scene.fleet.instance_mut(scheduler).kill().unwrap();
+    assert!(let_run(&load, 80).await, "requests stopped ending");
+    let records = load.stop().await;
+    assert_true(&scene, &records);
+    let last = &records[records.len() - CALLERS..];
+    assert!(last.iter().any(Record::is_served), "{}", Tally::new(last));
+}
+
+#[async_std::test]
+async fn outcomes_stay_true_when_an_entry_is_killed() {
+    let mut scene = scene().await;
+    let load = load(&scene);
+    assert!(let_run(&load, 40).await);
+    let scheduler = scene.scheduler("agronomo").await.unwrap();
+    let entry = (scheduler + 1) % 3;
+    scene.fleet.instance_mut(entry).kill().unwrap();
+    assert!(let_run(&load, 80).await, "requests stopped ending");
+    assert_true(&scene, &load.stop().await);
+}
+
+#[async_std::test]
+async fn lost_answer_is_unknown_and_never_runs_again() {
+    let scene = scene().await;
+    for loss in [Loss::Close, Loss::Silent] {
+        for (_, service) in scene.surroundings.services() {
+            service.set_faults(Faults {
+                loss,
+                ..Faults::default()
+            });
+        }
+        let text = format!("pivot {loss:?}");
+        let timeout = Duration::from_secs(3);
+        let call = Call::plain("comando", "start", &text).with_key(&text.replace(' ', "-"));
+        let call = call.with_timeout(timeout);
+        for instance in scene.fleet.instances() {
+            let caller = scene
+                .fleet
+                .caller("cascina-rossi")
+                .with_address(instance.callers());
+            let record = caller.call(&call).await;
+            assert_eq!(record.outcome, Some(Outcome::Unknown), "{loss:?}: {record}");
+        }
+        let digest = call.payload.digest();
+        let runs = scene
+            .executions()
+            .iter()
+            .filter(|e| e.body_digest == digest)
+            .count();
+        assert_eq!(runs, 1, "{loss:?}");
+    }
+}
+
+#[async_std::test]
+async fn withdrawn_upstream_gets_no_new_work() {
+    let scene = scene().await;
+    let load = load(&scene);
+    assert!(let_run(&load, 40).await);
+    let note = json!({
+        "note": 2, "author": "rossi",
+        "changed": {
+            "versions": [
+                {"name": "agronomo@1", "service": "agronomo",
+                    "upstreams": ["agronomo-01", "agronomo-02"]},
+                {"name": "comando@1", "service": "comando", "upstreams": ["comando-01"]}
+            ]
+        },
+        "withdrawn": {"upstreams": ["agronomo-03", "comando-02"]}
+    });
+    scene.fleet.operator().submit(&note).await.unwrap();
+    let accepted = scene.fleet.operator().get("/v1/notes/2").await.unwrap();
+    let accepted = humantime_ms(accepted["at"].as_str().unwrap());
+    assert!(let_run(&load, 200).await);
+    let records = load.stop().await;
+    assert_true(&scene, &records);
+    let cut = records
+        .iter()
+        .filter(|r| r.outcome != Some(Outcome::Served))
+        .count();
+    assert_eq!(cut, 0, "{}", Tally::new(&records));
+    let engine = scene
+        .surroundings
+        .engine("agronomo-03")
+        .unwrap()
+        .executions();
+    let service = scene
+        .surroundings
+        .service("comando-02")
+        .unwrap()
+        .executions();
+    for execution in engine.iter().chain(&service) {
+        assert!(
+            execution.started_at <= accepted + WITHDRAWAL_MS,
+            "{execution:?}"
+        );
+    }
+}
+
+fn humantime_ms(text: &str) -> u64 {
+    let time = humantime::parse_rfc3339(text).unwrap();
+    gooseberrylb_testbed::standin::execution::wall_ms(time)
+}
+
+#[async_std::test]
+async fn planned_stop_cuts_no_request() {
+    for role in ["entry", "scheduler", "leader"] {
+        let mut scene = scene().await;
+        let load = load(&scene);
+        assert!(let_run(&load, 40).await);
+        let leader = scene.leader().await.unwrap();
+        let scheduler = scene.scheduler("agronomo").await.unwrap();
+        let stopped = match role {
+            "leader" => leader,
+            "scheduler" => scheduler,
+            _ => (0..3).find(|i| *i != leader && *i != scheduler).unwrap(),
+        };
+        scene.fleet.instances()[stopped].terminate().unwrap();
+        scene
+            .fleet
+            .instance_mut(stopped)
+            .wait_end(SOON)
+            .await
+            .unwrap();
+        assert!(let_run(&load, 40).await, "{role}");
+        let records = load.stop().await;
+        assert_true(&scene, &records);
+        let cut: Vec<String> = records
+            .iter()
+            .filter(|record| !record.is_served())
+            .map(|record| format!("{record} {:?}", record.error))
+            .collect();
+        assert!(cut.is_empty(), "stop of the {role}: {}", cut.join("\n"));
+    }
+}
+
+#[async_std::test]
+async fn frozen_leader_reverts_nothing_when_it_thaws() {
+    let scene = scene().await;
+    let load = load(&scene);
+    assert!(let_run(&load, 40).await);
+    let leader = scene.leader().await.unwrap();
+    scene.fleet.instances()[leader].freeze().unwrap();
+    let operator = scene.fleet.operator();
+    let note = json!({
+        "note": 2, "author": "bianchi",
+        "added": {"client_accounts": [{"name": "cascina-verdi"}]}
+    });
+    let accepted = operator.submit(&note).await.unwrap();
+    assert!(let_run(&load, 40).await, "requests stopped ending");
+    scene.fleet.instances()[leader].thaw().unwrap();
+    assert!(let_run(&load, 40).await);
+    operator.wait_in_force(2, SOON).await.unwrap();
+    for instance in scene.fleet.instances() {
+        let read = operator
+            .get_at(instance.operators(), "/v1/notes/2")
+            .await
+            .unwrap();
+        assert_eq!(read["digest"], accepted["digest"]);
+        let again = operator
+            .submit_at(instance.operators(), &note)
+            .await
+            .unwrap();
+        assert_eq!(again.json().unwrap(), accepted);
+    }
+    assert_true(&scene, &load.stop().await);
+}
