Keep a scheduler's claims when a backup has heard of a later view first

Cause: planned_stop_cuts_no_request failed on the scheduler's stop: 28 calls of 8 s each got 503 no_scheduler. A backup that learned of view 3 before its scheduler answered Later; the scheduler retired, then was the scheduler of view 3 itself, without its claims, and refused for the window of lost claims. Ruled out: the choice of views (right in the status read-back), the hand-over without load (each of 28 calls served within 34 ms), a missing lease. Change: Later ends only the copying; the configuration decides who schedules. Conclusion: only the control state ends a scheduler; a backup's refusal only withholds grants.

--- a/gooseberrylb/src/traffic/copier.rs
+++ b/gooseberrylb/src/traffic/copier.rs
@@ -126,13 +126,15 @@
                 hosted.acknowledge();
             }
             Held::Missing | Held::NotBackup => self.synced.set(false),
+            // This instance may schedule in the later view too, so the claims are kept until the
+            // configuration says; without this backup's word nothing that must run once is granted.
             Held::Later(view) => {
                 log::info!(
-                    "{:?} has moved to view {view}, so view {} ends",
+                    "{:?} has moved to view {view}, so copying in view {} ends",
                     hosted.cell,
                     self.view
                 );
-                hosted.retire();
+                self.stopped.set(true);
             }
         }
     }
