Resend at once when a follower reports a gap

Ruled out: a lost answer; the window, which was never full.

Change: a gap reported while streaming goes back to probing from what both logs hold; answers to earlier probes are ignored, so gaps cannot multiply messages. The test's bound is 1 s in place of 5 s.

--- a/gooseberrylb_control/src/consensus/progress.rs
+++ b/gooseberrylb_control/src/consensus/progress.rs
@@ -132,10 +132,17 @@
 
     /// Notes that the logs differ behind `agreed` at the least.
     pub(super) fn conflicted(&mut self, agreed: Index) {
-        if !matches!(self.flow, Flow::Probing) {
-            return;
+        let next = agreed.max(self.matched).next();
+        match self.flow {
+            // An answer to an earlier probe tells nothing new.
+            Flow::Probing if next >= self.next => return,
+            Flow::Probing => {}
+            // A message was lost or overtaken, and those behind it found a gap.
+            Flow::Streaming => self.flow = Flow::Probing,
+            Flow::Installing(_) => return,
         }
-        self.next = agreed.max(self.matched).next();
+        self.next = next;
+        self.in_flight.clear();
         self.active = None;
     }
 
--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -195,7 +195,7 @@
         world.compact(&leader);
         world.run(SECOND);
         world.start(&slow);
-        world.run_until(5 * SECOND, "caught up", |w| {
+        world.run_until(SECOND, "caught up", |w| {
             w.node(&slow).status().committed == w.node(&leader).status().committed
         });
         let applied: Vec<_> = world.committed.values().cloned().collect();
