--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -34,6 +34,10 @@
 /// How long a planned stop waits for its schedulers and backups to be handed over.
 const HAND_OVER: Duration = Duration::from_secs(10);
 
+/// How long an instance with nothing left to do still votes, so that others which stop at the same
+/// time get their last tallies accepted.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Runs an instance until it is told to stop; the exit code says how it went.
 pub fn run(options: cli::Options) -> ExitCode {
     let settings = match Settings::load(&options.settings) {
@@ -213,9 +217,12 @@
         self.control.leave();
         self.let_addresses_lapse().await;
         self.drain().await;
-        self.hand_over().await;
+        // The last tally goes before the hand-over: when all instances stop at once, there is still a
+        // quorum to take it.
         self.end_of_tallies.close();
-        self.shipper.await;
+        (&mut self.shipper).await;
+        self.hand_over().await;
+        task::sleep(LINGER).await;
         log::info!("{} has stopped", self.settings.name);
         log::logger().flush();
     }
--- a/gooseberrylb_control/tests/state.rs
+++ b/gooseberrylb_control/tests/state.rs
@@ -1,5 +1,6 @@
 //! The control state takes each command once and in order, and answers resends alike.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,6 +9,8 @@
 use gooseberrylb_config::directory::{Cell, Instance, Share, View};
 use gooseberrylb_config::note::Note;
 use gooseberrylb_config::number::{self, Index, Revision};
+use gooseberrylb_control::entry::{Entry, Payload};
+use gooseberrylb_control::membership::{Folder, Membership};
 use gooseberrylb_control::state::{Command, Counts, Label, Reply, State, Tally};
 use gooseberrylb_policy::moves::{Phase, Step};
 use gooseberrylb_policy::request::Outcome;
@@ -328,6 +331,57 @@
     assert!(State::decode(b"{").is_err());
 }
 
+#[test]
+fn membership_changes_stand_in_the_audit_trail_with_the_time_of_the_next_command() {
+    let mut fed = Fed::default();
+    for n in 1..=2 {
+        let folder = Folder(u64::MAX - n);
+        let membership = Membership {
+            voters: BTreeMap::from([(format!("i{n}").parse().unwrap(), folder)]),
+            learners: BTreeMap::new(),
+        };
+        fed.index = fed.index.next();
+        let entry = Entry {
+            index: fed.index,
+            term: number::Term(1),
+            payload: Payload::Membership(membership),
+        };
+        assert_eq!(fed.state.apply_entry(&entry).unwrap(), None);
+        fed.state = State::decode(&fed.state.encode()).unwrap();
+    }
+    fed.join(1, 70);
+    let entries = fed.state.audit(0, 10).entries;
+    let causes: Vec<_> = entries.iter().map(|entry| &*entry.cause).collect();
+    let voters = ["voters [i1], catching up []", "voters [i2], catching up []"];
+    assert_eq!(causes[..2], voters);
+    assert!(entries.iter().all(|entry| entry.at == at(70)));
+}
+
+/// A state that holds something of each kind.
+fn full() -> Fed {
+    let mut fed = with_move();
+    fed.join(1, 0);
+    fed.view(1);
+    fed.tally(1, 1, (0, 10), false);
+    fed.tally(1, 3, (20, 30), false);
+    fed.step(1, Phase::Canary, 100);
+    let leader = "i1".parse().unwrap();
+    let term = number::Term(2);
+    fed.apply(Command::Lead {
+        leader,
+        term,
+        at: at(40),
+    });
+    fed
+}
+
+#[test]
+fn a_state_that_an_earlier_release_wrote_is_read() {
+    let stored = include_bytes!("data/state-format-1.json");
+    let state = State::decode(stored).unwrap();
+    assert_eq!(state, full().state);
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(11),
--- a/gooseberrylb_testbed/src/replay/figures.rs
+++ b/gooseberrylb_testbed/src/replay/figures.rs
@@ -49,6 +49,22 @@
         good as f64 / all.max(1) as f64
     }
 
+    /// The tokens read and written a second for requests that got the whole answer in time.
+    pub fn good_tokens(&self, trace: &Trace) -> f64 {
+        let good = self.fates.iter().filter(|(_, _, fate)| fate.good);
+        let tokens: u64 = good
+            .map(|(number, _, _)| &trace.requests[*number])
+            .map(|entry| entry.prompt + entry.output)
+            .sum();
+        tokens as f64 / trace.duration().as_secs_f64()
+    }
+
+    /// The part of requests whose callers were told that they were not run.
+    pub fn refused(&self) -> f64 {
+        let refused = self.fates.iter().filter(|(_, _, fate)| fate.refused);
+        refused.count() as f64 / self.fates.len().max(1) as f64
+    }
+
     /// The part of prefilled tokens that was wasted.
     pub fn waste(&self) -> f64 {
         self.wasted as f64 / self.prefilled.max(1) as f64
