Form no new cluster where another instance still holds a configuration

Cause: with the disks of all voters lost, the founders found each other empty and would have formed a new, empty cluster within a second. And a new leader held its lease before it knew all that was committed, so that a read at that moment could miss an accepted note.

Change: Input::Known(cluster) keeps an unformed founder from taking part, which keeps all others from it too; founders wait 2 s for it at their start. Status::blocked_by tells. holds_lease needs an own committed entry.

Both are asserted in the direct tests.

--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -43,6 +43,10 @@
 /// than [`MIN_ELECTION_TIMEOUT`], so that clocks may run at rates that differ by a fifth.
 pub const LEASE: Duration = Duration::from_millis(400);
 
+/// How long a founder waits at its start for others to tell it of a cluster, before it takes part in
+/// forming one.
+pub const FORMATION_WAIT: Duration = Duration::from_secs(2);
+
 /// The entries kept in memory behind a snapshot, so that a slow follower needs no snapshot.
 pub const TAIL_ENTRIES: u64 = 1024;
 
@@ -114,6 +118,9 @@
     Refused(u64),
     /// A snapshot of the applied state was taken and can stand for the entries that it covers.
     Compact(Snapshot),
+    /// Another instance holds a configuration of this cluster, so that no new one may be formed in
+    /// its place; it has no effect on a node that belongs to a cluster.
+    Known(Cluster),
 }
 
 /// What the journal must keep.
@@ -221,6 +228,9 @@
     pub last: Index,
     /// The membership in force at this node.
     pub membership: Membership,
+    /// The cluster that keeps an unformed node from forming one: all its voters' disks may be lost,
+    /// and only an operator can tell that its configuration is to be given up.
+    pub blocked_by: Option<Cluster>,
     /// Whether a membership change may be proposed now; false on all but the leader.
     pub changeable: bool,
     /// Instances that answer with another folder than the membership's, or that it does not name.
--- a/gooseberrylb_control/src/consensus/formation.rs
+++ b/gooseberrylb_control/src/consensus/formation.rs
@@ -3,6 +3,10 @@
 //! Each founder tells the others which folders it knows of. A founder forms the cluster once all
 //! others have told it of the same folders as it knows itself. One that missed the last answers
 //! is brought in by those that formed it, since their membership names its folder.
+//!
+//! A founder that hears of a cluster takes no part, which keeps all others from forming one too:
+//! if the disks of all voters were lost, what other instances still hold must not be replaced by
+//! an empty configuration.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,10 +14,10 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
 
-use super::Identity;
 use super::follower::Following;
 use super::message::Body;
 use super::node::{Node, Stage};
+use super::{FORMATION_WAIT, Identity};
 use crate::entry::{Entry, Payload};
 use crate::membership::{Cluster, Folder, Membership};
 
@@ -29,6 +33,8 @@
     told: BTreeMap<id::Instance, BTreeMap<id::Instance, Folder>>,
     /// When the founders are asked again.
     due: Option<Instant>,
+    /// A cluster that another instance holds a configuration of.
+    known: Option<Cluster>,
 }
 
 impl Formation {
@@ -68,11 +74,12 @@
         if !self.identity.founders.contains(&self.identity.instance) {
             return;
         }
-        self.form_if_agreed();
+        let started = self.heard;
         let Stage::Unformed(formation) = &mut self.stage else {
             return;
         };
-        if formation.due.is_some_and(|due| self.now < due) {
+        let due = formation.due.unwrap_or(started + FORMATION_WAIT);
+        if formation.known.is_some() || self.now < due {
             return;
         }
         formation.due = Some(self.now + PROBE);
@@ -83,6 +90,25 @@
                 self.send(&founder, Body::Probe { folders });
             }
         }
+        self.form_if_agreed();
+    }
+
+    /// Takes no part in forming a cluster, since there is one.
+    pub(super) fn block_formation(&mut self, cluster: Cluster) {
+        if let Stage::Unformed(formation) = &mut self.stage {
+            formation.known = Some(cluster);
+        }
+    }
+
+    /// The cluster that keeps this node from forming one.
+    pub(super) fn blocked_by(&self) -> Option<Cluster> {
+        match &self.stage {
+            Stage::Unformed(formation) => formation.known,
+            Stage::Follower(_)
+            | Stage::PreCandidate(_)
+            | Stage::Candidate(_)
+            | Stage::Leader(_) => None,
+        }
     }
 
     /// Takes note of what another founder without a cluster knows.
--- a/gooseberrylb_control/src/consensus/lease.rs
+++ b/gooseberrylb_control/src/consensus/lease.rs
@@ -44,15 +44,23 @@
 }
 
 impl Node {
-    /// Whether this node leads, and no other leader can have been elected up to `now`.
+    /// Whether this node leads, knows all that was committed before it, and no other leader can
+    /// have been elected up to `now`; so it may act, and answer reads, from its own state.
     pub fn holds_lease(&self, now: Instant) -> bool {
+        let Stage::Leader(leadership) = &self.stage else {
+            return false;
+        };
+        self.committed >= leadership.first && self.is_within_lease(now)
+    }
+
+    fn is_within_lease(&self, now: Instant) -> bool {
         self.quorum_heard().is_some_and(|heard| now < heard + LEASE)
     }
 
     /// Whether the node must not help another to lead, since there may be a leader with a lease.
     pub(super) fn honours_lease(&self) -> bool {
         match &self.stage {
-            Stage::Leader(_) => self.holds_lease(self.now),
+            Stage::Leader(_) => self.is_within_lease(self.now),
             Stage::Unformed(_)
             | Stage::Follower(_)
             | Stage::PreCandidate(_)
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -139,6 +139,7 @@
             Input::Synced(sequence) => self.synced(sequence),
             Input::Refused(sequence) => self.refused(sequence),
             Input::Compact(snapshot) => self.compact(snapshot),
+            Input::Known(cluster) => self.block_formation(cluster),
         }
         self.replicate();
         self.persist();
@@ -155,6 +156,7 @@
             committed: self.committed,
             last: self.log.last().index,
             membership: self.membership.clone(),
+            blocked_by: self.blocked_by(),
             changeable: self.is_changeable(),
             strangers: self.strangers.clone(),
             members: self.members(),
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -157,8 +157,13 @@
         Index(0),
         "from another folder"
     );
+    assert!(
+        !bench.node.holds_lease(bench.now),
+        "it may lack committed entries"
+    );
     bench.receive("c", 3, 1, 3, answer(3));
     assert_eq!(bench.node.status().committed, Index(3));
+    assert!(bench.node.holds_lease(bench.now));
 }
 
 #[test]
@@ -230,10 +235,22 @@
 #[test]
 fn an_empty_disk_joins_only_under_its_own_folder() {
     let mut bench = Bench::new(None, Vec::new());
-    bench.feed(Input::Tick);
     bench.receive("b", 2, 9, 4, append(Position::default()));
     assert_eq!(bench.sent(), [(instance("b"), Body::Stranger)]);
     assert_eq!(bench.node.cluster(), None);
     bench.receive("b", 2, 1, 4, append(Position::default()));
     assert_eq!(bench.node.cluster(), Some(CLUSTER));
 }
+
+#[test]
+fn founders_that_hear_of_a_cluster_form_none_but_may_join_it() {
+    let mut bench = Bench::new(None, Vec::new());
+    bench.feed(Input::Known(CLUSTER));
+    for _ in 0..50 {
+        bench.wait(Duration::from_millis(100));
+        assert_eq!(bench.outputs, []);
+    }
+    assert_eq!(bench.node.status().blocked_by, Some(CLUSTER));
+    bench.receive("b", 2, 1, 4, append(Position::default()));
+    assert_eq!(bench.node.cluster(), Some(CLUSTER));
+}
