Register no instance anew from what it reported before it left

Cause: the leader kept the last report of a departed instance and registered it again each round, then struck it off again: three entries every 160 ms in the log, for as long as it led (seen in the audit trail after a planned stop, 91 entries in 4 s). Ruled out: reports still coming; the process had ended. Change: only reports not older than DEAD_AFTER register an instance. After: the audit trail of the same trial ends with one instance_left.

--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -76,10 +76,13 @@
 
 /// Registers instances that are new, restarted, moved or leaving.
 async fn register(core: &Rc<Core>) -> Result<(), Failure> {
+    // An instance that is gone is not registered anew from what it last reported.
+    let now = core.clock.now();
     let reports: Vec<_> = core
         .followers
         .borrow()
         .iter()
+        .filter(|(_, f)| now < f.heard + DEAD_AFTER)
         .map(|(_, f)| f.report.clone())
         .collect();
     for report in reports {
