--- a/gooseberrylb_testbed/src/fleet.rs
+++ b/gooseberrylb_testbed/src/fleet.rs
@@ -313,6 +313,14 @@
         OPERATOR_TOKEN.trim()
     }
 
+    /// The end of what each instance wrote, for the message of a failing test.
+    pub fn output(&self) -> String {
+        let outputs = self.instances.iter();
+        outputs
+            .map(|i| format!("{}:\n{}\n", i.name(), i.last_output()))
+            .collect()
+    }
+
     /// Waits until every running instance answers.
     pub async fn wait_healthy(&mut self, timeout: Duration) -> Result<(), Error> {
         for instance in self.instances.iter_mut().filter(|i| i.is_started()) {
--- a/gooseberrylb_testbed/tests/failures.rs
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -187,7 +187,12 @@
             .filter(|record| !record.is_served())
             .map(|record| format!("{record} {:?}", record.error))
             .collect();
-        assert!(cut.is_empty(), "stop of the {role}: {}", cut.join("\n"));
+        let output = scene.fleet.output();
+        assert!(
+            cut.is_empty(),
+            "stop of the {role}: {}\n{output}",
+            cut.join("\n")
+        );
     }
 }
 
