--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -105,18 +105,11 @@
         let running = self.hosted.borrow().get(cell).cloned();
         let hosted = match running {
             Some(hosted) if hosted.view() == view.number => return,
-            Some(hosted) if !hosted.is_retired() => {
+            Some(hosted) => {
                 hosted.change_view(view.clone());
                 hosted
             }
-            Some(hosted) if hosted.view().next() == view.number => {
-                // A backup heard of this view first, and so ended the one before. Nobody granted
-                // between the two, so the claims are all here.
-                let copy = self.step_down(&hosted);
-                self.copies.borrow_mut().insert(cell.clone(), copy);
-                self.take_over(cell, view, directory)
-            }
-            _ => self.take_over(cell, view, directory),
+            None => self.take_over(cell, view, directory),
         };
         let backups = view
             .backups
