Carry moves between versions on: trials at schedulers, steps and orders at the leader

Cause: the decisions about moves were pure code that nothing called. Ruled out: evidence in the replicated log, which would cost every voter a write a second for each scheduler; a lost report is replaced by the next one instead. Change: schedulers record what becomes of dispatched requests, lower a bad version's share at once and report to the leader; the leader decides steps and orders; followers get the moves with the configuration.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -14,6 +14,7 @@
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::journal::{Journal, Recovered};
 use gooseberrylb_control::state::{Command, Reply};
+use gooseberrylb_policy::moves::evidence::Report;
 use gooseberrylb_wire::handshake::Key;
 use gooseberrylb_wire::message::Holding;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,7 @@
 mod follow;
 mod lead;
 mod links;
+mod moves;
 mod peers;
 mod query;
 mod repair;
@@ -80,6 +82,8 @@
         /// Where the reply goes.
         reply: oneshot::Sender<Result<Reply, Failure>>,
     },
+    /// To have the leader told what a scheduler has seen of versions under a move.
+    Evidence(Box<Report>),
     /// To read the leader's state.
     Query {
         /// What is to be read.
@@ -136,6 +140,11 @@
         answer.await.unwrap_or(Err(Failure::Unreachable))
     }
 
+    /// Tells the leader what a scheduler here has seen; a later report replaces one that is lost.
+    pub fn report(&self, report: Report) {
+        self.asks.try_send(Ask::Evidence(Box::new(report))).ok();
+    }
+
     /// Tells the leader that this instance leaves.
     pub fn leave(&self) {
         self.shared.leaving.store(true, Ordering::SeqCst);
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -26,6 +26,7 @@
 use super::feed::Feed;
 use super::follow::Followers;
 use super::links::Links;
+use super::moves::{self, Desk};
 use super::peers::Accepted;
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
@@ -82,6 +83,8 @@
     pub feed: RefCell<Feed>,
     /// Those that follow this instance.
     pub followers: RefCell<Followers>,
+    /// What the leader needs for moves between versions.
+    pub desk: Desk,
     /// When this instance became leader.
     pub leader_since: Cell<Option<Instant>>,
     node: Option<RefCell<Node>>,
@@ -131,6 +134,7 @@
             state: RefCell::default(),
             feed: RefCell::default(),
             followers: RefCell::default(),
+            desk: Desk::default(),
             leader_since: Cell::new(None),
             node,
             jobs,
@@ -290,6 +294,9 @@
 
     /// Publishes the configuration that the log adds up to.
     fn take_state(&self) {
+        if self.leader_since.get().is_some() {
+            self.feed.borrow_mut().set_moves(moves::open_moves(self));
+        }
         let state = self.state.borrow();
         let taken = self.feed.borrow_mut().take(state.directory());
         drop(state);
@@ -327,6 +334,7 @@
         if leads != self.leader_since.get().is_some() {
             self.followers.borrow_mut().clear();
             self.leader_since.set(leads.then(|| self.clock.now()));
+            self.take_state();
         }
     }
 
@@ -392,8 +400,10 @@
     pub fn publish(&self, fresh_until: Option<(Instant, Source)>) {
         let before = self.published.read();
         let directory = self.feed.borrow().directory().clone();
+        let moves = self.feed.borrow().moves().clone();
         let mut next = Publication {
             directory,
+            moves,
             ..(*before).clone()
         };
         if let Some((end, source)) = fresh_until {
--- a/gooseberrylb/src/control/feed.rs
+++ b/gooseberrylb/src/control/feed.rs
@@ -1,10 +1,13 @@
 //! The configuration as this instance holds it, with the last changes for those that follow it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use gooseberrylb_config::directory::{Delta, Directory};
+use gooseberrylb_config::id;
 use gooseberrylb_config::number::Revision;
+use gooseberrylb_policy::moves::Move;
 use gooseberrylb_wire::message::News;
 
 /// How many changes are kept; a follower that lacks more gets the whole configuration.
@@ -15,6 +18,7 @@
 pub struct Feed {
     directory: Arc<Directory>,
     changes: VecDeque<(Revision, Delta)>,
+    moves: Arc<BTreeMap<id::Version, Move>>,
 }
 
 impl Feed {
@@ -23,6 +27,30 @@
         &self.directory
     }
 
+    /// The moves between versions that are watched.
+    pub fn moves(&self) -> &Arc<BTreeMap<id::Version, Move>> {
+        &self.moves
+    }
+
+    /// Replaces the moves by what the leader knows.
+    pub fn set_moves(&mut self, moves: BTreeMap<id::Version, Move>) {
+        self.moves = Arc::new(moves);
+    }
+
+    /// A stamp of the moves: the same for the same steps of the same moves, at every instance.
+    pub fn moves_stamp(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for (version, known) in self.moves.iter() {
+            (version, known.note, known.steps).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// The moves, for a follower that has another stamp.
+    pub fn news_of_moves(&self, stamp: u64) -> Option<Vec<Move>> {
+        (stamp != self.moves_stamp()).then(|| self.moves.values().cloned().collect())
+    }
+
     /// Takes a whole configuration, if it is newer; says whether it was.
     pub fn take(&mut self, newer: &Directory) -> bool {
         if newer.revision <= self.directory.revision {
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -133,6 +133,7 @@
         };
     }
     let held = report.revision;
+    let moves = report.moves;
     core.followers
         .borrow_mut()
         .hear(report.clone(), core.clock.now());
@@ -152,6 +153,7 @@
         term: core.status().map_or(Term(0), |status| status.term),
         lease: LEASE,
         news: core.feed.borrow().news(held),
+        moves: core.feed.borrow().news_of_moves(moves),
         loads: core.followers.borrow().loads(),
     }
 }
@@ -165,6 +167,7 @@
         return elsewhere();
     }
     let held = report.revision;
+    let moves = report.moves;
     core.followers.borrow_mut().hear(report, core.clock.now());
     wait_for_news(core, held).await;
     let published = core.published();
@@ -178,6 +181,7 @@
             term: published.term,
             lease,
             news: core.feed.borrow().news(held),
+            moves: core.feed.borrow().news_of_moves(moves),
             loads: published
                 .loads
                 .iter()
@@ -236,8 +240,15 @@
                 term,
                 lease,
                 news,
+                moves,
                 loads,
             }) => {
+                if let Some(moves) = moves {
+                    let moves = moves
+                        .into_iter()
+                        .map(|known| (known.version.clone(), known));
+                    core.feed.borrow_mut().set_moves(moves.collect());
+                }
                 let source = Source {
                     leader,
                     term,
@@ -333,6 +344,7 @@
         instance,
         folder: core.folder,
         revision: core.feed.borrow().directory().revision,
+        moves: core.feed.borrow().moves_stamp(),
         cluster: core.cluster(),
         load: core.shared.load.load(Ordering::Relaxed),
         holds: core
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -28,6 +28,7 @@
     loop {
         task::sleep(INTERVAL).await;
         if !core.is_leading() {
+            core.desk.close();
             continue;
         }
         // A failure here means that leadership was lost, or that the disks are full; the next round
@@ -44,10 +45,12 @@
     bury(core).await?;
     place(core).await?;
     super::repair::step(core).await;
+    super::moves::step(core).await?;
     Ok(())
 }
 
-async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
+/// Has a command accepted; this instance must lead.
+pub async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
     core.propose_here(command.encode().into()).await
 }
 
--- a/gooseberrylb/src/control/rpc.rs
+++ b/gooseberrylb/src/control/rpc.rs
@@ -75,6 +75,16 @@
         Ok(())
     }
 
+    async fn evidence(
+        self: Rc<Self>,
+        params: control::EvidenceParams,
+        _: control::EvidenceResults,
+    ) -> Result<(), Error> {
+        let report = codec::decode(params.get()?.get_report()?)?;
+        self.core.desk.merge(&self.core, report);
+        Ok(())
+    }
+
     async fn query(
         self: Rc<Self>,
         params: control::QueryParams,
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -10,6 +10,7 @@
 use async_std::{future, task};
 use gooseberrylb_control::consensus::{self, Input, Node};
 use gooseberrylb_control::state::Reply;
+use gooseberrylb_policy::moves::evidence::Report;
 use gooseberrylb_wire::codec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -140,6 +141,7 @@
             let result = ask_leader(core, Request::Propose(command.encode())).await;
             reply.send(result).ok();
         }
+        Ask::Evidence(report) => tell_leader(core, &report).await,
         // Each instance tells how the system stands as it sees it.
         Ask::Query {
             question: question @ Question::Status,
@@ -157,6 +159,24 @@
     }
 }
 
+async fn tell_leader(core: &Rc<Core>, report: &Report) {
+    if core.is_leading() {
+        core.desk.merge(core, report.clone());
+        return;
+    }
+    let (Some(address), Ok(bytes)) = (leader_address(core, 0), codec::encode(report)) else {
+        return;
+    };
+    let link = core.links.to(address);
+    let call = async {
+        let client = link.client().await.ok()?;
+        let mut call = client.evidence_request();
+        call.get().set_report(&bytes);
+        call.send().promise.await.ok()
+    };
+    future::timeout(ATTEMPT_TIMEOUT, call).await.ok();
+}
+
 /// What is asked of the leader, wherever it is.
 enum Request {
     Propose(Vec<u8>),
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -165,7 +165,7 @@
         published: published.clone(),
         accepted: links,
         commands,
-        shared: control.shared.clone(),
+        control: control.clone(),
     })
     .context("cannot start the traffic thread")?;
 
--- a/gooseberrylb/src/published.rs
+++ b/gooseberrylb/src/published.rs
@@ -8,12 +8,15 @@
 use gooseberrylb_config::directory::{Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_policy::moves::Move;
 
 /// What this instance knows of the configuration, and until when it may act on it.
 #[derive(Debug, Clone)]
 pub struct Snapshot {
     /// The configuration.
     pub directory: Arc<Directory>,
+    /// The moves between versions that are watched.
+    pub moves: Arc<BTreeMap<id::Version, Move>>,
     /// The end of the freshness lease; without one, no work may be started upstream.
     pub fresh_until: Option<Instant>,
     /// The leader, as far as it is known.
@@ -57,6 +60,7 @@
     pub fn new() -> Self {
         Self(Arc::new(ArcSwap::from_pointee(Snapshot {
             directory: Arc::new(Directory::default()),
+            moves: Arc::new(BTreeMap::new()),
             fresh_until: None,
             leader: None,
             term: number::Term(0),
--- a/gooseberrylb/src/traffic.rs
+++ b/gooseberrylb/src/traffic.rs
@@ -10,7 +10,7 @@
 use gooseberrylb_policy::request::{Id, Request};
 use gooseberrylb_policy::scheduler::{Decision, End, Running};
 
-use crate::control::{Accepted, Identity, Shared};
+use crate::control::{self, Accepted, Identity};
 use crate::published::Published;
 
 mod client;
@@ -20,6 +20,7 @@
 mod notices;
 mod rpc;
 mod thread;
+mod trials;
 
 pub use thread::spawn;
 
@@ -120,6 +121,6 @@
     pub accepted: Receiver<Accepted>,
     /// What entries ask.
     pub commands: Receiver<Command>,
-    /// Where the held claims are reported.
-    pub shared: Arc<Shared>,
+    /// Where the held claims are reported, and what schedulers see of moves.
+    pub control: control::Handle,
 }
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -9,6 +9,7 @@
 use gooseberrylb_config::directory::{Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_policy::moves::Move;
 use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
 use gooseberrylb_wire::handshake::Greeting;
 use gooseberrylb_wire::message::{Batch, Call, Event, Held, Holding, Notice, Receipt};
@@ -16,10 +17,10 @@
 
 use super::Start;
 use super::copier::Copier;
-use super::hosted::{Hosted, not_scheduler};
-use crate::control::{Identity, Links, Shared};
+use super::hosted::{self, Hosted, not_scheduler};
+use crate::control::{self, Identity, Links};
 use crate::metrics::METRICS;
-use crate::published::Published;
+use crate::published::{Published, Snapshot};
 
 /// How long a request can have been running that a scheduler without claims does not know of.
 const LOST_CLAIMS_WINDOW: std::time::Duration = std::time::Duration::from_secs(120);
@@ -39,11 +40,12 @@
     /// The links to other instances.
     pub links: Links<Traffic>,
     clock: Arc<dyn Clock>,
-    shared: Arc<Shared>,
+    control: control::Handle,
     hosted: RefCell<BTreeMap<Cell, Rc<Hosted>>>,
     copies: RefCell<BTreeMap<Cell, Copy>>,
     directory: RefCell<Arc<Directory>>,
     starts: RefCell<BTreeMap<id::Instance, u64>>,
+    moves: RefCell<(Arc<BTreeMap<id::Version, Move>>, number::Revision)>,
 }
 
 impl Host {
@@ -54,17 +56,20 @@
             identity: start.identity.clone(),
             published: start.published.clone(),
             clock: start.clock.clone(),
-            shared: start.shared.clone(),
+            control: start.control.clone(),
             hosted: RefCell::default(),
             copies: RefCell::default(),
             directory: RefCell::default(),
             starts: RefCell::default(),
+            moves: RefCell::default(),
         })
     }
 
     /// Takes in a new configuration, where there is one.
     pub fn refresh(&self) {
-        let next = self.published.read().directory.clone();
+        let snapshot = self.published.read();
+        self.follow_moves(&snapshot);
+        let next = snapshot.directory.clone();
         if next.revision <= self.directory.borrow().revision {
             return;
         }
@@ -85,6 +90,20 @@
         self.feed_all(|| Input::Directory(next.clone()));
     }
 
+    /// Has the trials follow the moves, where any moves or views have changed.
+    fn follow_moves(&self, snapshot: &Snapshot) {
+        let known = self.moves.borrow().clone();
+        let same = Arc::ptr_eq(&known.0, &snapshot.moves) && known.1 == snapshot.directory.revision;
+        if same {
+            return;
+        }
+        *self.moves.borrow_mut() = (snapshot.moves.clone(), snapshot.directory.revision);
+        let hosted: Vec<_> = self.hosted.borrow().values().cloned().collect();
+        for hosted in hosted {
+            hosted.follow_moves(snapshot);
+        }
+    }
+
     fn drop_unplaced(&self, directory: &Directory) {
         let is_member = |cell: &Cell| {
             directory.view(cell).is_some_and(|view| {
@@ -139,7 +158,14 @@
         if view.number > number::View(1) && holds.is_none() {
             scheduler = scheduler.with_claims_lost(now, LOST_CLAIMS_WINDOW);
         }
-        let hosted = Hosted::new(cell.clone(), scheduler, holds, self.clock.clone());
+        let hosted = Hosted::new(hosted::Parts {
+            cell: cell.clone(),
+            scheduler,
+            holds,
+            incarnation: self.identity.incarnation,
+            clock: self.clock.clone(),
+        });
+        hosted.follow_moves(&self.published.read());
         self.hosted
             .borrow_mut()
             .insert(cell.clone(), hosted.clone());
@@ -185,6 +211,11 @@
     /// Lets time pass, and reports which claims are held here.
     pub fn tick(&self) {
         self.feed_all(|| Input::Tick);
+        for hosted in self.hosted.borrow().values() {
+            if let Some(report) = hosted.poll_trials() {
+                self.control.report(report);
+            }
+        }
         self.report_holdings();
     }
 
@@ -199,7 +230,7 @@
             .chain(copied)
             .filter_map(|(cell, view)| view.map(|view| Holding { cell, view }))
             .collect();
-        if let Ok(mut holds) = self.shared.holds.lock() {
+        if let Ok(mut holds) = self.control.shared.holds.lock() {
             *holds = holdings;
         }
     }
@@ -239,12 +270,15 @@
         let Some(hosted) = self.scheduler_of(&notice.cell, notice.view) else {
             return Receipt::NotScheduler;
         };
+        let directory = self.directory.borrow().clone();
         for event in notice.events {
-            hosted.step(match event {
-                Event::Withdraw(id) => Input::Withdraw(id),
-                Event::End(end) => Input::End(end),
-                Event::Resume { entry, running } => Input::Resume { entry, running },
-            });
+            match event {
+                Event::Withdraw(id) => hosted.step(Input::Withdraw(id)),
+                Event::End(end) => hosted.end(end, &directory),
+                Event::Resume { entry, running } => {
+                    hosted.step(Input::Resume { entry, running });
+                }
+            }
         }
         Receipt::Taken
     }
--- a/gooseberrylb/src/traffic/hosted.rs
+++ b/gooseberrylb/src/traffic/hosted.rs
@@ -7,12 +7,15 @@
 
 use futures::channel::oneshot;
 use gooseberrylb_config::clock::Clock;
-use gooseberrylb_config::directory::Cell;
+use gooseberrylb_config::directory::{Cell, Directory};
 use gooseberrylb_config::number;
+use gooseberrylb_policy::moves::evidence::Report;
 use gooseberrylb_policy::request::{Id, Request};
-use gooseberrylb_policy::scheduler::{Decision, Input, Output, Refusal, Scheduler};
+use gooseberrylb_policy::scheduler::{Decision, End, Input, Output, Refusal, Scheduler};
 
 use super::copier::Copier;
+use super::trials::{self, Scene, Trials};
+use crate::published::Snapshot;
 
 /// When an entry may try again that asked the wrong scheduler.
 pub const NOT_SCHEDULER_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
@@ -22,11 +25,26 @@
     reply: oneshot::Sender<Decision>,
 }
 
+/// What a hosted scheduler is made of.
+pub struct Parts {
+    /// The cell.
+    pub cell: Cell,
+    /// The scheduler.
+    pub scheduler: Scheduler,
+    /// The last view in which the claims that it took over were whole.
+    pub holds: Option<number::View>,
+    /// The start of this instance.
+    pub incarnation: u64,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+}
+
 /// A scheduler with what carries its decisions out.
 pub struct Hosted {
     /// The cell.
     pub cell: Cell,
     scheduler: RefCell<Scheduler>,
+    trials: Trials,
     clock: Arc<dyn Clock>,
     waiters: RefCell<HashMap<Id, Waiter>>,
     turns: Slot<u64>,
@@ -44,25 +62,53 @@
 }
 
 impl Hosted {
-    /// Hosts a scheduler that took over claims that were whole in the view `holds`.
-    pub fn new(
-        cell: Cell,
-        scheduler: Scheduler,
-        holds: Option<number::View>,
-        clock: Arc<dyn Clock>,
-    ) -> Rc<Self> {
+    /// Hosts a scheduler.
+    pub fn new(parts: Parts) -> Rc<Self> {
         Rc::new(Self {
-            cell,
-            scheduler: RefCell::new(scheduler),
-            clock,
+            trials: Trials::new(parts.cell.clone(), parts.incarnation),
+            cell: parts.cell,
+            scheduler: RefCell::new(parts.scheduler),
+            clock: parts.clock,
             waiters: RefCell::default(),
             turns: Slot::new(0),
             copiers: RefCell::default(),
             retired: Slot::new(false),
-            holds: Slot::new(holds),
+            holds: Slot::new(parts.holds),
         })
     }
 
+    /// Has the trials of versions follow the control state.
+    pub fn follow_moves(&self, snapshot: &Snapshot) {
+        let inputs = self.trials.configure(&Scene {
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+            view: self.view(),
+            moves: &snapshot.moves,
+            directory: &snapshot.directory,
+        });
+        for input in inputs {
+            self.step(input);
+        }
+    }
+
+    /// What the leader is to be told of versions under a move, when that is due.
+    pub fn poll_trials(&self) -> Option<Report> {
+        let report = self.trials.poll(self.clock.now())?;
+        (!report.findings.is_empty()).then_some(report)
+    }
+
+    /// Takes in how a dispatched request ended.
+    pub fn end(&self, end: End, directory: &Directory) {
+        let sample = trials::sample(&self.scheduler.borrow(), directory, &end);
+        self.step(Input::End(end));
+        let Some(sample) = sample else {
+            return;
+        };
+        for input in self.trials.record(self.clock.now(), &sample) {
+            self.step(input);
+        }
+    }
+
     /// The view that it grants in.
     pub fn view(&self) -> number::View {
         self.scheduler.borrow().view().number
--- a/gooseberrylb/src/upstream.rs
+++ b/gooseberrylb/src/upstream.rs
@@ -9,6 +9,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod order;
 pub mod plain;
 pub mod poll;
 
--- /dev/null
+++ b/gooseberrylb/src/upstream/order.rs
@@ -0,0 +1,118 @@
+//! Orders to engines, and questions about them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future;
+use gooseberrylb_config::number::Fencing;
+use gooseberrylb_policy::moves::order::{Answer, Kind, Order};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use serde::{Deserialize, Serialize};
+
+use super::Error;
+use super::http::{self, Reuse};
+
+/// How long an engine may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An order as engines take it.
+#[derive(Debug, Serialize)]
+struct Posted<'a> {
+    order_id: &'a str,
+    fencing: Fencing,
+    kind: &'static str,
+    name: &'a str,
+}
+
+/// How far an engine has come with an order.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Progress {
+    Running,
+    Done,
+    Failed,
+}
+
+/// What an engine says of an order.
+#[derive(Debug, Deserialize)]
+struct Shown {
+    state: Progress,
+}
+
+fn posted(order: &Order, fencing: Fencing) -> Posted<'_> {
+    let (kind, name) = match &order.kind {
+        Kind::LoadModel(model) => ("load_model", model.as_str()),
+        Kind::LoadAdapter(adapter) => ("load_adapter", adapter.as_str()),
+        Kind::Activate(version) => ("activate", version.as_str()),
+        Kind::Unload(version) => ("unload", version.as_str()),
+    };
+    Posted {
+        order_id: &order.id.0,
+        fencing,
+        kind,
+        name,
+    }
+}
+
+fn url(address: SocketAddr, path: &str) -> Result<Url, Error> {
+    Url::parse(&format!("http://{address}{path}"))
+        .map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))
+}
+
+/// Asks an engine what became of an order.
+pub async fn ask(address: SocketAddr, order: &Order) -> Result<Answer, Error> {
+    let path = format!("/v1/orders/{}", order.id);
+    let mut response = call(address, Request::new(Method::Get, url(address, &path)?)).await?;
+    match response.status() {
+        StatusCode::NotFound => Ok(Answer::Unknown),
+        status if status.is_success() => read(&mut response).await,
+        status => Err(unexpected(status)),
+    }
+}
+
+/// Sends an order; a repeat of one that the engine knows does no harm.
+pub async fn send(address: SocketAddr, order: &Order, fencing: Fencing) -> Result<Answer, Error> {
+    let mut request = Request::new(Method::Post, url(address, "/v1/orders")?);
+    let body = Body::from_json(&posted(order, fencing));
+    request
+        .set_body(body.map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))?);
+    let mut response = call(address, request).await?;
+    match response.status() {
+        // The engine names the number in words only; any above this leader's ends its orders.
+        StatusCode::Conflict => Ok(Answer::Fenced(fencing.next())),
+        status if status.is_success() => read(&mut response).await,
+        status if status.is_client_error() => {
+            let reason: Arc<str> = format!("the engine answered {status}").into();
+            Ok(Answer::Refused(reason))
+        }
+        status => Err(unexpected(status)),
+    }
+}
+
+async fn call(address: SocketAddr, request: Request) -> Result<Response, Error> {
+    let call = http::call(address, request, Reuse::Never, TIMEOUT);
+    match future::timeout(TIMEOUT, call).await {
+        Ok(exchange) => Ok(exchange?.response),
+        Err(_) => Err(Error::timeout()),
+    }
+}
+
+async fn read(response: &mut Response) -> Result<Answer, Error> {
+    let shown = future::timeout(TIMEOUT, response.body_json::<Shown>()).await;
+    match shown {
+        Ok(Ok(shown)) => Ok(match shown.state {
+            Progress::Running => Answer::Running,
+            Progress::Done => Answer::Done,
+            Progress::Failed => Answer::Refused("the engine could not carry it out".into()),
+        }),
+        Ok(Err(error)) => Err(Error::Lost(std::io::Error::other(error.to_string()))),
+        Err(_) => Err(Error::timeout()),
+    }
+}
+
+fn unexpected(status: StatusCode) -> Error {
+    Error::Lost(std::io::Error::other(format!(
+        "the engine answered {status}"
+    )))
+}
--- a/gooseberrylb_policy/src/scheduler.rs
+++ b/gooseberrylb_policy/src/scheduler.rs
@@ -216,6 +216,9 @@
     /// A version looks bad: it takes no more than this share until the control state gives it
     /// another one. It only ever lowers.
     Lower(id::Version, Share),
+    /// No more than so many requests may run at once on a version of which little is known; any
+    /// number may where none is given.
+    Quota(id::Version, Option<u32>),
     /// An engine reported its load.
     Load(id::Upstream, Load),
     /// An engine's prefix cache changed.
--- a/gooseberrylb_policy/src/scheduler/fleet.rs
+++ b/gooseberrylb_policy/src/scheduler/fleet.rs
@@ -43,6 +43,7 @@
     split: Split,
     prefill: Rate,
     decode: Rate,
+    quotas: BTreeMap<id::Version, u32>,
 }
 
 impl Fleet {
@@ -82,6 +83,23 @@
         self.split.lower(directory, version, share);
     }
 
+    /// Bounds how many requests run at once on a version.
+    pub fn set_quota(&mut self, version: id::Version, most: Option<u32>) {
+        match most {
+            Some(most) => self.quotas.insert(version, most),
+            None => self.quotas.remove(&version),
+        };
+    }
+
+    /// Whether one more request may run on a version, by its quota.
+    fn has_quota(&self, version: &id::Version, upstreams: &[id::Upstream]) -> bool {
+        let Some(most) = self.quotas.get(version) else {
+            return true;
+        };
+        let known = upstreams.iter().filter_map(|name| self.upstreams.get(name));
+        known.map(|upstream| upstream.in_flight).sum::<u32>() < *most
+    }
+
     /// Whether any upstream has a slot for a request that leaves `headroom_percent` of them free.
     pub fn has_slot(&self, headroom_percent: u32, now: Instant) -> bool {
         self.upstreams
@@ -128,6 +146,7 @@
         self.split
             .order()
             .into_iter()
+            .filter(|(version, upstreams)| self.has_quota(version, upstreams))
             .find_map(|(version, upstreams)| {
                 let upstream = self.best(upstreams, wanted, allow_probe)?;
                 Some(Place {
--- a/gooseberrylb_policy/src/scheduler/machine.rs
+++ b/gooseberrylb_policy/src/scheduler/machine.rs
@@ -19,8 +19,8 @@
 use super::limits::Limits;
 use super::queue::Queue;
 use super::stats::Counters;
-use super::{Claim, Decision, Input, Output, Record, Refusal};
-use crate::request::{Id, Key};
+use super::{Claim, Decision, Grant, Input, Output, Record, Refusal};
+use crate::request::{Id, Key, Request};
 
 /// The most waiting requests tried for a free slot that the first one cannot use in time.
 const MAX_CANDIDATES: usize = 8;
@@ -133,6 +133,7 @@
                 self.fleet.lower(&self.directory, &version, share);
                 self.configure(now);
             }
+            Input::Quota(version, most) => self.fleet.set_quota(version, most),
             Input::Load(upstream, load) => self.fleet.report(&upstream, load, now),
             Input::Cache(upstream, changes) => self.fleet.cache(&upstream, changes),
             Input::Held(sequence) => self.held(sequence, now),
@@ -144,6 +145,12 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// A request that holds a slot, with the grant that it holds it by.
+    pub fn granted(&self, id: &Id) -> Option<(&Request, &Grant)> {
+        let call = self.calls.get(id)?;
+        Some((&call.request, call.grant()?))
+    }
+
     /// All claims, for syncing a new backup. It covers every [`Output::Copy`] up to
     /// [`Scheduler::sequence`].
     pub fn snapshot(&self) -> Vec<Record> {
--- a/gooseberrylb_wire/schema/peer.capnp
+++ b/gooseberrylb_wire/schema/peer.capnp
@@ -23,6 +23,9 @@
 
   query @4 (question :Data) -> (answer :Data);
   # A read of the leader's state for an operator.
+
+  evidence @5 (report :Data) -> ();
+  # What a scheduler has seen of versions under a move; a later report replaces a lost one.
 }
 
 interface Traffic {
--- a/gooseberrylb_wire/src/message.rs
+++ b/gooseberrylb_wire/src/message.rs
@@ -6,6 +6,7 @@
 use gooseberrylb_config::directory;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_policy::moves::Move;
 use gooseberrylb_policy::request;
 use gooseberrylb_policy::scheduler;
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,8 @@
     pub folder: Option<u64>,
     /// The revision of the configuration that it routes by.
     pub revision: number::Revision,
+    /// The stamp of the moves that it knows.
+    pub moves: u64,
     /// The cluster that it belongs to, once it has heard of one.
     pub cluster: Option<u64>,
     /// The requests that it holds for callers.
@@ -62,6 +65,8 @@
         lease: Duration,
         /// What the follower lacks.
         news: News,
+        /// The moves between versions that are watched, where the follower knows others.
+        moves: Option<Vec<Move>>,
         /// The instances' loads, for sending callers to the least loaded.
         loads: Vec<(id::Instance, u32)>,
     },
