--- a/gooseberryctl/src/output.rs
+++ b/gooseberryctl/src/output.rs
@@ -19,7 +19,7 @@
     }
 }
 
-/// Writes a formatted line by [`line`].
+/// Writes a formatted line by [`line()`].
 macro_rules! say {
     ($($argument:tt)*) => {
         $crate::output::line(format_args!($($argument)*))
