--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -105,11 +105,11 @@
         let running = self.hosted.borrow().get(cell).cloned();
         let hosted = match running {
             Some(hosted) if hosted.view() == view.number => return,
-            Some(hosted) if !hosted.is_retired() => {
+            Some(hosted) => {
                 hosted.change_view(view.clone());
                 hosted
             }
-            _ => self.take_over(cell, view, directory),
+            None => self.take_over(cell, view, directory),
         };
         let backups = view
             .backups
