--- a/gooseberrylb_control/src/consensus/message.rs
+++ b/gooseberrylb_control/src/consensus/message.rs
@@ -113,3 +113,26 @@
         round: u64,
     },
 }
+
+impl Body {
+    /// Whether it answers another message.
+    pub(super) fn is_answer(&self) -> bool {
+        match self {
+            Body::Stranger
+            | Body::PreVoteAnswer { .. }
+            | Body::VoteAnswer { .. }
+            | Body::AppendAnswer { .. }
+            | Body::SnapshotAnswer { .. } => true,
+            Body::Probe { .. }
+            | Body::PreVote { .. }
+            | Body::Vote { .. }
+            | Body::Append { .. }
+            | Body::Snapshot { .. } => false,
+        }
+    }
+
+    /// Whether it grants a pre-vote, whose term is not yet anyone's.
+    pub(super) fn is_granted_pre_vote(&self) -> bool {
+        matches!(self, Body::PreVoteAnswer { granted: true })
+    }
+}
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -241,7 +241,7 @@
         let message = Message {
             cluster: self.cluster,
             folder: self.identity.folder,
-            addressee: self.membership.folder(to),
+            addressee: self.addressee(to, &body),
             term,
             body,
         };
@@ -249,6 +249,12 @@
         self.outputs.push(Output::Send { to, message });
     }
 
+    /// The folder that a request is meant for. An answer goes to whoever asked, who may hold
+    /// another folder than a membership that lags names.
+    fn addressee(&self, to: &id::Instance, body: &Body) -> Option<Folder> {
+        self.membership.folder(to).filter(|_| !body.is_answer())
+    }
+
     /// Takes the membership from the log, after entries were added or dropped.
     pub(super) fn refresh_membership(&mut self) {
         let (index, membership) = self.log.membership(self.log.last().index);
--- a/gooseberrylb_control/src/consensus/receive.rs
+++ b/gooseberrylb_control/src/consensus/receive.rs
@@ -144,26 +144,3 @@
         }
     }
 }
-
-impl Body {
-    /// Whether it answers another message.
-    fn is_answer(&self) -> bool {
-        match self {
-            Body::Stranger
-            | Body::PreVoteAnswer { .. }
-            | Body::VoteAnswer { .. }
-            | Body::AppendAnswer { .. }
-            | Body::SnapshotAnswer { .. } => true,
-            Body::Probe { .. }
-            | Body::PreVote { .. }
-            | Body::Vote { .. }
-            | Body::Append { .. }
-            | Body::Snapshot { .. } => false,
-        }
-    }
-
-    /// Whether it grants a pre-vote, whose term is not yet anyone's.
-    fn is_granted_pre_vote(&self) -> bool {
-        matches!(self, Body::PreVoteAnswer { granted: true })
-    }
-}
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -254,3 +254,20 @@
     bench.receive("b", 2, 1, 4, append(Position::default()));
     assert_eq!(bench.node.cluster(), Some(CLUSTER));
 }
+
+#[test]
+fn an_answer_is_meant_for_whoever_asked_under_whatever_folder() {
+    let entries = vec![entry(1, 1, Payload::Membership(membership()))];
+    let mut bench = Bench::new(Some(CLUSTER), entries);
+    // The leader came back with a new folder, which the entries behind would tell.
+    bench.receive("b", 9, 1, 4, append(position(1, 1)));
+    let answers: Vec<_> = bench.outputs.iter().filter_map(addressee).collect();
+    assert_eq!(answers, [None]);
+}
+
+fn addressee(output: &Output) -> Option<Option<Folder>> {
+    match output {
+        Output::Send { message, .. } => Some(message.addressee),
+        _ => None,
+    }
+}
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -19,6 +19,9 @@
 /// How often time is passed to the nodes.
 pub const TICK: Duration = Duration::from_millis(10);
 
+/// How often instances tell each other of their cluster, in milliseconds.
+const REPORT_MS: u64 = 500;
+
 pub fn instance(name: &str) -> id::Instance {
     name.parse().expect("test names are valid")
 }
@@ -335,9 +338,32 @@
                 self.feed(name, Input::Tick);
             }
         }
+        if now.is_multiple_of(REPORT_MS) {
+            self.report_clusters(&names);
+        }
         self.check_lease();
     }
 
+    /// Tells those without a cluster of the one that others belong to, as reports do.
+    fn report_clusters(&mut self, names: &[id::Instance]) {
+        let cluster = |name| self.hosts[name].node.as_ref().and_then(|n| n.cluster());
+        let known: Vec<_> = names
+            .iter()
+            .filter_map(|n| Some((n, cluster(n)?)))
+            .collect();
+        for (from, cluster) in known {
+            for to in names {
+                let is_cut = self.cut.contains(&(from.clone(), to.clone()));
+                let frozen_until = self.hosts[from]
+                    .frozen_until
+                    .max(self.hosts[to].frozen_until);
+                if !is_cut && frozen_until <= self.now_ms {
+                    self.feed(to, Input::Known(cluster));
+                }
+            }
+        }
+    }
+
     /// Checks that no node, frozen or not, trusts a lease while a later leader was elected.
     fn check_lease(&self) {
         let latest = self.leaders.last_key_value();
