Cut an engine's concurrency only on clear evidence

Cause: in replays at 0.7 times capacity the lowest tier lost goodput, since the concurrency limit was cut by the delays of one-line prompts, in which fixed costs prevail. Ruled out: the headroom and the early refusal, since switching off the cut alone gave the goodput back. Weighed: no cut at all; kept for engines whose slots are stated too high. Change: a first token must come four times later than at best, and prompts of fewer than 64 read tokens are not judged.

--- a/gooseberrylb_policy/src/scheduler/upstream.rs
+++ b/gooseberrylb_policy/src/scheduler/upstream.rs
@@ -28,7 +28,10 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(30);
 
 /// How many times slower than its best a first token may come before concurrency is cut.
-const SLOWDOWN: f64 = 2.0;
+const SLOWDOWN: f64 = 4.0;
+
+/// The fewest tokens read by which a first token's delay is judged; for fewer, fixed costs prevail.
+const MIN_JUDGED_TOKENS: u64 = 64;
 
 /// What remains of the concurrency limit after a cut.
 const LIMIT_CUT: f64 = 0.9;
@@ -285,7 +288,7 @@
         self.prefill.observe(read, figures.first_token, RATE_MEMORY);
         self.decode
             .observe(figures.output.0, figures.decode, RATE_MEMORY);
-        if self.description.kind == note::Kind::Engine {
+        if self.description.kind == note::Kind::Engine && read >= MIN_JUDGED_TOKENS {
             self.adapt(read, figures.first_token);
         }
     }
