Let a request be tried elsewhere under its own id, whatever comes first

Cause: an entry that tries a request elsewhere asks for it again, and the end of the first dispatch may come after that: it then removed the waiting request, or freed a key that was granted anew. Change: an end that tells of an earlier grant that did not run changes nothing; a key is freed by an end only under its own grant. A repeatable request whose outcome is unknown frees its key. What the scheduler relies on entries for is written down in the module.

--- a/gooseberrylb_policy/src/scheduler.rs
+++ b/gooseberrylb_policy/src/scheduler.rs
@@ -4,6 +4,15 @@
 //! fair shares and slots in use are exact and no load report has to be waited for. [`Backup`]
 //! holds a copy of its claims on another instance. `docs/DESIGN.md` has the argument why a key
 //! is never granted twice.
+//!
+//! It rests on what entries do. An entry dispatches a request once for each time that it asked for
+//! leave, and asks again under the same id only while the request is not dispatched or after it is
+//! proved not to have run. It withdraws a request that it gives up while it waits, that is granted
+//! after it gave up, or that is refused after it was asked for more than once: only this tells the
+//! scheduler that an earlier grant, which may have crossed the message, was not used. It tries a
+//! request elsewhere under the same id, since another id with the same key would be told to join the
+//! dispatch whose end is still on its way. To a new view's scheduler it first tells all that it runs,
+//! then asks again for all that waits.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/gooseberrylb_policy/src/scheduler/finish.rs
+++ b/gooseberrylb_policy/src/scheduler/finish.rs
@@ -44,10 +44,13 @@
     }
 
     pub(super) fn end(&mut self, end: End, now: Instant) {
+        if self.is_outlived(&end) {
+            return;
+        }
         let claimed = self.claims.granted_to(&end.id).cloned();
         let Some(call) = self.remove_call(&end.id) else {
             match claimed {
-                Some(key) => self.conclude(&key, &end, now),
+                Some(key) => self.conclude(&key, &end, false, now),
                 None => self.end_joined(&end, now),
             }
             return;
@@ -68,7 +71,17 @@
             return;
         };
         self.groups.leave(&key, &end.id);
-        self.conclude(&key, &end, now);
+        self.conclude(&key, &end, call.request.repeatable, now);
+    }
+
+    /// Whether an end tells of an earlier dispatch that did not run, after which the request was
+    /// asked for again.
+    fn is_outlived(&self, end: &End) -> bool {
+        let Some(call) = self.calls.get(&end.id) else {
+            return false;
+        };
+        let current = call.grant().is_some_and(|grant| grant.ticket == end.ticket);
+        end.outcome == Outcome::NotRun && !current
     }
 
     /// A request that joined another one's stream ended. It speaks for that one where it had the
@@ -88,18 +101,21 @@
             self.give_up_place(&call, Verdict::Unjudged, now);
             self.groups.leave(&key, &id);
         }
-        self.conclude(&key, end, now);
+        self.conclude(&key, end, false, now);
     }
 
-    /// Notes the end of a granted key.
-    fn conclude(&mut self, key: &Key, end: &End, now: Instant) {
+    /// Notes the end of a granted key. What did not run, or may run again, leaves the key free.
+    fn conclude(&mut self, key: &Key, end: &End, repeatable: bool, now: Instant) {
         let Some(Claim::Granted { grant, .. }) = self.claims.get(key) else {
             self.follow_up(key, now);
             return;
         };
         let grant = grant.clone();
         match end.outcome {
-            Outcome::NotRun => self.claims.release(key, now),
+            Outcome::NotRun if grant.ticket == end.ticket => self.claims.release(key, now),
+            // A later grant of the key is not proved unused by an earlier one.
+            Outcome::NotRun => {}
+            Outcome::Unknown if repeatable => self.claims.release(key, now),
             Outcome::Served | Outcome::Unknown => {
                 let ended = Ended {
                     outcome: end.outcome,
--- a/gooseberrylb_policy/tests/scheduler/claims.rs
+++ b/gooseberrylb_policy/tests/scheduler/claims.rs
@@ -1,11 +1,14 @@
 //! Keys: copied before they are granted, joined, answered, released and taken over.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gooseberrylb_config::note::Kind;
+use gooseberrylb_config::number::View;
 use gooseberrylb_policy::request::Outcome;
-use gooseberrylb_policy::scheduler::{Claim, Decision, Input, Record, Refusal};
+use gooseberrylb_policy::scheduler::{
+    Backup, Claim, Decision, Held, Input, Limits, Record, Refusal, Stale,
+};
 
 use crate::fixture::*;
 
@@ -205,3 +208,99 @@
     let (_, records) = bench.copies.last().expect("the end is copied");
     assert!(matches!(records[0].claim, Claim::Ended { .. }));
 }
+
+#[test]
+fn a_request_tried_elsewhere_outlives_the_end_of_its_first_dispatch() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    let first = granted(&bench.hold(), &id("entry-1", 1));
+    bench.enqueue(once("entry-1", 1, "a"));
+    bench.step(end(&id("entry-1", 1), &first, Outcome::NotRun));
+    granted(&bench.hold(), &id("entry-1", 1));
+}
+
+#[test]
+fn after_lost_claims_no_key_is_granted_until_the_longest_request_is_over() {
+    let mut bench = bench(Kind::Plain);
+    let window = Duration::from_secs(120);
+    bench.scheduler = bench.scheduler.with_claims_lost(bench.now, window);
+    let decisions = bench.enqueue(once("entry-1", 1, "a"));
+    assert_eq!(
+        refused(&decisions, &id("entry-1", 1)),
+        Refusal::NotScheduler
+    );
+    bench.pass(window);
+    bench.enqueue(once("entry-1", 2, "a"));
+    granted(&bench.hold(), &id("entry-1", 2));
+}
+
+#[test]
+fn a_granted_key_whose_end_never_comes_is_unknown_and_then_forgotten() {
+    let mut bench = bench(Kind::Plain);
+    bench.enqueue(once("entry-1", 1, "a"));
+    granted(&bench.hold(), &id("entry-1", 1));
+    bench.pass(Duration::from_secs(51));
+    let decisions = bench.enqueue(once("entry-2", 1, "a"));
+    assert!(matches!(
+        decisions[..],
+        [(
+            _,
+            Decision::Ended {
+                outcome: Outcome::Unknown,
+                ..
+            }
+        )]
+    ));
+    assert_eq!(bench.scheduler.stats().in_flight.values().sum::<u32>(), 0);
+    bench.pass(Limits::default().retention);
+    assert!(bench.scheduler.snapshot().is_empty());
+}
+
+#[test]
+fn a_backup_holds_batches_in_order_of_its_latest_view_only() {
+    let now = Instant::now();
+    let mut backup = Backup::new(View(1));
+    assert_eq!(
+        backup.accept(View(1), 1, Vec::new(), now),
+        Err(Stale::Unsynced(View(1)))
+    );
+    let held = |view, sequence| {
+        Ok(Held {
+            view: View(view),
+            sequence,
+        })
+    };
+    assert_eq!(backup.sync(View(1), 4, Vec::new(), now), held(1, 4));
+    assert_eq!(
+        backup.accept(View(1), 6, Vec::new(), now),
+        Err(Stale::Gap {
+            offered: 6,
+            held: 4
+        })
+    );
+    assert_eq!(backup.accept(View(1), 5, Vec::new(), now), held(1, 5));
+    assert_eq!(backup.accept(View(1), 5, Vec::new(), now), held(1, 5));
+    backup.advance(View(2));
+    let stale = Stale::View {
+        offered: View(1),
+        known: View(2),
+    };
+    assert_eq!(backup.accept(View(1), 6, Vec::new(), now), Err(stale));
+    assert_eq!(backup.sync(View(1), 6, Vec::new(), now), Err(stale));
+    assert_eq!(backup.sync(View(2), 0, Vec::new(), now), held(2, 0));
+}
+
+#[test]
+fn a_taken_over_key_is_not_freed_by_the_end_of_an_earlier_grant() {
+    let mut old = bench(Kind::Plain);
+    old.enqueue(once("entry-1", 1, "a"));
+    let first = granted(&old.hold(), &id("entry-1", 1));
+    old.enqueue(once("entry-1", 1, "a"));
+    granted(&old.hold(), &id("entry-1", 1));
+    let records = old.scheduler.snapshot().into_iter();
+    let claims = records.map(|record| (record.key, record.claim)).collect();
+    let directory = directory(Kind::Plain, &[("v1", 10_000, &["up-1"], 2)]);
+    let mut new = Bench::take_over(directory, view(2, &["entry-3"]), claims, old.now);
+    new.step(end(&id("entry-1", 1), &first, Outcome::NotRun));
+    assert_eq!(new.scheduler.snapshot().len(), 1);
+}
--- a/gooseberrylb_policy/tests/scheduler/main.rs
+++ b/gooseberrylb_policy/tests/scheduler/main.rs
@@ -3,4 +3,5 @@
 mod claims;
 mod fixture;
 mod order;
+mod placement;
 mod safety;
--- a/gooseberrylb_policy/tests/scheduler/safety.rs
+++ b/gooseberrylb_policy/tests/scheduler/safety.rs
@@ -175,6 +175,13 @@
                 .remove(request.key.as_ref().expect("all are keyed"));
         }
         finish(state, &request.id);
+        if outcome == Outcome::NotRun && choice >= 128 {
+            // It is tried elsewhere under the same id, and the message overtakes the end.
+            let waiting = (request.clone(), Local::Waiting);
+            state.requests.insert(request.id.clone(), waiting);
+            let again = Input::Enqueue(request.clone());
+            state.outbox.push_back((state.scheduler, again));
+        }
         state
             .outbox
             .push_back((state.scheduler, end(&request.id, &grant, outcome)));
