Let a new leader hear everyone before it replaces schedulers, and log no empty tallies

Ruled out: trusting the platform's list of instances, which lags. Change: no view changes until every instance was heard or DEAD_AFTER has passed; a tally without counts goes every 30 s only.

--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -180,6 +180,9 @@
 
 /// Gives each cell the scheduler and backups that it should have.
 async fn place(core: &Rc<Core>) -> Result<(), Failure> {
+    if !knows_who_lives(core) {
+        return Ok(());
+    }
     let directory = core.feed.borrow().directory().clone();
     for cell in cells(&directory) {
         let candidates = candidates(core, &directory, &cell);
@@ -213,6 +216,17 @@
     Ok(())
 }
 
+/// Whether this leader has heard every instance, or long enough to call the others dead: before
+/// that, a scheduler that is well would be replaced for having had no time to report.
+fn knows_who_lives(core: &Core) -> bool {
+    let now = core.clock.now();
+    let waited = core
+        .leader_since
+        .get()
+        .is_some_and(|since| now >= since + DEAD_AFTER);
+    waited || all_heard(core)
+}
+
 fn cells(directory: &Directory) -> Vec<Cell> {
     let regions: BTreeSet<&id::Region> = directory.instances.values().map(|i| &i.region).collect();
     let mut cells = Vec::new();
--- a/gooseberrylb/src/tally.rs
+++ b/gooseberrylb/src/tally.rs
@@ -16,6 +16,10 @@
 /// The time between two tallies.
 const INTERVAL: Duration = Duration::from_secs(2);
 
+/// The time after which a tally is sent that counts nothing, so that the report tells up to when an
+/// idle instance is counted without a log entry of every instance every few seconds.
+const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// The pause after a tally that was not accepted.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -41,6 +45,13 @@
         row.wasted_tokens += counts.wasted_tokens;
     }
 
+    fn is_empty(&self) -> bool {
+        self.rows
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
+    }
+
     fn take(&self) -> Rows {
         std::mem::take(&mut *self.rows.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -79,6 +90,9 @@
     pub async fn run(mut self, stop: async_channel::Receiver<()>) {
         loop {
             let stopped = future::timeout(INTERVAL, stop.recv()).await.is_ok();
+            if !stopped && !self.is_due() {
+                continue;
+            }
             let tally = self.next(stopped);
             if !self.ship(tally, stopped).await || stopped {
                 return;
@@ -86,6 +100,15 @@
         }
     }
 
+    fn is_due(&self) -> bool {
+        let idle = self
+            .clock
+            .wall()
+            .duration_since(self.from)
+            .unwrap_or(IDLE_INTERVAL);
+        !self.tallies.is_empty() || idle >= IDLE_INTERVAL
+    }
+
     fn next(&mut self, last: bool) -> Tally {
         self.number += 1;
         let from = self.from;
