Bind each view to the scheduler's process, and never hand over to one without the claims

Cause: a new test over random histories (every_new_scheduler_holds_every_claim) failed at once: a scheduler restarted within its view would sync its backups with nothing, and a view whose scheduler had died while its backups were leaving kept the dead one as scheduler. Ruled out: the model: both ways stand in the daemon's code as well (host.rs took over by name alone; views.rs grew a view around the old scheduler). Change: a view names the start of its scheduler and the first view since when that one is a member; an instance schedules only a view made for its own process, with claims not older than that; where only leaving members hold the claims, one of them schedules.

--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -76,7 +76,7 @@
         let before = self.directory.replace(next.clone());
         self.drop_unplaced(&next);
         for (cell, view) in &next.views {
-            if view.scheduler == self.identity.name {
+            if self.is_scheduler(view) {
                 self.schedule(cell, view, &next);
             } else if view.backups.contains(&self.identity.name) {
                 self.back_up(cell, view);
@@ -90,6 +90,11 @@
         self.feed_all(|| Input::Directory(next.clone()));
     }
 
+    /// Whether a view makes this very process the scheduler, and not one before a restart.
+    fn is_scheduler(&self, view: &View) -> bool {
+        view.scheduler == self.identity.name && view.incarnation == self.identity.incarnation
+    }
+
     /// Has the trials follow the moves, where any moves or views have changed.
     fn follow_moves(&self, snapshot: &Snapshot) {
         let known = self.moves.borrow().clone();
@@ -124,11 +129,12 @@
         let running = self.hosted.borrow().get(cell).cloned();
         let hosted = match running {
             Some(hosted) if hosted.view() == view.number => return,
-            Some(hosted) => {
+            Some(hosted) if hosted.view() >= view.since => {
                 hosted.change_view(view.clone());
                 hosted
             }
-            None => self.take_over(cell, view, directory),
+            // Others may have granted since the view that runs here.
+            Some(_) | None => self.take_over(cell, view, directory),
         };
         let backups = view
             .backups
@@ -141,6 +147,7 @@
 
     fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
         let copy = self.copies.borrow_mut().remove(cell);
+        let copy = copy.filter(|copy| copy.holds >= Some(view.since));
         let holds = copy.as_ref().and_then(|copy| copy.holds);
         let claims = copy
             .map(|copy| copy.backup.claims().clone())
@@ -166,9 +173,13 @@
             clock: self.clock.clone(),
         });
         hosted.follow_moves(&self.published.read());
-        self.hosted
+        let replaced = self
+            .hosted
             .borrow_mut()
             .insert(cell.clone(), hosted.clone());
+        if let Some(replaced) = replaced {
+            replaced.retire();
+        }
         hosted
     }
 
--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -65,6 +65,28 @@
     pub scheduler: id::Instance,
     /// The instances that must acknowledge each claim.
     pub backups: Vec<id::Instance>,
+    /// The first of the unbroken row of views that the scheduler has been a member of; claims that
+    /// it holds from before may lack some that others granted meanwhile.
+    #[serde(default)]
+    pub since: number::View,
+    /// The start of the scheduler's process, as milliseconds since 1970: after a restart it has no
+    /// claims, so it must not act on a view that was meant for the process before.
+    #[serde(default)]
+    pub incarnation: u64,
+}
+
+impl View {
+    /// Makes a view whose scheduler has been a member from this view on only.
+    pub fn new(number: number::View, scheduler: id::Instance, backups: Vec<id::Instance>) -> Self {
+        let since = number;
+        Self {
+            number,
+            scheduler,
+            backups,
+            since,
+            incarnation: 0,
+        }
+    }
 }
 
 /// Names one scheduler's domain: a service in a region.
--- a/gooseberrylb_config/tests/directory.rs
+++ b/gooseberrylb_config/tests/directory.rs
@@ -7,11 +7,11 @@
 use proptest::test_runner::{Config, RngSeed};
 
 fn view(number: u64) -> View {
-    View {
-        number: number::View(number),
-        scheduler: id::Instance::new("i1").unwrap(),
-        backups: Vec::new(),
-    }
+    View::new(
+        number::View(number),
+        id::Instance::new("i1").unwrap(),
+        Vec::new(),
+    )
 }
 
 fn cell(n: u8) -> Cell {
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -350,8 +350,13 @@
         if !known || view.number != self.next_view(cell) {
             return Reply::Stale;
         }
-        self.directory.set_view(cell.clone(), view.clone());
-        self.note_view_members(cell, view);
+        let joined = self.note_view_members(cell, view);
+        let placed = directory::View {
+            since: joined.view,
+            incarnation: joined.incarnation,
+            ..view.clone()
+        };
+        self.directory.set_view(cell.clone(), placed);
         self.raise_revision();
         let backups: Vec<_> = view.backups.iter().map(|name| name.as_str()).collect();
         let cause = format!(
@@ -369,13 +374,24 @@
         Reply::Applied
     }
 
-    fn note_view_members(&mut self, cell: &directory::Cell, view: &directory::View) {
+    /// Notes who has been a member since when; gives that of the scheduler.
+    fn note_view_members(
+        &mut self,
+        cell: &directory::Cell,
+        view: &directory::View,
+    ) -> views::Joined {
         let known = self.view_members(cell).cloned().unwrap_or_default();
         let members = views::joined(&known, view, |name| {
             self.incarnation(name).unwrap_or_default()
         });
         self.view_members.retain(|(of, _)| of != cell);
+        let new = views::Joined {
+            view: view.number,
+            incarnation: 0,
+        };
+        let scheduler = members.get(&view.scheduler).copied().unwrap_or(new);
         self.view_members.push((cell.clone(), members));
+        scheduler
     }
 
     fn raise_revision(&mut self) {
--- a/gooseberrylb_control/src/views.rs
+++ b/gooseberrylb_control/src/views.rs
@@ -138,11 +138,11 @@
 
 fn first(cell: &Cell, candidates: &Candidates) -> Option<Plan> {
     let (scheduler, _) = in_region(cell, candidates).min_by_key(|(name, _)| rank(cell, name))?;
-    let view = View {
-        number: number::View(1),
-        scheduler: scheduler.clone(),
-        backups: fill(cell, scheduler, Vec::new(), candidates),
-    };
+    let view = View::new(
+        number::View(1),
+        scheduler.clone(),
+        fill(cell, scheduler, Vec::new(), candidates),
+    );
     Some(Plan {
         view,
         cause: "the service has no scheduler yet",
@@ -181,8 +181,13 @@
     candidates: &Candidates,
 ) -> Option<Plan> {
     let number = view.number.next();
-    let heirs = holders.iter().filter(|name| !leaves(name, candidates));
-    let heir = heirs.min_by_key(|name| rank(cell, name));
+    let staying = holders.iter().filter(|name| !leaves(name, candidates));
+    let heir = staying.min_by_key(|name| rank(cell, name));
+    if heir.is_none() && holders.contains(&&view.scheduler) {
+        // Only leaving members hold the claims: a backup has to be synced before they may go.
+        return grow(cell, view, candidates);
+    }
+    let heir = heir.or(holders.first());
     if let Some(scheduler) = heir {
         let stays = |name: &&id::Instance| name != scheduler && candidates.contains_key(*name);
         // A leaving scheduler stays as a backup until a new one is synced, since it holds all claims.
@@ -192,11 +197,7 @@
             .filter(|n| holders.contains(n))
             .cloned()
             .collect();
-        let view = View {
-            number,
-            scheduler: (*scheduler).clone(),
-            backups,
-        };
+        let view = View::new(number, (*scheduler).clone(), backups);
         let cause = "the scheduler died, restarted or leaves";
         return Some(Plan {
             view,
@@ -204,10 +205,6 @@
             claims_lost: false,
         });
     }
-    if !holders.is_empty() {
-        // Only leaving members hold the claims: a backup has to be synced before they may go.
-        return grow(cell, view, candidates);
-    }
     let plan = first(cell, candidates)?;
     let view = View {
         number,
@@ -225,11 +222,7 @@
     let alive = |name: &&id::Instance| is_same_start(name, members, candidates);
     let backups: Vec<id::Instance> = view.backups.iter().filter(alive).cloned().collect();
     if backups.len() < view.backups.len() {
-        let view = View {
-            number: view.number.next(),
-            scheduler: view.scheduler.clone(),
-            backups,
-        };
+        let view = View::new(view.number.next(), view.scheduler.clone(), backups);
         return Some(Plan {
             view,
             cause: "a backup died or restarted",
@@ -255,11 +248,7 @@
     } else {
         "a backup leaves"
     };
-    let view = View {
-        number: view.number.next(),
-        scheduler: view.scheduler.clone(),
-        backups: wanted,
-    };
+    let view = View::new(view.number.next(), view.scheduler.clone(), wanted);
     Some(Plan {
         view,
         cause,
@@ -273,12 +262,7 @@
     if backups.len() == view.backups.len() {
         return None;
     }
-    let number = view.number.next();
-    let view = View {
-        number,
-        scheduler: view.scheduler.clone(),
-        backups,
-    };
+    let view = View::new(view.number.next(), view.scheduler.clone(), backups);
     Some(Plan {
         view,
         cause: "the scheduler leaves and needs an heir",
--- a/gooseberrylb_control/tests/state/fed.rs
+++ b/gooseberrylb_control/tests/state/fed.rs
@@ -119,11 +119,7 @@
     }
 
     pub fn view(&mut self, number: u64) -> Reply {
-        let view = View {
-            number: number::View(number),
-            scheduler: "i1".parse().unwrap(),
-            backups: Vec::new(),
-        };
+        let view = View::new(number::View(number), "i1".parse().unwrap(), Vec::new());
         let cause = Arc::from("because");
         let at = at(self.index.0);
         let cell = cell();
--- a/gooseberrylb_policy/examples/grants.rs
+++ b/gooseberrylb_policy/examples/grants.rs
@@ -60,11 +60,11 @@
             service: name("agronomo"),
             region: name("padana"),
         };
-        let view = View {
-            number: number::View(1),
-            scheduler: name("entry-1"),
-            backups: vec![name("entry-2"), name("entry-3")],
-        };
+        let view = View::new(
+            number::View(1),
+            name("entry-1"),
+            vec![name("entry-2"), name("entry-3")],
+        );
         let directory = Arc::new(directory(upstreams));
         Self {
             scheduler: Scheduler::new(cell, view, directory, BTreeMap::new(), now, 1),
--- a/gooseberrylb_policy/tests/moves/replay.rs
+++ b/gooseberrylb_policy/tests/moves/replay.rs
@@ -131,11 +131,7 @@
     }
     let scheduler = id::Instance::new("entry-1").unwrap();
     for cell in cells(trace) {
-        let view = View {
-            number: number::View(1),
-            scheduler: scheduler.clone(),
-            backups: Vec::new(),
-        };
+        let view = View::new(number::View(1), scheduler.clone(), Vec::new());
         directory.views.push((cell, view));
     }
     directory
--- a/gooseberrylb_policy/tests/scheduler/fixture.rs
+++ b/gooseberrylb_policy/tests/scheduler/fixture.rs
@@ -33,11 +33,11 @@
 }
 
 pub fn view(number: u64, backups: &[&str]) -> View {
-    View {
-        number: number::View(number),
-        scheduler: name("entry-1"),
-        backups: backups.iter().map(|backup| name(backup)).collect(),
-    }
+    View::new(
+        number::View(number),
+        name("entry-1"),
+        backups.iter().map(|backup| name(backup)).collect(),
+    )
 }
 
 /// A directory with a service, entries and versions of `(name, share, upstreams, slots)`; each but
--- a/gooseberrylb_testbed/src/replay/policy.rs
+++ b/gooseberrylb_testbed/src/replay/policy.rs
@@ -39,11 +39,11 @@
             service: trace.service.clone(),
             region: trace.region.clone(),
         };
-        let view = View {
-            number: number::View(1),
-            scheduler: trace.instances[0].clone(),
-            backups: trace.instances[1..].to_vec(),
-        };
+        let view = View::new(
+            number::View(1),
+            trace.instances[0].clone(),
+            trace.instances[1..].to_vec(),
+        );
         let origin = Instant::now();
         let directory = Arc::new(directory(trace));
         let claims = BTreeMap::new();
