Rely on a cluster only once its forming is synced

Change: Node::cluster gives a cluster once it is synced, and a node stands for election only once the membership in force is synced.

--- a/gooseberrylb_control/src/consensus/election.rs
+++ b/gooseberrylb_control/src/consensus/election.rs
@@ -25,8 +25,10 @@
     /// Asks for pre-votes, since no leader was heard.
     pub(super) fn stand(&mut self) {
         self.postpone_election();
-        // A node whose journal takes nothing could not vote for itself.
-        if !self.is_voter() || self.writer.is_full() {
+        // A node whose journal takes nothing could not vote for itself. One that invites others
+        // into a cluster must not be able to forget who its members are.
+        let has_synced_membership = self.membership_index <= self.writer.synced();
+        if !self.is_voter() || self.writer.is_full() || !has_synced_membership {
             self.stage = Stage::Follower(Following::default());
             return;
         }
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -163,9 +163,9 @@
         }
     }
 
-    /// The cluster that the node belongs to.
+    /// The cluster that the node belongs to, once that is synced: others rely on its existence.
     pub fn cluster(&self) -> Option<Cluster> {
-        self.cluster
+        self.cluster.filter(|_| !self.writer.owes_cluster())
     }
 
     fn role(&self) -> Role {
--- a/gooseberrylb_control/src/consensus/writer.rs
+++ b/gooseberrylb_control/src/consensus/writer.rs
@@ -102,6 +102,12 @@
         self.synced
     }
 
+    /// Whether the cluster is yet to be synced.
+    pub(super) fn owes_cluster(&self) -> bool {
+        let is_in_flight = self.flight.as_ref().is_some_and(|f| f.batch.cluster);
+        self.dirty.cluster || is_in_flight
+    }
+
     /// Whether the journal refused the last batch for want of space.
     pub(super) fn is_full(&self) -> bool {
         self.retry.is_some()
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -239,6 +239,8 @@
     assert_eq!(bench.sent(), [(instance("b"), Body::Stranger)]);
     assert_eq!(bench.node.cluster(), None);
     bench.receive("b", 2, 1, 4, append(Position::default()));
+    assert_eq!(bench.node.cluster(), None, "not synced yet");
+    bench.sync();
     assert_eq!(bench.node.cluster(), Some(CLUSTER));
 }
 
@@ -252,6 +254,8 @@
     }
     assert_eq!(bench.node.status().blocked_by, Some(CLUSTER));
     bench.receive("b", 2, 1, 4, append(Position::default()));
+    assert_eq!(bench.node.cluster(), None, "not synced yet");
+    bench.sync();
     assert_eq!(bench.node.cluster(), Some(CLUSTER));
 }
 
@@ -271,3 +275,36 @@
         _ => None,
     }
 }
+
+#[test]
+fn a_founder_invites_nobody_before_the_membership_is_synced() {
+    let mut bench = Bench::new(None, Vec::new());
+    let folders = membership().voters;
+    for (from, folder) in [("b", 2), ("c", 3)] {
+        let message = Message {
+            cluster: None,
+            folder: Folder(folder),
+            addressee: None,
+            term: Term(0),
+            body: Body::Probe {
+                folders: folders.clone(),
+            },
+        };
+        let from = instance(from);
+        bench.feed(Input::Receive { from, message });
+    }
+    bench.wait(Duration::from_secs(2));
+    let formed = bench.outputs.clone();
+    for _ in 0..50 {
+        bench.wait(Duration::from_millis(100));
+        assert_eq!(bench.sent(), []);
+    }
+    bench.outputs = formed;
+    bench.sync();
+    bench.wait(Duration::from_secs(1));
+    let asked = bench
+        .sent()
+        .iter()
+        .any(|(_, body)| matches!(body, Body::PreVote { .. }));
+    assert!(asked);
+}
