--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -28,6 +28,7 @@
     loop {
         task::sleep(INTERVAL).await;
         if !core.is_leading() {
+            core.desk.close();
             continue;
         }
         // A failure here means that leadership was lost, or that the disks are full; the next round
@@ -44,10 +45,12 @@
     bury(core).await?;
     place(core).await?;
     super::repair::step(core).await;
+    super::moves::step(core).await?;
     Ok(())
 }
 
-async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
+/// Has a command accepted; this instance must lead.
+pub async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
     core.propose_here(command.encode().into()).await
 }
 
@@ -76,10 +79,13 @@
 
 /// Registers instances that are new, restarted, moved or leaving.
 async fn register(core: &Rc<Core>) -> Result<(), Failure> {
+    // An instance that is gone is not registered anew from what it last reported.
+    let now = core.clock.now();
     let reports: Vec<_> = core
         .followers
         .borrow()
         .iter()
+        .filter(|(_, f)| now < f.heard + DEAD_AFTER)
         .map(|(_, f)| f.report.clone())
         .collect();
     for report in reports {
@@ -174,6 +180,9 @@
 
 /// Gives each cell the scheduler and backups that it should have.
 async fn place(core: &Rc<Core>) -> Result<(), Failure> {
+    if !knows_who_lives(core) {
+        return Ok(());
+    }
     let directory = core.feed.borrow().directory().clone();
     for cell in cells(&directory) {
         let candidates = candidates(core, &directory, &cell);
@@ -207,6 +216,17 @@
     Ok(())
 }
 
+/// Whether this leader has heard every instance, or long enough to call the others dead: before
+/// that, a scheduler that is well would be replaced for having had no time to report.
+fn knows_who_lives(core: &Core) -> bool {
+    let now = core.clock.now();
+    let waited = core
+        .leader_since
+        .get()
+        .is_some_and(|since| now >= since + DEAD_AFTER);
+    waited || all_heard(core)
+}
+
 fn cells(directory: &Directory) -> Vec<Cell> {
     let regions: BTreeSet<&id::Region> = directory.instances.values().map(|i| &i.region).collect();
     let mut cells = Vec::new();
