Charge accounts what their requests took, once they have ended

Cause: fair shares rested on the expected cost alone, which entries take from what callers allow. Change: an account's tag is corrected by the tokens that the upstream counted, at most eight times the expected ones. The fairness test now expects wrong amounts for half of the requests. Fault put in on purpose and seen to fail: leaving out the correction.

--- a/gooseberrylb_policy/src/scheduler/finish.rs
+++ b/gooseberrylb_policy/src/scheduler/finish.rs
@@ -10,7 +10,7 @@
 use super::machine::Scheduler;
 use super::upstream::Verdict;
 use super::{Claim, End, Grant};
-use crate::request::{Id, Key, Outcome};
+use crate::request::{Cost, Figures, Id, Key, Outcome};
 
 impl Scheduler {
     /// An entry gives a request up, and has not dispatched it.
@@ -64,6 +64,7 @@
         if let (Verdict::Answered(figures), Some(grant)) = (verdict, call.grant()) {
             self.fleet
                 .correct_prefix(&grant.upstream, &call.request, call.believed, &figures);
+            self.correct_charge(&call, &figures);
         }
         self.give_up_place(&call, verdict, now);
         self.counters.ended(&end);
@@ -74,6 +75,21 @@
         self.conclude(&key, &end, call.request.repeatable, now);
     }
 
+    fn correct_charge(&mut self, call: &Call, figures: &Figures) {
+        let State::Running { position, .. } = &call.state else {
+            return;
+        };
+        let taken = Cost {
+            prompt: figures.prompt,
+            output: figures.output,
+        };
+        if let Some(position) = position
+            && taken != Cost::default()
+        {
+            self.queue.correct(position, call.request.cost, taken);
+        }
+    }
+
     /// Whether an end tells of an earlier dispatch that did not run, after which the request was
     /// asked for again.
     fn is_outlived(&self, end: &End) -> bool {
--- a/gooseberrylb_policy/src/scheduler/queue.rs
+++ b/gooseberrylb_policy/src/scheduler/queue.rs
@@ -2,7 +2,8 @@
 //! accounts of a tier.
 //!
 //! Each account of a tier has a virtual start tag. The account with the least tag is served next,
-//! and its tag grows by the cost in tokens of what it was served, divided by its share. While two
+//! and its tag grows by the cost in tokens of what it was served, divided by its share: first by
+//! what is expected, and once the request has ended by what it took. While two
 //! accounts both wait, what they are served differs by at most one request's cost of each, each
 //! divided by the account's share, whatever the sizes of their requests.
 
@@ -16,6 +17,9 @@
 /// Virtual time for each token of cost at a share of one; it keeps precision for large shares.
 const SCALE: u64 = 1 << 10;
 
+/// How many times its expected cost a request may be charged, whatever its upstream reports.
+const MAX_CORRECTION: u64 = 8;
+
 /// The most idle accounts of a tier whose tags are kept.
 const MAX_IDLE_ACCOUNTS: usize = 4096;
 
@@ -242,6 +246,19 @@
         true
     }
 
+    /// Charges an account what its request took in truth, in place of what was expected of it.
+    pub fn correct(&mut self, position: &Position, expected: Cost, taken: Cost) {
+        let Some(lane) = self.lanes.get_mut(&position.tier) else {
+            return;
+        };
+        let expected = charge(expected);
+        let taken = charge(taken).min(expected.saturating_mul(MAX_CORRECTION));
+        lane.move_tag(&position.account, |tag, share| {
+            let returned = tag.saturating_sub(expected * SCALE / share);
+            returned.saturating_add(taken * SCALE / share)
+        });
+    }
+
     /// The requests to be served next, at most `count`: the highest tier first, in it the account
     /// with the least tag, and of each account its oldest.
     pub fn first(&self, count: usize) -> impl Iterator<Item = &Id> {
--- a/gooseberrylb_policy/tests/scheduler/order.rs
+++ b/gooseberrylb_policy/tests/scheduler/order.rs
@@ -7,6 +7,7 @@
 use gooseberrylb_config::directory::Share;
 use gooseberrylb_config::id;
 use gooseberrylb_config::note::{Account, Kind};
+use gooseberrylb_config::number::Tokens;
 use gooseberrylb_policy::request::{Id, Outcome, Request};
 use gooseberrylb_policy::scheduler::{Decision, Grant, Input, Limits, Refusal, Running};
 use proptest::prelude::*;
@@ -152,7 +153,8 @@
             let account = if n % 2 == 0 { "large" } else { "small" };
             let request = Request {
                 account: name(account),
-                cost: cost(*tokens, 0),
+                // One half is expected to take what it takes, the other half another amount.
+                cost: cost(if n % 4 < 2 { *tokens } else { 1_000 }, 0),
                 time_left: Duration::from_secs(100_000),
                 ..request("entry-1", n as u64, 1)
             };
@@ -172,7 +174,12 @@
             if left.values().any(|left| *left == 0) {
                 break;
             }
-            grants.extend(bench.step(end(&id, &grant, Outcome::Served)));
+            let Input::End(mut end) = end(&id, &grant, Outcome::Served) else {
+                continue;
+            };
+            end.figures.prompt = Tokens(tokens);
+            end.figures.output = Tokens(0);
+            grants.extend(bench.step(Input::End(end)));
         }
     }
 
