--- a/gooseberrylb_policy/src/moves/mover.rs
+++ b/gooseberrylb_policy/src/moves/mover.rs
@@ -16,8 +16,12 @@
 use crate::moves::weights;
 use crate::moves::{Move, Phase, Step};
 
-/// The evidence against a version above which its share is not raised.
-const DOUBTFUL: f64 = 20.0;
+/// The evidence against a version above which its share is not raised, and above which it is
+/// reverted at its deadline.
+const DOUBTFUL: f64 = 5.0;
+
+/// The evidence against a canary above which its share is not raised.
+const DOUBTFUL_CANARY: f64 = 2.0;
 
 /// The loads that are ordered at once; the weight store's rate is shared by the move's deadline.
 const MAX_LOADS: usize = 4;
@@ -224,13 +228,13 @@
         &self,
         wall: SystemTime,
         of: &Move,
-        standing: &Standing,
+        standing: &Standing<'_>,
         finish: SystemTime,
     ) -> Option<Step> {
         let holds = plan::holds_from(of.share);
         let available = finish.duration_since(of.since).unwrap_or_default();
         let hold = self.pace.hold(available, holds);
-        if wall < of.since + hold || !standing.whole || standing.doubt >= DOUBTFUL {
+        if wall < of.since + hold || !standing.whole || standing.doubt >= doubtful(of.phase) {
             return None;
         }
         let quota = self.pace.quota(standing.rate * fraction(of.share), hold);
@@ -254,15 +258,17 @@
     }
 
     /// Ends a move one way or the other.
-    fn last(&self, wall: SystemTime, of: &Move, standing: &Standing) -> Step {
+    fn last(&self, wall: SystemTime, of: &Move, standing: &Standing<'_>) -> Step {
         let total = standing.total;
         let doubt = standing.doubt;
+        let leading = standing.leading;
         if !standing.whole {
             let reason = "no late report from the scheduler of every region by the deadline";
             return revert(wall, of, reason.to_owned());
         }
         if doubt >= DOUBTFUL {
-            let reason = format!("not cleared by the deadline: {total}, evidence {doubt:.0}");
+            let reason =
+                format!("not cleared by the deadline: {total}, evidence {doubt:.1}; {leading}");
             return revert(wall, of, reason);
         }
         if total.requests < self.pace.least_evidence {
@@ -274,7 +280,7 @@
         }
         let little = total.requests < self.pace.full_evidence;
         if little && total.failed * LITTLE_EVIDENCE_PER_FAILURE > total.requests {
-            let reason = format!("little evidence, and {total}");
+            let reason = format!("little evidence, and {total}; {leading}");
             return revert(wall, of, reason);
         }
         let reason = match little {
@@ -299,7 +305,7 @@
     }
 
     /// What the schedulers in charge say of the step that the move stands at.
-    fn standing(&self, scene: Scene<'_>, of: &Move) -> Standing {
+    fn standing<'a>(&self, scene: Scene<'a>, of: &'a Move) -> Standing<'a> {
         let views = &scene.directory.views;
         let in_charge = || views.iter().filter(|(cell, _)| cell.service == of.service);
         let mut standing = Standing {
@@ -307,6 +313,7 @@
             in_step: Counts::default(),
             total: scene.evidence.total(&of.version),
             doubt: 0.0,
+            leading: "",
             rate: 0.0,
         };
         for (cell, view) in in_charge() {
@@ -320,7 +327,10 @@
             match finding.filter(|finding| finding.step == of.steps) {
                 Some(finding) => {
                     standing.in_step += finding.in_step;
-                    standing.doubt = standing.doubt.max(finding.doubt);
+                    if finding.doubt >= standing.doubt {
+                        standing.doubt = finding.doubt;
+                        standing.leading = &finding.leading;
+                    }
                     standing.rate += finding.rate;
                 }
                 None => standing.whole = false,
@@ -332,7 +342,7 @@
 
 /// What is known of a version under a move.
 #[derive(Debug, Clone, Copy)]
-struct Standing {
+struct Standing<'a> {
     /// Whether every scheduler in charge has lately reported on the present step.
     whole: bool,
     /// The version's requests at this step.
@@ -341,6 +351,8 @@
     total: Counts,
     /// The evidence against the version in the region where it is worst.
     doubt: f64,
+    /// What speaks most against it there.
+    leading: &'a str,
     /// The requests a second of the service.
     rate: f64,
 }
@@ -366,6 +378,13 @@
     ))
 }
 
+fn doubtful(phase: Phase) -> f64 {
+    match phase {
+        Phase::Canary => DOUBTFUL_CANARY,
+        Phase::Planned | Phase::Ramping | Phase::Done | Phase::Reverted => DOUBTFUL,
+    }
+}
+
 fn limit_loads(orders: Vec<Order>) -> impl Iterator<Item = Order> {
     let mut loads = 0;
     orders.into_iter().filter(move |order| {
