--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -10,13 +10,14 @@
 use async_std::{future, task};
 use gooseberrylb_control::consensus::{self, Input, Node};
 use gooseberrylb_control::state::Reply;
+use gooseberrylb_policy::moves::evidence::Report;
 use gooseberrylb_wire::codec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::core::{Core, Parts};
 use super::disk::{self, Done};
-use super::{Answer, Ask, Failure, Start, follow, lead, peers};
+use super::{Answer, Ask, Failure, Question, Start, follow, lead, peers, query};
 use crate::metrics::METRICS;
 
 /// The time between two ticks of the consensus.
@@ -140,6 +141,14 @@
             let result = ask_leader(core, Request::Propose(command.encode())).await;
             reply.send(result).ok();
         }
+        Ask::Evidence(report) => tell_leader(core, &report).await,
+        // Each instance tells how the system stands as it sees it.
+        Ask::Query {
+            question: question @ Question::Status,
+            reply,
+        } => {
+            reply.send(Ok(query::answer(core, &question))).ok();
+        }
         Ask::Query { question, reply } => {
             let result = match codec::encode(&question) {
                 Ok(bytes) => ask_leader(core, Request::Query(question, bytes)).await,
@@ -150,10 +159,28 @@
     }
 }
 
+async fn tell_leader(core: &Rc<Core>, report: &Report) {
+    if core.is_leading() {
+        core.desk.merge(core, report.clone());
+        return;
+    }
+    let (Some(address), Ok(bytes)) = (leader_address(core, 0), codec::encode(report)) else {
+        return;
+    };
+    let link = core.links.to(address);
+    let call = async {
+        let client = link.client().await.ok()?;
+        let mut call = client.evidence_request();
+        call.get().set_report(&bytes);
+        call.send().promise.await.ok()
+    };
+    future::timeout(ATTEMPT_TIMEOUT, call).await.ok();
+}
+
 /// What is asked of the leader, wherever it is.
 enum Request {
     Propose(Vec<u8>),
-    Query(super::Question, Vec<u8>),
+    Query(Question, Vec<u8>),
 }
 
 /// An answer's type, and how this instance gives it where it leads itself.
--- a/gooseberrylb/src/tally.rs
+++ b/gooseberrylb/src/tally.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use async_std::task;
+use async_std::{future, task};
 use gooseberrylb_config::clock::Clock;
 use gooseberrylb_control::state::{Command, Counts, Label, Tally};
 
@@ -16,11 +16,15 @@
 /// The time between two tallies.
 const INTERVAL: Duration = Duration::from_secs(2);
 
+/// The time after which a tally is sent that counts nothing, so that the report tells up to when an
+/// idle instance is counted without a log entry of every instance every few seconds.
+const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// The pause after a tally that was not accepted.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// How long a planned stop tries to get the last tally accepted.
-const LAST_PATIENCE: Duration = Duration::from_secs(10);
+const LAST_PATIENCE: Duration = Duration::from_secs(3);
 
 type Rows = BTreeMap<Label, Counts>;
 
@@ -41,6 +45,13 @@
         row.wasted_tokens += counts.wasted_tokens;
     }
 
+    fn is_empty(&self) -> bool {
+        self.rows
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
+    }
+
     fn take(&self) -> Rows {
         std::mem::take(&mut *self.rows.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -78,9 +89,10 @@
     /// Ships a tally now and then, until `stop` is closed; then the last one.
     pub async fn run(mut self, stop: async_channel::Receiver<()>) {
         loop {
-            let stopped = async_std::future::timeout(INTERVAL, stop.recv())
-                .await
-                .is_ok();
+            let stopped = future::timeout(INTERVAL, stop.recv()).await.is_ok();
+            if !stopped && !self.is_due() {
+                continue;
+            }
             let tally = self.next(stopped);
             if !self.ship(tally, stopped).await || stopped {
                 return;
@@ -88,6 +100,15 @@
         }
     }
 
+    fn is_due(&self) -> bool {
+        let idle = self
+            .clock
+            .wall()
+            .duration_since(self.from)
+            .unwrap_or(IDLE_INTERVAL);
+        !self.tallies.is_empty() || idle >= IDLE_INTERVAL
+    }
+
     fn next(&mut self, last: bool) -> Tally {
         self.number += 1;
         let from = self.from;
