Reach peers as the settings say on every link

Cause: traffic links, and a follower that looks for the leader, used the addresses that peers report of themselves, so that a way named in the settings was bypassed; a leader behind cut links kept its lease by them. Ruled out: the lease itself. Change: the settings go first everywhere, as they did for the consensus. Before: cut_off_leader_starts_nothing failed, as the instance never lost its lease.

--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -381,14 +381,11 @@
             return;
         }
         let mut known: Vec<SocketAddr> = core.settings.peers.iter().map(|p| p.address).collect();
-        known.extend(
-            core.feed
-                .borrow()
-                .directory()
-                .instances
-                .values()
-                .map(|i| i.peers),
-        );
+        let named: Vec<id::Instance> = {
+            let feed = core.feed.borrow();
+            feed.directory().instances.keys().cloned().collect()
+        };
+        known.extend(named.iter().filter_map(|name| core.address_of(name)));
         known.retain(|address| *address != own);
         known.dedup();
         if known.is_empty() {
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -161,6 +161,7 @@
     let (traffic, commands) = traffic::Handle::new();
     traffic::spawn(traffic::Start {
         identity: identity.clone(),
+        settings: settings.clone(),
         clock: clock.clone(),
         published: published.clone(),
         accepted: links,
--- a/gooseberrylb/src/traffic.rs
+++ b/gooseberrylb/src/traffic.rs
@@ -7,6 +7,7 @@
 use futures::channel::oneshot;
 use gooseberrylb_config::clock::Clock;
 use gooseberrylb_config::directory::Cell;
+use gooseberrylb_config::settings::Settings;
 use gooseberrylb_policy::request::{Id, Request};
 use gooseberrylb_policy::scheduler::{Decision, End, Running};
 
@@ -112,6 +113,8 @@
 pub struct Start {
     /// Who this instance is.
     pub identity: Identity,
+    /// The settings, which may name a way to a peer that differs from the peer's own address.
+    pub settings: Arc<Settings>,
     /// The time.
     pub clock: Arc<dyn Clock>,
     /// The configuration.
--- a/gooseberrylb/src/traffic/client.rs
+++ b/gooseberrylb/src/traffic/client.rs
@@ -193,11 +193,7 @@
 
     fn address_of(&self, view: &View) -> Option<std::net::SocketAddr> {
         let snapshot = self.host.published.read();
-        snapshot
-            .directory
-            .instances
-            .get(&view.scheduler)
-            .map(|instance| instance.peers)
+        self.host.address_of(&snapshot.directory, &view.scheduler)
     }
 
     /// Tells the cell's scheduler what happens to this instance's requests.
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 use gooseberrylb_config::directory::{Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_config::settings::Settings;
 use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
 use gooseberrylb_wire::handshake::Greeting;
 use gooseberrylb_wire::message::{Batch, Call, Event, Held, Holding, Notice, Receipt};
@@ -38,6 +40,7 @@
     pub published: Published,
     /// The links to other instances.
     pub links: Links<Traffic>,
+    settings: Arc<Settings>,
     clock: Arc<dyn Clock>,
     shared: Arc<Shared>,
     hosted: RefCell<BTreeMap<Cell, Rc<Hosted>>>,
@@ -52,6 +55,7 @@
         Rc::new(Self {
             links: Links::new(&start.identity),
             identity: start.identity.clone(),
+            settings: start.settings.clone(),
             published: start.published.clone(),
             clock: start.clock.clone(),
             shared: start.shared.clone(),
@@ -121,12 +125,21 @@
         let backups = view
             .backups
             .iter()
-            .filter_map(|name| directory.instances.get(name));
-        let links = backups.map(|instance| self.links.to(instance.peers));
+            .filter_map(|name| self.address_of(directory, name));
+        let links = backups.map(|address| self.links.to(address));
         let copiers = links.map(|link| Copier::start(&hosted, link)).collect();
         hosted.set_copiers(copiers);
     }
 
+    /// Where another instance is reached: as the settings say, else as it said itself.
+    pub fn address_of(&self, directory: &Directory, name: &id::Instance) -> Option<SocketAddr> {
+        let mut peers = self.settings.peers.iter();
+        let by_settings = peers
+            .find(|peer| peer.name == *name)
+            .map(|peer| peer.address);
+        by_settings.or_else(|| directory.instances.get(name).map(|instance| instance.peers))
+    }
+
     fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
         let copy = self.copies.borrow_mut().remove(cell);
         let holds = copy.as_ref().and_then(|copy| copy.holds);
