--- a/gooseberrylb_config/tests/notes.rs
+++ b/gooseberrylb_config/tests/notes.rs
@@ -125,7 +125,10 @@
 #[test]
 fn a_digest_stays_the_same_from_release_to_release() {
     let digest = parse(BASE).digest();
-    assert_eq!(digest.to_string(), "4c8b0b88a5821b8d1d632772d457c25633f44aae1240968123389e546a12e854");
+    assert_eq!(
+        digest.to_string(),
+        "4c8b0b88a5821b8d1d632772d457c25633f44aae1240968123389e546a12e854"
+    );
 }
 
 #[test]
--- a/gooseberrylb_testbed/src/fleet.rs
+++ b/gooseberrylb_testbed/src/fleet.rs
@@ -77,6 +77,7 @@
     program: PathBuf,
     instances: usize,
     voters: usize,
+    spares: usize,
     region: String,
     data_centres: Vec<String>,
     proxied: bool,
@@ -93,6 +94,7 @@
             program: program.into(),
             instances: 3,
             voters: 3,
+            spares: 0,
             region: "padana".into(),
             data_centres: ["cremona", "lodi", "mantova"].map(String::from).into(),
             proxied: false,
@@ -114,6 +116,12 @@
         self
     }
 
+    /// Sets how many of the instances behind the voters have a data folder and may become voters.
+    pub fn with_spares(mut self, spares: usize) -> Self {
+        self.spares = spares;
+        self
+    }
+
     /// Sets the region and its data centres, over which instances are spread in turn.
     pub fn with_places(mut self, region: &str, data_centres: &[&str]) -> Self {
         self.region = region.into();
@@ -233,7 +241,7 @@
             "log": {"level": self.log_level},
             "limits": self.limits,
         });
-        if i < self.voters {
+        if i < self.voters + self.spares {
             settings["data_folder"] = json!(data);
         }
         if let Some(store) = self.weight_store {
--- a/gooseberrylb_testbed/src/scene.rs
+++ b/gooseberrylb_testbed/src/scene.rs
@@ -4,7 +4,7 @@
 
 use async_std::sync::{Mutex, MutexGuard};
 use gooseberrylb_config::note::Note;
-use serde_json::json;
+use serde_json::{Value, json};
 use thiserror::Error;
 
 use crate::client::judge::violations;
@@ -18,6 +18,9 @@
 /// How long the note may take to be in force.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long the status may be without a leader or a scheduler.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// How long a load may take to end so many requests.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -84,20 +87,32 @@
         violations(&self.note, records, &self.executions())
     }
 
-    /// The position of the instance that leads.
+    /// The position of the instance that leads, waited for where there is none just now.
     pub async fn leader(&self) -> Option<usize> {
-        let status = self.fleet.operator().get("/v1/status").await.ok()?;
-        let leader = status["leader"].as_str()?.to_owned();
-        self.position(&leader)
+        let read = |status: &Value| status["leader"].as_str().map(str::to_owned);
+        self.read_position(read).await
     }
 
-    /// The position of the instance that schedules a service.
+    /// The position of the instance that schedules a service, waited for likewise.
     pub async fn scheduler(&self, service: &str) -> Option<usize> {
-        let status = self.fleet.operator().get("/v1/status").await.ok()?;
-        let views = status["views"].as_array()?;
-        let view = views.iter().find(|view| view["service"] == service)?;
-        let scheduler = view["scheduler"].as_str()?.to_owned();
-        self.position(&scheduler)
+        let read = |status: &Value| {
+            let views = status["views"].as_array()?;
+            let view = views.iter().find(|view| view["service"] == service)?;
+            view["scheduler"].as_str().map(str::to_owned)
+        };
+        self.read_position(read).await
+    }
+
+    async fn read_position(&self, read: impl Fn(&Value) -> Option<String>) -> Option<usize> {
+        let operator = self.fleet.operator();
+        let mut position = None;
+        wait_until(STATUS_TIMEOUT, async || {
+            let status = operator.get("/v1/status").await.unwrap_or_default();
+            position = read(&status).and_then(|name| self.position(&name));
+            position.is_some()
+        })
+        .await;
+        position
     }
 
     fn position(&self, name: &str) -> Option<usize> {
--- /dev/null
+++ b/gooseberrylb_testbed/tests/control.rs
@@ -0,0 +1,122 @@
+//! An accepted note never reverts, whatever becomes of the processes and disks that hold it.
+
+use std::time::Duration;
+
+use futures::future::join;
+use gooseberrylb_testbed::fleet::{Builder, Fleet, wait_until};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gooseberrylb_testbed");
+/// A bound on waiting that a busy machine keeps.
+const SOON: Duration = Duration::from_secs(60);
+/// The changes after which all instances restart.
+const CHANGES: u64 = 500;
+
+fn note(number: u64, account: &str) -> Value {
+    json!({
+        "note": number, "author": "rossi",
+        "added": {"client_accounts": [{"name": account}]}
+    })
+}
+
+async fn digest(fleet: &Fleet, number: u64) -> Value {
+    let read = fleet.operator().get(&format!("/v1/notes/{number}")).await;
+    read.map_or(Value::Null, |read| read["digest"].clone())
+}
+
+#[async_std::test]
+async fn notes_survive_the_death_of_all_instances_after_many_changes() {
+    let mut fleet = Builder::new(PROGRAM).start().await.unwrap();
+    let mut digests = Vec::new();
+    for number in 1..=CHANGES {
+        let accepted = fleet
+            .operator()
+            .submit(&note(number, &format!("account-{number}")))
+            .await;
+        digests.push(accepted.unwrap()["digest"].clone());
+    }
+    for i in 0..3 {
+        fleet.instance_mut(i).kill().unwrap();
+    }
+    for i in 0..3 {
+        fleet.instance_mut(i).start().unwrap();
+    }
+    fleet.wait_healthy(SOON).await.unwrap();
+    fleet.wait_fresh(SOON).await.unwrap();
+    fleet.operator().wait_in_force(CHANGES, SOON).await.unwrap();
+    for (number, accepted) in (1..).zip(digests) {
+        assert_eq!(digest(&fleet, number).await, accepted, "note {number}");
+    }
+}
+
+#[async_std::test]
+async fn equal_numbers_at_two_instances_give_one_acceptance() {
+    let fleet = Builder::new(PROGRAM).start().await.unwrap();
+    let operator = fleet.operator();
+    operator.submit(&note(1, "first")).await.unwrap();
+    let addresses: Vec<_> = fleet.instances().iter().map(|i| i.operators()).collect();
+    for number in 2..12 {
+        let (one, other) = (
+            note(number, &format!("one-{number}")),
+            note(number, "other"),
+        );
+        let (a, b) = join(
+            operator.submit_at(addresses[1], &one),
+            operator.submit_at(addresses[2], &other),
+        )
+        .await;
+        let (a, b) = (a.unwrap(), b.unwrap());
+        let mut statuses = [a.status, b.status];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409], "note {number}");
+        let (winner, accepted) = if a.status == 200 {
+            (&one, &a)
+        } else {
+            (&other, &b)
+        };
+        let accepted = accepted.json().unwrap();
+        for address in &addresses {
+            let again = operator.submit_at(*address, winner).await.unwrap();
+            assert_eq!(again.json().unwrap(), accepted, "a resend of note {number}");
+        }
+        if winner == &other {
+            let withdrawal = json!({
+                "note": 100 + number, "author": "rossi",
+                "withdrawn": {"client_accounts": ["other"]}
+            });
+            operator.submit(&withdrawal).await.unwrap();
+        }
+    }
+}
+
+#[async_std::test]
+async fn second_loss_after_a_repair_loses_nothing() {
+    let builder = Builder::new(PROGRAM)
+        .with_instances(4)
+        .with_voters(3)
+        .with_spares(1);
+    let mut fleet = builder.start().await.unwrap();
+    let first = fleet.operator().submit(&note(1, "first")).await.unwrap();
+    fleet.instance_mut(0).kill().unwrap();
+    fleet.instances()[0].wipe().unwrap();
+    let spare = fleet.instances()[3].name().to_owned();
+    let operator = fleet.operator();
+    let repaired = async || {
+        let status = operator.get("/v1/status").await.unwrap_or_default();
+        let instances = status["instances"].as_array().cloned().unwrap_or_default();
+        instances
+            .iter()
+            .any(|i| i["name"] == spare && i["voter"] == true)
+    };
+    assert!(wait_until(SOON, repaired).await, "{}", fleet.output());
+    let second = operator.submit(&note(2, "second")).await.unwrap();
+    fleet.instance_mut(1).kill().unwrap();
+    let third = operator.submit(&note(3, "third")).await.unwrap();
+    for (number, accepted) in [(1, first), (2, second), (3, third)] {
+        assert_eq!(
+            digest(&fleet, number).await,
+            accepted["digest"],
+            "note {number}"
+        );
+    }
+}
--- /dev/null
+++ b/gooseberrylb_testbed/tests/partitions.rs
@@ -0,0 +1,144 @@
+//! What callers are told stays true while links between instances are cut off, late or silent.
+
+use std::time::Duration;
+
+use gooseberrylb_testbed::client::caller::Call;
+use gooseberrylb_testbed::client::load::Load;
+use gooseberrylb_testbed::client::tally::{Record, Tally};
+use gooseberrylb_testbed::fleet::{Builder, wait_until};
+use gooseberrylb_testbed::proxy::Faults;
+use gooseberrylb_testbed::scene::{Scene, let_run};
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_gooseberrylb_testbed");
+const NOTE: &str = include_str!("../../examples/demo.json");
+/// A bound on waiting that a busy machine keeps.
+const SOON: Duration = Duration::from_secs(40);
+const CALLERS: usize = 6;
+
+async fn scene() -> Scene {
+    let builder = Builder::new(PROGRAM).with_proxied_peers();
+    Scene::start(builder, NOTE).await.unwrap()
+}
+
+fn mixture(number: u64) -> Call {
+    let text = format!("request {number}");
+    let key = format!("key-{number}");
+    if number.is_multiple_of(2) {
+        Call::prompt("agronomo", "plan", &text, 8).with_key(&key)
+    } else {
+        Call::plain("comando", "start", &text).with_key(&key)
+    }
+}
+
+fn load(scene: &Scene) -> Load {
+    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi"));
+    Load::start(callers.collect(), mixture)
+}
+
+fn assert_true(scene: &Scene, records: &[Record]) {
+    let violations = scene.violations(records);
+    let output = scene.fleet.output();
+    let tally = Tally::new(records);
+    assert!(
+        violations.is_empty(),
+        "{tally}\n{}\n{output}",
+        violations.join("\n")
+    );
+}
+
+/// Cuts an instance off from the others, while callers and upstreams still reach it.
+async fn cut_off(scene: &Scene, cut: usize) {
+    for link in scene.fleet.links_of(cut) {
+        link.set_faults(Faults::frozen());
+    }
+    let instance = &scene.fleet.instances()[cut];
+    assert!(wait_until(SOON, async || !instance.is_fresh().await).await);
+    let caller = scene
+        .fleet
+        .caller("cascina-rossi")
+        .with_address(instance.callers());
+    let call = Call::plain("comando", "start", "cut off").with_key("cut-off");
+    let record = caller.call(&call).await;
+    assert_eq!(
+        record.outcome.map(|o| o.to_string()).as_deref(),
+        Some("not-run"),
+        "{record}"
+    );
+}
+
+/// Changes the configuration while an instance is cut off, heals it, and reads the change back there.
+async fn heal_with_a_new_note(scene: &Scene, cut: usize) {
+    let operators = scene.fleet.instances().iter().map(|i| i.operators());
+    let elsewhere = operators.enumerate().find(|(i, _)| *i != cut).unwrap().1;
+    let note = json!({
+        "note": 2, "author": "bianchi",
+        "added": {"client_accounts": [{"name": "cascina-verdi"}]}
+    });
+    let operator = scene.fleet.operator();
+    let mut accepted = json!(null);
+    let accepts = async || match operator.submit_at(elsewhere, &note).await {
+        Ok(answer) if answer.status == 200 => {
+            accepted = answer.json().unwrap();
+            true
+        }
+        _ => false,
+    };
+    assert!(wait_until(SOON, accepts).await, "{}", scene.fleet.output());
+    for link in scene.fleet.links_of(cut) {
+        link.set_faults(Faults::default());
+    }
+    let healed = scene.fleet.instances()[cut].operators();
+    let reads = async || match operator.get_at(healed, "/v1/notes/2").await {
+        Ok(note) => note["digest"] == accepted["digest"] && note["in_force"] == true,
+        Err(_) => false,
+    };
+    assert!(wait_until(SOON, reads).await, "{}", scene.fleet.output());
+}
+
+async fn survives_cut_off(cut: usize, scene: &Scene) {
+    let load = load(scene);
+    assert!(let_run(&load, 30).await);
+    cut_off(scene, cut).await;
+    assert!(let_run(&load, 40).await, "requests stopped ending");
+    heal_with_a_new_note(scene, cut).await;
+    assert!(let_run(&load, 40).await, "requests stopped ending");
+    let records = load.stop().await;
+    assert_true(scene, &records);
+    let last = &records[records.len() - CALLERS..];
+    assert!(last.iter().any(Record::is_served), "{}", Tally::new(last));
+}
+
+#[async_std::test]
+async fn cut_off_leader_starts_nothing_and_reverts_nothing() {
+    let scene = scene().await;
+    let leader = scene.leader().await.unwrap();
+    survives_cut_off(leader, &scene).await;
+}
+
+#[async_std::test]
+async fn cut_off_scheduler_grants_nothing() {
+    let scene = scene().await;
+    let scheduler = scene.scheduler("comando").await.unwrap();
+    survives_cut_off(scheduler, &scene).await;
+}
+
+#[async_std::test]
+async fn silent_peer_connections_are_replaced() {
+    let scene = scene().await;
+    let load = load(&scene);
+    for _ in 0..2 {
+        assert!(let_run(&load, 30).await);
+        scene.fleet.links().iter().for_each(|link| link.silence());
+        assert!(
+            let_run(&load, 30).await,
+            "requests stopped ending\n{}",
+            scene.fleet.output()
+        );
+    }
+    assert!(let_run(&load, 30).await);
+    let records = load.stop().await;
+    assert_true(&scene, &records);
+    let last = &records[records.len() - CALLERS..];
+    assert!(last.iter().any(Record::is_served), "{}", Tally::new(last));
+}
