Look at engines' load and cache events, and end the process when a single thread panics

Cause: schedulers placed prompts by their own memory only, although engines tell what they cache; and a panic in the control or traffic thread would have left an instance that answers and is of no use. Ruled out: polling on the traffic thread itself, which would delay grants.

--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -25,6 +25,9 @@
 /// The exit code where the settings or what they name cannot be used.
 const EXIT_USAGE: u8 = 2;
 
+/// The exit code after a fault of the program itself.
+const EXIT_INTERNAL: i32 = 70;
+
 /// The most operators' connections open at once.
 const OPERATOR_CONNECTIONS: usize = 256;
 
@@ -57,6 +60,7 @@
         eprintln!("gooseberrylb: {error:#}");
         return ExitCode::from(EXIT_USAGE);
     }
+    stop_at_panics();
     match start(Arc::new(settings)) {
         Ok(instance) => {
             task::block_on(instance.serve());
@@ -70,6 +74,21 @@
     }
 }
 
+/// Ends the process when one of its single threads panics: without its control state, its schedulers
+/// or its journal, an instance would go on answering and be of no use.
+fn stop_at_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        let thread = std::thread::current();
+        if matches!(thread.name(), Some("control" | "traffic" | "journal")) {
+            log::error!("{panic}; this instance stops");
+            log::logger().flush();
+            std::process::exit(EXIT_INTERNAL);
+        }
+    }));
+}
+
 /// A started instance.
 struct Instance {
     settings: Arc<Settings>,
--- a/gooseberrylb/src/traffic.rs
+++ b/gooseberrylb/src/traffic.rs
@@ -18,6 +18,7 @@
 mod copier;
 mod host;
 mod hosted;
+mod looks;
 mod notices;
 mod rpc;
 mod thread;
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -225,6 +225,19 @@
         self.feed_all(|| Input::Died(name.clone()));
     }
 
+    /// The cells that are scheduled here.
+    pub fn scheduled(&self) -> Vec<Cell> {
+        self.hosted.borrow().keys().cloned().collect()
+    }
+
+    /// Feeds the scheduler of one cell, if it still runs here.
+    pub fn feed(&self, cell: &Cell, input: Input) {
+        let hosted = self.hosted.borrow().get(cell).cloned();
+        if let Some(hosted) = hosted {
+            hosted.step(input);
+        }
+    }
+
     fn feed_all(&self, input: impl Fn() -> Input) {
         let hosted: Vec<_> = self.hosted.borrow().values().cloned().collect();
         for hosted in hosted {
--- a/gooseberrylb/src/traffic/thread.rs
+++ b/gooseberrylb/src/traffic/thread.rs
@@ -10,10 +10,10 @@
 use gooseberrylb_wire::peer_capnp::traffic;
 use gooseberrylb_wire::server;
 
-use super::Start;
 use super::client::Client;
 use super::host::Host;
 use super::rpc::Server;
+use super::{Start, looks};
 use crate::control::Accepted;
 
 /// The time between two looks at the configuration and the queues.
@@ -31,6 +31,7 @@
     let client = Client::new(&start, host.clone());
     task::spawn_local(accept(host.clone(), start.accepted));
     task::spawn_local(client.clone().run(start.commands));
+    task::spawn_local(looks::run(host.clone()));
     loop {
         host.refresh();
         client.refresh();
