Judge a done version no longer than the leader takes it back

Cause: schedulers follow a move only when the control state changes, so their trial of a done version went on after the 15 minutes' watch. A proof then would have stopped the version at the scheduler while the leader left it in place.

Change: a trial of a done move ends by itself at the watch's end; the leader takes a version back for 30 s longer, and orders the old one's engines to drop it only after that.

Ruled out: configuring the brake on a timer, which needs the daemon to know the watch.

Shown failing first: without the end of judging (trial), version_is_not_stopped_after_its_watch failed.

--- a/gooseberrylb_policy/src/moves/brake.rs
+++ b/gooseberrylb_policy/src/moves/brake.rs
@@ -84,13 +84,12 @@
         self.trials
             .retain(|version, _| moves.get(version).is_some_and(&watched));
         for (version, of) in moves.iter().filter(|(_, m)| watched(m)) {
-            match self.trials.get_mut(version) {
-                Some(trial) => trial.follow(of),
-                None => {
-                    let trial = Trial::new(terms(of, directory), now, of);
-                    self.trials.insert(version.clone(), trial);
-                }
-            }
+            let trial = self
+                .trials
+                .entry(version.clone())
+                .or_insert_with(|| Trial::new(terms(of, directory), now, of));
+            trial.follow(of);
+            trial.judge_until(judged_until(of, now, wall, &pace));
         }
     }
 
@@ -189,6 +188,14 @@
     }
 }
 
+/// When the judging of a move that is done ends, so that a scheduler never stops a version that the
+/// leader would not take back any more.
+fn judged_until(of: &Move, now: Instant, wall: SystemTime, pace: &Pace) -> Option<Instant> {
+    let end = of.since + pace.watch;
+    let left = end.duration_since(wall).unwrap_or_default();
+    (of.phase == Phase::Done).then(|| now + left)
+}
+
 fn terms(of: &Move, directory: &Directory) -> Terms {
     let routes = directory
         .services
--- a/gooseberrylb_policy/src/moves/mover.rs
+++ b/gooseberrylb_policy/src/moves/mover.rs
@@ -115,7 +115,7 @@
 
     /// The engines of the old version drop it when the watch is over and nothing routes to it.
     fn unload(&self, scene: Scene<'_>, of: &Move) -> Vec<Order> {
-        let since = of.since + self.pace.watch;
+        let since = self.pace.settled(of);
         let over = scene.wall >= since && scene.wall < since + UNLOAD_PERIOD;
         let shares = &scene.directory.shares;
         let idle = shares.get(&of.replaces).is_none_or(|s| *s == Share::NONE);
@@ -291,7 +291,7 @@
     }
 
     fn watched(&self, scene: Scene<'_>, of: &Move) -> Option<Step> {
-        if scene.wall >= of.since + self.pace.watch {
+        if scene.wall >= self.pace.settled(of) {
             return None;
         }
         let reason = tripped(scene, of)?;
--- a/gooseberrylb_policy/src/moves/plan.rs
+++ b/gooseberrylb_policy/src/moves/plan.rs
@@ -37,6 +37,9 @@
     pub longest_margin: Duration,
     /// How long a version is watched, and the old one kept warm, after a move is done.
     pub watch: Duration,
+    /// How much longer the leader takes a version back, so that a proof made at the end of the watch
+    /// still reaches it.
+    pub watch_grace: Duration,
     /// How long schedulers' reports are awaited before the canary, to know the rate of requests.
     pub settling: Duration,
     /// How old a scheduler's report may be for a share to be raised on it.
@@ -59,6 +62,7 @@
             shortest_margin: Duration::from_secs(3),
             longest_margin: Duration::from_secs(60),
             watch: Duration::from_secs(900),
+            watch_grace: Duration::from_secs(30),
             settling: Duration::from_secs(5),
             freshness: Duration::from_secs(5),
             step_requests: 50,
@@ -77,6 +81,11 @@
         of.move_by - margin
     }
 
+    /// When a move that is done can be taken back no more.
+    pub fn settled(&self, of: &Move) -> SystemTime {
+        of.since + self.watch + self.watch_grace
+    }
+
     /// The least time that a move takes from its canary on, without its margin.
     pub fn shortest(&self) -> Duration {
         self.shortest_hold * FEWEST_HOLDS
--- a/gooseberrylb_policy/src/moves/trial.rs
+++ b/gooseberrylb_policy/src/moves/trial.rs
@@ -58,6 +58,7 @@
     rate: Meter,
     scopes: BTreeMap<Scope, Requests>,
     last_failures: BTreeMap<id::DataCentre, Instant>,
+    judged_until: Option<Instant>,
     trip: Option<Trip>,
 }
 
@@ -74,6 +75,7 @@
             rate: Meter::new(now),
             scopes: BTreeMap::new(),
             last_failures: BTreeMap::new(),
+            judged_until: None,
             trip: None,
         }
     }
@@ -96,6 +98,11 @@
         }
     }
 
+    /// Sets the time after which no proof is given any more; none means never.
+    pub fn judge_until(&mut self, end: Option<Instant>) {
+        self.judged_until = end;
+    }
+
     /// Takes in a request of either version; gives the proof once, when it is complete.
     pub fn record(&mut self, now: Instant, sample: &Sample) -> Option<Trip> {
         let new = sample.version == self.terms.version;
@@ -107,6 +114,9 @@
             self.in_step.add(sample.failed);
             self.total.add(sample.failed);
         }
+        if self.judged_until.is_some_and(|end| now >= end) {
+            return None;
+        }
         self.compare(now, sample, new);
         self.judge()
     }
--- a/gooseberrylb_policy/tests/moves/main.rs
+++ b/gooseberrylb_policy/tests/moves/main.rs
@@ -9,6 +9,7 @@
 use gooseberrylb_config::directory::Share;
 use gooseberrylb_policy::moves::evidence::Evidence;
 use gooseberrylb_policy::moves::mover::Mover;
+use gooseberrylb_policy::moves::plan::Pace;
 use gooseberrylb_policy::moves::{Phase, weights};
 
 use crate::replay::{Replay, Run, directory, new_version};
@@ -199,3 +200,15 @@
         }
     }
 }
+
+#[test]
+fn version_is_not_stopped_after_its_watch() {
+    let trace = Trace::read("bad-late");
+    let pace = Pace {
+        watch: Duration::from_secs(15),
+        watch_grace: Duration::from_secs(5),
+        ..Pace::default()
+    };
+    let run = Replay::new(&trace, 1).with_pace(pace).finish();
+    assert_eq!((run.phase, run.tripped), (Phase::Done, None));
+}
