Give a braked version's traffic back to the one it replaces, and let a leader order on after a lapse

Cause: found by reading: a version that had taken everything and was stopped by its scheduler left the service with no version until the leader's step (test: NoUpstream); a lease that lapsed and came back in the same term ended all orders of the term; any 409 of an engine counted as an old fencing number. Ruled out: raising the old version's share in the control state first, which takes a round trip. Change: what a ceiling withholds flows to the replaced version; orders pause without the lease; only the code old_fencing ends them. Before: a_version_lowered_after_it_took_everything_gives_it_back failed.

--- a/gooseberrylb/src/control/moves.rs
+++ b/gooseberrylb/src/control/moves.rs
@@ -46,11 +46,11 @@
         let Some((_, book)) = book.as_mut() else {
             return Vec::new();
         };
-        let now = core.clock.now();
+        // Nothing is ordered without the lease; it may come back in the same term.
         if !core.is_leading() {
-            book.step(now, Input::Stop);
+            return Vec::new();
         }
-        book.step(now, input)
+        book.step(core.clock.now(), input)
     }
 
     fn weights(&self) -> weights::State {
--- a/gooseberrylb/src/upstream/order.rs
+++ b/gooseberrylb/src/upstream/order.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_std::future;
+use gooseberrylb_config::answer;
 use gooseberrylb_config::number::Fencing;
 use gooseberrylb_policy::moves::order::{Answer, Kind, Order};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
@@ -13,6 +14,9 @@
 use super::Error;
 use super::http::{self, Reuse};
 
+/// The code by which engines refuse an order with an old fencing number.
+const OLD_FENCING: &str = "old_fencing";
+
 /// How long an engine may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -79,8 +83,7 @@
         .set_body(body.map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))?);
     let mut response = call(address, request).await?;
     match response.status() {
-        // The engine names the number in words only; any above this leader's ends its orders.
-        StatusCode::Conflict => Ok(Answer::Fenced(fencing.next())),
+        StatusCode::Conflict => Ok(read_conflict(&mut response, fencing).await),
         status if status.is_success() => read(&mut response).await,
         status if status.is_client_error() => {
             let reason: Arc<str> = format!("the engine answered {status}").into();
@@ -90,6 +93,17 @@
     }
 }
 
+/// Tells the refusal of an old fencing number from other conflicts.
+async fn read_conflict(response: &mut Response, fencing: Fencing) -> Answer {
+    let read = future::timeout(TIMEOUT, response.body_json::<answer::Error>()).await;
+    match read {
+        // The engine names the number in words only; any above this leader's ends its orders.
+        Ok(Ok(answer)) if &*answer.error.code == OLD_FENCING => Answer::Fenced(fencing.next()),
+        Ok(Ok(answer)) => Answer::Refused(answer.error.message),
+        Ok(Err(_)) | Err(_) => Answer::Refused("the engine refused it as a conflict".into()),
+    }
+}
+
 async fn call(address: SocketAddr, request: Request) -> Result<Response, Error> {
     let call = http::call(address, request, Reuse::Never, TIMEOUT);
     match future::timeout(TIMEOUT, call).await {
--- a/gooseberrylb_policy/src/scheduler/versions.rs
+++ b/gooseberrylb_policy/src/scheduler/versions.rs
@@ -96,12 +96,21 @@
     }
 
     fn share(&self, directory: &Directory, version: &id::Version) -> i64 {
+        let taken_back: i64 = directory
+            .versions
+            .values()
+            .filter(|successor| successor.replaces.as_ref() == Some(version))
+            .map(|successor| self.withheld(directory, &successor.name))
+            .sum();
+        share_of(directory, version) - self.withheld(directory, version) + taken_back
+    }
+
+    /// How much less a version takes than the control state gave it; the version that it replaces
+    /// takes this, so that the service is served on.
+    fn withheld(&self, directory: &Directory, version: &id::Version) -> i64 {
         let share = share_of(directory, version);
-        let ceiling = self
-            .ceilings
-            .get(version)
-            .map_or(share, |ceiling| ceiling.share);
-        share.min(ceiling)
+        let ceiling = self.ceilings.get(version);
+        ceiling.map_or(0, |ceiling| (share - ceiling.share).max(0))
     }
 
     /// Whether the version takes traffic on the upstream.
--- a/gooseberrylb_policy/tests/scheduler/order.rs
+++ b/gooseberrylb_policy/tests/scheduler/order.rs
@@ -269,6 +269,20 @@
     );
 }
 
+#[test]
+fn a_version_lowered_after_it_took_everything_gives_it_back() {
+    let versions: [(&str, u16, &[&str], u32); 2] =
+        [("v1", 0, &["up-1"], 50), ("v2", 10_000, &["up-2"], 50)];
+    let mut bench = Bench::new(directory(Kind::Engine, &versions), view(1, &[]));
+    let version = |bench: &mut Bench, n: u64| {
+        let decisions = bench.enqueue(request("entry-1", n, 1));
+        granted(&decisions, &id("entry-1", n)).version.to_string()
+    };
+    assert_eq!(version(&mut bench, 1), "v2");
+    bench.step(Input::Lower(name("v2"), Share::NONE));
+    assert_eq!(version(&mut bench, 2), "v1");
+}
+
 #[test]
 fn a_withdrawn_upstream_gets_nothing_more_not_even_what_was_on_its_way() {
     let both = directory(Kind::Plain, &[("v1", 10_000, &["up-1", "up-2"], 4)]);
