--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -144,7 +144,8 @@
 /// What a node wants done, in this order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Write and sync the records, then feed [`Input::Synced`] with the number.
+    /// Write and sync the records, then feed [`Input::Synced`] with the number. A crash meanwhile
+    /// must leave all of them or none.
     Persist {
         /// Grows by one with each output.
         sequence: u64,
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -340,7 +340,7 @@
         self.outputs.push(Output::Persist { sequence, records });
     }
 
-    /// The records of a batch. The cluster comes last: a torn batch leaves a node unformed.
+    /// The records of a batch.
     fn records(&self, batch: &Batch) -> Vec<Record> {
         let mut records = Vec::new();
         let mut first = batch.first;
