--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 use gooseberrylb_config::directory::{Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_config::settings::Settings;
 use gooseberrylb_policy::moves::Move;
 use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
 use gooseberrylb_wire::handshake::Greeting;
@@ -39,6 +41,7 @@
     pub published: Published,
     /// The links to other instances.
     pub links: Links<Traffic>,
+    settings: Arc<Settings>,
     clock: Arc<dyn Clock>,
     control: control::Handle,
     hosted: RefCell<BTreeMap<Cell, Rc<Hosted>>>,
@@ -54,6 +57,7 @@
         Rc::new(Self {
             links: Links::new(&start.identity),
             identity: start.identity.clone(),
+            settings: start.settings.clone(),
             published: start.published.clone(),
             clock: start.clock.clone(),
             control: start.control.clone(),
@@ -76,7 +80,7 @@
         let before = self.directory.replace(next.clone());
         self.drop_unplaced(&next);
         for (cell, view) in &next.views {
-            if view.scheduler == self.identity.name {
+            if self.is_scheduler(view) {
                 self.schedule(cell, view, &next);
             } else if view.backups.contains(&self.identity.name) {
                 self.back_up(cell, view);
@@ -90,6 +94,11 @@
         self.feed_all(|| Input::Directory(next.clone()));
     }
 
+    /// Whether a view makes this very process the scheduler, and not one before a restart.
+    fn is_scheduler(&self, view: &View) -> bool {
+        view.scheduler == self.identity.name && view.incarnation == self.identity.incarnation
+    }
+
     /// Has the trials follow the moves, where any moves or views have changed.
     fn follow_moves(&self, snapshot: &Snapshot) {
         let known = self.moves.borrow().clone();
@@ -124,23 +133,34 @@
         let running = self.hosted.borrow().get(cell).cloned();
         let hosted = match running {
             Some(hosted) if hosted.view() == view.number => return,
-            Some(hosted) => {
+            Some(hosted) if hosted.view() >= view.since => {
                 hosted.change_view(view.clone());
                 hosted
             }
-            None => self.take_over(cell, view, directory),
+            // Others may have granted since the view that runs here.
+            Some(_) | None => self.take_over(cell, view, directory),
         };
         let backups = view
             .backups
             .iter()
-            .filter_map(|name| directory.instances.get(name));
-        let links = backups.map(|instance| self.links.to(instance.peers));
+            .filter_map(|name| self.address_of(directory, name));
+        let links = backups.map(|address| self.links.to(address));
         let copiers = links.map(|link| Copier::start(&hosted, link)).collect();
         hosted.set_copiers(copiers);
     }
 
+    /// Where another instance is reached: as the settings say, else as it said itself.
+    pub fn address_of(&self, directory: &Directory, name: &id::Instance) -> Option<SocketAddr> {
+        let mut peers = self.settings.peers.iter();
+        let by_settings = peers
+            .find(|peer| peer.name == *name)
+            .map(|peer| peer.address);
+        by_settings.or_else(|| directory.instances.get(name).map(|instance| instance.peers))
+    }
+
     fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
         let copy = self.copies.borrow_mut().remove(cell);
+        let copy = copy.filter(|copy| copy.holds >= Some(view.since));
         let holds = copy.as_ref().and_then(|copy| copy.holds);
         let claims = copy
             .map(|copy| copy.backup.claims().clone())
@@ -166,9 +186,13 @@
             clock: self.clock.clone(),
         });
         hosted.follow_moves(&self.published.read());
-        self.hosted
+        let replaced = self
+            .hosted
             .borrow_mut()
             .insert(cell.clone(), hosted.clone());
+        if let Some(replaced) = replaced {
+            replaced.retire();
+        }
         hosted
     }
 
