Have callers resend keys whose outcome is unknown

At most once was not tested under resends: the callers of the failure tests sent each key once. They now resend a key that got no answer or an unknown outcome; a resend that was not run says nothing of the send before it. Tests of planned stops and withdrawals demand that no request needed a resend.

--- a/gooseberrylb_testbed/src/client/caller.rs
+++ b/gooseberrylb_testbed/src/client/caller.rs
@@ -23,6 +23,9 @@
 /// The longest that a caller waits before it tries again, whatever it is told.
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// How long a caller waits before it sends a key again.
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
+
 /// How much longer than the request's own timeout a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -139,6 +142,7 @@
     seeds: Vec<SocketAddr>,
     fixed: Option<SocketAddr>,
     attempts: u32,
+    resends: u32,
     kept: Mutex<Option<Kept>>,
     records: Mutex<Vec<Record>>,
 }
@@ -151,6 +155,7 @@
             seeds,
             fixed: None,
             attempts: 1,
+            resends: 0,
             kept: Mutex::new(None),
             records: Mutex::new(Vec::new()),
         }
@@ -162,6 +167,12 @@
         self
     }
 
+    /// Sends a key up to `resends` times again while it is not known what became of it.
+    pub fn with_resends(mut self, resends: u32) -> Self {
+        self.resends = resends;
+        self
+    }
+
     /// Uses one address, and asks for none.
     pub fn with_address(mut self, address: SocketAddr) -> Self {
         self.fixed = Some(address);
@@ -201,22 +212,43 @@
         Vec::new()
     }
 
-    /// Sends a request, and again where it was not run and attempts are left.
+    /// Sends a request, and again where it was not run, or where a resend of its key may tell more.
     pub async fn call(&self, call: &Call) -> Record {
         let mut attempt = 0;
+        let mut resends = if call.key.is_some() { self.resends } else { 0 };
+        let mut doubt: Option<Record> = None;
         loop {
             attempt += 1;
             let mut record = self.try_addresses(call).await;
             record.attempts = attempt;
-            if attempt >= self.attempts || record.outcome != Some(Outcome::NotRun) {
-                lock(&self.records).push(record.clone());
-                return record;
+            match record.outcome {
+                Some(Outcome::NotRun) if attempt < self.attempts => {
+                    let wait = record.retry_after.unwrap_or_default();
+                    task::sleep(wait.min(LONGEST_RETRY_AFTER)).await;
+                }
+                Some(Outcome::Unknown) | None if resends > 0 => {
+                    resends -= 1;
+                    doubt.get_or_insert(record);
+                    task::sleep(RESEND_PAUSE).await;
+                }
+                _ => return self.keep(record, doubt),
             }
-            let wait = record.retry_after.unwrap_or_default();
-            task::sleep(wait.min(LONGEST_RETRY_AFTER)).await;
         }
     }
 
+    /// Keeps what came of a request. That a resend was not run says nothing of the send before it.
+    fn keep(&self, last: Record, doubt: Option<Record>) -> Record {
+        let record = match doubt {
+            Some(doubt) if last.outcome == Some(Outcome::NotRun) => Record {
+                attempts: last.attempts,
+                ..doubt
+            },
+            _ => last,
+        };
+        lock(&self.records).push(record.clone());
+        record
+    }
+
     async fn ask_for_addresses(&self, seed: SocketAddr) -> Option<Addresses> {
         let path = format!("/v1/addresses?account={}", self.account);
         let answer = Client::new(seed, ADDRESSES_TIMEOUT).get(&path).await.ok()?;
--- a/gooseberrylb_testbed/tests/failures.rs
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -18,6 +18,8 @@
 const SOON: Duration = Duration::from_secs(40);
 /// How long after a withdrawal is accepted its upstream may still be granted, in milliseconds.
 const WITHDRAWAL_MS: u64 = 2_000;
+/// How often a key is sent again that got no answer or an unknown outcome.
+const RESENDS: u32 = 2;
 const CALLERS: usize = 8;
 
 async fn scene() -> Scene {
@@ -37,7 +39,7 @@
 }
 
 fn load(scene: &Scene) -> Load {
-    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi"));
+    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi").with_resends(RESENDS));
     Load::start(callers.collect(), mixture)
 }
 
@@ -133,7 +135,7 @@
     assert_true(&scene, &records);
     let cut = records
         .iter()
-        .filter(|r| r.outcome != Some(Outcome::Served))
+        .filter(|record| !record.is_served() || record.attempts > 1)
         .count();
     assert_eq!(cut, 0, "{}", Tally::new(&records));
     let engine = scene
@@ -184,7 +186,7 @@
         assert_true(&scene, &records);
         let cut: Vec<String> = records
             .iter()
-            .filter(|record| !record.is_served())
+            .filter(|record| !record.is_served() || record.attempts > 1)
             .map(|record| format!("{record} {:?}", record.error))
             .collect();
         let output = scene.fleet.output();
--- a/gooseberrylb_testbed/tests/partitions.rs
+++ b/gooseberrylb_testbed/tests/partitions.rs
@@ -14,6 +14,8 @@
 const NOTE: &str = include_str!("../../examples/demo.json");
 /// A bound on waiting that a busy machine keeps.
 const SOON: Duration = Duration::from_secs(40);
+/// How often a key is sent again that got no answer or an unknown outcome.
+const RESENDS: u32 = 2;
 const CALLERS: usize = 6;
 
 async fn scene() -> Scene {
@@ -32,7 +34,7 @@
 }
 
 fn load(scene: &Scene) -> Load {
-    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi"));
+    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi").with_resends(RESENDS));
     Load::start(callers.collect(), mixture)
 }
 
