Foresee loading times by the weight store's rate

Cause: the leader reckoned that weights load in no time, since nothing told it the rate of the store, so a move whose weights cannot load before its deadline began to load all the same. Change: the setting weight_store_bytes_per_second, checked with the store that it is of, is what the moves are paced by; without it loading takes no time, as before.

--- a/gooseberrylb/src/control/moves.rs
+++ b/gooseberrylb/src/control/moves.rs
@@ -14,7 +14,8 @@
 use gooseberrylb_policy::moves::evidence::{Evidence, Report};
 use gooseberrylb_policy::moves::mover::{Action, Mover};
 use gooseberrylb_policy::moves::order::{Book, Input, Message, Order};
-use gooseberrylb_policy::moves::{Move, Phase, weights};
+use gooseberrylb_policy::moves::weights::{self, Rate};
+use gooseberrylb_policy::moves::{Move, Phase};
 
 use super::Failure;
 use super::core::Core;
@@ -53,11 +54,11 @@
         book.step(now, input)
     }
 
-    fn weights(&self) -> weights::State {
+    fn weights(&self, rate: Option<Rate>) -> weights::State {
         let book = self.book.borrow();
         let book = book.as_ref().map(|(_, book)| book);
         weights::State {
-            rate: None,
+            rate,
             confirmed: book.map(Book::confirmed).unwrap_or_default(),
             refused: book.map(Book::refused).unwrap_or_default(),
         }
@@ -90,7 +91,8 @@
     count(&moves);
     let directory = core.feed.borrow().directory().clone();
     let wall = core.clock.wall();
-    let weights = core.desk.weights();
+    let rate = core.settings.weight_store_bytes_per_second.map(Rate);
+    let weights = core.desk.weights(rate);
     let actions = {
         let mut evidence = core.desk.evidence.borrow_mut();
         evidence.retain(|version| moves.contains_key(version));
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -115,6 +115,8 @@
     pub operator_token_file: PathBuf,
     /// Where the weight store listens.
     pub weight_store: Option<SocketAddr>,
+    /// The rate of the weight store, shared by all that load, by which loading times are foreseen.
+    pub weight_store_bytes_per_second: Option<u64>,
     /// What is logged, and where to.
     pub log: Log,
     /// The bounds on what callers may use.
@@ -147,6 +149,7 @@
     cluster_key_file,
     operator_token_file,
     weight_store = None,
+    weight_store_bytes_per_second = None,
     log = Log::default(),
     limits = Limits::default(),
 });
@@ -221,6 +224,7 @@
         self.check_addresses(&mut findings);
         self.check_peers(&mut findings);
         self.limits.check(&mut findings);
+        self.check_weight_store(&mut findings);
         findings
     }
 
@@ -273,6 +277,17 @@
         }
     }
 
+    fn check_weight_store(&self, findings: &mut Findings) {
+        let place = "weight_store_bytes_per_second";
+        match self.weight_store_bytes_per_second {
+            Some(0) => findings.add(place, "the rate must not be zero"),
+            Some(_) if self.weight_store.is_none() => {
+                findings.add(place, "a rate needs the weight store that it is of");
+            }
+            Some(_) | None => {}
+        }
+    }
+
     fn check_files(&self) -> Findings {
         let mut findings = Findings::new();
         if let Err(error) = self.cluster_key() {
--- a/gooseberrylb_config/tests/settings.rs
+++ b/gooseberrylb_config/tests/settings.rs
@@ -113,3 +113,17 @@
     let secret = Secret::read(&path).unwrap();
     assert_eq!(format!("{secret:?}"), "Secret(..)");
 }
+
+#[test]
+fn the_rate_of_a_weight_store_belongs_to_a_store_and_is_not_zero() {
+    let with = |fields: &str| GOOD.replace("\"data_folder\"", &format!("{fields} \"data_folder\""));
+    let alone = with("\"weight_store_bytes_per_second\": 5,");
+    let zero = with("\"weight_store\": \"127.0.0.1:1\", \"weight_store_bytes_per_second\": 0,");
+    for text in [&alone, &zero] {
+        let findings = places(&Settings::parse(text).unwrap_err());
+        assert_eq!(findings.len(), 1, "{findings:?}");
+        assert!(findings[0].ends_with("weight_store_bytes_per_second"));
+    }
+    let settings = Settings::parse(&zero.replace("second\": 0", "second\": 5")).unwrap();
+    assert_eq!(settings.weight_store_bytes_per_second, Some(5));
+}
