Keep headroom on the fast engines only

Cause: headroom on every engine cost lower tiers goodput below capacity, while a higher tier is mostly placed on the fast ones. Change: 12% of the engines that read at least 0.9 times as fast as all together.

--- a/gooseberrylb_policy/src/scheduler/fleet.rs
+++ b/gooseberrylb_policy/src/scheduler/fleet.rs
@@ -86,7 +86,7 @@
     pub fn has_slot(&self, headroom_percent: u32, now: Instant) -> bool {
         self.upstreams
             .values()
-            .any(|upstream| upstream.has_slot(headroom_percent, now))
+            .any(|upstream| upstream.has_slot(self.headroom(upstream, headroom_percent), now))
     }
 
     /// Whether any upstream takes traffic.
@@ -149,7 +149,8 @@
             let Some(upstream) = self.upstreams.get(name) else {
                 continue;
             };
-            let open = upstream.has_slot(wanted.headroom_percent, wanted.now);
+            let headroom = self.headroom(upstream, wanted.headroom_percent);
+            let open = upstream.has_slot(headroom, wanted.now);
             if !open || upstream.is_probed() && !allow_probe {
                 continue;
             }
@@ -166,6 +167,16 @@
         best.map(|(_, name)| name)
     }
 
+    /// Only the faster upstreams keep headroom: a higher tier is placed there, and on the others
+    /// free slots would only be lost.
+    fn headroom(&self, upstream: &Upstream, percent: u32) -> u32 {
+        if upstream.is_fast(self.typical()) {
+            percent
+        } else {
+            0
+        }
+    }
+
     fn typical(&self) -> Typical {
         Typical {
             prefill: self.prefill.per_second(),
--- a/gooseberrylb_policy/src/scheduler/limits.rs
+++ b/gooseberrylb_policy/src/scheduler/limits.rs
@@ -25,7 +25,7 @@
     /// How long it waits for them before it grants anything, so that what has come back first does
     /// not overtake a higher tier.
     pub settle_all: Duration,
-    /// The part of an upstream's slots, in percent, that lower tiers leave free.
+    /// The part of a fast upstream's slots, in percent, that lower tiers leave free.
     pub headroom_percent: u32,
     /// How long after the last higher-tier request lower tiers leave headroom.
     pub headroom_memory: Duration,
--- a/gooseberrylb_policy/src/scheduler/upstream.rs
+++ b/gooseberrylb_policy/src/scheduler/upstream.rs
@@ -9,6 +9,9 @@
 use super::rate::Rate;
 use crate::request::{Figures, Request};
 
+/// The part of the typical prefill rate from which an upstream counts as fast.
+const FAST: f64 = 0.9;
+
 /// How much of the weight of earlier observations each new one leaves.
 const RATE_MEMORY: f64 = 0.9;
 
@@ -131,6 +134,14 @@
         self.description = description.clone();
     }
 
+    /// Whether it reads prompts about as fast as the service's upstreams together, or faster.
+    pub fn is_fast(&self, typical: Typical) -> bool {
+        match (self.prefill.per_second(), typical.prefill) {
+            (Some(own), Some(typical)) => own >= typical * FAST,
+            (None, _) | (_, None) => true,
+        }
+    }
+
     /// The requests that it may run at once.
     pub fn limit(&self) -> u32 {
         (self.limit as u32).clamp(1, self.description.slots.0.max(1))
