--- a/gooseberrylb/src/traffic.rs
+++ b/gooseberrylb/src/traffic.rs
@@ -7,19 +7,22 @@
 use futures::channel::oneshot;
 use gooseberrylb_config::clock::Clock;
 use gooseberrylb_config::directory::Cell;
+use gooseberrylb_config::settings::Settings;
 use gooseberrylb_policy::request::{Id, Request};
 use gooseberrylb_policy::scheduler::{Decision, End, Running};
 
-use crate::control::{Accepted, Identity, Shared};
+use crate::control::{self, Accepted, Identity};
 use crate::published::Published;
 
 mod client;
 mod copier;
 mod host;
 mod hosted;
+mod looks;
 mod notices;
 mod rpc;
 mod thread;
+mod trials;
 
 pub use thread::spawn;
 
@@ -112,6 +115,8 @@
 pub struct Start {
     /// Who this instance is.
     pub identity: Identity,
+    /// The settings, which may name a way to a peer that differs from the peer's own address.
+    pub settings: Arc<Settings>,
     /// The time.
     pub clock: Arc<dyn Clock>,
     /// The configuration.
@@ -120,6 +125,6 @@
     pub accepted: Receiver<Accepted>,
     /// What entries ask.
     pub commands: Receiver<Command>,
-    /// Where the held claims are reported.
-    pub shared: Arc<Shared>,
+    /// Where the held claims are reported, and what schedulers see of moves.
+    pub control: control::Handle,
 }
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +10,8 @@
 use gooseberrylb_config::directory::{Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number;
+use gooseberrylb_config::settings::Settings;
+use gooseberrylb_policy::moves::Move;
 use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
 use gooseberrylb_wire::handshake::Greeting;
 use gooseberrylb_wire::message::{Batch, Call, Event, Held, Holding, Notice, Receipt};
@@ -16,10 +19,10 @@
 
 use super::Start;
 use super::copier::Copier;
-use super::hosted::{Hosted, not_scheduler};
-use crate::control::{Identity, Links, Shared};
+use super::hosted::{self, Hosted, not_scheduler};
+use crate::control::{self, Identity, Links};
 use crate::metrics::METRICS;
-use crate::published::Published;
+use crate::published::{Published, Snapshot};
 
 /// How long a request can have been running that a scheduler without claims does not know of.
 const LOST_CLAIMS_WINDOW: std::time::Duration = std::time::Duration::from_secs(120);
@@ -38,12 +41,14 @@
     pub published: Published,
     /// The links to other instances.
     pub links: Links<Traffic>,
+    settings: Arc<Settings>,
     clock: Arc<dyn Clock>,
-    shared: Arc<Shared>,
+    control: control::Handle,
     hosted: RefCell<BTreeMap<Cell, Rc<Hosted>>>,
     copies: RefCell<BTreeMap<Cell, Copy>>,
     directory: RefCell<Arc<Directory>>,
     starts: RefCell<BTreeMap<id::Instance, u64>>,
+    moves: RefCell<(Arc<BTreeMap<id::Version, Move>>, number::Revision)>,
 }
 
 impl Host {
@@ -52,26 +57,30 @@
         Rc::new(Self {
             links: Links::new(&start.identity),
             identity: start.identity.clone(),
+            settings: start.settings.clone(),
             published: start.published.clone(),
             clock: start.clock.clone(),
-            shared: start.shared.clone(),
+            control: start.control.clone(),
             hosted: RefCell::default(),
             copies: RefCell::default(),
             directory: RefCell::default(),
             starts: RefCell::default(),
+            moves: RefCell::default(),
         })
     }
 
     /// Takes in a new configuration, where there is one.
     pub fn refresh(&self) {
-        let next = self.published.read().directory.clone();
+        let snapshot = self.published.read();
+        self.follow_moves(&snapshot);
+        let next = snapshot.directory.clone();
         if next.revision <= self.directory.borrow().revision {
             return;
         }
         let before = self.directory.replace(next.clone());
         self.drop_unplaced(&next);
         for (cell, view) in &next.views {
-            if view.scheduler == self.identity.name {
+            if self.is_scheduler(view) {
                 self.schedule(cell, view, &next);
             } else if view.backups.contains(&self.identity.name) {
                 self.back_up(cell, view);
@@ -85,6 +94,25 @@
         self.feed_all(|| Input::Directory(next.clone()));
     }
 
+    /// Whether a view makes this very process the scheduler, and not one before a restart.
+    fn is_scheduler(&self, view: &View) -> bool {
+        view.scheduler == self.identity.name && view.incarnation == self.identity.incarnation
+    }
+
+    /// Has the trials follow the moves, where any moves or views have changed.
+    fn follow_moves(&self, snapshot: &Snapshot) {
+        let known = self.moves.borrow().clone();
+        let same = Arc::ptr_eq(&known.0, &snapshot.moves) && known.1 == snapshot.directory.revision;
+        if same {
+            return;
+        }
+        *self.moves.borrow_mut() = (snapshot.moves.clone(), snapshot.directory.revision);
+        let hosted: Vec<_> = self.hosted.borrow().values().cloned().collect();
+        for hosted in hosted {
+            hosted.follow_moves(snapshot);
+        }
+    }
+
     fn drop_unplaced(&self, directory: &Directory) {
         let is_member = |cell: &Cell| {
             directory.view(cell).is_some_and(|view| {
@@ -105,23 +133,34 @@
         let running = self.hosted.borrow().get(cell).cloned();
         let hosted = match running {
             Some(hosted) if hosted.view() == view.number => return,
-            Some(hosted) => {
+            Some(hosted) if hosted.view() >= view.since => {
                 hosted.change_view(view.clone());
                 hosted
             }
-            None => self.take_over(cell, view, directory),
+            // Others may have granted since the view that runs here.
+            Some(_) | None => self.take_over(cell, view, directory),
         };
         let backups = view
             .backups
             .iter()
-            .filter_map(|name| directory.instances.get(name));
-        let links = backups.map(|instance| self.links.to(instance.peers));
+            .filter_map(|name| self.address_of(directory, name));
+        let links = backups.map(|address| self.links.to(address));
         let copiers = links.map(|link| Copier::start(&hosted, link)).collect();
         hosted.set_copiers(copiers);
     }
 
+    /// Where another instance is reached: as the settings say, else as it said itself.
+    pub fn address_of(&self, directory: &Directory, name: &id::Instance) -> Option<SocketAddr> {
+        let mut peers = self.settings.peers.iter();
+        let by_settings = peers
+            .find(|peer| peer.name == *name)
+            .map(|peer| peer.address);
+        by_settings.or_else(|| directory.instances.get(name).map(|instance| instance.peers))
+    }
+
     fn take_over(&self, cell: &Cell, view: &View, directory: &Arc<Directory>) -> Rc<Hosted> {
         let copy = self.copies.borrow_mut().remove(cell);
+        let copy = copy.filter(|copy| copy.holds >= Some(view.since));
         let holds = copy.as_ref().and_then(|copy| copy.holds);
         let claims = copy
             .map(|copy| copy.backup.claims().clone())
@@ -139,10 +178,21 @@
         if view.number > number::View(1) && holds.is_none() {
             scheduler = scheduler.with_claims_lost(now, LOST_CLAIMS_WINDOW);
         }
-        let hosted = Hosted::new(cell.clone(), scheduler, holds, self.clock.clone());
-        self.hosted
+        let hosted = Hosted::new(hosted::Parts {
+            cell: cell.clone(),
+            scheduler,
+            holds,
+            incarnation: self.identity.incarnation,
+            clock: self.clock.clone(),
+        });
+        hosted.follow_moves(&self.published.read());
+        let replaced = self
+            .hosted
             .borrow_mut()
             .insert(cell.clone(), hosted.clone());
+        if let Some(replaced) = replaced {
+            replaced.retire();
+        }
         hosted
     }
 
@@ -175,6 +225,19 @@
         self.feed_all(|| Input::Died(name.clone()));
     }
 
+    /// The cells that are scheduled here.
+    pub fn scheduled(&self) -> Vec<Cell> {
+        self.hosted.borrow().keys().cloned().collect()
+    }
+
+    /// Feeds the scheduler of one cell, if it still runs here.
+    pub fn feed(&self, cell: &Cell, input: Input) {
+        let hosted = self.hosted.borrow().get(cell).cloned();
+        if let Some(hosted) = hosted {
+            hosted.step(input);
+        }
+    }
+
     fn feed_all(&self, input: impl Fn() -> Input) {
         let hosted: Vec<_> = self.hosted.borrow().values().cloned().collect();
         for hosted in hosted {
@@ -185,6 +248,11 @@
     /// Lets time pass, and reports which claims are held here.
     pub fn tick(&self) {
         self.feed_all(|| Input::Tick);
+        for hosted in self.hosted.borrow().values() {
+            if let Some(report) = hosted.poll_trials() {
+                self.control.report(report);
+            }
+        }
         self.report_holdings();
     }
 
@@ -199,7 +267,7 @@
             .chain(copied)
             .filter_map(|(cell, view)| view.map(|view| Holding { cell, view }))
             .collect();
-        if let Ok(mut holds) = self.shared.holds.lock() {
+        if let Ok(mut holds) = self.control.shared.holds.lock() {
             *holds = holdings;
         }
     }
@@ -239,12 +307,15 @@
         let Some(hosted) = self.scheduler_of(&notice.cell, notice.view) else {
             return Receipt::NotScheduler;
         };
+        let directory = self.directory.borrow().clone();
         for event in notice.events {
-            hosted.step(match event {
-                Event::Withdraw(id) => Input::Withdraw(id),
-                Event::End(end) => Input::End(end),
-                Event::Resume { entry, running } => Input::Resume { entry, running },
-            });
+            match event {
+                Event::Withdraw(id) => hosted.step(Input::Withdraw(id)),
+                Event::End(end) => hosted.end(end, &directory),
+                Event::Resume { entry, running } => {
+                    hosted.step(Input::Resume { entry, running });
+                }
+            }
         }
         Receipt::Taken
     }
