--- a/gooseberrylb_testbed/src/client/caller.rs
+++ b/gooseberrylb_testbed/src/client/caller.rs
@@ -141,6 +141,7 @@
     account: String,
     seeds: Vec<SocketAddr>,
     fixed: Option<SocketAddr>,
+    preferred: Option<SocketAddr>,
     attempts: u32,
     resends: u32,
     kept: Mutex<Option<Kept>>,
@@ -154,6 +155,7 @@
             account: account.into(),
             seeds,
             fixed: None,
+            preferred: None,
             attempts: 1,
             resends: 0,
             kept: Mutex::new(None),
@@ -173,6 +175,12 @@
         self
     }
 
+    /// Uses this address first for as long as it is among those answered.
+    pub fn with_preferred(mut self, address: SocketAddr) -> Self {
+        self.preferred = Some(address);
+        self
+    }
+
     /// Uses one address, and asks for none.
     pub fn with_address(mut self, address: SocketAddr) -> Self {
         self.fixed = Some(address);
@@ -201,7 +209,8 @@
         for seed in &self.seeds {
             if let Some(answer) = self.ask_for_addresses(*seed).await {
                 let until = now + Duration::from_millis(answer.ttl_ms);
-                let addresses = answer.addresses;
+                let mut addresses = answer.addresses;
+                addresses.sort_by_key(|address| Some(*address) != self.preferred);
                 *lock(&self.kept) = Some(Kept {
                     addresses: addresses.clone(),
                     until,
--- a/gooseberrylb_testbed/tests/failures.rs
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -20,7 +20,9 @@
 const WITHDRAWAL_MS: u64 = 2_000;
 /// How often a key is sent again that got no answer or an unknown outcome.
 const RESENDS: u32 = 2;
-const CALLERS: usize = 8;
+const CALLERS: usize = 9;
+/// How long plain calls take, so that some are under way at any time, in milliseconds.
+const PLAIN_MS: u64 = 150;
 
 async fn scene() -> Scene {
     Scene::start(Builder::new(PROGRAM), NOTE).await.unwrap()
@@ -38,8 +40,20 @@
     }
 }
 
+/// Has callers spread over all instances, and plain calls take a while.
 fn load(scene: &Scene) -> Load {
-    let callers = (0..CALLERS).map(|_| scene.fleet.caller("cascina-rossi").with_resends(RESENDS));
+    for (_, service) in scene.surroundings.services() {
+        service.set_faults(Faults {
+            delay_ms: PLAIN_MS,
+            ..Faults::default()
+        });
+    }
+    let instances = scene.fleet.instances();
+    let callers = (0..CALLERS).map(|i| {
+        let preferred = instances[i % instances.len()].callers();
+        let caller = scene.fleet.caller("cascina-rossi").with_resends(RESENDS);
+        caller.with_preferred(preferred)
+    });
     Load::start(callers.collect(), mixture)
 }
 
