Measure what fleets cost as their numbers grow

Capacity could only be guessed: no tool measured instances by role. `gooseberrylb_testbed slopes` starts fleets on loopback and reads processor time and memory of each process from the system, and bytes on peer links from the proxies, which now count what they forward. Fleets of 3 to 12 instances without callers, notes on 3 voters, restarts, and loads through one entry.

--- a/gooseberrylb_testbed/src/lib.rs
+++ b/gooseberrylb_testbed/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod proxy;
 pub mod replay;
 pub mod scene;
+pub mod slopes;
 pub mod standin;
 pub mod surroundings;
--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -10,6 +10,7 @@
 use gooseberrylb_testbed::demo;
 use gooseberrylb_testbed::replay::trace::Trace;
 use gooseberrylb_testbed::replay::{self, recorder};
+use gooseberrylb_testbed::slopes;
 use gooseberrylb_testbed::standin::engine::{Engine, Settings};
 use gooseberrylb_testbed::standin::plain::Service;
 
@@ -34,6 +35,9 @@
         seed: u64,
         name: String,
     },
+    Slopes {
+        json: bool,
+    },
 }
 
 fn instance() -> impl Parser<Command> {
@@ -103,6 +107,14 @@
         .command("record")
 }
 
+fn slopes() -> impl Parser<Command> {
+    let json = long("json").help("Print JSON").switch();
+    construct!(Command::Slopes { json })
+        .to_options()
+        .descr("Measures what fleets cost on this machine as their numbers grow.")
+        .command("slopes")
+}
+
 fn options() -> OptionParser<Command> {
     let instance = instance();
     let demo = demonstration();
@@ -110,7 +122,8 @@
     let plain = plain();
     let replay = replay();
     let record = record();
-    construct!([instance, demo, engine, plain, replay, record])
+    let slopes = slopes();
+    construct!([instance, demo, engine, plain, replay, record, slopes])
         .to_options()
         .descr("Stand-ins, fleets and replays for developing gooseberrylb.")
 }
@@ -132,6 +145,7 @@
         Command::Plain { listen } => task::block_on(run_plain(listen)),
         Command::Replay { traces } => run_replay(&traces),
         Command::Record { seed, name } => run_record(&name, seed),
+        Command::Slopes { json } => task::block_on(slopes::run(json)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/gooseberrylb_testbed/src/proxy.rs
+++ b/gooseberrylb_testbed/src/proxy.rs
@@ -99,6 +99,7 @@
 struct State {
     faults: Faults,
     connections: Vec<Connection>,
+    forwarded_bytes: u64,
 }
 
 /// A running link. Dropping it resets its connections and stops listening.
@@ -159,6 +160,11 @@
             .count()
     }
 
+    /// The bytes forwarded so far, both directions together.
+    pub fn forwarded_bytes(&self) -> u64 {
+        lock(&self.state).forwarded_bytes
+    }
+
     /// Sets the faults of open and new connections.
     pub fn set_faults(&self, faults: Faults) {
         lock(&self.state).faults = faults;
--- a/gooseberrylb_testbed/src/proxy/pump.rs
+++ b/gooseberrylb_testbed/src/proxy/pump.rs
@@ -107,6 +107,8 @@
         if part.bytes.is_empty() {
             return to.shutdown(Shutdown::Write);
         }
+        // Counted first, so that whoever has received the bytes finds them counted.
+        gate.count(part.bytes.len());
         to.write_all(&part.bytes).await?;
     }
     // The end of the stream was dropped: the other side must not learn of it.
@@ -129,6 +131,10 @@
         }
     }
 
+    fn count(&self, bytes: usize) {
+        lock(&self.state).forwarded_bytes += bytes as u64;
+    }
+
     /// Waits until bytes that came at `came` may go on; `false` if they are to be dropped.
     async fn passes(&self, came: Instant) -> bool {
         loop {
--- a/gooseberrylb_testbed/tests/proxy.rs
+++ b/gooseberrylb_testbed/tests/proxy.rs
@@ -144,3 +144,16 @@
     send(&mut old, b"two").await;
     expect(&mut old, b"two").await;
 }
+
+#[async_std::test]
+async fn forwarded_bytes_are_counted_in_both_directions_and_dropped_ones_are_not() {
+    let link = echo().await;
+    let mut stream = connect(&link).await;
+    send(&mut stream, b"one").await;
+    expect(&mut stream, b"one").await;
+    assert_eq!(link.forwarded_bytes(), 6);
+    link.silence();
+    send(&mut stream, b"two").await;
+    expect_silence(&mut stream).await;
+    assert_eq!(link.forwarded_bytes(), 6);
+}
