--- a/gooseberrylb_testbed/src/fleet.rs
+++ b/gooseberrylb_testbed/src/fleet.rs
@@ -81,6 +81,7 @@
     data_centres: Vec<String>,
     proxied: bool,
     weight_store: Option<SocketAddr>,
+    weight_rate: Option<u64>,
     limits: Value,
     log_level: String,
 }
@@ -97,6 +98,7 @@
             data_centres: ["cremona", "lodi", "mantova"].map(String::from).into(),
             proxied: false,
             weight_store: None,
+            weight_rate: None,
             limits: json!({"addresses_ttl_ms": 1_000, "drain_ms": 20_000}),
             log_level: "info".into(),
         }
@@ -127,12 +129,18 @@
         self
     }
 
-    /// Names a weight store.
-    pub fn with_weight_store(mut self, address: SocketAddr) -> Self {
+    /// Names a weight store and its rate in bytes a second.
+    pub fn with_weight_store(mut self, address: SocketAddr, rate: u64) -> Self {
         self.weight_store = Some(address);
+        self.weight_rate = Some(rate);
         self
     }
 
+    /// The weight store, where one is named.
+    pub fn weight_store(&self) -> Option<SocketAddr> {
+        self.weight_store
+    }
+
     /// Sets one of the limits in the settings.
     pub fn with_limit(mut self, name: &str, value: u64) -> Self {
         self.limits[name] = value.into();
@@ -238,6 +246,7 @@
         }
         if let Some(store) = self.weight_store {
             settings["weight_store"] = json!(store);
+            settings["weight_store_bytes_per_second"] = json!(self.weight_rate);
         }
         write(&home.join("settings.json"), &format!("{settings:#}\n"))
     }
--- a/gooseberrylb_testbed/src/scene.rs
+++ b/gooseberrylb_testbed/src/scene.rs
@@ -57,7 +57,8 @@
     pub async fn start(builder: Builder, note: &str) -> Result<Self, Error> {
         let stage = STAGE.lock().await;
         let mut note = Note::parse(note).map_err(Error::Note)?;
-        let surroundings = Surroundings::start(&mut note).await?;
+        let mut surroundings = Surroundings::default().with_weight_store(builder.weight_store());
+        surroundings.fill(&mut note).await?;
         let fleet = builder.start().await?;
         let operator = fleet.operator();
         operator.submit(&json!(note)).await?;
@@ -72,6 +73,14 @@
         })
     }
 
+    /// Starts stand-ins for the upstreams of a further note, and submits it.
+    pub async fn submit(&mut self, note: &str) -> Result<Note, Error> {
+        let mut note = Note::parse(note).map_err(Error::Note)?;
+        self.surroundings.fill(&mut note).await?;
+        self.fleet.operator().submit(&json!(note)).await?;
+        Ok(note)
+    }
+
     /// All that the upstreams ran.
     pub fn executions(&self) -> Vec<Execution> {
         let engines = self.surroundings.engines().map(|(_, e)| e.executions());
--- a/gooseberrylb_testbed/src/standin/engine.rs
+++ b/gooseberrylb_testbed/src/standin/engine.rs
@@ -132,6 +132,11 @@
         self.shared.lock().orders().to_vec()
     }
 
+    /// The orders that arrived, refused and repeated ones among them, in the order of arrival.
+    pub fn posts(&self) -> Vec<Order> {
+        self.shared.lock().posts().to_vec()
+    }
+
     /// The tokens of prompts that it read so far, without the cached ones.
     pub fn prefilled(&self) -> u64 {
         self.shared.lock().prefilled()
--- a/gooseberrylb_testbed/src/standin/engine/state.rs
+++ b/gooseberrylb_testbed/src/standin/engine/state.rs
@@ -120,6 +120,7 @@
     event_number: u64,
     checks_fencing: bool,
     orders: Vec<Order>,
+    posts: Vec<Order>,
 }
 
 impl State {
@@ -138,6 +139,7 @@
             event_number: 0,
             checks_fencing: settings.checks_fencing,
             orders: Vec::new(),
+            posts: Vec::new(),
         }
     }
 
@@ -151,6 +153,11 @@
         &self.orders
     }
 
+    /// The orders that arrived, refused and repeated ones among them.
+    pub fn posts(&self) -> &[Order] {
+        &self.posts
+    }
+
     /// The tokens of prompts read so far.
     pub fn prefilled(&self) -> u64 {
         self.model.prefilled()
@@ -275,6 +282,7 @@
 
     /// Takes an order, unless its fencing number is old and this engine checks.
     pub fn order(&mut self, order: Order) -> Verdict {
+        self.posts.push(order.clone());
         if let Some(known) = self.orders.iter().find(|o| o.order_id == order.order_id) {
             return Verdict::Known(known.clone());
         }
--- a/gooseberrylb_testbed/src/surroundings.rs
+++ b/gooseberrylb_testbed/src/surroundings.rs
@@ -40,16 +40,29 @@
 pub struct Surroundings {
     engines: Vec<(String, Engine)>,
     services: Vec<(String, Service)>,
+    weight_store: Option<SocketAddr>,
 }
 
 impl Surroundings {
     /// Starts a stand-in for each upstream that `note` adds, and fills its address in.
     pub async fn start(note: &mut Note) -> Result<Self, Error> {
         let mut surroundings = Self::default();
+        surroundings.fill(note).await?;
+        Ok(surroundings)
+    }
+
+    /// Names the store that engines load weights from.
+    pub fn with_weight_store(mut self, address: Option<SocketAddr>) -> Self {
+        self.weight_store = address;
+        self
+    }
+
+    /// Starts a stand-in for each upstream that `note` adds, and fills its address in.
+    pub async fn fill(&mut self, note: &mut Note) -> Result<(), Error> {
         for upstream in &mut note.added.upstreams {
-            surroundings.add(upstream).await?;
+            self.add(upstream).await?;
         }
-        Ok(surroundings)
+        Ok(())
     }
 
     /// Starts a stand-in for `upstream`, and fills its address in.
@@ -58,7 +71,7 @@
         let settings = Settings {
             profile: self.next_profile(upstream.slots.0),
             checks_fencing: upstream.checks_fencing,
-            weight_store: None,
+            weight_store: self.weight_store,
             faults: Faults {
                 load_lag_ms: LAG_MS,
                 event_lag_ms: LAG_MS,
