--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -163,9 +163,9 @@
         }
     }
 
-    /// The cluster that the node belongs to.
+    /// The cluster that the node belongs to, once that is synced: others rely on its existence.
     pub fn cluster(&self) -> Option<Cluster> {
-        self.cluster
+        self.cluster.filter(|_| !self.writer.owes_cluster())
     }
 
     fn role(&self) -> Role {
@@ -340,7 +340,7 @@
         self.outputs.push(Output::Persist { sequence, records });
     }
 
-    /// The records of a batch. The cluster comes last: a torn batch leaves a node unformed.
+    /// The records of a batch.
     fn records(&self, batch: &Batch) -> Vec<Record> {
         let mut records = Vec::new();
         let mut first = batch.first;
--- a/gooseberrylb_policy/tests/scheduler/order.rs
+++ b/gooseberrylb_policy/tests/scheduler/order.rs
@@ -7,6 +7,7 @@
 use gooseberrylb_config::directory::Share;
 use gooseberrylb_config::id;
 use gooseberrylb_config::note::{Account, Kind};
+use gooseberrylb_config::number::Tokens;
 use gooseberrylb_policy::request::{Id, Outcome, Request};
 use gooseberrylb_policy::scheduler::{Decision, Grant, Input, Limits, Refusal, Running};
 use proptest::prelude::*;
@@ -152,7 +153,8 @@
             let account = if n % 2 == 0 { "large" } else { "small" };
             let request = Request {
                 account: name(account),
-                cost: cost(*tokens, 0),
+                // One half is expected to take what it takes, the other half another amount.
+                cost: cost(if n % 4 < 2 { *tokens } else { 1_000 }, 0),
                 time_left: Duration::from_secs(100_000),
                 ..request("entry-1", n as u64, 1)
             };
@@ -172,7 +174,12 @@
             if left.values().any(|left| *left == 0) {
                 break;
             }
-            grants.extend(bench.step(end(&id, &grant, Outcome::Served)));
+            let Input::End(mut end) = end(&id, &grant, Outcome::Served) else {
+                continue;
+            };
+            end.figures.prompt = Tokens(tokens);
+            end.figures.output = Tokens(0);
+            grants.extend(bench.step(Input::End(end)));
         }
     }
 
@@ -262,6 +269,20 @@
     );
 }
 
+#[test]
+fn a_version_lowered_after_it_took_everything_gives_it_back() {
+    let versions: [(&str, u16, &[&str], u32); 2] =
+        [("v1", 0, &["up-1"], 50), ("v2", 10_000, &["up-2"], 50)];
+    let mut bench = Bench::new(directory(Kind::Engine, &versions), view(1, &[]));
+    let version = |bench: &mut Bench, n: u64| {
+        let decisions = bench.enqueue(request("entry-1", n, 1));
+        granted(&decisions, &id("entry-1", n)).version.to_string()
+    };
+    assert_eq!(version(&mut bench, 1), "v2");
+    bench.step(Input::Lower(name("v2"), Share::NONE));
+    assert_eq!(version(&mut bench, 2), "v1");
+}
+
 #[test]
 fn a_withdrawn_upstream_gets_nothing_more_not_even_what_was_on_its_way() {
     let both = directory(Kind::Plain, &[("v1", 10_000, &["up-1", "up-2"], 4)]);
