Keep one id for all attempts, withdraw refused keys, and name streams by their grants

Ruled out: ordering ends before retries at the entry, since links may change between the two. Change: as the title says; copies need every backup of the view; reports feed Input::Known.

--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -13,6 +13,8 @@
 use async_std::{future, task};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_control::consensus::Input;
+use gooseberrylb_control::membership::Cluster;
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::message::{News, Report, Update};
 
@@ -112,6 +114,7 @@
         log::warn!("{} belongs to another cluster and is refused", report.name);
         return Update::Ask { address: None };
     }
+    know_cluster(core, report.cluster);
     if core.is_leading() {
         lead(core, report).await
     } else {
@@ -126,6 +129,14 @@
     }
 }
 
+/// Tells the consensus of a cluster that another instance holds a configuration of: founders whose
+/// disks are all empty must not form a new one beside it.
+fn know_cluster(core: &Rc<Core>, cluster: Option<u64>) {
+    if let Some(cluster) = cluster {
+        core.step(Input::Known(Cluster(cluster)));
+    }
+}
+
 async fn lead(core: &Rc<Core>, report: Report) -> Update {
     if let Some(address) = relay_for(core, &report.name) {
         return Update::Ask {
@@ -277,7 +288,7 @@
 }
 
 /// Takes in what the leader sent; says whether the configuration is now as new as the leader's.
-fn take(core: &Core, source: Source, news: News, fresh_until: Instant) -> bool {
+fn take(core: &Rc<Core>, source: Source, news: News, fresh_until: Instant) -> bool {
     if core.cluster().is_some_and(|own| own != source.cluster) {
         log::warn!(
             "the leader {} belongs to another cluster and is refused",
@@ -285,6 +296,7 @@
         );
         return false;
     }
+    know_cluster(core, Some(source.cluster));
     let whole = {
         let mut feed = core.feed.borrow_mut();
         match news {
--- a/gooseberrylb/src/entry/attempt.rs
+++ b/gooseberrylb/src/entry/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::note::Kind;
-use gooseberrylb_policy::request::{Answer, Outcome, Request};
+use gooseberrylb_policy::request::{Answer, Id, Outcome, Request};
 use gooseberrylb_policy::scheduler::Grant;
 use http_types::{Response, StatusCode};
 
@@ -104,14 +104,7 @@
             Error::Lost(_) => {
                 let version = &self.grant.version;
                 account::count_wasted(&self.entry, &self.incoming, &self.request, version);
-                // The key of a request that is tried again must not stay with this dispatch.
-                let retried = self.may_retry && self.request.repeatable;
-                let outcome = if retried {
-                    Outcome::NotRun
-                } else {
-                    Outcome::Unknown
-                };
-                ending.finish(&self.entry, outcome);
+                ending.finish(&self.entry, Outcome::Unknown);
                 Attempted::Unknown
             }
         }
@@ -167,7 +160,7 @@
 
     async fn run_engine(self, prompt: &Prompt, held: Held) -> Attempted {
         let completion = Completion {
-            request_id: self.request.id.to_string().into(),
+            request_id: stream_name(&self.request.id, &self.grant),
             parameters: prompt.parameters.clone(),
         };
         let dispatched = self.entry.clock.now();
@@ -190,7 +183,7 @@
     }
 
     async fn cancel(&self) {
-        let id = self.request.id.to_string();
+        let id = stream_name(&self.request.id, &self.grant);
         let address = self.address;
         async_std::task::spawn(async move { engine::cancel(address, &id).await });
     }
@@ -303,6 +296,12 @@
     }
 }
 
+/// Names a request's stream at its engine: apart for each grant, so that a retry at the same engine
+/// is not taken for the attempt before.
+pub fn stream_name(id: &Id, grant: &Grant) -> Arc<str> {
+    format!("{id}.{}-{}", grant.ticket.view, grant.ticket.number).into()
+}
+
 /// Puts the headers of a served answer on `response`.
 pub fn mark(response: &mut Response, grant: &Grant) {
     response.insert_header(REQUEST_OUTCOME, Outcome::Served.to_string());
--- a/gooseberrylb/src/entry/dispatch.rs
+++ b/gooseberrylb/src/entry/dispatch.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use futures::FutureExt;
 use gooseberrylb_config::directory::Cell;
-use gooseberrylb_policy::request::{Answer, Key, Outcome, Request};
+use gooseberrylb_policy::request::{Answer, Id, Key, Outcome, Request};
 use gooseberrylb_policy::scheduler::{Decision, Grant, Refusal, Running};
 use http_types::{Response, StatusCode};
 
@@ -74,11 +74,14 @@
     async fn run(self, held: Held) -> Response {
         let mut held = Some(held);
         let mut attempts = 0;
+        // One id for all attempts, so that the scheduler knows a retry for what it is, even where it
+        // hears of it before the end of the attempt before.
+        let id = self.entry.next_id();
         loop {
             if !self.wait_until_fresh().await {
                 return self.refuse_cut_off();
             }
-            let request = self.request();
+            let request = self.request(&id);
             let Some(decision) = self.wait(request.clone()).await else {
                 return self.refuse_hung_up();
             };
@@ -127,7 +130,7 @@
         true
     }
 
-    fn request(&self) -> Request {
+    fn request(&self, id: &Id) -> Request {
         let incoming = &self.incoming;
         let account = incoming.account.clone();
         let key = incoming.key.clone().map(|text| Key {
@@ -135,7 +138,7 @@
             text,
         });
         Request {
-            id: self.entry.next_id(),
+            id: id.clone(),
             key,
             route: incoming.route.name.clone(),
             tier: incoming.route.tier,
--- a/gooseberrylb/src/entry/join.rs
+++ b/gooseberrylb/src/entry/join.rs
@@ -8,6 +8,7 @@
 use http_types::Response;
 
 use super::account::{self, Verdict};
+use super::attempt::stream_name;
 use super::dispatch::unknown;
 use super::incoming::Incoming;
 use super::{Entry, Held, SILENCE, relay};
@@ -30,7 +31,7 @@
         .get(&grant.upstream)
         .map(|upstream| upstream.address);
     while let Some(address) = address.filter(|_| entry.clock.now() < incoming.deadline) {
-        let resumed = engine::resume(address, &id.to_string(), 0, SILENCE).await;
+        let resumed = engine::resume(address, &stream_name(&id, &grant), 0, SILENCE).await;
         if let Ok(Started::Stream(stream)) = resumed {
             let verdict = Verdict {
                 outcome: Outcome::Served,
--- a/gooseberrylb/src/entry/relay.rs
+++ b/gooseberrylb/src/entry/relay.rs
@@ -19,7 +19,9 @@
 use serde_json::Value;
 
 use super::account::{self, Ending, Verdict};
-use super::attempt::{Attempt, Attempted, KEPT_ANSWER_BYTES, keep, mark, set_content_type};
+use super::attempt::{
+    Attempt, Attempted, KEPT_ANSWER_BYTES, keep, mark, set_content_type, stream_name,
+};
 use super::incoming::Incoming;
 use super::{Held, SILENCE};
 use crate::metrics::METRICS;
@@ -142,7 +144,7 @@
 
     async fn read(&mut self) -> Result<Line, Error> {
         if self.joined.stream.is_none() {
-            let id = self.attempt.request.id.to_string();
+            let id = stream_name(&self.attempt.request.id, &self.attempt.grant);
             let resumed = engine::resume(self.attempt.address, &id, self.joined.lines, SILENCE);
             match resumed.await? {
                 Started::Stream(stream) => self.joined.stream = Some(stream),
@@ -225,7 +227,8 @@
     }
 
     fn cancel(&self) {
-        let (address, id) = (self.attempt.address, self.attempt.request.id.to_string());
+        let address = self.attempt.address;
+        let id = stream_name(&self.attempt.request.id, &self.attempt.grant);
         task::spawn(async move { engine::cancel(address, &id).await });
     }
 }
--- a/gooseberrylb/src/traffic/client.rs
+++ b/gooseberrylb/src/traffic/client.rs
@@ -95,7 +95,7 @@
         request: Request,
         mut reply: oneshot::Sender<Decision>,
     ) {
-        let id = request.id.clone();
+        let (id, keyed) = (request.id.clone(), request.key.is_some());
         let decision = {
             let deciding = self.decide(&cell, request).fuse();
             futures::pin_mut!(deciding);
@@ -104,11 +104,15 @@
                 () = reply.cancellation().fuse() => None,
             }
         };
-        let undelivered = match decision {
-            Some(decision) => reply.send(decision).is_err(),
+        let given_up = match decision {
+            Some(decision) => {
+                // An earlier call for the same request may have been granted and its answer lost.
+                let refused = keyed && matches!(decision, Decision::Refuse { .. });
+                reply.send(decision).is_err() || refused
+            }
             None => true,
         };
-        if undelivered {
+        if given_up {
             self.outbox(&cell).push(Event::Withdraw(id));
         }
     }
--- a/gooseberrylb/src/traffic/hosted.rs
+++ b/gooseberrylb/src/traffic/hosted.rs
@@ -136,12 +136,8 @@
         if self.retired.get() {
             return self.holds.get();
         }
-        if self
-            .copiers
-            .borrow()
-            .iter()
-            .all(|copier| copier.is_synced())
-        {
+        let copiers = self.copiers.borrow();
+        if self.reaches_all(&copiers) && copiers.iter().all(|copier| copier.is_synced()) {
             self.holds.set(Some(self.view()));
         }
         self.holds.get()
@@ -173,7 +169,7 @@
                     for copier in self.copiers.borrow().iter() {
                         copier.push(sequence, records.clone());
                     }
-                    if self.copiers.borrow().is_empty() {
+                    if self.has_no_backups() {
                         self.step(Input::Held(sequence));
                     }
                 }
@@ -181,6 +177,17 @@
         }
     }
 
+    /// Whether there is a copier for each backup of the view; one whose address is not known yet must
+    /// hold claims as well.
+    fn reaches_all(&self, copiers: &[Rc<Copier>]) -> bool {
+        copiers.len() == self.scheduler.borrow().view().backups.len()
+    }
+
+    /// Whether the view names no backups; one that it names must hold a claim, known here or not.
+    fn has_no_backups(&self) -> bool {
+        self.scheduler.borrow().view().backups.is_empty()
+    }
+
     fn decide(&self, id: &Id, decision: Decision) {
         if let Some(waiter) = self.waiters.borrow_mut().remove(id) {
             // An entry that is gone asks anew or withdraws, by the same id.
@@ -190,12 +197,10 @@
 
     /// Tells the scheduler how far every backup has come.
     pub fn acknowledge(&self) {
-        let held = self
-            .copiers
-            .borrow()
-            .iter()
-            .map(|copier| copier.held())
-            .min();
+        let copiers = self.copiers.borrow();
+        let held = copiers.iter().map(|copier| copier.held()).min();
+        let held = held.filter(|_| self.reaches_all(&copiers));
+        drop(copiers);
         if let Some(held) = held {
             self.step(Input::Held(held));
         }
