--- a/gooseberrylb_testbed/tests/failures.rs
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -72,7 +72,7 @@
     let mut scene = scene().await;
     let load = load(&scene);
     assert!(let_run(&load, 40).await);
-    let scheduler = scene.scheduler("agronomo").await.unwrap();
+    let scheduler = scene.scheduler("comando").await.unwrap();
     scene.fleet.instance_mut(scheduler).kill().unwrap();
     assert!(let_run(&load, 80).await, "requests stopped ending");
     let records = load.stop().await;
