Show the voters, so that the end of a repair can be seen, and name addresses of one region only

Cause: second_loss_after_a_repair_loses_nothing hung twice: it killed a second voter as soon as the spare voted, when the lost one was still a member and two of four are no quorum. The status did not show the lost voter. Also found by reading: a key resent in another region is not known there, and the refusal window after all claims are lost (120 s) was shorter than a key's retention (300 s). Ruled out: swapping two members in one change, whose quorums need not meet. Change: status lists all voters, and the test waits until the lost one is out, which is stricter on the repair; addresses stay in the caller's region; the window is 300 s.

--- a/gooseberrylb/src/callers.rs
+++ b/gooseberrylb/src/callers.rs
@@ -76,8 +76,8 @@
     .into()
 }
 
-/// The addresses for an account: instances of this data centre first, then of this region, the
-/// least loaded first; accounts spread over equally good ones.
+/// The addresses for an account: instances of this region only, since a key that is resent in
+/// another one is not known there; those of this data centre first, the least loaded first; accounts spread over equally good ones.
 fn choose(entry: &Entry, account: &str) -> Vec<SocketAddr> {
     let snapshot = entry.published.read();
     let here = &entry.identity.instance;
@@ -85,12 +85,9 @@
         .directory
         .instances
         .iter()
-        .filter(|(_, instance)| !instance.leaving)
+        .filter(|(_, instance)| !instance.leaving && instance.region == here.region)
         .map(|(name, instance)| {
-            let distance = (
-                instance.data_centre != here.data_centre,
-                instance.region != here.region,
-            );
+            let distance = instance.data_centre != here.data_centre;
             let load = snapshot.loads.get(name).copied().unwrap_or(0);
             // Loads are compared by their magnitude only, so that a small difference of lagging
             // counts does not send every caller to the same instance.
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -5,7 +5,7 @@
 use gooseberrylb_config::answer::report::Filter;
 use gooseberrylb_config::answer::status;
 use gooseberrylb_config::directory::Directory;
-use gooseberrylb_config::number;
+use gooseberrylb_config::{id, number};
 use gooseberrylb_control::consensus::Role;
 use serde::{Deserialize, Serialize};
 
@@ -94,6 +94,7 @@
         revision: directory.revision,
         fresh: published.is_fresh(core.clock.now()),
         instances: instances(core, &directory),
+        voters: voters(core),
         views: views(&directory),
         moves: moves(core),
     }
@@ -130,6 +131,13 @@
         .collect()
 }
 
+fn voters(core: &Core) -> Vec<id::Instance> {
+    let membership = core.status().map(|node| node.membership);
+    membership
+        .map(|known| known.voters.into_keys().collect())
+        .unwrap_or_default()
+}
+
 fn views(directory: &Directory) -> Vec<status::View> {
     let known = directory.views.iter();
     known
--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -24,8 +24,9 @@
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot};
 
-/// How long a request can have been running that a scheduler without claims does not know of.
-const LOST_CLAIMS_WINDOW: std::time::Duration = std::time::Duration::from_secs(120);
+/// How long a scheduler without the claims refuses keys, which may be resent ones: as long as the
+/// outcome of a key is kept for resending.
+const LOST_CLAIMS_WINDOW: std::time::Duration = std::time::Duration::from_secs(300);
 
 /// A backup's claims, and the last view in which they were all there.
 struct Copy {
--- a/gooseberrylb_config/src/answer/status.rs
+++ b/gooseberrylb_config/src/answer/status.rs
@@ -86,6 +86,10 @@
     pub fresh: bool,
     /// The instances.
     pub instances: Vec<Instance>,
+    /// The voters of the control state, those that do not answer too: while a lost one is among them
+    /// its repair is not over.
+    #[serde(default)]
+    pub voters: Vec<id::Instance>,
     /// The schedulers.
     pub views: Vec<View>,
     /// The moves that are under way.
--- a/gooseberrylb_testbed/tests/control.rs
+++ b/gooseberrylb_testbed/tests/control.rs
@@ -99,14 +99,15 @@
     let first = fleet.operator().submit(&note(1, "first")).await.unwrap();
     fleet.instance_mut(0).kill().unwrap();
     fleet.instances()[0].wipe().unwrap();
+    let lost = fleet.instances()[0].name().to_owned();
     let spare = fleet.instances()[3].name().to_owned();
     let operator = fleet.operator();
     let repaired = async || {
         let status = operator.get("/v1/status").await.unwrap_or_default();
-        let instances = status["instances"].as_array().cloned().unwrap_or_default();
-        instances
-            .iter()
-            .any(|i| i["name"] == spare && i["voter"] == true)
+        let voters = status["voters"].as_array().cloned().unwrap_or_default();
+        let votes = |name: &str| voters.iter().any(|voter| voter == name);
+        // Until the lost voter is out, it counts for the quorum and no second loss can be borne.
+        votes(&spare) && !votes(&lost)
     };
     assert!(wait_until(SOON, repaired).await, "{}", fleet.output());
     let second = operator.submit(&note(2, "second")).await.unwrap();
