Close control links that nobody uses, and wake followers only by news

Ruled out: the loads in each answer (some 15 bytes an instance twice a second), which are left out where they are 0 all the same.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -419,7 +419,9 @@
         METRICS
             .revision
             .set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
-        if self.published.publish(next) {
+        let is_news = next.directory.revision > before.directory.revision
+            || !Arc::ptr_eq(&next.moves, &before.moves);
+        if self.published.publish(next) && is_news {
             self.wake();
         }
     }
--- a/gooseberrylb/src/control/feed.rs
+++ b/gooseberrylb/src/control/feed.rs
@@ -34,7 +34,10 @@
 
     /// Replaces the moves by what the leader knows.
     pub fn set_moves(&mut self, moves: BTreeMap<id::Version, Move>) {
-        self.moves = Arc::new(moves);
+        // The same moves keep their place in memory, by which readers tell that nothing changed.
+        if *self.moves != moves {
+            self.moves = Arc::new(moves);
+        }
     }
 
     /// A stamp of the moves: the same for the same steps of the same moves, at every instance.
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -92,9 +92,11 @@
         self.0.clear();
     }
 
+    /// The loads of the instances that have any; the others need not be told of.
     fn loads(&self) -> Vec<(id::Instance, u32)> {
         self.0
             .iter()
+            .filter(|(_, f)| f.report.load > 0)
             .map(|(name, f)| (name.clone(), f.report.load))
             .collect()
     }
--- a/gooseberrylb_wire/src/link.rs
+++ b/gooseberrylb_wire/src/link.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future;
 use async_std::net::TcpStream;
@@ -52,7 +52,19 @@
 
 struct Open<P: Plane> {
     client: P::Client,
-    alive: Rc<Cell<bool>>,
+    usage: Rc<Usage>,
+}
+
+/// Whether a connection may still be used, and when it was used last.
+struct Usage {
+    alive: Cell<bool>,
+    last: Cell<Instant>,
+}
+
+impl Usage {
+    fn is_idle(&self, limit: Option<Duration>) -> bool {
+        limit.is_some_and(|limit| self.last.get().elapsed() > limit)
+    }
 }
 
 /// A link to one peer; it lives on the thread that made it.
@@ -85,11 +97,6 @@
         self.address
     }
 
-    /// Whether a connection is open and not known to be lost.
-    pub fn is_open(&self) -> bool {
-        self.current().is_some()
-    }
-
     /// What calls are made on, connecting first where needed.
     pub async fn client(&self) -> Result<P::Client, Error> {
         if let Some(client) = self.current() {
@@ -115,14 +122,15 @@
     /// Gives up the connection, so that the next call opens a new one.
     pub fn reset(&self) {
         if let Some(open) = self.open.borrow_mut().take() {
-            open.alive.set(false);
+            open.usage.alive.set(false);
         }
     }
 
     fn current(&self) -> Option<P::Client> {
         let open = self.open.borrow();
         let open = open.as_ref()?;
-        open.alive.get().then(|| open.client.clone())
+        open.usage.last.set(Instant::now());
+        open.usage.alive.get().then(|| open.client.clone())
     }
 
     async fn dial(&self) -> Result<Open<P>, Error> {
@@ -150,21 +158,24 @@
     let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: P::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    let alive = Rc::new(Cell::new(true));
-    let ended = alive.clone();
+    let usage = Rc::new(Usage {
+        alive: Cell::new(true),
+        last: Cell::new(Instant::now()),
+    });
+    let ended = usage.clone();
     let pinged = client.clone();
     task::spawn_local(async move {
         let pings = ping_while_alive::<P>(pinged, ended.clone());
         futures::pin_mut!(pings);
         // Dropping the loser closes the connection, and fails the calls under way on it.
         futures::future::select(system, pings).await;
-        ended.set(false);
+        ended.alive.set(false);
     });
-    Open { client, alive }
+    Open { client, usage }
 }
 
-async fn ping_while_alive<P: Plane>(client: P::Client, alive: Rc<Cell<bool>>) {
-    while alive.get() {
+async fn ping_while_alive<P: Plane>(client: P::Client, usage: Rc<Usage>) {
+    while usage.alive.get() && !usage.is_idle(P::IDLE_LIMIT) {
         let ping = P::ping(&client);
         task::spawn_local(async move {
             // A lost ping shows as silence, which the reader's watch reports.
--- a/gooseberrylb_wire/src/plane.rs
+++ b/gooseberrylb_wire/src/plane.rs
@@ -2,6 +2,7 @@
 //! other's thread.
 
 use std::future::Future;
+use std::time::Duration;
 
 use capnp::capability::FromClientHook;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,9 @@
     /// The kind's number in the handshake.
     const NUMBER: Number;
 
+    /// How long a link stays open that nobody makes calls on; without one, for good.
+    const IDLE_LIMIT: Option<Duration>;
+
     /// Asks the other end for a sign of life.
     fn ping(client: &Self::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static;
 }
@@ -37,6 +41,9 @@
 
     const NUMBER: Number = Number::Control;
 
+    // Calls about the control state end within seconds, so none is cut off by this.
+    const IDLE_LIMIT: Option<Duration> = Some(Duration::from_secs(10));
+
     fn ping(client: &control::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
         let answer = client.ping_request().send().promise;
         async move { answer.await.map(drop) }
@@ -51,6 +58,9 @@
 
     const NUMBER: Number = Number::Traffic;
 
+    // A request may wait long for its decision, and the link with it.
+    const IDLE_LIMIT: Option<Duration> = None;
+
     fn ping(client: &traffic::Client) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
         let answer = client.ping_request().send().promise;
         async move { answer.await.map(drop) }
