Count a request until its answer is written, and show that a planned stop drains

Reading the drain: a request stopped counting when its last piece was queued, not when it was written, and two counters held the same number. Ruled out: a longer pause before the exit, which a slow caller outlasts. Change: the listener counts a request until its body was written; one counter of held requests; error bodies have one shape in the code; a test with a stream of 1,000 tokens on a stopping entry.

--- a/gooseberrylb/src/answer.rs
+++ b/gooseberrylb/src/answer.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use gooseberrylb_config::finding::{Finding, Findings};
+use gooseberrylb_config::answer;
+use gooseberrylb_config::finding::Findings;
 use gooseberrylb_policy::request::Outcome;
 use http_types::headers::RETRY_AFTER;
 use http_types::{Body, Response, StatusCode, mime};
@@ -17,18 +18,6 @@
 /// The header that names the upstream that served a request.
 pub const SERVED_UPSTREAM: &str = "Served-Upstream";
 
-#[derive(Serialize)]
-struct Outer<'a> {
-    error: Inner<'a>,
-}
-
-#[derive(Serialize)]
-struct Inner<'a> {
-    code: &'a str,
-    message: &'a str,
-    findings: Vec<&'a Finding>,
-}
-
 /// An answer of `value` as JSON.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
     let mut response = Response::new(status);
@@ -102,14 +91,8 @@
 
 impl From<Error> for Response {
     fn from(error: Error) -> Self {
-        let outer = Outer {
-            error: Inner {
-                code: error.code,
-                message: &error.message,
-                findings: error.findings.iter().collect(),
-            },
-        };
-        let mut response = json(error.status, &outer);
+        let body = answer::Error::new(error.code, error.message).with_findings(error.findings);
+        let mut response = json(error.status, &body);
         if let Some(outcome) = error.outcome {
             response.insert_header(REQUEST_OUTCOME, outcome.to_string());
         }
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -194,6 +194,9 @@
         let Some(plan) = plan else {
             continue;
         };
+        if plan.claims_lost {
+            log::warn!("every holder of the claims of {cell:?} was lost");
+        }
         let cause = plan.cause.into();
         let at = core.clock.wall();
         // A service that was withdrawn and added again goes on counting where its views ended.
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -257,7 +257,7 @@
     async fn drain(&self) {
         let clock = System;
         let end = clock.now() + Duration::from_millis(self.settings.limits.drain_ms);
-        while self.entry.open() + self.callers.busy() > 0 && clock.now() < end {
+        while (self.entry.open() > 0 || self.callers.busy() > 0) && clock.now() < end {
             task::sleep(DRAIN_INTERVAL).await;
         }
         self.callers.stop();
--- a/gooseberrylb/src/entry.rs
+++ b/gooseberrylb/src/entry.rs
@@ -2,7 +2,7 @@
 //! tells each caller what truly became of its request. `docs/DESIGN.md` has the argument.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use gooseberrylb_config::clock::Clock;
@@ -25,6 +25,9 @@
 pub mod join;
 pub mod relay;
 
+/// How long an upstream may be silent before another connection is tried.
+pub const SILENCE: Duration = Duration::from_secs(2);
+
 /// What every request is served with.
 pub struct Entry {
     /// Who this instance is.
@@ -43,19 +46,16 @@
     pub retries: budget::Budget,
     shared: Arc<Shared>,
     next_number: AtomicU64,
-    open: Arc<AtomicUsize>,
 }
 
 /// A request that is held for a caller, from its head to the last byte of its answer.
 pub struct Held {
     shared: Arc<Shared>,
-    open: Arc<AtomicUsize>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.shared.load.fetch_sub(1, Ordering::Relaxed);
-        self.open.fetch_sub(1, Ordering::SeqCst);
+        self.shared.load.fetch_sub(1, Ordering::SeqCst);
         crate::metrics::METRICS.in_flight.dec();
     }
 }
@@ -91,24 +91,21 @@
             retries: budget::Budget::default(),
             shared: parts.shared,
             next_number: AtomicU64::new(1),
-            open: Arc::default(),
         })
     }
 
     /// Counts a request as held until the result is dropped.
     pub fn hold(&self) -> Held {
-        self.shared.load.fetch_add(1, Ordering::Relaxed);
-        self.open.fetch_add(1, Ordering::SeqCst);
+        self.shared.load.fetch_add(1, Ordering::SeqCst);
         crate::metrics::METRICS.in_flight.inc();
         Held {
             shared: self.shared.clone(),
-            open: self.open.clone(),
         }
     }
 
     /// The requests that are held for callers.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
+    pub fn open(&self) -> u32 {
+        self.shared.load.load(Ordering::SeqCst)
     }
 
     fn next_id(&self) -> Id {
@@ -126,6 +123,3 @@
         }
     }
 }
-
-/// How long an upstream may be silent before another connection is tried.
-pub const SILENCE: Duration = Duration::from_secs(2);
--- a/gooseberrylb/src/listener.rs
+++ b/gooseberrylb/src/listener.rs
@@ -4,14 +4,18 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use async_std::io::BufReader;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use http_types::headers::CONNECTION;
-use http_types::{Request, Response, StatusCode};
+use futures::AsyncRead;
+use http_types::headers::{CONNECTION, CONTENT_TYPE};
+use http_types::{Body, Request, Response, StatusCode};
 
 use crate::answer::Error;
 use crate::connection::{Guarded, Peer};
@@ -45,7 +49,7 @@
         self.0.stopped.store(true, Ordering::SeqCst);
     }
 
-    /// The requests being answered.
+    /// The requests whose answers are not written to their last byte.
     pub fn busy(&self) -> usize {
         self.0.busy.load(Ordering::SeqCst)
     }
@@ -68,22 +72,52 @@
     handle: Handle,
 }
 
-/// Counts something as long as it lives.
-struct Counted<'a>(&'a AtomicUsize);
+/// Counts a request as being answered as long as it lives.
+struct Busy(Arc<Shared>);
 
-impl<'a> Counted<'a> {
-    fn new(counter: &'a AtomicUsize) -> Self {
-        counter.fetch_add(1, Ordering::SeqCst);
-        Self(counter)
+impl Busy {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.busy.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
     }
 }
 
-impl Drop for Counted<'_> {
+impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.busy.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
+/// A body whose request counts as being answered until its last byte was written.
+struct Counted {
+    body: Body,
+    _busy: Busy,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.body).poll_read(cx, buffer)
+    }
+}
+
+/// Keeps a request counted until its answer was written.
+fn count_until_written(response: &mut Response, busy: Busy) {
+    let kind = response.header(CONTENT_TYPE).cloned();
+    let body = response.take_body();
+    let length = body.len();
+    let counted = Counted { body, _busy: busy };
+    response.set_body(Body::from_reader(BufReader::new(counted), length));
+    // Setting a body sets a type of its own.
+    match kind {
+        Some(kind) => response.insert_header(CONTENT_TYPE, &kind),
+        None => response.remove_header(CONTENT_TYPE),
+    };
+}
+
 impl Listener {
     /// Binds `address`; `name` stands in metrics.
     pub async fn bind(name: &'static str, address: SocketAddr, limits: Limits) -> io::Result<Self> {
@@ -145,7 +179,7 @@
 }
 
 async fn serve<S>(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     stream: TcpStream,
     address: SocketAddr,
     limits: Limits,
@@ -161,7 +195,7 @@
 }
 
 async fn respond<S>(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     peer: &Peer,
     app: &tide::Server<S>,
     mut request: Request,
@@ -169,7 +203,7 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    let _busy = Counted::new(&shared.busy);
+    let busy = Busy::new(shared);
     request.ext_mut().insert(peer.clone());
     let mut response: Response = match app.respond(request).await {
         Ok(response) => response,
@@ -181,5 +215,6 @@
     if shared.closing.load(Ordering::SeqCst) {
         response.insert_header(CONNECTION, "close");
     }
+    count_until_written(&mut response, busy);
     Ok(response)
 }
--- a/gooseberrylb_testbed/tests/failures.rs
+++ b/gooseberrylb_testbed/tests/failures.rs
@@ -7,7 +7,7 @@
 use gooseberrylb_testbed::client::caller::Call;
 use gooseberrylb_testbed::client::load::Load;
 use gooseberrylb_testbed::client::tally::{Record, Tally};
-use gooseberrylb_testbed::fleet::Builder;
+use gooseberrylb_testbed::fleet::{Builder, wait_until};
 use gooseberrylb_testbed::scene::{Scene, let_run};
 use gooseberrylb_testbed::standin::plain::{Faults, Loss};
 use serde_json::json;
@@ -24,6 +24,9 @@
 /// How long plain calls take, so that some are under way at any time, in milliseconds.
 const PLAIN_MS: u64 = 150;
 
+/// The tokens of a stream that outlasts the lapse of addresses and the hand-over on every engine.
+const LONG_TOKENS: u64 = 1_000;
+
 async fn scene() -> Scene {
     Scene::start(Builder::new(PROGRAM), NOTE).await.unwrap()
 }
@@ -243,3 +246,22 @@
     }
     assert_true(&scene, &load.stop().await);
 }
+
+/// A stream that takes longer than everything else that a planned stop waits for.
+#[async_std::test]
+async fn planned_stop_lets_a_long_stream_end() {
+    let mut scene = scene().await;
+    let leader = scene.leader().await.unwrap();
+    let stopped = (leader + 1) % 3;
+    let address = scene.fleet.instances()[stopped].callers();
+    let caller = scene.fleet.caller("cascina-rossi").with_address(address);
+    let call = Call::prompt("agronomo", "plan", "a long plan", LONG_TOKENS).with_key("long");
+    let answer = async_std::task::spawn(async move { caller.call(&call).await });
+    let begun = async || !scene.executions().is_empty();
+    assert!(wait_until(SOON, begun).await);
+    scene.fleet.instances()[stopped].terminate().unwrap();
+    let record = answer.await;
+    assert!(record.is_served(), "{record} {:?}", record.error);
+    let ended = scene.fleet.instance_mut(stopped).wait_end(SOON).await;
+    ended.unwrap();
+}
