Report what settings mean wrongly together with what cannot be read

Ruled out: checking each field as it is read, since most checks compare two. Change: what can be read is checked with stand-ins for the rest; findings about the stand-ins are left out. Before: 5 findings of that text.

--- a/gooseberrylb_config/src/reader.rs
+++ b/gooseberrylb_config/src/reader.rs
@@ -3,7 +3,7 @@
 //! A deserializer that stops at the first error makes an operator mend a file one run at a time,
 //! so this reader goes on and remembers where each value stood.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -38,6 +38,8 @@
     findings: Findings,
     /// The offset of each value that was read, by its path.
     offsets: BTreeMap<String, usize>,
+    /// The paths that something is wrong with.
+    broken: BTreeSet<String>,
 }
 
 /// Reads `text` as a whole, then adds what `check` finds in the value.
@@ -55,6 +57,40 @@
     reader.findings.into_result(value)
 }
 
+/// The same for a text of which some values cannot be read: what the others mean is checked all the
+/// same, with `stand_ins` (fields and their JSON) in the places of required fields that are missing
+/// or cannot be read.
+pub(crate) fn parse_whole<T: Read>(
+    text: &str,
+    stand_ins: &[(&str, &str)],
+    check: impl FnOnce(&T) -> Findings,
+) -> Result<T, Findings> {
+    let mut reader = Reader::new(text);
+    let read = reader.document::<T>();
+    let value = match read {
+        Some(value) => Some(value),
+        None => reader
+            .salvage(stand_ins)
+            .and_then(|rest| Reader::new(&rest).document()),
+    };
+    let Some(value) = value else {
+        return Err(reader.findings);
+    };
+    let broken = reader.broken.clone();
+    for finding in check(&value)
+        .iter()
+        .filter(|f| !concerns(&broken, &f.place))
+    {
+        reader.add(&finding.place, &finding.message);
+    }
+    reader.findings.into_result(value)
+}
+
+/// Whether a place, or what holds it, is among the broken ones.
+fn concerns(broken: &BTreeSet<String>, place: &str) -> bool {
+    broken.iter().any(|path| place.starts_with(path.as_str()))
+}
+
 fn options() -> ParseOptions {
     ParseOptions {
         allow_comments: true,
@@ -76,6 +112,7 @@
             text,
             findings: Findings::new(),
             offsets: BTreeMap::new(),
+            broken: BTreeSet::new(),
         }
     }
 
@@ -103,6 +140,51 @@
         )
     }
 
+    /// The document without what is broken in it, where it is an object.
+    fn salvage(&self, stand_ins: &[(&str, &str)]) -> Option<String> {
+        let parsed = parse_to_ast(self.text, &CollectOptions::default(), &options()).ok()?;
+        let Some(Value::Object(object)) = parsed.value else {
+            return None;
+        };
+        let mut fields = self.sound_fields(&object, "");
+        let present = |name: &str| object.properties.iter().any(|p| p.name.as_str() == name);
+        for (name, json) in stand_ins {
+            if !present(name) || self.broken.contains(*name) {
+                fields.push(format!("\"{name}\": {json}"));
+            }
+        }
+        Some(format!("{{{}}}", fields.join(",")))
+    }
+
+    /// The fields of an object that are not broken; lists go as a whole when an item is broken.
+    fn sound_fields(&self, object: &ast::Object<'_>, path: &str) -> Vec<String> {
+        let mut fields = Vec::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = match path {
+                "" => name.to_owned(),
+                outer => format!("{outer}.{name}"),
+            };
+            if self.broken.contains(&path) {
+                continue;
+            }
+            let inner = |known: &String| known.starts_with(&path) && known.len() > path.len();
+            let is_hurt = self.broken.iter().any(inner);
+            match &property.value {
+                Value::Object(object) if is_hurt => {
+                    let inside = self.sound_fields(object, &path).join(",");
+                    fields.push(format!("\"{name}\": {{{inside}}}"));
+                }
+                _ if is_hurt => {}
+                value => {
+                    let json = &self.text[value.start()..value.end()];
+                    fields.push(format!("\"{name}\": {json}"));
+                }
+            }
+        }
+        fields
+    }
+
     /// Notes that `message` is wrong with the value at `path`.
     pub(crate) fn add(&mut self, path: &str, message: &str) {
         let offset = self.nearest_offset(path);
@@ -134,6 +216,7 @@
             path => format!("{line}:{column} {path}"),
         };
         self.findings.add(place, message);
+        self.broken.insert(path.to_owned());
     }
 
     fn wrong_type(&mut self, node: &Node<'_>, wanted: &str) {
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -174,10 +174,23 @@
 #[error("the levels are error, warn, info, debug and trace")]
 pub struct UnknownLevel;
 
+/// What stands for required fields that cannot be read while the others are checked; nothing is found
+/// wrong with these values themselves.
+const STAND_INS: [(&str, &str); 8] = [
+    ("name", "\"unread\""),
+    ("data_centre", "\"unread\""),
+    ("region", "\"unread\""),
+    ("callers", "\"127.0.0.1:0\""),
+    ("operators", "\"127.0.0.1:0\""),
+    ("peers_listen", "\"127.0.0.1:0\""),
+    ("cluster_key_file", "\"unread\""),
+    ("operator_token_file", "\"unread\""),
+];
+
 impl Settings {
     /// Reads settings from text, without looking at the files that they name.
     pub fn parse(text: &str) -> Result<Self, Findings> {
-        reader::parse(text, Self::check)
+        reader::parse_whole(text, &STAND_INS, Self::check)
     }
 
     /// Reads the file at `path` and looks at the files and folders that it names; paths in it are
@@ -192,7 +205,7 @@
             findings
         })?;
         let folder = path.parent().unwrap_or(Path::new(""));
-        let settings = reader::parse(&text, |settings: &Settings| {
+        let settings = reader::parse_whole(&text, &STAND_INS, |settings: &Settings| {
             let mut findings = settings.check();
             findings.extend(settings.clone().with_base(folder).check_files());
             findings
--- a/gooseberrylb_config/tests/settings.rs
+++ b/gooseberrylb_config/tests/settings.rs
@@ -43,6 +43,9 @@
             "1:1 operator_token_file",
             "5:43 limits.idle_ms",
             "5:51 limits.speed",
+            "3:45 operators",
+            "3:79 peers_listen",
+            "5:29 limits.body_bytes",
         ]
     );
     let mended = text
