Let the leader of a large fleet renew its own lease, and choose relays in one pure place

Cause: in a trial with 30 instances the leader alone was stale and started no work: it told itself to follow the relay of its own group, which has its lease from the leader. Ruled out: the relays themselves; the 27 learners and both other voters were fresh, and a note was in force within 0.2 s of its acceptance. A test with 25 processes goes through the relays. The test with processes passes with and without, as only some leaders are hit, and is kept for the path itself.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -31,6 +31,7 @@
 mod moves;
 mod peers;
 mod query;
+mod relay;
 mod repair;
 mod rpc;
 mod thread;
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -19,6 +19,7 @@
 use gooseberrylb_wire::message::{News, Report, Update};
 
 use super::core::{Core, Source};
+use super::relay::{MAX_DIRECT, relay};
 use crate::metrics::METRICS;
 
 /// How long a configuration may be acted on after the leader last proved that it is the newest.
@@ -36,9 +37,6 @@
 /// The pause between two reports when the last was answered at once.
 const REPORT_PAUSE: Duration = Duration::from_millis(20);
 
-/// How many instances follow the leader itself; beyond that, relays carry the configuration.
-pub const MAX_DIRECT: usize = 24;
-
 /// What the leader or a relay knows of one follower.
 #[derive(Debug, Clone)]
 pub struct Follower {
@@ -120,7 +118,7 @@
     if core.is_leading() {
         lead(core, report).await
     } else {
-        relay(core, report).await
+        pass_on(core, report).await
     }
 }
 
@@ -171,7 +169,7 @@
     }
 }
 
-async fn relay(core: &Rc<Core>, report: Report) -> Update {
+async fn pass_on(core: &Rc<Core>, report: Report) -> Update {
     let leader = core.published().leader.clone();
     let elsewhere = || Update::Ask {
         address: leader.and_then(|name| core.address_of(&name)),
@@ -211,34 +209,17 @@
     }
 }
 
-/// The relay that an instance is to follow, where the fleet is too large to follow the leader.
-///
-/// The instances in order of their names fall into groups of about the square root of their number;
-/// the first of each group that the leader hears follows the leader, and the group follows it.
+/// Where the relay listens that an instance is to follow, if it is to follow one.
 fn relay_for(core: &Core, name: &id::Instance) -> Option<SocketAddr> {
     let feed = core.feed.borrow();
-    let instances = &feed.directory().instances;
-    if instances.len() <= MAX_DIRECT {
-        return None;
-    }
-    let group_size = instances.len().isqrt() + 1;
-    let position = instances.keys().position(|n| n == name)?;
-    let group = instances
-        .keys()
-        .skip(position - position % group_size)
-        .take(group_size);
+    let instances: Vec<_> = feed.directory().instances.keys().collect();
     let followers = core.followers.borrow();
     let now = core.clock.now();
-    let alive = |n: &&id::Instance| {
-        followers
-            .get(n)
-            .is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
+    let is_alive = |known: &id::Instance| {
+        let follower = followers.get(known);
+        follower.is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
     };
-    let head = group.into_iter().find(alive)?;
-    if head == name {
-        return None;
-    }
-    core.address_of(head)
+    core.address_of(relay(&instances, &core.identity.name, name, is_alive)?)
 }
 
 /// Reports to the leader, or to whom it names, for as long as the instance runs.
--- /dev/null
+++ b/gooseberrylb/src/control/relay.rs
@@ -0,0 +1,33 @@
+//! Who carries the configuration to whom in a fleet that is too large to follow the leader.
+
+use gooseberrylb_config::id;
+
+#[cfg(test)]
+mod tests;
+
+/// How many instances follow the leader itself; beyond that, relays carry the configuration.
+pub const MAX_DIRECT: usize = 24;
+
+/// The relay that `name` is to follow, or none where it follows the leader.
+///
+/// The instances in order of their names fall into groups of about the square root of their number;
+/// the first of each group that lives follows the leader, and the group follows it. The leader
+/// follows nobody: whoever it followed would have its lease from the leader itself.
+pub fn relay<'a>(
+    instances: &[&'a id::Instance],
+    leader: &id::Instance,
+    name: &id::Instance,
+    is_alive: impl Fn(&id::Instance) -> bool,
+) -> Option<&'a id::Instance> {
+    if instances.len() <= MAX_DIRECT || name == leader {
+        return None;
+    }
+    let group_size = instances.len().isqrt() + 1;
+    let position = instances.iter().position(|known| *known == name)?;
+    let mut group = instances
+        .chunks(group_size)
+        .nth(position / group_size)?
+        .iter();
+    let head = *group.find(|known| is_alive(known))?;
+    (head != name).then_some(head)
+}
--- a/gooseberrylb_testbed/tests/control.rs
+++ b/gooseberrylb_testbed/tests/control.rs
@@ -7,6 +7,10 @@
 use serde_json::{Value, json};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gooseberrylb_testbed");
+/// Longer than a configuration stays fresh by itself.
+const PAST_LEASE: Duration = Duration::from_secs(5);
+/// One more than follow the leader itself.
+const RELAYED_INSTANCES: usize = 25;
 /// A bound on waiting that a busy machine keeps.
 const SOON: Duration = Duration::from_secs(60);
 /// The changes after which all instances restart.
@@ -121,3 +125,20 @@
         );
     }
 }
+
+/// More instances than follow the leader itself, so that relays carry the configuration.
+#[async_std::test]
+async fn a_note_is_in_force_everywhere_through_relays() {
+    let builder = Builder::new(PROGRAM)
+        .with_instances(RELAYED_INSTANCES)
+        .with_voters(3);
+    let fleet = builder.start().await.unwrap();
+    let operator = fleet.operator();
+    operator.submit(&note(1, "first")).await.unwrap();
+    operator.wait_in_force(1, SOON).await.unwrap();
+    // Leases from before the relays took over have ended by then.
+    async_std::task::sleep(PAST_LEASE).await;
+    for instance in fleet.instances() {
+        assert!(wait_until(SOON, async || instance.is_fresh().await).await);
+    }
+}
