Give up joining a stream that its engine does not know

Cause: a resent key whose first request had died between its grant and its dispatch asked the engine for the stream until the caller's deadline; what is given up is to be answered at once. Ruled out: a slow engine, whose silence is still waited for. Change: five misses end it with the outcome unknown.

--- a/gooseberrylb/src/entry/join.rs
+++ b/gooseberrylb/src/entry/join.rs
@@ -1,5 +1,6 @@
 //! Joins a resent key to the stream of the request that came first, without a second dispatch.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 use async_std::task;
@@ -12,11 +13,16 @@
 use super::dispatch::unknown;
 use super::incoming::Incoming;
 use super::{Entry, Held, SILENCE, relay};
+use crate::upstream::Error;
 use crate::upstream::engine::{self, Started};
 
 /// The pause between two attempts at joining.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
 
+/// How often an engine may not know the stream, or not be reached, before it is given up: the first
+/// request may only be on its way to the engine.
+const MAX_MISSES: u32 = 5;
+
 /// Answers with the stream that runs as `id` under `grant`.
 pub async fn serve(
     entry: &Arc<Entry>,
@@ -30,22 +36,31 @@
         .upstreams
         .get(&grant.upstream)
         .map(|upstream| upstream.address);
+    let mut misses = 0;
     while let Some(address) = address.filter(|_| entry.clock.now() < incoming.deadline) {
-        let resumed = engine::resume(address, &stream_name(&id, &grant), 0, SILENCE).await;
-        if let Ok(Started::Stream(stream)) = resumed {
-            let verdict = Verdict {
-                outcome: Outcome::Served,
-                ..Verdict::not_run(false)
-            };
-            let verdict = Verdict {
-                version: Some(grant.version.clone()),
-                ..verdict
-            };
-            account::count(entry, incoming, &verdict);
-            return relay::joined(stream, &grant, held);
+        match engine::resume(address, &stream_name(&id, &grant), 0, SILENCE).await {
+            Ok(Started::Stream(stream)) => {
+                account::count(entry, incoming, &joined(&grant));
+                return relay::joined(stream, &grant, held);
+            }
+            // The engine knows the stream and is only slow.
+            Err(Error::Lost(error)) if error.kind() == ErrorKind::TimedOut => {}
+            Ok(_) | Err(_) => misses += 1,
+        }
+        // What is given up is answered at once, not at the caller's deadline.
+        if misses >= MAX_MISSES {
+            break;
         }
         task::sleep(RETRY_PAUSE).await;
     }
     account::count(entry, incoming, &Verdict::unknown(Some(grant.version)));
     unknown().into()
 }
+
+fn joined(grant: &Grant) -> Verdict {
+    Verdict {
+        outcome: Outcome::Served,
+        version: Some(grant.version.clone()),
+        ..Verdict::not_run(false)
+    }
+}
