Tell a new scheduler of entries that left before it was placed

Cause: keys granted to an entry on the killed instance stayed granted at the new scheduler, and callers who resent them waited for their deadline of 30 s: the entry leaves the configuration one revision before the new view comes, so the scheduler that is made then never heard that it died. Change: a scheduler that takes over is told of every entry with a granted claim that is no instance. Conclusion: a request that is given up is answered at once after a takeover too.

--- a/gooseberrylb/src/traffic/host.rs
+++ b/gooseberrylb/src/traffic/host.rs
@@ -1,7 +1,7 @@
 //! The schedulers and backups that the configuration places on this instance.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,7 +12,8 @@
 use gooseberrylb_config::number;
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_policy::moves::Move;
-use gooseberrylb_policy::scheduler::{Backup, Decision, Input, Scheduler, Stale};
+use gooseberrylb_policy::request::Key;
+use gooseberrylb_policy::scheduler::{Backup, Claim, Decision, Input, Scheduler, Stale};
 use gooseberrylb_wire::handshake::Greeting;
 use gooseberrylb_wire::message::{Batch, Call, Event, Held, Holding, Notice, Receipt};
 use gooseberrylb_wire::plane::Traffic;
@@ -166,6 +167,7 @@
         let claims = copy
             .map(|copy| copy.backup.claims().clone())
             .unwrap_or_default();
+        let gone = gone_entries(&claims, directory);
         log::info!(
             "scheduling {cell:?} in view {} with {} claims",
             view.number,
@@ -187,6 +189,10 @@
             clock: self.clock.clone(),
         });
         hosted.follow_moves(&self.published.read());
+        // They left the configuration before this scheduler was placed, so it has not heard of it.
+        for entry in gone {
+            hosted.step(Input::Died(entry));
+        }
         let replaced = self
             .hosted
             .borrow_mut()
@@ -375,3 +381,15 @@
         }
     }
 }
+
+/// The entries that hold a granted claim and are no instances any more.
+fn gone_entries(claims: &BTreeMap<Key, Claim>, directory: &Directory) -> BTreeSet<id::Instance> {
+    let granted = claims.values().filter_map(|claim| match claim {
+        Claim::Granted { id, .. } => Some(&id.entry),
+        Claim::Released | Claim::Ended { .. } => None,
+    });
+    granted
+        .filter(|entry| !directory.instances.contains_key(*entry))
+        .cloned()
+        .collect()
+}
