Make upstreams' URLs in one place, and look views up by the directory's own query

Ruled out: one timer for stalls of callers' and upstreams' connections, which differ in what they share between clones; left for a longer look. Change: upstream::http::url and Directory::view serve all; nothing else changes. A look at an engine whose URL could not be made now says NotSent, where it said Lost; its caller drops both.

--- a/gooseberrylb/src/published.rs
+++ b/gooseberrylb/src/published.rs
@@ -37,11 +37,7 @@
 
     /// The view of a cell.
     pub fn view(&self, cell: &Cell) -> Option<&View> {
-        self.directory
-            .views
-            .iter()
-            .find(|(c, _)| c == cell)
-            .map(|(_, view)| view)
+        self.directory.view(cell)
     }
 }
 
--- a/gooseberrylb/src/upstream/engine.rs
+++ b/gooseberrylb/src/upstream/engine.rs
@@ -8,7 +8,7 @@
 use async_std::io::BufReader;
 use async_std::io::prelude::*;
 use gooseberrylb_policy::request::Figures;
-use http_types::{Body, Method, Request, StatusCode, Url, mime};
+use http_types::{Body, Method, Request, StatusCode, mime};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
@@ -100,11 +100,6 @@
     },
 }
 
-fn url(address: SocketAddr, path: &str) -> Result<Url, Error> {
-    Url::parse(&format!("http://{address}{path}"))
-        .map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))
-}
-
 /// Starts a completion.
 pub async fn start(
     address: SocketAddr,
@@ -112,7 +107,7 @@
     reuse: Reuse,
     silence: Duration,
 ) -> Result<Started, Error> {
-    let mut request = Request::new(Method::Post, url(address, "/v1/completions")?);
+    let mut request = Request::new(Method::Post, http::url(address, "/v1/completions")?);
     request.set_body(completion.body());
     request.set_content_type(mime::JSON);
     started(http::call(address, request, reuse, silence).await?).await
@@ -126,7 +121,7 @@
     silence: Duration,
 ) -> Result<Started, Error> {
     let path = format!("/v1/streams/{request_id}?from={from}");
-    let request = Request::new(Method::Get, url(address, &path)?);
+    let request = Request::new(Method::Get, http::url(address, &path)?);
     // A new connection: the one before may have been lost on the way, while the engine is well.
     started(http::call(address, request, Reuse::Never, silence).await?).await
 }
@@ -183,7 +178,7 @@
 /// Cancels a stream; the engine may have ended it already.
 pub async fn cancel(address: SocketAddr, request_id: &str) {
     let path = format!("/v1/streams/{request_id}");
-    let Ok(url) = url(address, &path) else {
+    let Ok(url) = http::url(address, &path) else {
         return;
     };
     let request = Request::new(Method::Delete, url);
--- a/gooseberrylb/src/upstream/http.rs
+++ b/gooseberrylb/src/upstream/http.rs
@@ -14,7 +14,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use futures::{AsyncRead, AsyncWrite};
-use http_types::{Request, Response};
+use http_types::{Request, Response, Url};
 
 use super::Error;
 
@@ -160,6 +160,12 @@
     }
 }
 
+/// The URL of a path at an upstream.
+pub fn url(address: SocketAddr, path: &str) -> Result<Url, Error> {
+    Url::parse(&format!("http://{address}{path}"))
+        .map_err(|error| Error::NotSent(io::Error::other(error.to_string())))
+}
+
 /// An answer whose body is still to be read.
 pub struct Exchange {
     /// The answer.
--- a/gooseberrylb/src/upstream/order.rs
+++ b/gooseberrylb/src/upstream/order.rs
@@ -8,7 +8,7 @@
 use gooseberrylb_config::answer;
 use gooseberrylb_config::number::Fencing;
 use gooseberrylb_policy::moves::order::{Answer, Kind, Order};
-use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use http_types::{Body, Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use super::Error;
@@ -59,15 +59,14 @@
     }
 }
 
-fn url(address: SocketAddr, path: &str) -> Result<Url, Error> {
-    Url::parse(&format!("http://{address}{path}"))
-        .map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))
-}
-
 /// Asks an engine what became of an order.
 pub async fn ask(address: SocketAddr, order: &Order) -> Result<Answer, Error> {
     let path = format!("/v1/orders/{}", order.id);
-    let mut response = call(address, Request::new(Method::Get, url(address, &path)?)).await?;
+    let mut response = call(
+        address,
+        Request::new(Method::Get, http::url(address, &path)?),
+    )
+    .await?;
     match response.status() {
         StatusCode::NotFound => Ok(Answer::Unknown),
         status if status.is_success() => read(&mut response).await,
@@ -77,7 +76,7 @@
 
 /// Sends an order; a repeat of one that the engine knows does no harm.
 pub async fn send(address: SocketAddr, order: &Order, fencing: Fencing) -> Result<Answer, Error> {
-    let mut request = Request::new(Method::Post, url(address, "/v1/orders")?);
+    let mut request = Request::new(Method::Post, http::url(address, "/v1/orders")?);
     let body = Body::from_json(&posted(order, fencing));
     request
         .set_body(body.map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))?);
--- a/gooseberrylb/src/upstream/plain.rs
+++ b/gooseberrylb/src/upstream/plain.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_std::io::prelude::*;
-use http_types::{Body, Method, Request, StatusCode, Url};
+use http_types::{Body, Method, Request, StatusCode};
 
 use super::Error;
 use super::http::{self, Exchange, Reuse};
@@ -64,9 +64,7 @@
     reuse: Reuse,
     silence: Duration,
 ) -> Result<Reply, Error> {
-    let url = Url::parse(&format!("http://{address}{}", call.path))
-        .map_err(|error| Error::NotSent(std::io::Error::other(error.to_string())))?;
-    let mut request = Request::new(Method::Post, url);
+    let mut request = Request::new(Method::Post, http::url(address, &call.path)?);
     request.set_body(call.body.to_vec());
     request.remove_header("Content-Type");
     for (name, value) in &call.headers {
--- a/gooseberrylb/src/upstream/poll.rs
+++ b/gooseberrylb/src/upstream/poll.rs
@@ -5,7 +5,7 @@
 
 use async_std::future;
 use gooseberrylb_policy::scheduler::{CacheChange, Load};
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -58,8 +58,7 @@
 
 async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Error> {
     let lost = |error: String| Error::Lost(std::io::Error::other(error));
-    let url =
-        Url::parse(&format!("http://{address}{path}")).map_err(|error| lost(error.to_string()))?;
+    let url = http::url(address, path)?;
     let request = Request::new(Method::Get, url);
     let call = async {
         let mut exchange = http::call(address, request, Reuse::Allowed, TIMEOUT).await?;
