--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -20,14 +20,17 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::gateway;
 use crate::published::Published;
 
 mod core;
 mod disk;
+pub mod dispatch;
 mod feed;
 mod follow;
 mod lead;
 mod links;
+mod list;
 mod moves;
 mod peers;
 mod query;
@@ -36,6 +39,7 @@
 mod rpc;
 mod thread;
 
+pub use core::Core;
 pub use links::Links;
 pub use peers::Accepted;
 pub use query::{Answer, Question};
@@ -176,4 +180,6 @@
     pub asks: Receiver<Ask>,
     /// What goes into this instance's reports.
     pub shared: Arc<Shared>,
+    /// What serves a platform, where the instance runs on one.
+    pub gateway: Option<gateway::Start>,
 }
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -12,6 +12,9 @@
 use async_std::{future, task};
 use futures::channel::oneshot;
 use gooseberrylb_config::clock::Clock;
+use gooseberrylb_config::declaration::Table;
+use gooseberrylb_config::dialect::Dialect;
+use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
 use gooseberrylb_config::settings::Settings;
@@ -23,6 +26,7 @@
 use gooseberrylb_wire::plane::Control;
 
 use super::disk::Job;
+use super::dispatch;
 use super::feed::Feed;
 use super::follow::Followers;
 use super::links::Links;
@@ -31,6 +35,7 @@
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
 use super::{Failure, Identity, Shared};
+use crate::gateway::view::Tables;
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
 
@@ -85,6 +90,11 @@
     pub followers: RefCell<Followers>,
     /// What the leader needs for moves between versions.
     pub desk: Desk,
+    /// Decides where requests go, while this instance leads.
+    pub dispatch: dispatch::Host,
+    /// The platform's way to speak, where the instance runs on one.
+    pub dialect: Option<Arc<dyn Dialect>>,
+    tables: Tables,
     /// When this instance became leader.
     pub leader_since: Cell<Option<Instant>>,
     node: Option<RefCell<Node>>,
@@ -112,6 +122,8 @@
     pub shared: Arc<Shared>,
     /// Where the configuration is published.
     pub published: Published,
+    /// The platform's way to speak, where the instance runs on one.
+    pub dialect: Option<Arc<dyn Dialect>>,
     /// The consensus node with its folder and the journal's inbox, where there is a disk.
     pub voter: Option<(Node, u64, mpsc::Sender<Job>)>,
 }
@@ -135,6 +147,9 @@
             feed: RefCell::default(),
             followers: RefCell::default(),
             desk: Desk::default(),
+            dispatch: dispatch::Host::default(),
+            dialect: parts.dialect,
+            tables: Tables::default(),
             leader_since: Cell::new(None),
             node,
             jobs,
@@ -148,6 +163,11 @@
         })
     }
 
+    /// The declaration of a configuration, decoded and indexed.
+    pub fn table(&self, directory: &Directory) -> Option<Rc<Table>> {
+        self.tables.read(directory, self.dialect.as_deref()?)
+    }
+
     /// Where the consensus node stands, where there is one.
     pub fn status(&self) -> Option<Status> {
         self.node.as_ref().map(|node| node.borrow().status())
--- /dev/null
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -0,0 +1,181 @@
+//! The dispatcher, which runs where the leader is: it feeds the pure machine and hands its decisions
+//! to the entries that wait for them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use futures::channel::oneshot;
+use gooseberrylb_config::declaration::Unit;
+use gooseberrylb_config::directory::Directory;
+use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_policy::dispatch::{Allotted, Ask, Decision, Dispatcher, Key, Notice, Upstream};
+
+use super::core::Core;
+use crate::metrics::METRICS;
+
+/// The time between two looks at what waits, while something does.
+const BUSY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time between two looks at whether something waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The dispatcher of an instance that leads or may lead.
+#[derive(Default)]
+pub struct Host {
+    dispatcher: RefCell<Dispatcher>,
+    revision: Cell<Option<Revision>>,
+    /// The term in which the dispatcher was made.
+    term: Cell<Option<Term>>,
+    waiters: RefCell<HashMap<Key, oneshot::Sender<Decision>>>,
+    decided: RefCell<HashMap<Key, Decision>>,
+}
+
+impl Host {
+    /// Whether this instance dispatches; a new term begins with a dispatcher that knows nothing.
+    fn dispatches(&self, core: &Core) -> bool {
+        if !core.is_leading() {
+            return false;
+        }
+        let term = core.status().map(|status| status.term);
+        if self.term.get() != term {
+            self.term.set(term);
+            self.revision.set(None);
+            self.dispatcher.take();
+            self.waiters.take();
+            self.decided.take();
+            log::info!(term = term.map_or(0, |t| t.0); "dispatching for the fleet");
+        }
+        let directory = core.feed.borrow().directory().clone();
+        if self.revision.get() != Some(directory.revision) {
+            self.revision.set(Some(directory.revision));
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            refresh(core, &directory, &mut dispatcher, 1.0, core.clock.now());
+            dispatcher.retain_entries(|entry| directory.instances.contains_key(entry));
+        }
+        true
+    }
+
+    /// Decides on a request.
+    pub fn ask(&self, core: &Core, ask: Ask) -> Decision {
+        if !self.dispatches(core) {
+            return Decision::Unknown;
+        }
+        let decision = self.dispatcher.borrow_mut().ask(ask, core.clock.now());
+        METRICS
+            .decisions
+            .with_label_values(&[label(&decision)])
+            .inc();
+        decision
+    }
+
+    /// Waits for the decision on a request that was told to wait.
+    pub async fn decided(&self, core: &Core, key: Key) -> Decision {
+        if !self.dispatches(core) {
+            return Decision::Unknown;
+        }
+        if let Some(decision) = self.decided.borrow_mut().remove(&key) {
+            return decision;
+        }
+        let (waiter, decision) = oneshot::channel();
+        self.waiters.borrow_mut().insert(key, waiter);
+        decision.await.unwrap_or(Decision::Unknown)
+    }
+
+    /// Takes in what an entry tells; says whether this instance dispatches.
+    pub fn tell(&self, core: &Core, notice: Notice) -> bool {
+        if !self.dispatches(core) {
+            return false;
+        }
+        for (key, _) in &notice.ended {
+            self.waiters.borrow_mut().remove(key);
+            self.decided.borrow_mut().remove(key);
+        }
+        self.dispatcher
+            .borrow_mut()
+            .tell(notice, core.clock.now());
+        self.poll(core);
+        true
+    }
+
+    fn poll(&self, core: &Core) {
+        let decided = self.dispatcher.borrow_mut().poll(core.clock.now());
+        for (key, decision) in decided {
+            METRICS
+                .decisions
+                .with_label_values(&[label(&decision)])
+                .inc();
+            match self.waiters.borrow_mut().remove(&key) {
+                Some(waiter) => {
+                    // Whoever gave up waiting withdraws the request as well.
+                    waiter.send(decision).ok();
+                }
+                None => {
+                    self.decided.borrow_mut().insert(key, decision);
+                }
+            }
+        }
+    }
+}
+
+fn label(decision: &Decision) -> &'static str {
+    match decision {
+        Decision::Grant(_) => "granted",
+        Decision::Wait => "waits",
+        Decision::Refuse(..) => "refused",
+        Decision::Unknown => "unknown",
+    }
+}
+
+/// Looks after what waits, for as long as the instance runs.
+pub async fn run(core: Rc<Core>) {
+    loop {
+        let (waiting, _) = core.dispatch.dispatcher.borrow().load();
+        let pause = if waiting > 0 { BUSY_INTERVAL } else { IDLE_INTERVAL };
+        task::sleep(pause).await;
+        if waiting > 0 && core.dispatch.dispatches(&core) {
+            core.dispatch.poll(&core);
+        }
+    }
+}
+
+/// Tells a dispatcher of the upstreams and of `part` of each account's allotment.
+pub fn refresh(
+    core: &Core,
+    directory: &Directory,
+    dispatcher: &mut Dispatcher,
+    part: f64,
+    now: Instant,
+) {
+    let usable = directory.listed.iter().filter(|(_, listed)| !listed.draining);
+    let upstreams = usable.map(|(name, listed)| Upstream {
+        name: name.clone(),
+        service: listed.service.clone(),
+        data_centre: listed.data_centre.clone(),
+        slots: listed.slots,
+    });
+    dispatcher.set_upstreams(upstreams, now);
+    let Some(table) = core.table(directory) else {
+        return;
+    };
+    let accounts = table.declaration.accounts.iter();
+    let allotted = accounts.filter_map(|account| {
+        let allotment = account.allotment?;
+        Some(Allotted {
+            account: account.name.clone(),
+            per_second: allotment.per_second * part,
+            burst: allotment.burst * part,
+        })
+    });
+    dispatcher.set_allotments(&allotted.collect::<Vec<_>>(), now);
+}
+
+/// What a request counts against an allotment.
+pub fn units(unit: Unit, tokens: Option<(u64, u64)>) -> f64 {
+    match unit {
+        Unit::Requests => 1.0,
+        Unit::Tokens { plain } => tokens.map_or(plain, |(prompt, output)| prompt + output) as f64,
+    }
+}
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -108,7 +108,16 @@
             };
             known != described
         });
-        if known_start.is_some_and(|known| known > report.incarnation) {
+        if let Some(later) = known_start.filter(|known| *known > report.incarnation) {
+            // A machine has one process at a time, so this one came after, by a clock set back.
+            let leave = Command::Leave {
+                name: report.name,
+                incarnation: later,
+                draining: false,
+                cause: "restarted with an earlier time of day".into(),
+                at,
+            };
+            propose(core, &leave).await?;
             continue;
         }
         let (name, incarnation) = (report.name, report.incarnation);
--- /dev/null
+++ b/gooseberrylb/src/control/list.rs
@@ -0,0 +1,135 @@
+//! Reads the platform's list of upstreams on the leader, and has its changes accepted.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use async_std::net::TcpStream;
+use async_std::{future, task};
+use gooseberrylb_config::directory::Listed;
+use gooseberrylb_config::id;
+use gooseberrylb_control::state::Command;
+
+use super::core::Core;
+use super::lead;
+use crate::gateway::http::Connection;
+
+/// The time between two reads of the list; upstreams that leave must be known within seconds.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// The pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long one page may take to come.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The largest page accepted, in bytes.
+const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// The most unusable entries of one read that are logged.
+const LOGGED_ENTRIES: usize = 3;
+
+type List = BTreeMap<id::Upstream, Arc<Listed>>;
+
+/// Follows the list whenever this instance leads.
+pub async fn follow(core: Rc<Core>) {
+    let Some(deployment) = core.settings.deployment.clone() else {
+        return;
+    };
+    let mut reads = true;
+    loop {
+        if !core.is_leading() {
+            task::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        let pause = match read(&core, deployment.feed).await {
+            Ok(list) => {
+                if !std::mem::replace(&mut reads, true) {
+                    log::info!("the list of upstreams can be read again");
+                }
+                adopt(&core, list).await;
+                INTERVAL
+            }
+            Err(error) => {
+                if std::mem::replace(&mut reads, false) {
+                    log::warn!(error:% = format!("{error:#}"); "the list of upstreams cannot be read; what is known holds");
+                }
+                RETRY_PAUSE
+            }
+        };
+        task::sleep(pause).await;
+    }
+}
+
+async fn read(core: &Core, address: SocketAddr) -> anyhow::Result<List> {
+    let mut list = List::new();
+    let mut next: Option<Arc<str>> = None;
+    loop {
+        let page = future::timeout(PAGE_TIMEOUT, read_page(core, address, next.as_deref()))
+            .await
+            .context("no page came in time")??;
+        for finding in page.unusable.iter().take(LOGGED_ENTRIES) {
+            log::debug!(entry:% = finding; "an entry of the list cannot be used");
+        }
+        let entries = page.entries.into_iter();
+        list.extend(entries.map(|(name, listed)| (name, Arc::new(listed))));
+        match page.next {
+            Some(page) => next = Some(page),
+            None => return Ok(list),
+        }
+    }
+}
+
+async fn read_page(
+    core: &Core,
+    address: SocketAddr,
+    page: Option<&str>,
+) -> anyhow::Result<gooseberrylb_config::dialect::Page> {
+    let dialect = core.dialect.as_ref().context("no platform is spoken to")?;
+    let stream = TcpStream::connect(address).await?;
+    let mut connection = Connection::new(stream);
+    let target = dialect.page_target(page);
+    let head = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    connection.write(head.as_bytes()).await?;
+    let answer = connection.answer(false).await?;
+    let body = connection.body(answer.framing, MAX_PAGE_BYTES).await?;
+    if answer.status != 200 {
+        bail!("the platform answers {}", answer.status);
+    }
+    dialect.page(&body).map_err(|finding| anyhow::anyhow!("{finding}"))
+}
+
+/// Has what changed accepted.
+async fn adopt(core: &Rc<Core>, list: List) {
+    let (set, removed) = {
+        let state = core.state.borrow();
+        let known = &state.directory().listed;
+        let set: Vec<_> = list
+            .iter()
+            .filter(|(name, listed)| known.get(*name) != Some(listed))
+            .map(|(name, listed)| (name.clone(), listed.clone()))
+            .collect();
+        let removed: Vec<_> = known
+            .keys()
+            .filter(|name| !list.contains_key(*name))
+            .cloned()
+            .collect();
+        (set, removed)
+    };
+    if set.is_empty() && removed.is_empty() {
+        return;
+    }
+    for (name, listed) in &set {
+        log::info!(upstream:% = name, service:% = listed.service, draining = listed.draining; "an upstream is listed");
+    }
+    for name in &removed {
+        log::info!(upstream:% = name; "an upstream is listed no more");
+    }
+    let at = core.clock.wall();
+    if let Err(error) = lead::propose(core, &Command::List { set, removed, at }).await {
+        log::warn!(error:% = error; "a change of the list was not accepted");
+    }
+}
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -30,6 +30,8 @@
     },
     /// How the system stands.
     Status,
+    /// The declaration in force, as it was sent.
+    Declaration,
 }
 
 /// What is read, as the JSON of the operators' interface.
@@ -72,6 +74,10 @@
         Question::Report(filter) => found(&state.report(filter)),
         Question::Audit { after, limit } => found(&state.audit(*after, *limit)),
         Question::Status => found(&status(core)),
+        Question::Declaration => match &state.directory().declaration {
+            Some(text) => Answer::Found(text.source.clone()),
+            None => Answer::Missing,
+        },
     }
 }
 
--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -16,9 +16,13 @@
     let Some(status) = core.status() else {
         return;
     };
-    let founders = core.settings.peers.iter().filter(|peer| peer.voter).count();
-    let target = founders.max(1);
     let disks = disks(core, &status.membership.voters);
+    let target = match core.settings.deployment {
+        // A platform counts the machines with disks, so each of them that lives has a vote.
+        Some(_) => disks.values().filter(|disk| is_alive(disk)).count(),
+        None => core.settings.peers.iter().filter(|peer| peer.voter).count(),
+    };
+    let target = target.max(1);
     let Some(change) = repair::next(&status, &disks, target, core.clock.now()) else {
         return;
     };
@@ -28,6 +32,13 @@
     }
 }
 
+fn is_alive(disk: &Disk) -> bool {
+    match disk.liveness {
+        Liveness::Alive { .. } => true,
+        Liveness::Silent { .. } => false,
+    }
+}
+
 fn disks(core: &Core, voters: &BTreeMap<id::Instance, Folder>) -> BTreeMap<id::Instance, Disk> {
     let followers = core.followers.borrow();
     let reported = followers.iter().filter_map(|(name, follower)| {
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_std::net::TcpListener;
 use async_std::{future, task};
+use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_control::consensus::{self, Input, Node};
 use gooseberrylb_control::state::Reply;
 use gooseberrylb_policy::moves::evidence::Report;
@@ -17,7 +19,8 @@
 
 use super::core::{Core, Parts};
 use super::disk::{self, Done};
-use super::{Answer, Ask, Failure, Question, Start, follow, lead, peers, query};
+use super::{Answer, Ask, Failure, Question, Start, dispatch, follow, lead, list, peers, query};
+use crate::gateway;
 
 /// The time between two ticks of the consensus.
 const TICK: Duration = Duration::from_millis(50);
@@ -41,9 +44,10 @@
         .spawn(move || task::block_on(run(start)))
 }
 
-async fn run(start: Start) {
+async fn run(mut start: Start) {
     let (listener, asks) = (start.listener.try_clone(), start.asks.clone());
-    let (core, done) = match make(start) {
+    let gateway = start.gateway.take();
+    let (core, done) = match make(start, gateway.as_ref().map(|g| g.dialect.clone())) {
         Ok(made) => made,
         Err(error) => {
             log::error!("the journal's thread cannot be started: {error}");
@@ -62,10 +66,18 @@
     if let Some(done) = done {
         task::spawn_local(report_syncs(core.clone(), done));
     }
+    if let Some(gateway) = gateway {
+        task::spawn_local(dispatch::run(core.clone()));
+        task::spawn_local(list::follow(core.clone()));
+        gateway::start(core.clone(), gateway);
+    }
     tick(core).await;
 }
 
-fn make(start: Start) -> io::Result<(Rc<Core>, Option<Receiver<Done>>)> {
+fn make(
+    start: Start,
+    dialect: Option<Arc<dyn Dialect>>,
+) -> io::Result<(Rc<Core>, Option<Receiver<Done>>)> {
     let mut voter = None;
     let mut done = None;
     if let Some((journal, recovered)) = start.journal {
@@ -89,6 +101,7 @@
         traffic: start.traffic,
         shared: start.shared,
         published: start.published,
+        dialect,
         voter,
     });
     Ok((core, done))
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use async_std::task;
 use gooseberrylb_config::clock::{Clock, System};
+use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::directory;
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::journal::{Journal, Recovered};
@@ -20,7 +21,7 @@
 use crate::published::Published;
 use crate::signal::Stop;
 use crate::tally::{Shipper, Tallies};
-use crate::{callers, cli, logging, traffic};
+use crate::{callers, cli, gateway, logging, traffic};
 
 /// The exit code where the settings or what they name cannot be used.
 const EXIT_USAGE: u8 = 2;
@@ -42,7 +43,9 @@
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Runs an instance until it is told to stop; the exit code says how it went.
-pub fn run(options: cli::Options) -> ExitCode {
+///
+/// `dialect` is how the platform speaks, for settings that name one.
+pub fn run(options: cli::Options, dialect: Arc<dyn Dialect>) -> ExitCode {
     let settings = match Settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -61,7 +64,7 @@
         return ExitCode::from(EXIT_USAGE);
     }
     stop_at_panics();
-    match start(Arc::new(settings)) {
+    match start(Arc::new(settings), dialect) {
         Ok(instance) => {
             task::block_on(instance.serve());
             ExitCode::SUCCESS
@@ -89,16 +92,60 @@
     }));
 }
 
+/// What the parts of an instance share.
+struct Seat {
+    identity: Identity,
+    clock: Arc<dyn Clock>,
+    published: Published,
+    control: control::Handle,
+}
+
+/// What serves callers.
+enum Part {
+    /// The product's own interface.
+    Entry {
+        entry: Arc<Entry>,
+        callers: listener::Handle,
+        shipper: task::JoinHandle<()>,
+        end_of_tallies: async_channel::Sender<()>,
+    },
+    /// The gateway of a platform, which runs on the control thread.
+    Gateway {
+        stop: async_channel::Sender<()>,
+        stopped: async_channel::Receiver<()>,
+    },
+}
+
+/// The listeners of an instance that runs on a platform.
+struct Platform {
+    callers: Option<std::net::TcpListener>,
+    interfaces: Vec<std::net::TcpListener>,
+}
+
+impl Platform {
+    /// Binds what the settings name; none where they name no platform.
+    fn bind(settings: &Settings) -> anyhow::Result<Option<Self>> {
+        let Some(deployment) = &settings.deployment else {
+            return Ok(None);
+        };
+        let named = [deployment.ready, deployment.control, deployment.directory];
+        let interfaces: anyhow::Result<Vec<_>> =
+            named.into_iter().flatten().map(gateway::bind).collect();
+        let callers = deployment.ready.map(|_| gateway::bind(settings.callers));
+        Ok(Some(Self {
+            callers: callers.transpose()?,
+            interfaces: interfaces?,
+        }))
+    }
+}
+
 /// A started instance.
 struct Instance {
     settings: Arc<Settings>,
     stop: Stop,
-    entry: Arc<Entry>,
     control: control::Handle,
     published: Published,
-    callers: listener::Handle,
-    shipper: task::JoinHandle<()>,
-    end_of_tallies: async_channel::Sender<()>,
+    part: Part,
 }
 
 fn identity(settings: &Settings, key: Key, clock: &dyn Clock) -> Identity {
@@ -113,6 +160,7 @@
             operators: settings.operators,
             peers: settings.peers_listen,
             leaving: false,
+            entry: settings.deployment.as_ref().is_none_or(|d| d.ready.is_some()),
         },
         key,
     }
@@ -133,7 +181,7 @@
         .with_context(|| format!("cannot listen on {address} for {name} (settings: {name})"))
 }
 
-fn start(settings: Arc<Settings>) -> anyhow::Result<Instance> {
+fn start(settings: Arc<Settings>, dialect: Arc<dyn Dialect>) -> anyhow::Result<Instance> {
     let clock: Arc<dyn Clock> = Arc::new(System);
     let stop = Stop::new().context("cannot listen for signals")?;
     let key = settings
@@ -152,7 +200,11 @@
         connections: OPERATOR_CONNECTIONS,
         idle,
     };
-    let callers = task::block_on(bind("callers", settings.callers, callers_limits))?;
+    let platform = Platform::bind(&settings)?;
+    let callers = match platform {
+        Some(_) => None,
+        None => Some(task::block_on(bind("callers", settings.callers, callers_limits))?),
+    };
     let operators = task::block_on(bind("operators", settings.operators, operators_limits))?;
     let peers = std::net::TcpListener::bind(settings.peers_listen).with_context(|| {
         format!(
@@ -165,6 +217,17 @@
     let published = Published::new();
     let (control, asks) = control::Handle::new();
     let (accepted, links) = async_channel::bounded(1024);
+    let (stops, stop_callers) = async_channel::bounded(1);
+    let (stopped, callers_stopped) = async_channel::bounded(1);
+    let on_platform = platform.is_some();
+    let gateway = platform.map(|platform| gateway::Start {
+        dialect,
+        control: control.clone(),
+        stop: stop_callers,
+        stopped,
+        callers: platform.callers,
+        interfaces: platform.interfaces,
+    });
     control::spawn(control::Start {
         settings: settings.clone(),
         identity: identity.clone(),
@@ -175,55 +238,82 @@
         published: published.clone(),
         asks,
         shared: control.shared.clone(),
+        gateway,
     })
     .context("cannot start the control thread")?;
+    let part = if on_platform {
+        Part::Gateway {
+            stop: stops,
+            stopped: callers_stopped,
+        }
+    } else {
+        let seat = Seat {
+            identity: identity.clone(),
+            clock: clock.clone(),
+            published: published.clone(),
+            control: control.clone(),
+        };
+        start_entry(&settings, &seat, callers, links)?
+    };
+    let state = Operators {
+        identity,
+        clock,
+        control: control.clone(),
+        token,
+    };
+    task::spawn(operators.run(operators::app(Arc::new(state))));
+    log::info!("{} serves callers on {}", settings.name, settings.callers);
+    Ok(Instance {
+        settings,
+        stop,
+        control,
+        published,
+        part,
+    })
+}
+
+/// Starts the product's own interface for callers, with the schedulers behind it.
+fn start_entry(
+    settings: &Arc<Settings>,
+    seat: &Seat,
+    callers: Option<Listener>,
+    links: async_channel::Receiver<control::Accepted>,
+) -> anyhow::Result<Part> {
+    let callers = callers.context("there is no listener for callers")?;
     let (traffic, commands) = traffic::Handle::new();
     traffic::spawn(traffic::Start {
-        identity: identity.clone(),
+        identity: seat.identity.clone(),
         settings: settings.clone(),
-        clock: clock.clone(),
-        published: published.clone(),
+        clock: seat.clock.clone(),
+        published: seat.published.clone(),
         accepted: links,
         commands,
-        control: control.clone(),
+        control: seat.control.clone(),
     })
     .context("cannot start the traffic thread")?;
-
     let tallies = Arc::new(Tallies::default());
     let shipper = Shipper::new(
-        identity.clone(),
-        clock.clone(),
+        seat.identity.clone(),
+        seat.clock.clone(),
         tallies.clone(),
-        control.clone(),
+        seat.control.clone(),
     );
     let (end_of_tallies, stopped) = async_channel::bounded(1);
     let shipper = task::spawn(shipper.run(stopped));
     let entry = Entry::new(entry::Parts {
-        identity: identity.clone(),
-        clock: clock.clone(),
-        published: published.clone(),
+        identity: seat.identity.clone(),
+        clock: seat.clock.clone(),
+        published: seat.published.clone(),
         traffic,
         tallies,
         limits: settings.limits.clone(),
-        shared: control.shared.clone(),
+        shared: seat.control.shared.clone(),
     });
-    let callers_handle = callers.handle();
+    let handle = callers.handle();
     task::spawn(callers.run(callers::app(entry.clone())));
-    let state = Operators {
-        identity,
-        clock,
-        control: control.clone(),
-        token,
-    };
-    task::spawn(operators.run(operators::app(Arc::new(state))));
-    log::info!("{} serves callers on {}", settings.name, settings.callers);
-    Ok(Instance {
-        settings,
-        stop,
+    Ok(Part::Entry {
         entry,
-        control,
-        published,
-        callers: callers_handle,
+        callers: handle,
         shipper,
         end_of_tallies,
     })
@@ -235,36 +325,48 @@
         let signal = self.stop.wait().await;
         log::info!("{signal}: {} leaves", self.settings.name);
         self.control.leave();
-        self.let_addresses_lapse().await;
-        self.drain().await;
-        // The last tally goes before the hand-over: when all instances stop at once, there is still a
-        // quorum to take it.
-        self.end_of_tallies.close();
-        (&mut self.shipper).await;
-        self.hand_over().await;
-        task::sleep(LINGER).await;
+        if let Part::Gateway { stop, stopped } = &self.part {
+            stop.close();
+            // Closed once callers are served no more; nothing is ever sent.
+            stopped.recv().await.ok();
+        } else {
+            self.drain().await;
+            self.hand_over().await;
+            task::sleep(LINGER).await;
+        }
         log::info!("{} has stopped", self.settings.name);
         log::logger().flush();
     }
 
-    /// Goes on serving until callers have stopped using the addresses that they keep.
-    async fn let_addresses_lapse(&self) {
-        self.callers.close_after_requests();
-        task::sleep(Duration::from_millis(self.settings.limits.addresses_ttl_ms)).await;
-    }
-
-    /// Waits for the requests in flight, but not for ever.
-    async fn drain(&self) {
+    /// Goes on serving until callers have stopped using the addresses that they keep, then waits for
+    /// the requests in flight, but not for ever.
+    async fn drain(&mut self) {
+        let Part::Entry {
+            entry,
+            callers,
+            shipper,
+            end_of_tallies,
+        } = &mut self.part
+        else {
+            return;
+        };
+        let limits = &self.settings.limits;
+        callers.close_after_requests();
+        task::sleep(Duration::from_millis(limits.addresses_ttl_ms)).await;
         let clock = System;
-        let end = clock.now() + Duration::from_millis(self.settings.limits.drain_ms);
-        while (self.entry.open() > 0 || self.callers.busy() > 0) && clock.now() < end {
+        let end = clock.now() + Duration::from_millis(limits.drain_ms);
+        while (entry.open() > 0 || callers.busy() > 0) && clock.now() < end {
             task::sleep(DRAIN_INTERVAL).await;
         }
-        self.callers.stop();
-        let left = self.entry.open();
+        callers.stop();
+        let left = entry.open();
         if left > 0 {
             log::warn!("{left} requests were still in flight when the time to drain was over");
         }
+        // The last tally goes before the hand-over: when all instances stop at once, there is still a
+        // quorum to take it.
+        end_of_tallies.close();
+        shipper.await;
     }
 
     /// Waits until no cell is scheduled or backed up here, so that no claim leaves with it.
--- /dev/null
+++ b/gooseberrylb/src/gateway/interfaces.rs
@@ -0,0 +1,207 @@
+//! The system's own interfaces on a platform: declarations of operators, entries for callers, and
+//! whether an entry can serve. The adapter decodes and encodes them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::{future, task};
+use gooseberrylb_config::declaration::Text;
+use gooseberrylb_config::dialect::{Call, Dialect};
+use gooseberrylb_control::state::{Command, Reply};
+
+use super::forward::write_field;
+use super::http::{Connection, Error, Request};
+use crate::control::{Answer, Core, Failure, Handle, Question};
+
+/// The largest declaration accepted, in bytes.
+const MAX_BODY: usize = 8 * 1024 * 1024;
+
+/// The largest head accepted, in bytes.
+const MAX_HEAD: usize = 16 * 1024;
+
+/// How long a connection may be idle.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// How long a request's body may take to come.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// How long callers may keep the addresses of entries: an entry that stops is out of use after it.
+const KEEP_ENTRIES: Duration = Duration::from_secs(1);
+
+/// The least entries of a caller's own data centre that are named without those of others, so that
+/// the loss of one leaves another.
+const ENOUGH_NEAR: usize = 2;
+
+/// The most entries named at once.
+const MAX_ENTRIES: usize = 64;
+
+/// What the interfaces answer from.
+pub struct Interfaces {
+    /// This instance's part of the control state.
+    pub core: Rc<Core>,
+    /// The way to the leader.
+    pub control: Handle,
+    /// The platform's way to speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// Whether this instance can serve callers.
+    pub is_ready: Box<dyn Fn() -> bool>,
+}
+
+struct Response {
+    status: u16,
+    body: String,
+}
+
+/// Serves a listener for as long as the instance runs.
+pub async fn serve(interfaces: Rc<Interfaces>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let interfaces = interfaces.clone();
+                task::spawn_local(async move {
+                    let connection = Connection::new(stream);
+                    if let Err(error) = converse(&interfaces, connection).await {
+                        log::debug!(error:% = error; "a caller of the interfaces broke off");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a connection cannot be accepted");
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn converse(interfaces: &Interfaces, mut connection: Connection) -> Result<(), Error> {
+    loop {
+        let next = future::timeout(IDLE, connection.request(MAX_HEAD)).await;
+        let Ok(Some(request)) = next.unwrap_or(Ok(None)) else {
+            return Ok(());
+        };
+        let reading = connection.body(request.framing, MAX_BODY);
+        let body = match future::timeout(BODY_TIME, reading).await {
+            Ok(body) => body?,
+            Err(_) => return Ok(()),
+        };
+        let response = interfaces.answer(&request, body).await;
+        let mut head = format!("HTTP/1.1 {} -\r\n", response.status).into_bytes();
+        write_field(&mut head, "Content-Type", b"application/json");
+        let length = response.body.len().to_string();
+        write_field(&mut head, "Content-Length", length.as_bytes());
+        if request.closes {
+            write_field(&mut head, "Connection", b"close");
+        }
+        head.extend_from_slice(b"\r\n");
+        head.extend_from_slice(response.body.as_bytes());
+        connection.write(&head).await?;
+        if request.closes {
+            return Ok(());
+        }
+    }
+}
+
+impl Interfaces {
+    fn fault(&self, status: u16, message: &str) -> Response {
+        let body = self.dialect.fault(message);
+        Response { status, body }
+    }
+
+    async fn answer(&self, request: &Request, body: Vec<u8>) -> Response {
+        match self.dialect.call(&request.method, &request.target) {
+            Call::Declare => self.declare(body).await,
+            Call::ReadDeclaration => self.read_declaration().await,
+            Call::Entries { data_centre } => self.entries(data_centre.as_deref()),
+            Call::Ready if (self.is_ready)() => Response {
+                status: 200,
+                body: "{}".to_owned(),
+            },
+            Call::Ready => self.fault(503, "this entry cannot serve"),
+            Call::Unknown => self.fault(404, "there is no such call"),
+        }
+    }
+
+    /// Checks a declaration and has it accepted. What is invalid is refused under any version, and
+    /// what is not newer than the one in force changes nothing.
+    async fn declare(&self, body: Vec<u8>) -> Response {
+        let Ok(text) = String::from_utf8(body) else {
+            return self.fault(400, "the declaration is not UTF-8");
+        };
+        let decoded = self.dialect.declaration(&text).and_then(|declaration| {
+            let findings = declaration.check();
+            findings.into_result(declaration)
+        });
+        let declaration = match decoded {
+            Ok(declaration) => declaration,
+            Err(findings) => {
+                let all: Vec<String> = findings.iter().map(|f| f.to_string()).collect();
+                let message = all.join("; ");
+                log::info!(cause = message.as_str(); "a declaration is refused");
+                return self.fault(400, &message);
+            }
+        };
+        let version = declaration.version;
+        let text = Arc::new(Text {
+            version,
+            source: text.into(),
+        });
+        let at = self.core.clock.wall();
+        let result = self.control.propose(Command::Declare { text, at }).await;
+        log::info!(version = version, outcome:? = result; "a declaration was proposed");
+        match result {
+            Ok(Reply::Applied | Reply::Stale) => Response {
+                status: 200,
+                body: "{}".to_owned(),
+            },
+            Ok(Reply::Accepted(_) | Reply::Conflict(_) | Reply::Invalid(_)) => {
+                self.fault(500, "the control state gave an answer that does not fit")
+            }
+            Err(failure) => self.unavailable(&failure),
+        }
+    }
+
+    fn unavailable(&self, failure: &Failure) -> Response {
+        self.fault(503, &failure.to_string())
+    }
+
+    async fn read_declaration(&self) -> Response {
+        match self.control.query(Question::Declaration).await {
+            Ok(Answer::Found(text)) => Response {
+                status: 200,
+                body: text.to_string(),
+            },
+            Ok(Answer::Missing) => self.fault(404, "no declaration was accepted yet"),
+            Err(failure) => self.unavailable(&failure),
+        }
+    }
+
+    /// Names the entries that take callers, those of the caller's data centre alone where they are
+    /// enough.
+    fn entries(&self, data_centre: Option<&str>) -> Response {
+        let published = self.core.published();
+        if !published.is_fresh(self.core.clock.now()) {
+            return self.fault(503, "which entries can serve is not known");
+        }
+        let instances = published.directory.instances.values();
+        let serving: Vec<_> = instances.filter(|i| i.entry && !i.leaving).collect();
+        let near = serving
+            .iter()
+            .filter(|i| Some(i.data_centre.as_str()) == data_centre);
+        let near: Vec<SocketAddr> = near.map(|i| i.callers).collect();
+        let mut addresses: Vec<SocketAddr> = match near.len() >= ENOUGH_NEAR {
+            true => near,
+            false => serving.iter().map(|i| i.callers).collect(),
+        };
+        addresses.truncate(MAX_ENTRIES);
+        if addresses.is_empty() {
+            return self.fault(503, "no entry can serve");
+        }
+        Response {
+            status: 200,
+            body: self.dialect.entries(&addresses, KEEP_ENTRIES),
+        }
+    }
+}
--- a/gooseberrylb/src/lib.rs
+++ b/gooseberrylb/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod gateway;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
--- a/gooseberrylb/src/logging.rs
+++ b/gooseberrylb/src/logging.rs
@@ -4,8 +4,9 @@
 
 use anyhow::{Context, anyhow};
 use gooseberrylb_config::settings;
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::append::file::FileBuilder;
+use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 
 /// How many rotated log files are kept beside the one being written.
@@ -25,6 +26,13 @@
 pub fn start(log: &settings::Log) -> anyhow::Result<()> {
     let filter = LevelFilter::MoreSevereEqual(least_severe(log.level));
     match &log.file {
+        None if log.stdout => logforth::starter_log::builder()
+            .dispatch(|d| {
+                let append = Stdout::default().with_layout(JsonLayout::default());
+                d.filter(filter).append(append)
+            })
+            .try_apply()
+            .map_err(|e| anyhow!("cannot start logging: {e}")),
         None => logforth::starter_log::builder()
             .dispatch(|d| d.filter(filter).append(Stderr::default()))
             .try_apply()
--- a/gooseberrylb/src/main.rs
+++ b/gooseberrylb/src/main.rs
@@ -1,10 +1,12 @@
 //! The gooseberrylb daemon.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use gooseberrylb::cli;
+use platform::Platform;
 
 fn main() -> ExitCode {
     let options = cli::options().run();
-    gooseberrylb::run(options)
+    gooseberrylb::run(options, Arc::new(Platform))
 }
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::LazyLock;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
 
@@ -43,6 +43,18 @@
     pub journal_syncs: IntCounterVec,
     /// Moves by phase.
     pub moves: IntGaugeVec,
+    /// Connections opened to upstreams.
+    pub upstream_connections: IntCounter,
+    /// Times that the dispatcher did not answer an entry.
+    pub dispatcher_lost: IntCounter,
+    /// Requests that an entry placed without the dispatcher.
+    pub placed_alone: IntCounter,
+    /// Decisions of this instance's dispatcher.
+    pub decisions: IntCounterVec,
+    /// Declared requests by the status or the kind of their end.
+    pub gateway_requests: IntCounterVec,
+    /// Time from a declared request's head to its end, in seconds.
+    pub gateway_seconds: Histogram,
     /// Streams resumed after a broken connection, by service.
     pub resumed: IntCounterVec,
 }
@@ -55,6 +67,23 @@
     counters
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("a valid metric");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("a new metric");
+    counter
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(FIRST_TOKEN_BUCKETS.to_vec());
+    let histogram = Histogram::with_opts(options).expect("a valid metric");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("a new metric");
+    histogram
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("a valid metric");
     registry
@@ -141,6 +170,33 @@
             ),
             journal_syncs: counters(&r, "journal_syncs_total", "Journal syncs.", &["result"]),
             moves: gauges(&r, "moves", "Moves between versions by phase.", &["phase"]),
+            upstream_connections: counter(
+                &r,
+                "upstream_connections_total",
+                "Connections opened to upstreams.",
+            ),
+            dispatcher_lost: counter(
+                &r,
+                "dispatcher_lost_total",
+                "Times that the dispatcher did not answer.",
+            ),
+            placed_alone: counter(
+                &r,
+                "placed_alone_total",
+                "Requests placed without the dispatcher.",
+            ),
+            decisions: counters(&r, "decisions_total", "Decisions by kind.", &["decision"]),
+            gateway_requests: counters(
+                &r,
+                "gateway_requests_total",
+                "Declared requests by their end.",
+                &["outcome"],
+            ),
+            gateway_seconds: histogram(
+                &r,
+                "gateway_seconds",
+                "Time from a declared request's head to its end.",
+            ),
             resumed: counters(
                 &r,
                 "streams_resumed_total",
--- a/gooseberrylb_config/src/answer/audit.rs
+++ b/gooseberrylb_config/src/answer/audit.rs
@@ -16,6 +16,8 @@
     NoteAccepted,
     /// A note was refused.
     NoteRefused,
+    /// A declaration was put in force.
+    Declaration,
     /// A move took a step.
     MoveStep,
     /// A service's scheduler or backups changed.
@@ -37,6 +39,7 @@
         f.write_str(match self {
             Kind::NoteAccepted => "note_accepted",
             Kind::NoteRefused => "note_refused",
+            Kind::Declaration => "declaration",
             Kind::MoveStep => "move_step",
             Kind::ViewChange => "view_change",
             Kind::InstanceJoined => "instance_joined",
--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::declaration;
 use crate::id;
 use crate::note;
 use crate::number;
@@ -54,6 +56,14 @@
     pub peers: SocketAddr,
     /// Whether it is leaving and takes no new callers.
     pub leaving: bool,
+    /// Whether it takes callers at all.
+    #[serde(default = "takes_callers")]
+    pub entry: bool,
+}
+
+/// Instances that were stored before some took no callers all took them.
+fn takes_callers() -> bool {
+    true
 }
 
 /// Who schedules a service in a region, and who keeps copies of its claims.
@@ -121,4 +131,27 @@
     pub instances: BTreeMap<id::Instance, Instance>,
     /// The view of each scheduler's domain, as a list since JSON has no structured keys.
     pub views: Vec<(Cell, View)>,
+    /// The operator's declaration of routes, where one was accepted.
+    #[serde(default)]
+    pub declaration: Option<Arc<declaration::Text>>,
+    /// The upstreams that the platform lists.
+    #[serde(default)]
+    pub listed: BTreeMap<id::Upstream, Arc<Listed>>,
+}
+
+/// An upstream as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The service that it serves.
+    pub service: id::Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data centre that it is in.
+    pub data_centre: Arc<str>,
+    /// The version of its software.
+    pub release: Arc<str>,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it is to get no new requests.
+    pub draining: bool,
 }
--- a/gooseberrylb_config/src/directory/delta.rs
+++ b/gooseberrylb_config/src/directory/delta.rs
@@ -1,12 +1,13 @@
 //! What differs between two configurations, so that an instance is sent changes and not the whole.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::{Cell, Directory, Instance, Share, View};
-use crate::{id, note, number};
+use super::{Cell, Directory, Instance, Listed, Share, View};
+use crate::{declaration, id, note, number};
 
 /// The changes of one kind of thing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -69,6 +70,10 @@
     instances: Changes<id::Instance, Instance>,
     /// Changes of views.
     views: Changes<Cell, View>,
+    /// The declaration, where it changed.
+    declaration: Option<Arc<declaration::Text>>,
+    /// Changes of listed upstreams.
+    listed: Changes<id::Upstream, Arc<Listed>>,
 }
 
 /// A delta does not begin where the configuration stands, so the whole must be asked for.
@@ -96,6 +101,11 @@
             shares: Changes::between(&self.shares, &newer.shares),
             instances: Changes::between(&self.instances, &newer.instances),
             views: Changes::between(&views(self), &views(newer)),
+            declaration: newer
+                .declaration
+                .clone()
+                .filter(|text| self.declaration.as_ref() != Some(text)),
+            listed: Changes::between(&self.listed, &newer.listed),
         }
     }
 
@@ -122,6 +132,10 @@
         let mut views = views(self);
         delta.views.apply(&mut views);
         self.views = views.into_iter().collect();
+        if let Some(declaration) = &delta.declaration {
+            self.declaration = Some(declaration.clone());
+        }
+        delta.listed.apply(&mut self.listed);
         self.revision = delta.to;
         Ok(())
     }
--- a/gooseberrylb_config/src/lib.rs
+++ b/gooseberrylb_config/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod answer;
 pub mod clock;
+pub mod declaration;
+pub mod dialect;
 pub mod directory;
 pub mod finding;
 pub mod id;
--- a/gooseberrylb_config/src/reader.rs
+++ b/gooseberrylb_config/src/reader.rs
@@ -427,6 +427,21 @@
     number::Slots: u32,
 }
 
+impl Read for f64 {
+    fn read(node: &Node<'_>, reader: &mut Reader<'_>) -> Option<Self> {
+        let Value::NumberLit(number) = node.value else {
+            reader.wrong_type(node, "a number");
+            return None;
+        };
+        let value = number.value.parse().ok().filter(|value: &f64| *value >= 0.0);
+        if value.is_none() {
+            let message = format!("{} is not a number from 0 up", number.value);
+            reader.add(&node.path, &message);
+        }
+        value
+    }
+}
+
 impl Read for bool {
     fn read(node: &Node<'_>, reader: &mut Reader<'_>) -> Option<Self> {
         match node.value {
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -31,6 +31,8 @@
     pub level: Level,
     /// The file written to; standard error where none is named.
     pub file: Option<PathBuf>,
+    /// Whether lines of JSON go to standard output instead.
+    pub stdout: bool,
 }
 
 impl Default for Log {
@@ -38,6 +40,7 @@
         Self {
             level: Level::Info,
             file: None,
+            stdout: false,
         }
     }
 }
@@ -90,8 +93,34 @@
     }
 }
 
+/// How an instance fits into a platform that starts its processes, lists its upstreams and asks
+/// for its entries; `docs/PLATFORM.md` tells more.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deployment {
+    /// Operators' addresses of some instances; their peers' ports are this instance's own.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the system starts for the first time, so that the seeds are its founders.
+    pub first_start: bool,
+    /// Where an entry tells whether it can serve; an instance without it takes no callers.
+    pub ready: Option<SocketAddr>,
+    /// Where operators send declarations.
+    pub control: Option<SocketAddr>,
+    /// Where callers ask for entries.
+    pub directory: Option<SocketAddr>,
+    /// Where the platform lists upstreams.
+    pub feed: SocketAddr,
+    /// How long after SIGTERM the process is killed, in seconds.
+    pub grace_s: u64,
+    /// The share of a service's requests that may be sent to a second upstream.
+    pub retry_share: f64,
+    /// The repeats that are allowed in a window beside that share, over all instances.
+    pub retry_slack: f64,
+    /// The length of that window, in seconds.
+    pub retry_window_s: f64,
+}
+
 /// The settings of one instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// The instance's name, unlike that of every other instance.
     pub name: id::Instance,
@@ -121,12 +150,29 @@
     pub log: Log,
     /// The bounds on what callers may use.
     pub limits: Limits,
+    /// The folder that relative paths in the settings start from, where it is not the file's own.
+    pub base_folder: Option<PathBuf>,
+    /// The platform that the instance runs on, where there is one.
+    pub deployment: Option<Deployment>,
 }
 
+read_object!(Deployment {
+    seeds,
+    first_start,
+    ready = None,
+    control = None,
+    directory = None,
+    feed,
+    grace_s,
+    retry_share,
+    retry_slack,
+    retry_window_s,
+});
 read_object!(Peer { name, address, voter = false });
 read_object!(Log {
     level = Log::default().level,
     file = None,
+    stdout = false,
 });
 read_object!(Limits {
     body_bytes = Limits::default().body_bytes,
@@ -152,6 +198,8 @@
     weight_store_bytes_per_second = None,
     log = Log::default(),
     limits = Limits::default(),
+    base_folder = None,
+    deployment = None,
 });
 
 impl FromStr for Level {
@@ -210,11 +258,36 @@
             findings.extend(settings.clone().with_base(folder).check_files());
             findings
         })?;
-        Ok(settings.with_base(folder))
+        Ok(settings.with_base(folder).with_seeds())
+    }
+
+    /// Takes the seeds as peers, which are named by their IP numbers; at the first start they are
+    /// the founders.
+    fn with_seeds(mut self) -> Self {
+        let Some(deployment) = &self.deployment else {
+            return self;
+        };
+        for seed in &deployment.seeds {
+            let address = SocketAddr::new(seed.ip(), self.peers_listen.port());
+            let Ok(name) = id::Instance::new(&seed.ip().to_string()) else {
+                continue;
+            };
+            if self.peers.iter().all(|peer| peer.address != address) {
+                let voter = deployment.first_start;
+                self.peers.push(Peer {
+                    name,
+                    address,
+                    voter,
+                });
+            }
+        }
+        self
     }
 
     /// Takes relative paths as relative to `folder`.
     fn with_base(mut self, folder: &Path) -> Self {
+        let base = self.base_folder.clone();
+        let folder = base.as_deref().unwrap_or(folder);
         self.cluster_key_file = folder.join(&self.cluster_key_file);
         self.operator_token_file = folder.join(&self.operator_token_file);
         self.data_folder = self.data_folder.map(|path| folder.join(path));
@@ -238,9 +311,32 @@
         self.check_peers(&mut findings);
         self.limits.check(&mut findings);
         self.check_weight_store(&mut findings);
+        self.check_deployment(&mut findings);
         findings
     }
 
+    fn check_deployment(&self, findings: &mut Findings) {
+        let Some(deployment) = &self.deployment else {
+            return;
+        };
+        if deployment.seeds.is_empty() {
+            findings.add("deployment.seeds", "an instance joins by at least one seed");
+        }
+        if self.name.as_str() != self.peers_listen.ip().to_string() {
+            let message = "on a platform an instance is named by the IP number of peers_listen";
+            findings.add("name", message);
+        }
+        let sizes = [
+            ("grace_s", deployment.grace_s as f64),
+            ("retry_window_s", deployment.retry_window_s),
+        ];
+        for (name, value) in sizes {
+            if value <= 0.0 {
+                findings.add(format!("deployment.{name}"), "this must be above zero");
+            }
+        }
+    }
+
     fn check_addresses(&self, findings: &mut Findings) {
         let listeners = [
             ("callers", self.callers),
--- a/gooseberrylb_control/examples/state_slopes.rs
+++ b/gooseberrylb_control/examples/state_slopes.rs
@@ -68,6 +68,7 @@
         operators: address,
         peers: address,
         leaving: false,
+        entry: true,
     };
     Command::Join {
         name: name(format!("i{n}")),
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+use gooseberrylb_config::declaration;
 use gooseberrylb_config::directory;
 use gooseberrylb_config::finding::Findings;
 use gooseberrylb_config::id;
@@ -20,6 +21,7 @@
 
 pub mod audit;
 mod codec;
+mod declared;
 pub mod instances;
 pub mod notes;
 mod query;
@@ -93,6 +95,24 @@
         #[serde(with = "note::time")]
         at: SystemTime,
     },
+    /// An operator sends a declaration; applied only if its version is higher than the one held.
+    Declare {
+        /// The declaration.
+        text: Arc<declaration::Text>,
+        /// When the leader received it.
+        #[serde(with = "note::time")]
+        at: SystemTime,
+    },
+    /// The platform's list of upstreams changed.
+    List {
+        /// The upstreams that are new or listed otherwise.
+        set: Vec<(id::Upstream, Arc<directory::Listed>)>,
+        /// The upstreams that are gone.
+        removed: Vec<id::Upstream>,
+        /// When the leader read the list.
+        #[serde(with = "note::time")]
+        at: SystemTime,
+    },
     /// An entry's counts of outcomes; merged once by incarnation and number.
     Tally(Tally),
 }
@@ -105,6 +125,8 @@
             | Command::Join { at, .. }
             | Command::Leave { at, .. }
             | Command::View { at, .. }
+            | Command::Declare { at, .. }
+            | Command::List { at, .. }
             | Command::Lead { at, .. } => *at,
             Command::Step(step) => step.at,
             Command::Tally(tally) => tally.to,
@@ -292,6 +314,8 @@
             } => self.change_view(cell, view, cause, *at),
             Command::Step(step) => self.step(step),
             Command::Lead { leader, term, at } => self.lead(leader, *term, *at),
+            Command::Declare { text, at } => self.declare(text, *at),
+            Command::List { set, removed, .. } => self.list(set, removed),
             Command::Tally(tally) => self.reports.merge(tally),
         }
     }
--- a/gooseberrylb_control/src/state/instances.rs
+++ b/gooseberrylb_control/src/state/instances.rs
@@ -31,8 +31,11 @@
         incarnation: u64,
         at: SystemTime,
     ) -> Reply {
-        let known = self.members.get(name).map(|member| member.incarnation);
-        if known.is_some_and(|known| known > incarnation) {
+        let member = self.members.get(name);
+        let known = member.map(|member| member.incarnation);
+        // One that has left may come back with a lower number, if its time of day was set back.
+        let present = member.is_some_and(|member| member.left.is_none());
+        if present && known.is_some_and(|known| known > incarnation) {
             return Reply::Stale;
         }
         if known == Some(incarnation) && self.directory.instances.get(name) == Some(instance) {
--- a/gooseberrylb_control/tests/state/fed.rs
+++ b/gooseberrylb_control/tests/state/fed.rs
@@ -69,6 +69,7 @@
             operators: address,
             peers: address,
             leaving: false,
+            entry: true,
         };
         self.apply(Command::Join {
             name: "i1".parse().unwrap(),
--- /dev/null
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -0,0 +1,306 @@
+//! Which upstream a declared request goes to, and which requests wait or are refused.
+//!
+//! One dispatcher sees all requests of the fleet. Load that it answers: bursts above what the
+//! upstreams can run, upstreams of unlike speed, upstreams that fail or fall silent, and accounts
+//! that send more than their allotment. Pure: it is told the time and what happened.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+use serde::{Deserialize, Serialize};
+
+use crate::allotment::Bucket;
+
+pub use service::Rates;
+pub use upstream::Health;
+
+mod service;
+mod upstream;
+
+use service::Service;
+
+/// Names a request among those of all entries.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The entry that holds it.
+    pub entry: id::Instance,
+    /// The start of the entry's process, as milliseconds since 1970.
+    pub incarnation: u64,
+    /// Its number at that entry; a second attempt has a number of its own.
+    pub number: u64,
+}
+
+/// A request that needs an upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The request.
+    pub key: Key,
+    /// The service.
+    pub service: id::Service,
+    /// The account, where it has an allotment.
+    pub account: Option<id::Account>,
+    /// What it counts against the allotment; nothing on a second attempt.
+    pub units: f64,
+    /// Its rank; 0 is served first.
+    pub rank: u8,
+    /// The data centre of the entry.
+    pub data_centre: Arc<str>,
+    /// The tokens of its prompt; none for plain calls.
+    pub prompt: u64,
+    /// The events that are expected of it; none for plain calls.
+    pub events: u64,
+    /// The time left in which its answer, or its first event, is on time.
+    pub objective: Duration,
+    /// The longest time that it is worth waiting for an upstream.
+    pub hold: Duration,
+    /// The time left after which nobody waits for its answer.
+    pub patience: Duration,
+    /// The upstreams that it must not go to.
+    pub excluded: Vec<id::Upstream>,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// Its account has used what it may.
+    Allotment,
+    /// The upstreams cannot run it in time.
+    Busy,
+    /// The service has no upstream that may be used.
+    NoUpstream,
+}
+
+/// What is decided on a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Decision {
+    /// It goes to this upstream, which has a slot for it.
+    Grant(id::Upstream),
+    /// It waits for a slot; the decision is to be asked for.
+    Wait,
+    /// It is refused, and may come back after this time.
+    Refuse(Reason, Duration),
+    /// It is not known here, so the entry decides itself.
+    Unknown,
+}
+
+/// What became of a granted request.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was answered in full.
+    Served {
+        /// The time to the first byte of the answer's body.
+        first: Duration,
+        /// The time from then to the end.
+        rest: Duration,
+        /// The events that came.
+        events: u64,
+    },
+    /// The upstream said that it had no room.
+    Full,
+    /// The upstream failed, or could not be reached.
+    Failed,
+    /// The caller left, or the grant was not used.
+    Dropped,
+}
+
+/// A request that an entry has at an upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// The request.
+    pub key: Key,
+    /// The service.
+    pub service: id::Service,
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// How long it may still last.
+    pub patience: Duration,
+}
+
+/// What an entry tells without a question.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// All that the entry has at upstreams, where the dispatcher is new to it.
+    pub running: Option<(id::Instance, Vec<Running>)>,
+    /// What became of requests.
+    pub ended: Vec<(Key, Outcome)>,
+    /// The requests whose upstream has been silent for longer than expected.
+    pub silent: Vec<Key>,
+}
+
+/// An upstream as the dispatcher is told of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Upstream {
+    /// Its name.
+    pub name: id::Upstream,
+    /// Its service.
+    pub service: id::Service,
+    /// Where it is.
+    pub data_centre: Arc<str>,
+    /// How many requests it runs at once.
+    pub slots: u32,
+}
+
+/// An account's allotment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Allotted {
+    /// The account.
+    pub account: id::Account,
+    /// The units a second.
+    pub per_second: f64,
+    /// The units at once.
+    pub burst: f64,
+}
+
+/// A request that waits or runs, and what it counted against its account's allotment.
+#[derive(Debug)]
+struct Placed {
+    service: id::Service,
+    charge: Option<(id::Account, f64)>,
+}
+
+/// Decides for all requests of the fleet.
+#[derive(Debug, Default)]
+pub struct Dispatcher {
+    services: BTreeMap<id::Service, Service>,
+    placed: HashMap<Key, Placed>,
+    buckets: BTreeMap<id::Account, Bucket>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the upstreams that may be used; what runs at others is forgotten when it ends.
+    pub fn set_upstreams(&mut self, upstreams: impl IntoIterator<Item = Upstream>, now: Instant) {
+        let mut by_service: BTreeMap<id::Service, Vec<Upstream>> = BTreeMap::new();
+        for upstream in upstreams {
+            let name = upstream.service.clone();
+            by_service.entry(name).or_default().push(upstream);
+        }
+        for name in by_service.keys() {
+            self.services.entry(name.clone()).or_default();
+        }
+        for (name, service) in &mut self.services {
+            service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
+        }
+    }
+
+    /// Takes the accounts' allotments; what an account has used so far still counts.
+    pub fn set_allotments(&mut self, allotments: &[Allotted], now: Instant) {
+        let known = |name: &id::Account| allotments.iter().any(|a| a.account == *name);
+        self.buckets.retain(|name, _| known(name));
+        for allotted in allotments {
+            let (rate, burst) = (allotted.per_second, allotted.burst);
+            match self.buckets.get_mut(&allotted.account) {
+                Some(bucket) => bucket.change(rate, burst, now),
+                None => {
+                    let bucket = Bucket::new(rate, burst, now);
+                    self.buckets.insert(allotted.account.clone(), bucket);
+                }
+            }
+        }
+    }
+
+    /// Decides on a request, or has it wait.
+    pub fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
+        let bucket = ask.account.as_ref().and_then(|a| self.buckets.get_mut(a));
+        if let Some(wait) = bucket.and_then(|bucket| bucket.lacks(ask.units, now)) {
+            return Decision::Refuse(Reason::Allotment, wait);
+        }
+        let (account, units) = (ask.account.clone(), ask.units);
+        let (key, name) = (ask.key.clone(), ask.service.clone());
+        let Some(service) = self.services.get_mut(&name) else {
+            return Decision::Refuse(Reason::NoUpstream, service::NO_UPSTREAM_PAUSE);
+        };
+        let decision = service.ask(ask, now);
+        if !matches!(decision, Decision::Refuse(..)) {
+            // A request that waits counts at once, so that no more wait than may run.
+            if let Some(bucket) = account.as_ref().and_then(|a| self.buckets.get_mut(a)) {
+                bucket.take(units, now);
+            }
+            let charge = account.map(|account| (account, units));
+            let service = name;
+            self.placed.insert(key, Placed { service, charge });
+        }
+        decision
+    }
+
+    /// What waits no longer: granted, or refused since its time is over.
+    pub fn poll(&mut self, now: Instant) -> Vec<(Key, Decision)> {
+        let mut decided = Vec::new();
+        for service in self.services.values_mut() {
+            service.poll(now, &mut decided);
+        }
+        for (key, decision) in &decided {
+            if matches!(decision, Decision::Refuse(..)) {
+                let charge = self.placed.remove(key).and_then(|placed| placed.charge);
+                if let Some((account, units)) = charge
+                    && let Some(bucket) = self.buckets.get_mut(&account)
+                {
+                    bucket.give_back(units);
+                }
+            }
+        }
+        decided
+    }
+
+    /// When the next waiting request is refused if nothing else happens.
+    pub fn next_due(&self) -> Option<Instant> {
+        self.services.values().filter_map(Service::next_due).min()
+    }
+
+    /// Takes in what an entry tells.
+    pub fn tell(&mut self, notice: Notice, now: Instant) {
+        if let Some((entry, running)) = notice.running {
+            self.replace(&entry, running, now);
+        }
+        for key in &notice.silent {
+            if let Some(placed) = self.placed.get(key) {
+                let service = self.services.get_mut(&placed.service);
+                service.into_iter().for_each(|s| s.silent(key, now));
+            }
+        }
+        for (key, outcome) in &notice.ended {
+            if let Some(placed) = self.placed.remove(key) {
+                let service = self.services.get_mut(&placed.service);
+                service.into_iter().for_each(|s| s.end(key, *outcome, now));
+            }
+        }
+    }
+
+    /// Forgets what entries had that are gone.
+    pub fn retain_entries(&mut self, lives: impl Fn(&id::Instance) -> bool) {
+        self.placed.retain(|key, _| lives(&key.entry));
+        for service in self.services.values_mut() {
+            service.retain(|key| lives(&key.entry));
+        }
+    }
+
+    fn replace(&mut self, entry: &id::Instance, running: Vec<Running>, now: Instant) {
+        self.placed.retain(|key, _| key.entry != *entry);
+        for service in self.services.values_mut() {
+            service.retain(|key| key.entry != *entry);
+        }
+        for run in running {
+            let service = self.services.entry(run.service.clone()).or_default();
+            let service_name = run.service.clone();
+            let placed = Placed {
+                service: service_name,
+                charge: None,
+            };
+            self.placed.insert(run.key.clone(), placed);
+            service.resume(run, now);
+        }
+    }
+
+    /// The requests that wait and that run, for metrics.
+    pub fn load(&self) -> (usize, usize) {
+        let waiting = self.services.values().map(Service::waiting).sum();
+        let running = self.services.values().map(Service::running).sum();
+        (waiting, running)
+    }
+}
--- /dev/null
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -0,0 +1,410 @@
+//! The requests of one service: which wait, in which order they are granted, and where they go.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+
+use super::upstream::State;
+use super::{Ask, Decision, Key, Outcome, Reason, Running, Upstream};
+
+/// When callers may come back to a service without upstreams; the list is read about so often.
+pub(super) const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
+
+/// How much sooner than from another data centre an answer must be expected to go there; bytes
+/// between data centres cost, and a round trip takes a few milliseconds.
+const DISTANCE: Duration = Duration::from_millis(30);
+
+/// How much later an answer counts that shares its upstream with as many others as there are slots:
+/// prompts that are read delay the other requests' tokens.
+const COMPANY: Duration = Duration::from_millis(40);
+
+/// What is added to the expected end where the first event would be late.
+const LATE: Duration = Duration::from_secs(60);
+
+/// The part of the objective by which a first event must be expected for a request to count as in
+/// time, since expectations err.
+const CERTAINTY: f64 = 0.85;
+
+/// The part of the time that a late request is worth waiting in which its grant must be expected.
+const HOLD_CERTAINTY: f64 = 0.6;
+
+/// The weight of the newest answer in what is learned of one upstream.
+const NEWEST: f64 = 0.2;
+
+/// The weight of the newest answer in what is learned of all upstreams together.
+const NEWEST_POOLED: f64 = 0.05;
+
+/// What is expected of an engine before any was measured: a prompt token and an event, in seconds.
+const UNMEASURED: (f64, f64) = (30e-6, 20e-3);
+
+/// What is expected of a plain call before any was measured, in seconds.
+const UNMEASURED_CALL: f64 = 20e-3;
+
+/// What is expected of a request's stay before any was measured, in seconds.
+const UNMEASURED_STAY: f64 = 0.3;
+
+/// The shortest prompt whose reading time tells something of the rate, in tokens.
+const TELLING_PROMPT: u64 = 400;
+
+/// The shortest pause before a refused request may come back.
+const SHORTEST_RETURN: Duration = Duration::from_millis(200);
+
+/// Over how much of its length a return is spread, so that refused callers don't come together.
+const RETURN_SPREAD: f64 = 0.5;
+
+/// How fast an upstream is, as far as it was measured; in seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Rates {
+    prompt_token: Option<f64>,
+    event: Option<f64>,
+    call: Option<f64>,
+}
+
+fn learn(known: &mut Option<f64>, new: f64, weight: f64) {
+    *known = Some(known.map_or(new, |known| known + (new - known) * weight));
+}
+
+impl Rates {
+    fn measure(&mut self, run: &Run, first: Duration, rest: Duration, events: u64, weight: f64) {
+        if run.prompt == 0 {
+            learn(&mut self.call, (first + rest).as_secs_f64(), weight);
+            return;
+        }
+        if run.prompt >= TELLING_PROMPT {
+            // What waited before it on that upstream is not its own reading time.
+            let own = first.saturating_sub(run.queued).as_secs_f64();
+            learn(&mut self.prompt_token, own / run.prompt as f64, weight);
+        }
+        if events > 1 {
+            let event = rest.as_secs_f64() / (events - 1) as f64;
+            learn(&mut self.event, event, weight);
+        }
+    }
+
+    /// The time to the first event, or to the answer of a plain call.
+    pub(super) fn first(&self, ask: &Ask, pooled: &Rates) -> Duration {
+        let seconds = if ask.prompt == 0 {
+            self.call.or(pooled.call).unwrap_or(UNMEASURED_CALL)
+        } else {
+            let rate = self.prompt_token.or(pooled.prompt_token);
+            rate.unwrap_or(UNMEASURED.0) * ask.prompt as f64
+        };
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// The time from the first event to the last.
+    pub(super) fn rest(&self, ask: &Ask, pooled: &Rates) -> Duration {
+        if ask.prompt == 0 {
+            return Duration::ZERO;
+        }
+        let rate = self.event.or(pooled.event).unwrap_or(UNMEASURED.1);
+        Duration::from_secs_f64(rate * ask.events as f64)
+    }
+}
+
+/// A request at an upstream.
+#[derive(Debug)]
+struct Run {
+    upstream: id::Upstream,
+    since: Instant,
+    prompt: u64,
+    /// The reading that was before it when it was granted.
+    queued: Duration,
+    silent: bool,
+    /// When nobody waits for it any more, so that a lost end frees its slot.
+    over: Instant,
+}
+
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting {
+    ask: Ask,
+    since: Instant,
+}
+
+/// The order of those that wait: by rank, then those that can be in time, then by their coming.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    rank: u8,
+    late: bool,
+    number: u64,
+}
+
+/// One service.
+#[derive(Debug, Default)]
+pub(super) struct Service {
+    upstreams: Vec<State>,
+    running: HashMap<Key, Run>,
+    queue: BTreeMap<Place, Waiting>,
+    places: HashMap<Key, Place>,
+    pooled: Rates,
+    stay: Option<f64>,
+    count: u64,
+}
+
+impl Service {
+    pub(super) fn set_upstreams(&mut self, upstreams: Vec<Upstream>, now: Instant) {
+        let mut known: HashMap<_, _> = std::mem::take(&mut self.upstreams)
+            .into_iter()
+            .map(|state| (state.upstream.name.clone(), state))
+            .collect();
+        for upstream in upstreams {
+            let state = match known.remove(&upstream.name) {
+                Some(state) => State { upstream, ..state },
+                None => State::new(upstream, now),
+            };
+            self.upstreams.push(state);
+        }
+        self.recount();
+    }
+
+    pub(super) fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
+        if self.queue.is_empty()
+            && let Some(upstream) = self.choose(&ask, now)
+        {
+            return Decision::Grant(self.grant(&ask, upstream, now));
+        }
+        let slots: u32 = self.upstreams.iter().map(|u| u.upstream.slots).sum();
+        if slots == 0 {
+            return Decision::Refuse(Reason::NoUpstream, self.spread(NO_UPSTREAM_PAUSE));
+        }
+        let pace = self.stay.unwrap_or(UNMEASURED_STAY) / f64::from(slots);
+        let ahead = |late: bool| {
+            let before = |place: &&Place| (place.rank, place.late) <= (ask.rank, late);
+            self.queue.keys().filter(before).count() + 1
+        };
+        let wait = pace * ahead(false) as f64;
+        let first = self.pooled.first(&ask, &Rates::default()).as_secs_f64();
+        let is_in_time = wait + first <= ask.objective.as_secs_f64() * CERTAINTY;
+        let late_wait = pace * ahead(true) as f64;
+        if !is_in_time && late_wait > ask.hold.as_secs_f64() * HOLD_CERTAINTY {
+            let pause = Duration::from_secs_f64(late_wait).min(ask.patience / 3);
+            let pause = self.spread(pause.max(SHORTEST_RETURN));
+            return Decision::Refuse(Reason::Busy, pause);
+        }
+        self.count += 1;
+        let place = Place {
+            rank: ask.rank,
+            late: !is_in_time,
+            number: self.count,
+        };
+        self.places.insert(ask.key.clone(), place);
+        self.queue.insert(place, Waiting { ask, since: now });
+        Decision::Wait
+    }
+
+    /// Grants what has room now, and refuses what has waited for too long.
+    pub(super) fn poll(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
+        self.drop_overdue(now);
+        self.sort_out(now, decided);
+        while !self.queue.is_empty() {
+            let mut granted = None;
+            for (place, waiting) in &self.queue {
+                if let Some(upstream) = self.choose(&waiting.ask, now) {
+                    granted = Some((*place, upstream));
+                    break;
+                }
+                if waiting.ask.excluded.is_empty() {
+                    // Whoever may go anywhere found no room, so nobody does.
+                    return;
+                }
+            }
+            let Some((place, upstream)) = granted else {
+                return;
+            };
+            let Some(waiting) = self.queue.remove(&place) else {
+                return;
+            };
+            self.places.remove(&waiting.ask.key);
+            let upstream = self.grant(&waiting.ask, upstream, now);
+            decided.push((waiting.ask.key, Decision::Grant(upstream)));
+        }
+    }
+
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        let ends = self.queue.values().map(|w| w.since + w.ask.hold);
+        ends.min()
+    }
+
+    /// Refuses those whose time to wait is over, and puts those behind that cannot be in time.
+    fn sort_out(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
+        let over = |w: &Waiting| now >= w.since + w.ask.hold;
+        let late = |p: &Place, w: &Waiting| !p.late && now >= w.since + w.ask.objective;
+        let moved: Vec<Place> = self
+            .queue
+            .iter()
+            .filter(|(place, waiting)| over(waiting) || late(place, waiting))
+            .map(|(place, _)| *place)
+            .collect();
+        for place in moved {
+            let Some(waiting) = self.queue.remove(&place) else {
+                continue;
+            };
+            if over(&waiting) {
+                self.places.remove(&waiting.ask.key);
+                let left = waiting.ask.patience.saturating_sub(waiting.ask.hold);
+                let pause = self.spread((left / 3).min(NO_UPSTREAM_PAUSE).max(SHORTEST_RETURN));
+                decided.push((waiting.ask.key, Decision::Refuse(Reason::Busy, pause)));
+            } else {
+                let place = Place {
+                    late: true,
+                    ..place
+                };
+                self.places.insert(waiting.ask.key.clone(), place);
+                self.queue.insert(place, waiting);
+            }
+        }
+    }
+
+    pub(super) fn silent(&mut self, key: &Key, now: Instant) {
+        let Some(run) = self.running.get_mut(key).filter(|run| !run.silent) else {
+            return;
+        };
+        run.silent = true;
+        let name = run.upstream.clone();
+        if let Some(state) = self.state(&name) {
+            state.health.failed(now);
+        }
+    }
+
+    pub(super) fn end(&mut self, key: &Key, outcome: Outcome, now: Instant) {
+        if let Some(place) = self.places.remove(key) {
+            self.queue.remove(&place);
+        }
+        let Some(run) = self.running.remove(key) else {
+            return;
+        };
+        let mut pooled = self.pooled;
+        if let Some(state) = self.state(&run.upstream) {
+            state.running = state.running.saturating_sub(1);
+            match outcome {
+                Outcome::Served {
+                    first,
+                    rest,
+                    events,
+                } => {
+                    state.health.served();
+                    state.rates.measure(&run, first, rest, events, NEWEST);
+                    pooled.measure(&run, first, rest, events, NEWEST_POOLED);
+                }
+                Outcome::Full => state.full(now),
+                Outcome::Failed => state.health.failed(now),
+                Outcome::Dropped => {}
+            }
+        }
+        self.pooled = pooled;
+        if let Outcome::Served { .. } = outcome {
+            let stay = now.saturating_duration_since(run.since).as_secs_f64();
+            learn(&mut self.stay, stay, NEWEST_POOLED);
+        }
+    }
+
+    pub(super) fn resume(&mut self, running: Running, now: Instant) {
+        let run = Run {
+            upstream: running.upstream,
+            since: now,
+            prompt: 0,
+            queued: Duration::ZERO,
+            silent: false,
+            over: now + running.patience,
+        };
+        self.running.insert(running.key, run);
+        self.recount();
+    }
+
+    pub(super) fn retain(&mut self, keep: impl Fn(&Key) -> bool) {
+        self.running.retain(|key, _| keep(key));
+        self.queue.retain(|_, waiting| keep(&waiting.ask.key));
+        self.places.retain(|key, _| keep(key));
+        self.recount();
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    fn drop_overdue(&mut self, now: Instant) {
+        let before = self.running.len();
+        self.running.retain(|_, run| now < run.over);
+        if self.running.len() != before {
+            self.recount();
+        }
+    }
+
+    fn recount(&mut self) {
+        for state in &mut self.upstreams {
+            state.running = 0;
+        }
+        for run in self.running.values() {
+            let mut states = self.upstreams.iter_mut();
+            let state = states.find(|state| state.upstream.name == run.upstream);
+            if let Some(state) = state {
+                state.running += 1;
+            }
+        }
+    }
+
+    fn state(&mut self, name: &id::Upstream) -> Option<&mut State> {
+        let mut states = self.upstreams.iter_mut();
+        states.find(|state| state.upstream.name == *name)
+    }
+
+    /// The upstream with room whose answer is expected to end first.
+    fn choose(&self, ask: &Ask, now: Instant) -> Option<usize> {
+        let healthy = |state: &State| state.health.bound(state.upstream.slots, now) > 0;
+        // Where most upstreams fail, resting them all would leave nobody to serve.
+        let trusted =
+            self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
+        let candidates = self.upstreams.iter().enumerate();
+        candidates
+            .filter(|(_, state)| state.has_room(trusted, now))
+            .filter(|(_, state)| !ask.excluded.contains(&state.upstream.name))
+            .min_by_key(|(_, state)| self.cost(ask, state, now))
+            .map(|(i, _)| i)
+    }
+
+    fn cost(&self, ask: &Ask, state: &State, now: Instant) -> Duration {
+        let (first, end) = state.expect(ask, &self.pooled, now);
+        let mut cost = end + COMPANY * state.running / state.upstream.slots.max(1);
+        if first > ask.objective {
+            cost += LATE + first;
+        }
+        if state.upstream.data_centre != ask.data_centre {
+            cost += DISTANCE;
+        }
+        cost
+    }
+
+    fn grant(&mut self, ask: &Ask, upstream: usize, now: Instant) -> id::Upstream {
+        let pooled = self.pooled;
+        let state = &mut self.upstreams[upstream];
+        let queued = state.read_until.saturating_duration_since(now);
+        if ask.prompt > 0 {
+            state.read_until = state.read_until.max(now) + state.rates.first(ask, &pooled);
+        }
+        state.running += 1;
+        let run = Run {
+            upstream: state.upstream.name.clone(),
+            since: now,
+            prompt: ask.prompt,
+            queued,
+            silent: false,
+            over: now + ask.patience + NO_UPSTREAM_PAUSE,
+        };
+        self.running.insert(ask.key.clone(), run);
+        self.upstreams[upstream].upstream.name.clone()
+    }
+
+    /// Lengthens a pause by a part that differs from one refusal to the next.
+    fn spread(&mut self, pause: Duration) -> Duration {
+        self.count += 1;
+        // Multiples of the golden ratio fall evenly between 0 and 1.
+        let part = (self.count as f64 * 0.618_034).fract();
+        pause.mul_f64(1.0 + RETURN_SPREAD * part)
+    }
+}
--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -135,7 +135,7 @@
                 settings,
                 check: false,
             };
-            return gooseberrylb::run(options);
+            return gooseberrylb::run(options, std::sync::Arc::new(platform::Platform));
         }
         Command::Demo => task::block_on(demo::run()),
         Command::Engine {
--- a/gooseberrylb_wire/src/peer_capnp.rs
+++ b/gooseberrylb_wire/src/peer_capnp.rs
@@ -20,6 +20,12 @@
     pub type QueryResults<> = ::capnp::capability::Results<crate::peer_capnp::control::query_results::Owned>;
     pub type EvidenceParams<> = ::capnp::capability::Params<crate::peer_capnp::control::evidence_params::Owned>;
     pub type EvidenceResults<> = ::capnp::capability::Results<crate::peer_capnp::control::evidence_results::Owned>;
+    pub type AskParams<> = ::capnp::capability::Params<crate::peer_capnp::control::ask_params::Owned>;
+    pub type AskResults<> = ::capnp::capability::Results<crate::peer_capnp::control::ask_results::Owned>;
+    pub type DecidedParams<> = ::capnp::capability::Params<crate::peer_capnp::control::decided_params::Owned>;
+    pub type DecidedResults<> = ::capnp::capability::Results<crate::peer_capnp::control::decided_results::Owned>;
+    pub type TellParams<> = ::capnp::capability::Params<crate::peer_capnp::control::tell_params::Owned>;
+    pub type TellResults<> = ::capnp::capability::Results<crate::peer_capnp::control::tell_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -87,6 +93,15 @@
         pub fn evidence_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::control::evidence_params::Owned,crate::peer_capnp::control::evidence_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
+        pub fn ask_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::control::ask_params::Owned,crate::peer_capnp::control::ask_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
+        pub fn decided_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::control::decided_params::Owned,crate::peer_capnp::control::decided_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
+        pub fn tell_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::control::tell_params::Owned,crate::peer_capnp::control::tell_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::ping not implemented".to_string()))) }
@@ -95,6 +110,9 @@
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::follow not implemented".to_string()))) }
         fn query(self: ::capnp::capability::Rc<Self>, _: QueryParams<>, _: QueryResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::query not implemented".to_string()))) }
         fn evidence(self: ::capnp::capability::Rc<Self>, _: EvidenceParams<>, _: EvidenceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::evidence not implemented".to_string()))) }
+        fn ask(self: ::capnp::capability::Rc<Self>, _: AskParams<>, _: AskResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::ask not implemented".to_string()))) }
+        fn decided(self: ::capnp::capability::Rc<Self>, _: DecidedParams<>, _: DecidedResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::decided not implemented".to_string()))) }
+        fn tell(self: ::capnp::capability::Rc<Self>, _: TellParams<>, _: TellResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::tell not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -130,6 +148,9 @@
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::follow(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::query(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::evidence(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ask(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::decided(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2459,6 +2480,1240 @@
             pub(crate) const TYPE_ID: u64 = 0x8208_592a_1e20_abb5;
         }
     }
+
+    pub mod ask_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_request(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(213, 204, 196, 140, 69, 70, 4, 246),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 97, 115, 107, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf604_4645_8cc4_ccd5;
+        }
+    }
+
+    pub mod ask_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_decision(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_decision(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(162, 22, 214, 144, 196, 56, 214, 196),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 97, 115, 107, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 99, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc4d6_38c4_90d6_16a2;
+        }
+    }
+
+    pub mod decided_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_key(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_key(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(19, 157, 41, 140, 216, 58, 183, 152),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 100, 101, 99, 105, 100),
+                ::capnp::word(101, 100, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x98b7_3ad8_8c29_9d13;
+        }
+    }
+
+    pub mod decided_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_decision(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_decision(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(159, 97, 166, 179, 140, 130, 24, 213),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 100, 101, 99, 105, 100),
+                ::capnp::word(101, 100, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 99, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd518_828c_b3a6_619f;
+        }
+    }
+
+    pub mod tell_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_notice(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_notice(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_notice(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_notice(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_notice(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_notice(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(242, 214, 139, 164, 28, 42, 253, 244),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 116, 101, 108, 108, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 116, 105, 99, 101, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf4fd_2a1c_a48b_d6f2;
+        }
+    }
+
+    pub mod tell_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_taken(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(255, 165, 170, 140, 103, 146, 91, 188),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 116, 101, 108, 108, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbc5b_9267_8caa_a5ff;
+        }
+    }
 }
 
 
