Reach voters that no seed names, and let a leader that was cut off look for others

And a leader that was cut off and replaced answered its own reports by naming itself for good, so it never followed again and was not taken back as a voter. Change: on a platform names are IP numbers, so a name gives the address; nobody names itself. Tests fail without: instances_on_a_platform_reach_voters_that_no_seed_names, a_leader_that_was_cut_off_does_not_name_itself.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -197,11 +197,7 @@
 
     /// Where another instance listens, by the configuration or the settings.
     pub fn address_of(&self, instance: &id::Instance) -> Option<SocketAddr> {
-        let peers = &self.settings.peers;
-        let by_settings = peers
-            .iter()
-            .find(|p| p.name == *instance)
-            .map(|p| p.address);
+        let by_settings = self.settings.peer_address(instance);
         let by_directory = || {
             let feed = self.feed.borrow();
             feed.directory().instances.get(instance).map(|i| i.peers)
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -19,7 +19,7 @@
 use gooseberrylb_wire::message::{News, Report, Update};
 
 use super::core::{Core, Source};
-use super::relay::{MAX_DIRECT, relay};
+use super::relay::{self, MAX_DIRECT, relay};
 use crate::metrics::METRICS;
 
 /// How long a configuration may be acted on after the leader last proved that it is the newest.
@@ -170,7 +170,10 @@
 }
 
 async fn pass_on(core: &Rc<Core>, report: Report) -> Update {
-    let leader = core.published().leader.clone();
+    let published = core.published();
+    let fresh = published.is_fresh(core.clock.now());
+    let told = published.leader.clone().filter(|_| fresh);
+    let leader = relay::leader_to_name(&core.identity.name, core.known_leader(), told);
     let elsewhere = || Update::Ask {
         address: leader.and_then(|name| core.address_of(&name)),
     };
@@ -374,8 +377,10 @@
 
     fn redirect(&mut self, core: &Core, address: Option<SocketAddr>) {
         match address {
-            Some(address) => self.named = Some(address),
-            None => self.advance(core),
+            Some(address) if address != core.identity.instance.peers => {
+                self.named = Some(address);
+            }
+            Some(_) | None => self.advance(core),
         }
     }
 
--- a/gooseberrylb/src/control/relay.rs
+++ b/gooseberrylb/src/control/relay.rs
@@ -8,6 +8,17 @@
 /// How many instances follow the leader itself; beyond that, relays carry the configuration.
 pub const MAX_DIRECT: usize = 24;
 
+/// Whom an instance that does not lead names as the leader: what its consensus node knows goes before
+/// what a leader told it while that was fresh. It never names itself: one that led and was cut off
+/// would send everybody, and itself, back to itself for good.
+pub fn leader_to_name(
+    own: &id::Instance,
+    known: Option<id::Instance>,
+    told: Option<id::Instance>,
+) -> Option<id::Instance> {
+    known.or(told).filter(|leader| leader != own)
+}
+
 /// The relay that `name` is to follow, or none where it follows the leader.
 ///
 /// The instances in order of their names fall into groups of about the square root of their number;
--- a/gooseberrylb/src/control/relay/tests.rs
+++ b/gooseberrylb/src/control/relay/tests.rs
@@ -2,7 +2,7 @@
 
 use gooseberrylb_config::id;
 
-use super::{MAX_DIRECT, relay};
+use super::{MAX_DIRECT, leader_to_name, relay};
 
 fn names(count: usize) -> Vec<id::Instance> {
     (0..count)
@@ -37,3 +37,13 @@
         }
     }
 }
+
+#[test]
+fn a_leader_that_was_cut_off_does_not_name_itself() {
+    let names = names(2);
+    let (own, other) = (names[0].clone(), names[1].clone());
+    let named = leader_to_name(&own, None, Some(own.clone()));
+    assert_eq!(named, None);
+    let named = leader_to_name(&own, Some(other.clone()), Some(own.clone()));
+    assert_eq!(named, Some(other));
+}
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -117,6 +117,8 @@
     pub retry_slack: f64,
     /// The length of that window, in seconds.
     pub retry_window_s: f64,
+    /// The length of the window in which the use of allotments is counted, in seconds.
+    pub allotment_window_s: f64,
 }
 
 /// The settings of one instance.
@@ -167,6 +169,7 @@
     retry_share,
     retry_slack,
     retry_window_s,
+    allotment_window_s,
 });
 read_object!(Peer { name, address, voter = false });
 read_object!(Log {
@@ -295,6 +298,19 @@
         self
     }
 
+    /// Where another instance listens for its peers, as far as the settings tell: by its entry, or on
+    /// a platform by its name, which is its IP number. A restarted voter must reach the others before
+    /// it can know anything else of them.
+    pub fn peer_address(&self, name: &id::Instance) -> Option<SocketAddr> {
+        let entry = self.peers.iter().find(|peer| peer.name == *name);
+        let by_name = || {
+            self.deployment.as_ref()?;
+            let ip = name.as_str().parse().ok()?;
+            Some(SocketAddr::new(ip, self.peers_listen.port()))
+        };
+        entry.map(|peer| peer.address).or_else(by_name)
+    }
+
     /// The cluster's key, which peers prove to each other that they hold.
     pub fn cluster_key(&self) -> Result<Secret, secret::Error> {
         Secret::read(&self.cluster_key_file)
@@ -329,6 +345,7 @@
         let sizes = [
             ("grace_s", deployment.grace_s as f64),
             ("retry_window_s", deployment.retry_window_s),
+            ("allotment_window_s", deployment.allotment_window_s),
         ];
         for (name, value) in sizes {
             if value <= 0.0 {
--- a/gooseberrylb_config/tests/settings.rs
+++ b/gooseberrylb_config/tests/settings.rs
@@ -130,3 +130,31 @@
     let settings = Settings::parse(&zero.replace("second\": 0", "second\": 5")).unwrap();
     assert_eq!(settings.weight_store_bytes_per_second, Some(5));
 }
+
+const ON_A_PLATFORM: &str = r#"{
+  "name": "10.1.0.16", "data_centre": "lodi", "region": "padana",
+  "callers": "10.1.0.16:7001", "operators": "10.1.0.16:7101", "peers_listen": "10.1.0.16:7600",
+  "cluster_key_file": "cluster.key",
+  "operator_token_file": "operator.token",
+  "deployment": {
+    "seeds": ["10.2.0.6:8229"], "first_start": true, "feed": "10.200.0.35:8225",
+    "grace_s": 8, "retry_share": 0.2, "retry_slack": 52, "retry_window_s": 10,
+    "allotment_window_s": 8,
+  },
+}"#;
+
+#[test]
+fn instances_on_a_platform_reach_voters_that_no_seed_names() {
+    let settings = Settings::parse(ON_A_PLATFORM).unwrap();
+    let address = settings.peer_address(&"10.3.0.34".parse().unwrap());
+    assert_eq!(address, Some("10.3.0.34:7600".parse().unwrap()));
+    let elsewhere = Settings::parse(GOOD).unwrap();
+    assert_eq!(elsewhere.peer_address(&"10.3.0.34".parse().unwrap()), None);
+}
+
+#[test]
+fn an_instance_on_a_platform_is_named_by_its_ip_number() {
+    let text = ON_A_PLATFORM.replace("\"10.1.0.16\"", "\"cremona-1\"");
+    let findings = Settings::parse(&text).unwrap_err();
+    assert_eq!(places(&findings), ["2:11 name"]);
+}
