Count allotments in windows instead of a bucket

Ruled out: queueing (no 503). Change: use in any window of the stated length; whoever counts anew starts with a window in which the rate was used; what an entry placed itself is told afterwards.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -22,6 +22,9 @@
 /// The time between two looks at whether something waits.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The window in which the use of allotments is counted where the settings name none.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
+
 /// The dispatcher of an instance that leads or may lead.
 #[derive(Default)]
 pub struct Host {
@@ -160,6 +163,10 @@
     let Some(table) = core.table(directory) else {
         return;
     };
+    let deployment = core.settings.deployment.as_ref();
+    let window = deployment.map_or(DEFAULT_WINDOW, |d| {
+        Duration::from_secs_f64(d.allotment_window_s)
+    });
     let accounts = table.declaration.accounts.iter();
     let allotted = accounts.filter_map(|account| {
         let allotment = account.allotment?;
@@ -167,6 +174,7 @@
             account: account.name.clone(),
             per_second: allotment.per_second * part,
             burst: allotment.burst * part,
+            window,
         })
     });
     dispatcher.set_allotments(&allotted.collect::<Vec<_>>(), now);
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -257,7 +257,13 @@
         };
         match decision {
             Decision::Grant(upstream) => match self.grant(ask, &upstream, true) {
-                Some(grant) => Placement::Granted(grant),
+                Some(grant) => {
+                    if let Some(account) = &ask.account {
+                        let used = (account.clone(), ask.units);
+                        self.outbox.borrow_mut().used.push(used);
+                    }
+                    Placement::Granted(grant)
+                }
                 None => Placement::Refused(Reason::NoUpstream, ALONE),
             },
             Decision::Refuse(reason, pause) => Placement::Refused(reason, pause),
@@ -271,9 +277,10 @@
     /// All that runs here, for a dispatcher that is new.
     fn whole_notice(&self) -> Notice {
         let running = self.running.borrow().values().cloned().collect();
-        self.outbox.take();
+        let used = self.outbox.take().used;
         Notice {
             running: Some((self.core.identity.name.clone(), running)),
+            used,
             ..Notice::default()
         }
     }
@@ -308,8 +315,10 @@
             return;
         };
         if self.synced.borrow().as_ref() != Some(&leader) {
-            // It will be told all that runs here before it is asked anything.
-            self.outbox.take();
+            // It will be told all that runs here before it is asked anything; what was used stays.
+            let mut outbox = self.outbox.borrow_mut();
+            outbox.ended.clear();
+            outbox.silent.clear();
             return;
         }
         let notice = self.outbox.take();
--- a/gooseberrylb_policy/src/allotment.rs
+++ b/gooseberrylb_policy/src/allotment.rs
@@ -1,69 +1,102 @@
-//! What a client account may use: a bucket that fills at a rate and holds a burst.
+//! What a client account may use: so many units in any window of time.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// The part of the window by which use is counted together.
+const STEPS: u32 = 40;
+
 /// The shortest time after which a refused request is told to come back, so that callers who find
-/// a bucket empty do not all return within the same moment.
+/// an allotment used up do not all return within the same moment.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
-/// An account's bucket.
+/// What one account has used lately.
+///
+/// An account may use at most `rate * window + burst` in any window; how the use is spread within
+/// the window is its own affair.
 #[derive(Debug, Clone)]
-pub struct Bucket {
-    /// The units that it gains a second.
+pub struct Window {
     rate: f64,
-    /// The most units that it holds.
     burst: f64,
-    /// The units that it holds; below zero after a request larger than the burst.
-    level: f64,
-    /// When `level` was reckoned.
-    at: Instant,
+    length: Duration,
+    /// What was used, by the end of the step in which it was.
+    steps: VecDeque<(Instant, f64)>,
+    used: f64,
 }
 
-impl Bucket {
-    /// Makes a full bucket.
-    pub fn new(rate: f64, burst: f64, now: Instant) -> Self {
+impl Window {
+    /// Makes the window of an account that may have used its rate until now: whoever counts anew
+    /// does not know, and must not let the same be used twice.
+    pub fn new(rate: f64, burst: f64, length: Duration, now: Instant) -> Self {
+        let step = length / STEPS;
+        let per_step = rate * step.as_secs_f64();
+        let ends = (1..=STEPS).rev().filter_map(|age| now.checked_sub(step * age));
+        let steps: VecDeque<_> = ends.map(|end| (end + step, per_step)).collect();
         Self {
             rate,
             burst,
-            level: burst,
-            at: now,
+            length,
+            used: per_step * steps.len() as f64,
+            steps,
         }
     }
 
-    /// Changes the rate and the burst; what is over a smaller burst is lost.
-    pub fn change(&mut self, rate: f64, burst: f64, now: Instant) {
-        self.fill(now);
+    /// Changes the rate and the burst.
+    pub fn change(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
         self.burst = burst;
-        self.level = self.level.min(burst);
     }
 
-    /// How long until there is room for `units`, unless there is room now. What is larger than the
-    /// burst fits into a full bucket.
+    /// How long until there is room for `units`, unless there is room now. What is larger than all
+    /// that may be used fits where nothing was.
     pub fn lacks(&mut self, units: f64, now: Instant) -> Option<Duration> {
-        self.fill(now);
-        let missing = units.min(self.burst) - self.level;
+        self.forget(now);
+        let most = self.rate * self.length.as_secs_f64() + self.burst;
+        let mut missing = self.used + units.min(most) - most;
         if missing <= 0.0 {
             return None;
         }
-        let wait = Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX);
-        Some(wait.max(MIN_PAUSE))
+        for (end, used) in &self.steps {
+            missing -= used;
+            if missing <= 0.0 {
+                let free = *end + self.length;
+                return Some(free.saturating_duration_since(now).max(MIN_PAUSE));
+            }
+        }
+        Some(self.length)
     }
 
-    /// Takes `units` out.
+    /// Counts `units` as used.
     pub fn take(&mut self, units: f64, now: Instant) {
-        self.fill(now);
-        self.level -= units;
+        self.forget(now);
+        self.used += units;
+        let step = self.length / STEPS;
+        match self.steps.back_mut() {
+            Some((end, used)) if now < *end => *used += units,
+            _ => self.steps.push_back((now + step, units)),
+        }
     }
 
-    /// Puts back what was taken for a request that did not run.
+    /// Takes back what was counted for a request that did not run.
     pub fn give_back(&mut self, units: f64) {
-        self.level = (self.level + units).min(self.burst);
+        let mut left = units;
+        for (_, used) in self.steps.iter_mut().rev() {
+            let part = left.min(*used);
+            *used -= part;
+            self.used -= part;
+            left -= part;
+            if left <= 0.0 {
+                return;
+            }
+        }
     }
 
-    fn fill(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.level = (self.level + passed * self.rate).min(self.burst);
-        self.at = self.at.max(now);
+    fn forget(&mut self, now: Instant) {
+        while let Some((end, used)) = self.steps.front()
+            && *end + self.length <= now
+        {
+            self.used -= used;
+            self.steps.pop_front();
+        }
     }
 }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -11,7 +11,7 @@
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-use crate::allotment::Bucket;
+use crate::allotment::Window;
 
 pub use service::Rates;
 pub use upstream::Health;
@@ -127,6 +127,8 @@
     pub ended: Vec<(Key, Outcome)>,
     /// The requests whose upstream has been silent for longer than expected.
     pub silent: Vec<Key>,
+    /// What accounts used by requests that the entry placed itself.
+    pub used: Vec<(id::Account, f64)>,
 }
 
 /// An upstream as the dispatcher is told of it.
@@ -149,8 +151,10 @@
     pub account: id::Account,
     /// The units a second.
     pub per_second: f64,
-    /// The units at once.
+    /// The units that may be used beside the rate in a window.
     pub burst: f64,
+    /// The length of the window in which use is counted.
+    pub window: Duration,
 }
 
 /// A request that waits or runs, and what it counted against its account's allotment.
@@ -165,7 +169,7 @@
 pub struct Dispatcher {
     services: BTreeMap<id::Service, Service>,
     placed: HashMap<Key, Placed>,
-    buckets: BTreeMap<id::Account, Bucket>,
+    windows: BTreeMap<id::Account, Window>,
 }
 
 impl Dispatcher {
@@ -192,14 +196,14 @@
     /// Takes the accounts' allotments; what an account has used so far still counts.
     pub fn set_allotments(&mut self, allotments: &[Allotted], now: Instant) {
         let known = |name: &id::Account| allotments.iter().any(|a| a.account == *name);
-        self.buckets.retain(|name, _| known(name));
+        self.windows.retain(|name, _| known(name));
         for allotted in allotments {
             let (rate, burst) = (allotted.per_second, allotted.burst);
-            match self.buckets.get_mut(&allotted.account) {
-                Some(bucket) => bucket.change(rate, burst, now),
+            match self.windows.get_mut(&allotted.account) {
+                Some(window) => window.change(rate, burst),
                 None => {
-                    let bucket = Bucket::new(rate, burst, now);
-                    self.buckets.insert(allotted.account.clone(), bucket);
+                    let window = Window::new(rate, burst, allotted.window, now);
+                    self.windows.insert(allotted.account.clone(), window);
                 }
             }
         }
@@ -207,8 +211,8 @@
 
     /// Decides on a request, or has it wait.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
-        let bucket = ask.account.as_ref().and_then(|a| self.buckets.get_mut(a));
-        if let Some(wait) = bucket.and_then(|bucket| bucket.lacks(ask.units, now)) {
+        let window = ask.account.as_ref().and_then(|a| self.windows.get_mut(a));
+        if let Some(wait) = window.and_then(|window| window.lacks(ask.units, now)) {
             return Decision::Refuse(Reason::Allotment, wait);
         }
         let (account, units) = (ask.account.clone(), ask.units);
@@ -219,8 +223,8 @@
         let decision = service.ask(ask, now);
         if !matches!(decision, Decision::Refuse(..)) {
             // A request that waits counts at once, so that no more wait than may run.
-            if let Some(bucket) = account.as_ref().and_then(|a| self.buckets.get_mut(a)) {
-                bucket.take(units, now);
+            if let Some(window) = account.as_ref().and_then(|a| self.windows.get_mut(a)) {
+                window.take(units, now);
             }
             let charge = account.map(|account| (account, units));
             let service = name;
@@ -239,9 +243,9 @@
             if matches!(decision, Decision::Refuse(..)) {
                 let charge = self.placed.remove(key).and_then(|placed| placed.charge);
                 if let Some((account, units)) = charge
-                    && let Some(bucket) = self.buckets.get_mut(&account)
+                    && let Some(window) = self.windows.get_mut(&account)
                 {
-                    bucket.give_back(units);
+                    window.give_back(units);
                 }
             }
         }
@@ -258,6 +262,11 @@
         if let Some((entry, running)) = notice.running {
             self.replace(&entry, running, now);
         }
+        for (account, units) in &notice.used {
+            if let Some(window) = self.windows.get_mut(account) {
+                window.take(*units, now);
+            }
+        }
         for key in &notice.silent {
             if let Some(placed) = self.placed.get(key) {
                 let service = self.services.get_mut(&placed.service);
