Look at the settings at SIGHUP instead of ending

Change: SIGHUP reads and checks the settings, and tells that they hold from the next start; signals are listened for before anything serves. Ruled out: cuts by the gateway (the exit code is the signal's).

--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Starts an instance, runs it, and stops it without cutting a request.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
@@ -19,7 +20,7 @@
 use crate::listener::{self, Limits, Listener};
 use crate::operators::{self, Operators};
 use crate::published::Published;
-use crate::signal::Stop;
+use crate::signal::{Order, Orders};
 use crate::tally::{Shipper, Tallies};
 use crate::{callers, cli, gateway, logging, traffic};
 
@@ -64,9 +65,17 @@
         return ExitCode::from(EXIT_USAGE);
     }
     stop_at_panics();
+    // Before anything else, so that no signal ends a process that is about to serve.
+    let orders = match Orders::new() {
+        Ok(orders) => orders,
+        Err(error) => {
+            log::error!("cannot listen for signals: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
     match start(Arc::new(settings), dialect) {
         Ok(instance) => {
-            task::block_on(instance.serve());
+            task::block_on(instance.serve(orders, &options.settings));
             ExitCode::SUCCESS
         }
         Err(error) => {
@@ -142,7 +151,6 @@
 /// A started instance.
 struct Instance {
     settings: Arc<Settings>,
-    stop: Stop,
     control: control::Handle,
     published: Published,
     part: Part,
@@ -160,7 +168,10 @@
             operators: settings.operators,
             peers: settings.peers_listen,
             leaving: false,
-            entry: settings.deployment.as_ref().is_none_or(|d| d.ready.is_some()),
+            entry: settings
+                .deployment
+                .as_ref()
+                .is_none_or(|d| d.ready.is_some()),
         },
         key,
     }
@@ -183,7 +194,6 @@
 
 fn start(settings: Arc<Settings>, dialect: Arc<dyn Dialect>) -> anyhow::Result<Instance> {
     let clock: Arc<dyn Clock> = Arc::new(System);
-    let stop = Stop::new().context("cannot listen for signals")?;
     let key = settings
         .cluster_key()
         .context("the cluster's key cannot be read")?;
@@ -203,7 +213,11 @@
     let platform = Platform::bind(&settings)?;
     let callers = match platform {
         Some(_) => None,
-        None => Some(task::block_on(bind("callers", settings.callers, callers_limits))?),
+        None => Some(task::block_on(bind(
+            "callers",
+            settings.callers,
+            callers_limits,
+        ))?),
     };
     let operators = task::block_on(bind("operators", settings.operators, operators_limits))?;
     let peers = std::net::TcpListener::bind(settings.peers_listen).with_context(|| {
@@ -265,7 +279,6 @@
     log::info!("{} serves callers on {}", settings.name, settings.callers);
     Ok(Instance {
         settings,
-        stop,
         control,
         published,
         part,
@@ -321,8 +334,13 @@
 
 impl Instance {
     /// Serves until a signal comes, then stops in good order.
-    async fn serve(mut self) {
-        let signal = self.stop.wait().await;
+    async fn serve(mut self, mut orders: Orders, path: &Path) {
+        let signal = loop {
+            match orders.next().await {
+                Order::Stop(signal) => break signal,
+                Order::Reload => self.reload(path),
+            }
+        };
         log::info!("{signal}: {} leaves", self.settings.name);
         self.control.leave();
         if let Part::Gateway { stop, stopped } = &self.part {
@@ -338,6 +356,22 @@
         log::logger().flush();
     }
 
+    /// Looks at the settings anew. Addresses, limits and keys are those of the start for as long as
+    /// the process runs, so that is told and nothing is cut.
+    fn reload(&self, path: &Path) {
+        match Settings::load(path) {
+            Ok(settings) if settings == *self.settings => {
+                log::info!("SIGHUP: the settings are as they were");
+            }
+            Ok(_) => log::info!("SIGHUP: the settings have changed; they hold from the next start"),
+            Err(findings) => {
+                for finding in findings.iter() {
+                    log::warn!(finding:% = finding; "SIGHUP: the settings cannot be used at the next start");
+                }
+            }
+        }
+    }
+
     /// Goes on serving until callers have stopped using the addresses that they keep, then waits for
     /// the requests in flight, but not for ever.
     async fn drain(&mut self) {
--- a/gooseberrylb/src/signal.rs
+++ b/gooseberrylb/src/signal.rs
@@ -1,25 +1,35 @@
-//! The signals that ask for a planned stop.
+//! The signals that the daemon listens for.
 
 use std::io;
 
 use futures::StreamExt;
-use signal_hook::consts::signal::{SIGINT, SIGTERM};
+use signal_hook::consts::signal::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
-/// The signals that end the instance.
-pub struct Stop(Signals);
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// A planned stop, by the signal of this name.
+    Stop(&'static str),
+    /// To read the settings again.
+    Reload,
+}
+
+/// The signals as they come.
+pub struct Orders(Signals);
 
-impl Stop {
-    /// Starts to listen for the signals.
+impl Orders {
+    /// Starts to listen.
     pub fn new() -> io::Result<Self> {
-        Signals::new([SIGTERM, SIGINT]).map(Self)
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Self)
     }
 
-    /// Waits for a signal, and gives its name.
-    pub async fn wait(&mut self) -> &'static str {
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> Order {
         match self.0.next().await {
-            Some(SIGINT) => "SIGINT",
-            _ => "SIGTERM",
+            Some(SIGHUP) => Order::Reload,
+            Some(SIGINT) => Order::Stop("SIGINT"),
+            _ => Order::Stop("SIGTERM"),
         }
     }
 }
