--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -11,7 +11,9 @@
 use gooseberrylb_config::declaration::Unit;
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::number::{Revision, Term};
-use gooseberrylb_policy::dispatch::{Allotted, Ask, Decision, Dispatcher, Key, Notice, Upstream};
+use gooseberrylb_policy::dispatch::{
+    Allotted, Ask, Decision, Dispatcher, Key, Notice, Upstream, share,
+};
 
 use super::core::Core;
 use crate::metrics::METRICS;
@@ -55,7 +57,7 @@
         if self.revision.get() != Some(directory.revision) {
             self.revision.set(Some(directory.revision));
             let mut dispatcher = self.dispatcher.borrow_mut();
-            refresh(core, &directory, &mut dispatcher, 1.0, core.clock.now());
+            refresh(core, &directory, &mut dispatcher, None, core.clock.now());
             dispatcher.retain_entries(|entry| directory.instances.contains_key(entry));
         }
         true
@@ -96,9 +98,7 @@
             self.waiters.borrow_mut().remove(key);
             self.decided.borrow_mut().remove(key);
         }
-        self.dispatcher
-            .borrow_mut()
-            .tell(notice, core.clock.now());
+        self.dispatcher.borrow_mut().tell(notice, core.clock.now());
         self.poll(core);
         true
     }
@@ -136,30 +136,54 @@
 pub async fn run(core: Rc<Core>) {
     loop {
         let (waiting, _) = core.dispatch.dispatcher.borrow().load();
-        let pause = if waiting > 0 { BUSY_INTERVAL } else { IDLE_INTERVAL };
+        let pause = if waiting > 0 {
+            BUSY_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
         task::sleep(pause).await;
-        if waiting > 0 && core.dispatch.dispatches(&core) {
+        // A leader begins to count the use of allotments when it begins to lead.
+        if core.dispatch.dispatches(&core) && waiting > 0 {
             core.dispatch.poll(&core);
         }
     }
 }
 
-/// Tells a dispatcher of the upstreams and of `part` of each account's allotment.
+/// An entry's place among all entries.
+#[derive(Debug, Clone, Copy)]
+pub struct Part {
+    /// Its number, from 0.
+    pub index: usize,
+    /// How many entries there are.
+    pub count: usize,
+}
+
+/// Tells a dispatcher of the upstreams and the allotments, or of one entry's part of them.
 pub fn refresh(
     core: &Core,
     directory: &Directory,
     dispatcher: &mut Dispatcher,
-    part: f64,
+    part: Option<Part>,
     now: Instant,
 ) {
-    let usable = directory.listed.iter().filter(|(_, listed)| !listed.draining);
+    let usable = directory
+        .listed
+        .iter()
+        .filter(|(_, listed)| !listed.draining);
     let upstreams = usable.map(|(name, listed)| Upstream {
         name: name.clone(),
         service: listed.service.clone(),
         data_centre: listed.data_centre.clone(),
         slots: listed.slots,
     });
-    dispatcher.set_upstreams(upstreams, now);
+    match part {
+        Some(part) => {
+            let own = share::of(upstreams, part.index, part.count);
+            dispatcher.set_upstreams(own, now);
+        }
+        None => dispatcher.set_upstreams(upstreams, now),
+    }
+    let part = part.map_or(1.0, |part| 1.0 / part.count.max(1) as f64);
     let Some(table) = core.table(directory) else {
         return;
     };
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -99,7 +99,9 @@
     if answer.status != 200 {
         bail!("the platform answers {}", answer.status);
     }
-    dialect.page(&body).map_err(|finding| anyhow::anyhow!("{finding}"))
+    dialect
+        .page(&body)
+        .map_err(|finding| anyhow::anyhow!("{finding}"))
 }
 
 /// Has what changed accepted.
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -273,11 +273,7 @@
     task::sleep(IDLE_CLOSE).await;
     gateway.idle_closed.0.close();
     loop {
-        let passed = gateway
-            .core
-            .clock
-            .now()
-            .saturating_duration_since(began);
+        let passed = gateway.core.clock.now().saturating_duration_since(began);
         let done = gateway.open.get() == 0 && passed >= LINGER;
         if done || passed + STOP_RESERVE >= grace {
             let open = gateway.open.get();
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -137,6 +137,8 @@
         excluded: Vec::new(),
         sent: 0,
         last: None,
+        waited: Duration::ZERO,
+        alone: false,
     };
     gateway.budget.borrow_mut().earn(arrived);
     let result = {
@@ -189,7 +191,8 @@
     METRICS.gateway_seconds.observe(spent.as_secs_f64());
     log::info!(
         id = work.id(), route:% = work.route.name, account = account, upstream = upstream,
-        sent = work.sent, revision = work.gateway.core.published().directory.revision.0,
+        sent = work.sent, rank:% = work.rank(), objective_ms = work.route.objective.as_millis() as u64, revision = work.gateway.core.published().directory.revision.0,
+        waited_ms = work.waited.as_millis() as u64, alone = work.alone,
         ms = spent.as_millis() as u64, outcome = outcome;
         "a request ended"
     );
@@ -228,7 +231,11 @@
 impl Gateway {
     /// The answer of an entry that may not act, since its configuration may be out of date.
     pub fn not_fresh(&self) -> Own {
-        Own::refusal(503, "the configuration may be out of date", UNCONFIGURED_PAUSE)
+        Own::refusal(
+            503,
+            "the configuration may be out of date",
+            UNCONFIGURED_PAUSE,
+        )
     }
 }
 
@@ -244,7 +251,11 @@
     let body = gateway.dialect.fault(own.message);
     let mut head = format!("HTTP/1.1 {} {}\r\n", own.status, reason(own.status)).into_bytes();
     write_field(&mut head, "Content-Type", b"application/json");
-    write_field(&mut head, "Content-Length", body.len().to_string().as_bytes());
+    write_field(
+        &mut head,
+        "Content-Length",
+        body.len().to_string().as_bytes(),
+    );
     if let Some(pause) = own.retry_after {
         let seconds = format!("{:.2}", pause.as_secs_f64());
         write_field(&mut head, "Retry-After", seconds.as_bytes());
@@ -285,8 +296,8 @@
     let line = format!("HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
     head.extend_from_slice(line.as_bytes());
     for field in answer.fields.iter() {
-        let is_framing = field.name.eq_ignore_ascii_case("Content-Length")
-            && answer.framing != Framing::Empty;
+        let is_framing =
+            field.name.eq_ignore_ascii_case("Content-Length") && answer.framing != Framing::Empty;
         if !answer.fields.is_of_connection(&field.name) && !is_framing {
             write_field(&mut head, &field.name, &field.value);
         }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use gooseberrylb_config::declaration::{Account, Repeat, Route};
 use gooseberrylb_config::dialect::{Facts, Outgoing, Reply};
 use gooseberrylb_config::id;
-use gooseberrylb_policy::dispatch::{Ask, Outcome, Reason};
+use gooseberrylb_policy::dispatch::{Ask, Outcome, Rank, Reason};
 
 use super::Gateway;
 use super::http::{self, Answer, Connection, Framing, Request};
@@ -70,6 +70,10 @@
     pub sent: u32,
     /// The upstream that it was sent to last.
     pub last: Option<id::Upstream>,
+    /// How long it waited for upstreams.
+    pub waited: Duration,
+    /// Whether the entry placed it itself.
+    pub alone: bool,
 }
 
 /// An answer of the system's own.
@@ -169,7 +173,10 @@
             if self.left().is_zero() {
                 return Result::Own(self.give_up(may_have_run));
             }
-            let grant = match self.place().await {
+            let asked = self.now();
+            let placement = self.place().await;
+            self.waited += self.now().saturating_duration_since(asked);
+            let grant = match placement {
                 Placement::Granted(grant) => grant,
                 Placement::Refused(..) if may_have_run => {
                     return Result::Own(Own::new(502, "the upstream failed"));
@@ -181,6 +188,7 @@
             }
             let upstream = grant.upstream.clone();
             self.last = Some(upstream.clone());
+            self.alone = grant.alone;
             let failure = match self.attempt(grant, None).await {
                 Ok(result) => return result,
                 Err(failure) => failure,
@@ -192,11 +200,9 @@
                     if unreached >= MAX_UNREACHED {
                         return Result::Own(match may_have_run {
                             true => Own::new(502, "no other upstream could be reached"),
-                            false => Own::refusal(
-                                503,
-                                "no upstream could be reached",
-                                DEFAULT_PAUSE,
-                            ),
+                            false => {
+                                Own::refusal(503, "no upstream could be reached", DEFAULT_PAUSE)
+                            }
                         });
                     }
                 }
@@ -233,28 +239,35 @@
         let table = gateway.table();
         let waited = now.saturating_duration_since(self.arrived);
         // A caller that comes back has used a part of its time already.
-        let full = self.route.time_limit.min(self.facts.patience.unwrap_or(Duration::MAX));
+        let full = self
+            .route
+            .time_limit
+            .min(self.facts.patience.unwrap_or(Duration::MAX));
         let spent_before = self.route.time_limit.saturating_sub(full);
         let objective = self.route.objective.saturating_sub(waited + spent_before);
         let service = gateway.pick_target(&self.route);
-        let declared = table.as_ref().and_then(|t| t.declaration.services.get(&service));
+        let declared = table
+            .as_ref()
+            .and_then(|t| t.declaration.services.get(&service));
         let stride = declared.and_then(|s| s.stride);
         let (prompt, output) = match (self.facts.tokens, stride) {
             (Some((prompt, most)), Some(_)) => {
-                let guess = self.facts.expected_output.unwrap_or(most / UNGUESSED_OUTPUT);
+                let guess = self
+                    .facts
+                    .expected_output
+                    .unwrap_or(most / UNGUESSED_OUTPUT);
                 (prompt, guess.min(most))
             }
             _ => (0, 0),
         };
         let allotment = self.account.as_ref().and_then(|account| account.allotment);
         let units = allotment.map(|a| dispatch::units(a.unit, self.facts.tokens));
-        let rank = self.account.as_ref().and_then(|account| account.rank);
         let ask = Ask {
             key: gateway.place.key(),
             service,
             account: units.and(self.account.as_ref().map(|account| account.name.clone())),
             units: units.filter(|_| self.sent == 0).unwrap_or(0.0),
-            rank: rank.unwrap_or(self.route.rank),
+            rank: self.rank(),
             data_centre: gateway.core.identity.instance.data_centre.as_str().into(),
             prompt,
             events: output / u64::from(stride.unwrap_or(1)),
@@ -266,6 +279,16 @@
         gateway.place.place(ask).await
     }
 
+    /// The request's rank.
+    pub fn rank(&self) -> Rank {
+        let route = self.route.rank;
+        let own = self.account.as_ref().and_then(|account| account.rank);
+        Rank {
+            account: own.unwrap_or(route),
+            route,
+        }
+    }
+
     /// How long the request is worth holding.
     fn hold(&self, waited: Duration) -> Duration {
         let waits = match self.route.streams {
@@ -340,7 +363,12 @@
     }
 
     /// Reads the rest of an answer that is not passed on, so that its connection can be kept.
-    async fn drain(&self, answer: Answer, mut connection: Connection, address: std::net::SocketAddr) {
+    async fn drain(
+        &self,
+        answer: Answer,
+        mut connection: Connection,
+        address: std::net::SocketAddr,
+    ) {
         let Some(keep) = answer.keep else {
             return;
         };
@@ -431,7 +459,11 @@
         let mut strays = 0;
         let mut told = false;
         loop {
-            let waits = if told { self.left() } else { patience.min(self.left()) };
+            let waits = if told {
+                self.left()
+            } else {
+                patience.min(self.left())
+            };
             let answer = match future::timeout(waits, connection.answer(to_head)).await {
                 Ok(Ok(answer)) => answer,
                 Ok(Err(error)) => {
@@ -456,7 +488,10 @@
                     continue;
                 }
             };
-            let reply = self.gateway.dialect.reply(answer.status, &answer.fields.borrowed());
+            let reply = self
+                .gateway
+                .dialect
+                .reply(answer.status, &answer.fields.borrowed());
             let is_ours = reply.attempt.is_none() || reply.attempt == self.facts.attempt;
             if !is_ours && strays < 2 && answer.keep.is_some() {
                 // An answer to an earlier request came late; this request's own follows it.
@@ -473,7 +508,9 @@
                     signed = reply.signed, own = is_ours;
                     "an answer is not this request's"
                 );
-                return Err(Failure::Unknown("the upstream gave an answer that is not its own"));
+                return Err(Failure::Unknown(
+                    "the upstream gave an answer that is not its own",
+                ));
             }
             return Ok((answer, reply));
         }
@@ -533,7 +570,11 @@
         };
         self.gateway.dialect.write_outgoing(&outgoing, &mut head);
         if request.framing != Framing::Empty || !self.body.is_empty() {
-            write_field(&mut head, "Content-Length", self.body.len().to_string().as_bytes());
+            write_field(
+                &mut head,
+                "Content-Length",
+                self.body.len().to_string().as_bytes(),
+            );
         } else if request.fields.all("Content-Length").next().is_some() {
             write_field(&mut head, "Content-Length", b"0");
         }
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -210,7 +210,11 @@
             codec::decode(response.get().ok()?.get_decision().ok()?).ok()
         };
         let limit = ask.hold + DECISION_SLACK;
-        future::timeout(limit, call).await.ok().flatten()
+        match future::timeout(limit, call).await {
+            Ok(decision) => decision,
+            // It has waited for as long as it may, whatever became of the dispatcher.
+            Err(_) => Some(Decision::Refuse(Reason::Busy, ALONE)),
+        }
     }
 
     fn grant(self: &Rc<Self>, ask: &Ask, upstream: &id::Upstream, alone: bool) -> Option<Grant> {
@@ -241,8 +245,8 @@
         let mut own = self.own.borrow_mut();
         if self.own_revision.get() != Some(published.directory.revision) {
             self.own_revision.set(Some(published.directory.revision));
-            let part = 1.0 / entries(&published.directory).max(1) as f64;
-            dispatch::refresh(&self.core, &published.directory, &mut own, part, now);
+            let part = self.part(&published.directory);
+            dispatch::refresh(&self.core, &published.directory, &mut own, Some(part), now);
             let running = self.running.borrow().values().cloned().collect();
             let notice = Notice {
                 running: Some((self.core.identity.name.clone(), running)),
@@ -274,6 +278,16 @@
         }
     }
 
+    fn part(&self, directory: &Directory) -> dispatch::Part {
+        let instances = directory.instances.iter();
+        let entries: Vec<_> = instances.filter(|(_, i)| i.entry && !i.leaving).collect();
+        let own = |(name, _): &(&id::Instance, _)| **name == self.core.identity.name;
+        dispatch::Part {
+            index: entries.iter().position(own).unwrap_or_default(),
+            count: entries.len(),
+        }
+    }
+
     /// All that runs here, for a dispatcher that is new.
     fn whole_notice(&self) -> Notice {
         let running = self.running.borrow().values().cloned().collect();
@@ -353,8 +367,3 @@
         }
     }
 }
-
-fn entries(directory: &Directory) -> usize {
-    let instances = directory.instances.values();
-    instances.filter(|instance| instance.entry).count()
-}
--- a/gooseberrylb/src/logging.rs
+++ b/gooseberrylb/src/logging.rs
@@ -4,8 +4,8 @@
 
 use anyhow::{Context, anyhow};
 use gooseberrylb_config::settings;
-use logforth::append::{Stderr, Stdout};
 use logforth::append::file::FileBuilder;
+use logforth::append::{Stderr, Stdout};
 use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::sync::LazyLock;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// The bounds of the histogram of first-token times, in seconds.
--- a/gooseberrylb_config/src/reader.rs
+++ b/gooseberrylb_config/src/reader.rs
@@ -433,7 +433,11 @@
             reader.wrong_type(node, "a number");
             return None;
         };
-        let value = number.value.parse().ok().filter(|value: &f64| *value >= 0.0);
+        let value = number
+            .value
+            .parse()
+            .ok()
+            .filter(|value: &f64| *value >= 0.0);
         if value.is_none() {
             let message = format!("{} is not a number from 0 up", number.value);
             reader.add(&node.path, &message);
--- a/gooseberrylb_policy/src/allotment.rs
+++ b/gooseberrylb_policy/src/allotment.rs
@@ -25,13 +25,16 @@
 }
 
 impl Window {
-    /// Makes the window of an account that may have used its rate until now: whoever counts anew
-    /// does not know, and must not let the same be used twice.
-    pub fn new(rate: f64, burst: f64, length: Duration, now: Instant) -> Self {
+    /// Makes the window of an account whose use is known since `since`. Until then it may have used
+    /// its rate: whoever counts anew does not know, and must not let the same be used twice.
+    pub fn new(rate: f64, burst: f64, length: Duration, since: Instant, now: Instant) -> Self {
         let step = length / STEPS;
         let per_step = rate * step.as_secs_f64();
-        let ends = (1..=STEPS).rev().filter_map(|age| now.checked_sub(step * age));
-        let steps: VecDeque<_> = ends.map(|end| (end + step, per_step)).collect();
+        let ends = (0..STEPS)
+            .rev()
+            .filter_map(|age| since.checked_sub(step * age));
+        let within = ends.filter(|end| *end + length > now);
+        let steps: VecDeque<_> = within.map(|end| (end, per_step)).collect();
         Self {
             rate,
             burst,
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -5,6 +5,7 @@
 //! that send more than their allotment. Pure: it is told the time and what happened.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,8 @@
 pub use service::Rates;
 pub use upstream::Health;
 
+pub mod share;
+
 mod service;
 mod upstream;
 
@@ -32,6 +35,32 @@
     pub number: u64,
 }
 
+/// Who is served first: the account's rank decides, and among equals the route's.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Rank {
+    /// The rank of the account, or of the route where the account has none.
+    pub account: u8,
+    /// The rank of the route.
+    pub route: u8,
+}
+
+impl From<u8> for Rank {
+    fn from(rank: u8) -> Self {
+        Self {
+            account: rank,
+            route: rank,
+        }
+    }
+}
+
+impl fmt::Display for Rank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.account, self.route)
+    }
+}
+
 /// A request that needs an upstream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
@@ -43,8 +72,8 @@
     pub account: Option<id::Account>,
     /// What it counts against the allotment; nothing on a second attempt.
     pub units: f64,
-    /// Its rank; 0 is served first.
-    pub rank: u8,
+    /// Its rank; the lowest is served first.
+    pub rank: Rank,
     /// The data centre of the entry.
     pub data_centre: Arc<str>,
     /// The tokens of its prompt; none for plain calls.
@@ -169,6 +198,8 @@
 pub struct Dispatcher {
     services: BTreeMap<id::Service, Service>,
     placed: HashMap<Key, Placed>,
+    /// Since when all use of allotments is known.
+    counts_since: Option<Instant>,
     windows: BTreeMap<id::Account, Window>,
 }
 
@@ -195,6 +226,7 @@
 
     /// Takes the accounts' allotments; what an account has used so far still counts.
     pub fn set_allotments(&mut self, allotments: &[Allotted], now: Instant) {
+        let since = *self.counts_since.get_or_insert(now);
         let known = |name: &id::Account| allotments.iter().any(|a| a.account == *name);
         self.windows.retain(|name, _| known(name));
         for allotted in allotments {
@@ -202,7 +234,7 @@
             match self.windows.get_mut(&allotted.account) {
                 Some(window) => window.change(rate, burst),
                 None => {
-                    let window = Window::new(rate, burst, allotted.window, now);
+                    let window = Window::new(rate, burst, allotted.window, since, now);
                     self.windows.insert(allotted.account.clone(), window);
                 }
             }
@@ -290,9 +322,14 @@
     }
 
     fn replace(&mut self, entry: &id::Instance, running: Vec<Running>, now: Instant) {
-        self.placed.retain(|key, _| key.entry != *entry);
+        // What waits is known here alone; only what runs is told anew.
+        let services = &mut self.services;
+        self.placed.retain(|key, placed| {
+            let service = services.get(&placed.service);
+            key.entry != *entry || service.is_some_and(|service| service.waits(key))
+        });
         for service in self.services.values_mut() {
-            service.retain(|key| key.entry != *entry);
+            service.retain_running(|key| key.entry != *entry);
         }
         for run in running {
             let service = self.services.entry(run.service.clone()).or_default();
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -6,7 +6,7 @@
 use gooseberrylb_config::id;
 
 use super::upstream::State;
-use super::{Ask, Decision, Key, Outcome, Reason, Running, Upstream};
+use super::{Ask, Decision, Key, Outcome, Rank, Reason, Running, Upstream};
 
 /// When callers may come back to a service without upstreams; the list is read about so often.
 pub(super) const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
@@ -47,6 +47,12 @@
 /// The shortest prompt whose reading time tells something of the rate, in tokens.
 const TELLING_PROMPT: u64 = 400;
 
+/// How long an arrival counts for how often requests come; bursts last for seconds.
+const MEMORY: Duration = Duration::from_secs(1);
+
+/// The part of the slots that is reckoned with for a rank whose higher ones take all.
+const LEAST_LEFT: f64 = 0.05;
+
 /// The shortest pause before a refused request may come back.
 const SHORTEST_RETURN: Duration = Duration::from_millis(200);
 
@@ -126,11 +132,37 @@
 /// The order of those that wait: by rank, then those that can be in time, then by their coming.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
-    rank: u8,
+    rank: Rank,
     late: bool,
     number: u64,
 }
 
+/// How often requests come: a count that fades.
+#[derive(Debug, Default)]
+struct Arrivals {
+    count: f64,
+    at: Option<Instant>,
+}
+
+impl Arrivals {
+    fn faded(&self, now: Instant) -> f64 {
+        let passed = self
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.count * (-passed.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    }
+
+    fn count(&mut self, now: Instant) {
+        self.count = self.faded(now) + 1.0;
+        self.at = Some(now);
+    }
+
+    /// The requests a second.
+    fn rate(&self, now: Instant) -> f64 {
+        self.faded(now) / MEMORY.as_secs_f64()
+    }
+}
+
 /// One service.
 #[derive(Debug, Default)]
 pub(super) struct Service {
@@ -141,6 +173,7 @@
     pooled: Rates,
     stay: Option<f64>,
     count: u64,
+    arrivals: BTreeMap<Rank, Arrivals>,
 }
 
 impl Service {
@@ -160,6 +193,7 @@
     }
 
     pub(super) fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
+        self.arrivals.entry(ask.rank).or_default().count(now);
         if self.queue.is_empty()
             && let Some(upstream) = self.choose(&ask, now)
         {
@@ -169,7 +203,7 @@
         if slots == 0 {
             return Decision::Refuse(Reason::NoUpstream, self.spread(NO_UPSTREAM_PAUSE));
         }
-        let pace = self.stay.unwrap_or(UNMEASURED_STAY) / f64::from(slots);
+        let pace = self.pace(ask.rank, slots, now);
         let ahead = |late: bool| {
             let before = |place: &&Place| (place.rank, place.late) <= (ask.rank, late);
             self.queue.keys().filter(before).count() + 1
@@ -194,6 +228,15 @@
         Decision::Wait
     }
 
+    /// The time from one grant to the next for requests of a rank, in seconds: what comes of higher
+    /// ranks takes its part of the slots first.
+    fn pace(&self, rank: Rank, slots: u32, now: Instant) -> f64 {
+        let all = f64::from(slots) / self.stay.unwrap_or(UNMEASURED_STAY);
+        let higher = self.arrivals.range(..rank);
+        let taken: f64 = higher.map(|(_, arrivals)| arrivals.rate(now)).sum();
+        1.0 / (all - taken).max(all * LEAST_LEFT)
+    }
+
     /// Grants what has room now, and refuses what has waited for too long.
     pub(super) fn poll(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
         self.drop_overdue(now);
@@ -320,6 +363,17 @@
         self.recount();
     }
 
+    /// Forgets what runs, but for the keys that are to be kept.
+    pub(super) fn retain_running(&mut self, keep: impl Fn(&Key) -> bool) {
+        self.running.retain(|key, _| keep(key));
+        self.recount();
+    }
+
+    /// Whether a request waits here.
+    pub(super) fn waits(&self, key: &Key) -> bool {
+        self.places.contains_key(key)
+    }
+
     pub(super) fn waiting(&self) -> usize {
         self.queue.len()
     }
--- a/gooseberrylb_policy/tests/allotment.rs
+++ b/gooseberrylb_policy/tests/allotment.rs
@@ -8,9 +8,9 @@
 const RATE: f64 = 1_000.0;
 const BURST: f64 = 2_000.0;
 
-/// An account's window after a length of time without any use.
+/// The window of an account that is known not to have used anything for its length.
 fn unused(now: Instant) -> Window {
-    Window::new(RATE, BURST, LENGTH, now - LENGTH * 2)
+    Window::new(RATE, BURST, LENGTH, now - LENGTH, now)
 }
 
 #[test]
@@ -40,7 +40,9 @@
         }
     }
     for (end, _) in &taken {
-        let within = taken.iter().filter(|(at, _)| at <= end && *at + LENGTH > *end);
+        let within = taken
+            .iter()
+            .filter(|(at, _)| at <= end && *at + LENGTH > *end);
         let used: f64 = within.map(|(_, units)| units).sum();
         assert!(used <= most, "{used} of {most}");
     }
@@ -49,7 +51,7 @@
 #[test]
 fn whoever_counts_anew_lets_no_more_be_used_than_the_rate_and_the_burst() {
     let start = Instant::now() + LENGTH * 10;
-    let mut window = Window::new(RATE, BURST, LENGTH, start);
+    let mut window = Window::new(RATE, BURST, LENGTH, start, start);
     let mut used = 0.0;
     let seconds = 4;
     for i in 0..seconds * 100 {
@@ -60,7 +62,10 @@
         }
     }
     assert!(used <= RATE * f64::from(seconds) + BURST, "{used}");
-    assert!(used >= RATE * f64::from(seconds - 1) + BURST * 0.9, "{used}");
+    assert!(
+        used >= RATE * f64::from(seconds - 1) + BURST * 0.9,
+        "{used}"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/gooseberrylb_policy/tests/dispatch.rs
@@ -0,0 +1,295 @@
+//! Where requests go, which wait and which are refused; each test plays a load without a network.
+
+use std::time::{Duration, Instant};
+
+use gooseberrylb_policy::dispatch::{
+    Allotted, Ask, Decision, Dispatcher, Key, Notice, Outcome, Reason, Running, Upstream,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn upstream(name: &str, slots: u32) -> Upstream {
+    Upstream {
+        name: name.parse().unwrap(),
+        service: "agronomo".parse().unwrap(),
+        data_centre: "lodi".into(),
+        slots,
+    }
+}
+
+fn key(entry: &str, number: u64) -> Key {
+    Key {
+        entry: entry.parse().unwrap(),
+        incarnation: 1,
+        number,
+    }
+}
+
+fn ask(number: u64) -> Ask {
+    Ask {
+        key: key("entry-1", number),
+        service: "agronomo".parse().unwrap(),
+        account: None,
+        units: 0.0,
+        rank: Default::default(),
+        data_centre: "lodi".into(),
+        prompt: 1_000,
+        events: 20,
+        objective: 800 * MS,
+        hold: 1_500 * MS,
+        patience: 10_000 * MS,
+        excluded: Vec::new(),
+    }
+}
+
+fn dispatcher(upstreams: &[Upstream], now: Instant) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_upstreams(upstreams.iter().cloned(), now);
+    dispatcher
+}
+
+fn ended(key: Key, outcome: Outcome) -> Notice {
+    Notice {
+        ended: vec![(key, outcome)],
+        ..Notice::default()
+    }
+}
+
+const SERVED: Outcome = Outcome::Served {
+    first: Duration::from_millis(50),
+    rest: Duration::from_millis(200),
+    events: 20,
+};
+
+#[test]
+fn nothing_is_refused_while_a_slot_is_free() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 2), upstream("b", 3)], now);
+    for number in 0..5 {
+        let late = Ask {
+            objective: Duration::ZERO,
+            ..ask(number)
+        };
+        assert!(matches!(dispatcher.ask(late, now), Decision::Grant(_)));
+    }
+    assert_eq!(dispatcher.ask(ask(5), now), Decision::Wait);
+}
+
+#[test]
+fn a_freed_slot_goes_to_the_highest_rank_that_waits() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], now);
+    dispatcher.ask(ask(0), now);
+    for (number, rank) in [(1, 2), (2, 0), (3, 1)] {
+        let asked = Ask {
+            rank: rank.into(),
+            objective: 30_000 * MS,
+            ..ask(number)
+        };
+        assert_eq!(dispatcher.ask(asked, now), Decision::Wait);
+    }
+    let mut order = Vec::new();
+    let mut running = 0;
+    for step in 1..=3 {
+        let now = now + 10 * MS * step;
+        dispatcher.tell(ended(key("entry-1", running), SERVED), now);
+        let decided = dispatcher.poll(now);
+        assert_eq!(decided.len(), 1);
+        running = decided[0].0.number;
+        order.push(running);
+    }
+    assert_eq!(order, [2, 3, 1]);
+}
+
+#[test]
+fn what_waits_is_decided_on_before_its_time_is_over() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], now);
+    dispatcher.ask(ask(0), now);
+    assert_eq!(dispatcher.ask(ask(1), now), Decision::Wait);
+    assert!(dispatcher.poll(now + 1_499 * MS).is_empty());
+    let decided = dispatcher.poll(now + 1_500 * MS);
+    assert!(matches!(
+        decided[..],
+        [(_, Decision::Refuse(Reason::Busy, _))]
+    ));
+}
+
+#[test]
+fn requests_that_wait_stay_when_their_entry_tells_anew_what_it_runs() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], now);
+    dispatcher.ask(ask(0), now);
+    assert_eq!(dispatcher.ask(ask(1), now), Decision::Wait);
+    let running = Running {
+        key: key("entry-1", 0),
+        service: "agronomo".parse().unwrap(),
+        upstream: "a".parse().unwrap(),
+        patience: 5_000 * MS,
+    };
+    let told = Notice {
+        running: Some(("entry-1".parse().unwrap(), vec![running])),
+        ..Notice::default()
+    };
+    dispatcher.tell(told, now);
+    assert!(dispatcher.poll(now).is_empty());
+    dispatcher.tell(ended(key("entry-1", 0), SERVED), now);
+    let decided = dispatcher.poll(now);
+    assert!(matches!(&decided[..], [(key, Decision::Grant(_))] if key.number == 1));
+}
+
+#[test]
+fn an_upstream_that_fails_rests_and_is_tried_again_by_one_request() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 5), upstream("b", 5), upstream("c", 5)], now);
+    let mut number = 0;
+    let mut granted = |dispatcher: &mut Dispatcher, now| {
+        number += 1;
+        match dispatcher.ask(ask(number), now) {
+            Decision::Grant(name) => (key("entry-1", number), name.to_string()),
+            other => panic!("{other:?}"),
+        }
+    };
+    let mut failures = 0;
+    for _ in 0..40 {
+        let (key, name) = granted(&mut dispatcher, now);
+        let failed = name == "a";
+        failures += u32::from(failed);
+        let outcome = if failed { Outcome::Failed } else { SERVED };
+        dispatcher.tell(ended(key, outcome), now);
+    }
+    assert!(failures <= 2, "{failures}");
+    let later = now + 5_000 * MS;
+    let tried: Vec<_> = (0..11).map(|_| granted(&mut dispatcher, later).1).collect();
+    assert_eq!(tried.iter().filter(|name| *name == "a").count(), 1);
+}
+
+#[test]
+fn upstreams_are_used_where_most_of_them_fail() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1), upstream("b", 1)], now);
+    for number in 0..20 {
+        let decision = dispatcher.ask(ask(number), now);
+        assert!(matches!(decision, Decision::Grant(_)), "{decision:?}");
+        dispatcher.tell(ended(key("entry-1", number), Outcome::Failed), now);
+    }
+}
+
+#[test]
+fn a_faster_upstream_gets_more_once_it_was_measured() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("fast", 5), upstream("slow", 5)], now);
+    let mut counts = [0, 0];
+    for number in 0..60 {
+        let at = now + 300 * MS * u32::try_from(number).unwrap();
+        let Decision::Grant(name) = dispatcher.ask(ask(number), at) else {
+            panic!("a slot is free");
+        };
+        let is_slow = name.as_str() == "slow";
+        counts[usize::from(is_slow)] += 1;
+        let outcome = match is_slow {
+            true => Outcome::Served {
+                first: 200 * MS,
+                rest: 900 * MS,
+                events: 20,
+            },
+            false => SERVED,
+        };
+        dispatcher.tell(ended(key("entry-1", number), outcome), at + 250 * MS);
+    }
+    assert!(counts[0] > 50, "{counts:?}");
+}
+
+#[test]
+fn what_an_account_may_use_is_counted_once_also_for_refused_requests() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], start);
+    let account: gooseberrylb_config::id::Account = "bassa-nord".parse().unwrap();
+    dispatcher.set_allotments(&[], start);
+    let now = start + 2_000 * MS;
+    let allotted = Allotted {
+        account: account.clone(),
+        per_second: 50.0,
+        burst: 0.0,
+        window: 2_000 * MS,
+    };
+    dispatcher.set_allotments(&[allotted], now);
+    let asked = |number| Ask {
+        account: Some(account.clone()),
+        units: 40.0,
+        ..ask(number)
+    };
+    assert!(matches!(dispatcher.ask(asked(0), now), Decision::Grant(_)));
+    assert_eq!(dispatcher.ask(asked(1), now), Decision::Wait);
+    let over = dispatcher.ask(asked(2), now);
+    assert!(matches!(over, Decision::Refuse(Reason::Allotment, _)));
+    // The one that waited is refused, and what it counted is free again within the same window.
+    let later = now + 1_500 * MS;
+    dispatcher.poll(later);
+    dispatcher.tell(ended(key("entry-1", 0), SERVED), later);
+    for number in 3..4 {
+        let decision = dispatcher.ask(asked(number), later);
+        let over = matches!(decision, Decision::Refuse(Reason::Allotment, _));
+        assert!(!over, "{decision:?}");
+        let next = dispatcher.ask(asked(number + 1), later);
+        assert!(matches!(next, Decision::Refuse(Reason::Allotment, _)));
+    }
+}
+
+/// Plays a burst of twice what the upstreams can run, and gives for each rank the requests and those
+/// that were granted in time.
+fn play_burst() -> [(u32, u32); 3] {
+    let start = Instant::now();
+    let upstreams: Vec<_> = (0..4).map(|i| upstream(&format!("u{i}"), 5)).collect();
+    let mut dispatcher = dispatcher(&upstreams, start);
+    // Each request stays for 400 ms, so that 20 slots run 50 a second; 100 a second come.
+    let stay = 400;
+    let mut ends: Vec<(u64, Key)> = Vec::new();
+    let mut asked: Vec<(u64, usize)> = Vec::new();
+    let mut counts = [(0, 0); 3];
+    for ms in 0..8_000_u64 {
+        let now = start + MS * u32::try_from(ms).unwrap();
+        let mut granted = Vec::new();
+        if ms % 10 == 0 {
+            let number = asked.len() as u64;
+            let rank = [0, 2, 1, 2, 2][asked.len() % 5];
+            asked.push((ms, rank));
+            counts[rank].0 += 1;
+            let request = Ask {
+                rank: u8::try_from(rank).unwrap().into(),
+                objective: 400 * MS,
+                ..ask(number)
+            };
+            if let Decision::Grant(_) = dispatcher.ask(request, now) {
+                granted.push(key("entry-1", number));
+            }
+        }
+        let over: Vec<_> = ends.extract_if(.., |(at, _)| *at <= ms).collect();
+        for (_, key) in over {
+            dispatcher.tell(ended(key, SERVED), now);
+        }
+        for (key, decision) in dispatcher.poll(now) {
+            if let Decision::Grant(_) = decision {
+                granted.push(key);
+            }
+        }
+        for key in granted {
+            let (at, rank) = asked[usize::try_from(key.number).unwrap()];
+            if ms - at <= 350 {
+                counts[rank].1 += 1;
+            }
+            ends.push((ms + stay, key));
+        }
+    }
+    counts
+}
+
+#[test]
+fn at_twice_the_capacity_the_higher_ranks_are_served_in_time_and_the_lowest_in_part() {
+    let [first, second, third] = play_burst();
+    let share = |(asked, served): (u32, u32)| f64::from(served) / f64::from(asked);
+    assert!(share(first) >= 0.97, "{first:?}");
+    assert!(share(second) >= 0.97, "{second:?}");
+    // A tenth of all requests is what the slots have left for the lowest rank.
+    assert!(share(third) >= 0.1, "{third:?}");
+}
