Find the new leader sooner, and hold requests for a fresh configuration

Meanwhile callers were refused, and they come back once at most. Change: dials give up after 300 ms, a named leader is asked at once, requests wait up to 1.2 s for a fresh configuration, elections start after 800 ms at the latest. Losing and regaining freshness is logged.

--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -228,6 +228,7 @@
 /// Reports to the leader, or to whom it names, for as long as the instance runs.
 pub async fn follow(core: Rc<Core>) {
     let mut target = Target::new(&core);
+    let mut was_fresh = false;
     loop {
         let started = core.clock.now();
         match report_once(&core, &target).await {
@@ -258,17 +259,30 @@
                 }
             }
             Some(Update::Ask { address }) => {
-                target.redirect(&core, address);
-                task::sleep(RETRY_PAUSE).await;
+                log::debug!(asked:? = target.address(), named:? = address; "a report got no lease");
+                if !target.redirect(&core, address) {
+                    task::sleep(RETRY_PAUSE).await;
+                }
             }
             None => {
+                log::debug!(asked:? = target.address(); "a report got no answer");
                 target.advance(&core);
                 task::sleep(RETRY_PAUSE).await;
             }
         }
-        METRICS
-            .fresh
-            .set(i64::from(core.published().is_fresh(core.clock.now())));
+        let is_fresh = core.published().is_fresh(core.clock.now());
+        METRICS.fresh.set(i64::from(is_fresh));
+        if std::mem::replace(&mut was_fresh, is_fresh) != is_fresh {
+            let revision = core.published().directory.revision.0;
+            match is_fresh {
+                true => {
+                    log::info!(revision = revision, leader:? = core.published().leader; "the configuration is fresh")
+                }
+                false => {
+                    log::warn!(revision = revision; "the configuration may be out of date; nothing is started by it")
+                }
+            }
+        }
         task::sleep(REPORT_PAUSE).await;
     }
 }
@@ -375,12 +389,17 @@
         self.named
     }
 
-    fn redirect(&mut self, core: &Core, address: Option<SocketAddr>) {
+    /// Goes to the instance that was named; says whether it is another than before, which is asked
+    /// at once.
+    fn redirect(&mut self, core: &Core, address: Option<SocketAddr>) -> bool {
         match address {
             Some(address) if address != core.identity.instance.peers => {
-                self.named = Some(address);
+                self.named.replace(address) != Some(address)
+            }
+            Some(_) | None => {
+                self.advance(core);
+                false
             }
-            Some(_) | None => self.advance(core),
         }
     }
 
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -11,7 +11,8 @@
 
 use anyhow::Context;
 use async_std::net::TcpListener;
-use async_std::task;
+use async_std::{future, task};
+use futures::channel::oneshot;
 use gooseberrylb_config::declaration::{Limits, Route, Table};
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::id;
@@ -45,6 +46,9 @@
 /// The time between two looks for kept connections whose time is over.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// The time between two looks for a fresh configuration while requests wait for one.
+const FRESH_LOOK: Duration = Duration::from_millis(20);
+
 /// What a planned stop leaves of its time for the process to end by itself.
 const STOP_RESERVE: Duration = Duration::from_millis(700);
 
@@ -70,6 +74,7 @@
     open: Cell<usize>,
     connections: Cell<usize>,
     leaving: Cell<bool>,
+    awaiting_fresh: RefCell<Vec<oneshot::Sender<()>>>,
     idle_closed: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -95,6 +100,7 @@
             open: Cell::new(0),
             connections: Cell::new(0),
             leaving: Cell::new(false),
+            awaiting_fresh: RefCell::default(),
             idle_closed: async_channel::bounded(1),
         })
     }
@@ -109,6 +115,23 @@
         self.core.published().is_fresh(self.core.clock.now())
     }
 
+    /// Waits until the configuration may be acted on, or for as long as `limit`.
+    pub async fn fresh(self: &Rc<Self>, limit: Duration) {
+        if self.is_fresh() && self.table().is_some() {
+            return;
+        }
+        let (waiter, fresh) = oneshot::channel();
+        let watched = {
+            let mut waiters = self.awaiting_fresh.borrow_mut();
+            waiters.push(waiter);
+            waiters.len() > 1
+        };
+        if !watched {
+            task::spawn_local(watch_for_fresh(self.clone()));
+        }
+        future::timeout(limit, fresh).await.ok();
+    }
+
     /// Whether a planned stop is under way.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
@@ -259,6 +282,23 @@
     }
 }
 
+/// Wakes those that wait for a fresh configuration, once there is one or nobody waits.
+async fn watch_for_fresh(gateway: Rc<Gateway>) {
+    loop {
+        task::sleep(FRESH_LOOK).await;
+        let mut waiters = gateway.awaiting_fresh.borrow_mut();
+        waiters.retain(|waiter| !waiter.is_canceled());
+        if gateway.is_fresh() && gateway.table().is_some() {
+            for waiter in waiters.drain(..) {
+                waiter.send(()).ok();
+            }
+        }
+        if waiters.is_empty() {
+            return;
+        }
+    }
+}
+
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         task::sleep(SWEEP).await;
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -18,6 +18,10 @@
 /// How long the body of a request may take to come, beside the time that the caller still waits.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
+/// How long a request is held for a fresh configuration: about the time that it takes to elect a
+/// leader. Callers come back once at most, so refusing them at once would lose more of them.
+const FRESH_HOLD: Duration = Duration::from_millis(1200);
+
 /// When callers may come back that were refused for want of a configuration.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -117,6 +121,15 @@
     let closes = request.closes;
     let facts = gateway.dialect.facts(&request.fields.borrowed());
     let id = facts.attempt.clone().unwrap_or_else(|| "-".into());
+    let hold = FRESH_HOLD.min(facts.patience.unwrap_or(FRESH_HOLD) / 3);
+    let waited = {
+        let fresh = std::pin::pin!(gateway.fresh(hold));
+        let gone = std::pin::pin!(connection.closed());
+        matches!(futures::future::select(fresh, gone).await, Either::Left(_))
+    };
+    if !waited {
+        return After::Close;
+    }
     let (route, account) = match admit(gateway, &request, &facts) {
         Ok(admitted) => admitted,
         Err(own) => {
--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -37,7 +37,7 @@
 pub const MIN_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The longest time without a leader after which a node stands for election.
-pub const MAX_ELECTION_TIMEOUT: Duration = Duration::from_millis(1000);
+pub const MAX_ELECTION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How long a quorum's answers keep a leader certain that no other one was elected. It is shorter
 /// than [`MIN_ELECTION_TIMEOUT`], so that clocks may run at rates that differ by a fifth.
--- a/gooseberrylb_policy/tests/scheduler/fixture.rs
+++ b/gooseberrylb_policy/tests/scheduler/fixture.rs
@@ -59,6 +59,7 @@
             operators: address(),
             peers: address(),
             leaving: false,
+            entry: true,
         };
         directory.instances.insert(name(entry), instance);
     }
--- a/gooseberrylb_wire/src/link.rs
+++ b/gooseberrylb_wire/src/link.rs
@@ -21,8 +21,9 @@
 use crate::plane::Plane;
 use crate::watch;
 
-/// How long opening a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long opening a connection may take: many round trips between data centres. A machine without
+/// power does not answer at all, and whoever looks for the leader must go on to the next one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The time between two pings.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -31,7 +32,7 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// How long after a failed attempt the next one waits, so that a dead peer is not flooded.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Why a link could not be opened.
 #[derive(Debug, Error)]
