Place by accounts' turns, put late requests one rank back, and hand measurements to new dispatchers

Change: dispatch/turns.rs, levels in dispatch/service.rs, rates in notices, follow.rs avoids an instance that was silent. Tests that fail without: an_account_that_sends_much_at_once_..., a_request_that_is_late_stands_behind_..., a_new_dispatcher_knows_slow_upstreams_...

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -106,6 +106,8 @@
     next_proposal: Cell<u64>,
     unanswered: RefCell<BTreeMap<id::Instance, Rc<Cell<u32>>>>,
     changed: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Ends the wait for the leader's answer once the leader is suspected.
+    doubt: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 /// What a core is made of.
@@ -160,6 +162,7 @@
             next_proposal: Cell::new(0),
             unanswered: RefCell::default(),
             changed: RefCell::default(),
+            doubt: RefCell::default(),
         })
     }
 
@@ -447,6 +450,24 @@
         self.published.read()
     }
 
+    /// Has this instance look for a leader elsewhere, since the one that it follows is silent.
+    pub fn suspect_leader(&self) {
+        if let Some(doubt) = self.doubt.borrow_mut().take() {
+            // Nobody waits for an answer then.
+            doubt.send(()).ok();
+        }
+    }
+
+    /// Ends once the leader is suspected.
+    pub async fn leader_suspected(&self) {
+        let (doubt, suspected) = oneshot::channel();
+        *self.doubt.borrow_mut() = Some(doubt);
+        if suspected.await.is_err() {
+            // Somebody else waits now.
+            futures::future::pending::<()>().await;
+        }
+    }
+
     fn add_waiter(&self, waiter: oneshot::Sender<()>) {
         let mut waiters = self.changed.borrow_mut();
         waiters.retain(|waiter| !waiter.is_canceled());
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
+use futures::future::Either;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_control::consensus::Input;
@@ -31,6 +32,10 @@
 /// How long a follower waits for an answer before it tries elsewhere.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// How long an instance that did not answer is kept away from, unless nobody else is known; about the
+/// time that it takes to elect another leader.
+const AVOIDED: Duration = Duration::from_secs(1);
+
 /// The pause after a report that got no lease.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -266,6 +271,7 @@
             }
             None => {
                 log::debug!(asked:? = target.address(); "a report got no answer");
+                target.avoid(&core);
                 target.advance(&core);
                 task::sleep(RETRY_PAUSE).await;
             }
@@ -332,8 +338,13 @@
         let response = request.send().promise.await.ok()?;
         codec::decode(response.get().ok()?.get_update().ok()?).ok()
     };
-    match future::timeout(ANSWER_TIMEOUT, call).await {
-        Ok(update) => update,
+    let call = std::pin::pin!(call);
+    let suspected = std::pin::pin!(core.leader_suspected());
+    let either = futures::future::select(call, suspected);
+    match future::timeout(ANSWER_TIMEOUT, either).await {
+        Ok(Either::Left((update, _))) => update,
+        // Others know sooner who leads; the link may be well.
+        Ok(Either::Right(_)) => None,
         Err(_) => {
             // The peer may be well and only this connection lost: the next call opens a new one.
             link.reset();
@@ -373,6 +384,8 @@
 struct Target {
     named: Option<SocketAddr>,
     next_peer: usize,
+    /// A leader that was silent, and until when nobody goes to it for having been sent there.
+    avoided: Option<(SocketAddr, Instant)>,
 }
 
 impl Target {
@@ -380,6 +393,7 @@
         let mut target = Self {
             named: None,
             next_peer: 0,
+            avoided: None,
         };
         target.advance(core);
         target
@@ -393,7 +407,9 @@
     /// at once.
     fn redirect(&mut self, core: &Core, address: Option<SocketAddr>) -> bool {
         match address {
-            Some(address) if address != core.identity.instance.peers => {
+            Some(address)
+                if address != core.identity.instance.peers && !self.avoids(core, address) =>
+            {
                 self.named.replace(address) != Some(address)
             }
             Some(_) | None => {
@@ -403,6 +419,18 @@
         }
     }
 
+    /// Keeps away for a while from an instance that did not answer.
+    fn avoid(&mut self, core: &Core) {
+        let until = core.clock.now() + AVOIDED;
+        self.avoided = self.named.map(|address| (address, until));
+    }
+
+    fn avoids(&self, core: &Core, address: SocketAddr) -> bool {
+        let now = core.clock.now();
+        self.avoided
+            .is_some_and(|(avoided, until)| avoided == address && now < until)
+    }
+
     /// Tries the leader that the consensus node knows, else the next of the known instances.
     fn advance(&mut self, core: &Core) {
         let own = core.identity.instance.peers;
@@ -417,7 +445,7 @@
             feed.directory().instances.keys().cloned().collect()
         };
         known.extend(named.iter().filter_map(|name| core.address_of(name)));
-        known.retain(|address| *address != own);
+        known.retain(|address| *address != own && !self.avoids(core, *address));
         known.dedup();
         if known.is_empty() {
             self.named = None;
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -266,6 +266,7 @@
             key: gateway.place.key(),
             service,
             account: units.and(self.account.as_ref().map(|account| account.name.clone())),
+            weight: allotment.map_or(1.0, |a| a.per_second),
             units: units.filter(|_| self.sent == 0).unwrap_or(0.0),
             rank: self.rank(),
             data_centre: gateway.core.identity.instance.data_centre.as_str().into(),
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -11,7 +11,7 @@
 use gooseberrylb_config::directory::{Directory, Listed};
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::dispatch::{
-    Ask, Decision, Dispatcher, Key, Notice, Outcome, Reason, Running,
+    Ask, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Running,
 };
 use gooseberrylb_wire::codec;
 
@@ -83,6 +83,8 @@
     core: Rc<Core>,
     number: Cell<u64>,
     running: RefCell<HashMap<Key, Running>>,
+    /// What was measured of upstreams here, for dispatchers that are new.
+    rates: RefCell<HashMap<id::Upstream, (id::Service, Rates)>>,
     outbox: RefCell<Notice>,
     flushing: Cell<bool>,
     /// The leader that knows what runs here.
@@ -100,6 +102,7 @@
             core,
             number: Cell::new(0),
             running: RefCell::default(),
+            rates: RefCell::default(),
             outbox: RefCell::default(),
             flushing: Cell::new(false),
             synced: RefCell::default(),
@@ -162,6 +165,7 @@
             log::warn!("the dispatcher is lost; requests are placed by this entry alone");
         }
         METRICS.dispatcher_lost.inc();
+        self.core.suspect_leader();
         self.alone_until.set(Some(now + ALONE));
     }
 
@@ -224,6 +228,7 @@
             key: ask.key.clone(),
             service: ask.service.clone(),
             upstream: upstream.clone(),
+            prompt: ask.prompt,
             patience: ask.patience,
         };
         self.running.borrow_mut().insert(ask.key.clone(), running);
@@ -247,12 +252,7 @@
             self.own_revision.set(Some(published.directory.revision));
             let part = self.part(&published.directory);
             dispatch::refresh(&self.core, &published.directory, &mut own, Some(part), now);
-            let running = self.running.borrow().values().cloned().collect();
-            let notice = Notice {
-                running: Some((self.core.identity.name.clone(), running)),
-                ..Notice::default()
-            };
-            own.tell(notice, now);
+            own.tell(self.own_notice(&published.directory), now);
         }
         let decision = own.ask(ask.clone(), now);
         let dropped = Notice {
@@ -288,19 +288,36 @@
         }
     }
 
-    /// All that runs here, for a dispatcher that is new.
-    fn whole_notice(&self) -> Notice {
+    /// All that runs here and what was measured, for a dispatcher that is new.
+    fn own_notice(&self, directory: &Directory) -> Notice {
         let running = self.running.borrow().values().cloned().collect();
-        let used = self.outbox.take().used;
+        let mut rates = self.rates.borrow_mut();
+        rates.retain(|upstream, _| directory.listed.contains_key(upstream));
+        let rates = rates
+            .iter()
+            .map(|(upstream, (service, rates))| (service.clone(), upstream.clone(), *rates));
         Notice {
             running: Some((self.core.identity.name.clone(), running)),
-            used,
+            rates: rates.collect(),
             ..Notice::default()
         }
     }
 
+    /// The same for the fleet's dispatcher, with what was placed without it.
+    fn whole_notice(&self) -> Notice {
+        Notice {
+            used: self.outbox.take().used,
+            ..self.own_notice(&self.core.published().directory)
+        }
+    }
+
     fn end(self: &Rc<Self>, key: &Key, outcome: Outcome) {
-        self.running.borrow_mut().remove(key);
+        if let Some(run) = self.running.borrow_mut().remove(key) {
+            let mut rates = self.rates.borrow_mut();
+            let known = rates.entry(run.upstream);
+            let (_, known) = known.or_insert_with(|| (run.service, Rates::default()));
+            known.measure(run.prompt, Duration::ZERO, &outcome);
+        }
         let ended = vec![(key.clone(), outcome)];
         let now = self.core.clock.now();
         let notice = Notice {
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -20,6 +20,7 @@
 pub mod share;
 
 mod service;
+mod turns;
 mod upstream;
 
 use service::Service;
@@ -72,6 +73,8 @@
     pub account: Option<id::Account>,
     /// What it counts against the allotment; nothing on a second attempt.
     pub units: f64,
+    /// The account's part among accounts, such as its allotment a second; none counts as 1.
+    pub weight: f64,
     /// Its rank; the lowest is served first.
     pub rank: Rank,
     /// The data centre of the entry.
@@ -143,6 +146,8 @@
     pub service: id::Service,
     /// The upstream.
     pub upstream: id::Upstream,
+    /// The tokens of its prompt.
+    pub prompt: u64,
     /// How long it may still last.
     pub patience: Duration,
 }
@@ -156,6 +161,8 @@
     pub ended: Vec<(Key, Outcome)>,
     /// The requests whose upstream has been silent for longer than expected.
     pub silent: Vec<Key>,
+    /// What the entry has measured of upstreams, where the dispatcher is new to it.
+    pub rates: Vec<(id::Service, id::Upstream, Rates)>,
     /// What accounts used by requests that the entry placed itself.
     pub used: Vec<(id::Account, f64)>,
 }
@@ -294,6 +301,11 @@
         if let Some((entry, running)) = notice.running {
             self.replace(&entry, running, now);
         }
+        for (service, upstream, rates) in &notice.rates {
+            if let Some(service) = self.services.get_mut(service) {
+                service.adopt(upstream, rates);
+            }
+        }
         for (account, units) in &notice.used {
             if let Some(window) = self.windows.get_mut(account) {
                 window.take(*units, now);
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
+use serde::{Deserialize, Serialize};
 
+use super::turns::{Turn, Turns};
 use super::upstream::State;
 use super::{Ask, Decision, Key, Outcome, Rank, Reason, Running, Upstream};
 
@@ -60,7 +62,7 @@
 const RETURN_SPREAD: f64 = 0.5;
 
 /// How fast an upstream is, as far as it was measured; in seconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rates {
     prompt_token: Option<f64>,
     event: Option<f64>,
@@ -72,15 +74,28 @@
 }
 
 impl Rates {
-    fn measure(&mut self, run: &Run, first: Duration, rest: Duration, events: u64, weight: f64) {
-        if run.prompt == 0 {
+    /// Takes in an answer to a prompt of so many tokens that waited behind others for `queued`.
+    pub fn measure(&mut self, prompt: u64, queued: Duration, outcome: &Outcome) {
+        self.learn(prompt, queued, outcome, NEWEST);
+    }
+
+    fn learn(&mut self, prompt: u64, queued: Duration, outcome: &Outcome, weight: f64) {
+        let Outcome::Served {
+            first,
+            rest,
+            events,
+        } = *outcome
+        else {
+            return;
+        };
+        if prompt == 0 {
             learn(&mut self.call, (first + rest).as_secs_f64(), weight);
             return;
         }
-        if run.prompt >= TELLING_PROMPT {
+        if prompt >= TELLING_PROMPT {
             // What waited before it on that upstream is not its own reading time.
-            let own = first.saturating_sub(run.queued).as_secs_f64();
-            learn(&mut self.prompt_token, own / run.prompt as f64, weight);
+            let own = first.saturating_sub(queued).as_secs_f64();
+            learn(&mut self.prompt_token, own / prompt as f64, weight);
         }
         if events > 1 {
             let event = rest.as_secs_f64() / (events - 1) as f64;
@@ -88,6 +103,13 @@
         }
     }
 
+    /// Takes over what somebody else has measured, where nothing was measured here.
+    fn adopt(&mut self, other: &Rates) {
+        self.prompt_token = self.prompt_token.or(other.prompt_token);
+        self.event = self.event.or(other.event);
+        self.call = self.call.or(other.call);
+    }
+
     /// The time to the first event, or to the answer of a plain call.
     pub(super) fn first(&self, ask: &Ask, pooled: &Rates) -> Duration {
         let seconds = if ask.prompt == 0 {
@@ -129,14 +151,34 @@
     since: Instant,
 }
 
-/// The order of those that wait: by rank, then those that can be in time, then by their coming.
+/// The order of those that wait: by level, then by the turns of their accounts, then by their coming.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
-    rank: Rank,
-    late: bool,
+    level: Level,
+    turn: Turn,
     number: u64,
 }
 
+/// What goes before what: the account's rank, then the route's. A request that is late already has
+/// lost most of what it was worth, so it stands one rank lower, behind those of that rank which can
+/// still be in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Level {
+    account: u8,
+    route: u8,
+    late: bool,
+}
+
+impl Level {
+    fn new(rank: Rank, late: bool) -> Self {
+        Self {
+            account: rank.account,
+            route: rank.route.saturating_add(u8::from(late)),
+            late,
+        }
+    }
+}
+
 /// How often requests come: a count that fades.
 #[derive(Debug, Default)]
 struct Arrivals {
@@ -173,7 +215,8 @@
     pooled: Rates,
     stay: Option<f64>,
     count: u64,
-    arrivals: BTreeMap<Rank, Arrivals>,
+    arrivals: BTreeMap<Level, Arrivals>,
+    turns: Turns,
 }
 
 impl Service {
@@ -193,46 +236,56 @@
     }
 
     pub(super) fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
-        self.arrivals.entry(ask.rank).or_default().count(now);
         if self.queue.is_empty()
-            && let Some(upstream) = self.choose(&ask, now)
+            && let Some(upstream) = self.choose(&ask, ask.objective, now)
         {
+            let turn = self.turns.next(&ask);
+            self.turns.take(&ask, turn);
+            self.turns.served(turn);
+            let level = Level::new(ask.rank, false);
+            self.arrivals.entry(level).or_default().count(now);
             return Decision::Grant(self.grant(&ask, upstream, now));
         }
         let slots: u32 = self.upstreams.iter().map(|u| u.upstream.slots).sum();
         if slots == 0 {
             return Decision::Refuse(Reason::NoUpstream, self.spread(NO_UPSTREAM_PAUSE));
         }
-        let pace = self.pace(ask.rank, slots, now);
-        let ahead = |late: bool| {
-            let before = |place: &&Place| (place.rank, place.late) <= (ask.rank, late);
-            self.queue.keys().filter(before).count() + 1
+        let turn = self.turns.next(&ask);
+        self.count += 1;
+        let place = |late| Place {
+            level: Level::new(ask.rank, late),
+            turn,
+            number: self.count,
+        };
+        let wait = |late| {
+            let ahead = self.queue.range(..place(late)).count() + 1;
+            self.pace(place(late).level, slots, now) * ahead as f64
         };
-        let wait = pace * ahead(false) as f64;
-        let first = self.pooled.first(&ask, &Rates::default()).as_secs_f64();
-        let is_in_time = wait + first <= ask.objective.as_secs_f64() * CERTAINTY;
-        let late_wait = pace * ahead(true) as f64;
+        let firsts = self
+            .upstreams
+            .iter()
+            .map(|u| u.rates.first(&ask, &self.pooled));
+        let first = firsts.min().unwrap_or_default().as_secs_f64();
+        let is_in_time = wait(false) + first <= ask.objective.as_secs_f64() * CERTAINTY;
+        let late_wait = wait(true);
         if !is_in_time && late_wait > ask.hold.as_secs_f64() * HOLD_CERTAINTY {
             let pause = Duration::from_secs_f64(late_wait).min(ask.patience / 3);
             let pause = self.spread(pause.max(SHORTEST_RETURN));
             return Decision::Refuse(Reason::Busy, pause);
         }
-        self.count += 1;
-        let place = Place {
-            rank: ask.rank,
-            late: !is_in_time,
-            number: self.count,
-        };
+        let place = place(!is_in_time);
+        self.arrivals.entry(place.level).or_default().count(now);
+        self.turns.take(&ask, turn);
         self.places.insert(ask.key.clone(), place);
         self.queue.insert(place, Waiting { ask, since: now });
         Decision::Wait
     }
 
-    /// The time from one grant to the next for requests of a rank, in seconds: what comes of higher
-    /// ranks takes its part of the slots first.
-    fn pace(&self, rank: Rank, slots: u32, now: Instant) -> f64 {
+    /// The time from one grant to the next for requests of a level, in seconds: what is admitted at
+    /// higher ones takes its part of the slots first.
+    fn pace(&self, level: Level, slots: u32, now: Instant) -> f64 {
         let all = f64::from(slots) / self.stay.unwrap_or(UNMEASURED_STAY);
-        let higher = self.arrivals.range(..rank);
+        let higher = self.arrivals.range(..level);
         let taken: f64 = higher.map(|(_, arrivals)| arrivals.rate(now)).sum();
         1.0 / (all - taken).max(all * LEAST_LEFT)
     }
@@ -244,7 +297,9 @@
         while !self.queue.is_empty() {
             let mut granted = None;
             for (place, waiting) in &self.queue {
-                if let Some(upstream) = self.choose(&waiting.ask, now) {
+                let waited = now.saturating_duration_since(waiting.since);
+                let objective = waiting.ask.objective.saturating_sub(waited);
+                if let Some(upstream) = self.choose(&waiting.ask, objective, now) {
                     granted = Some((*place, upstream));
                     break;
                 }
@@ -260,6 +315,7 @@
                 return;
             };
             self.places.remove(&waiting.ask.key);
+            self.turns.served(place.turn);
             let upstream = self.grant(&waiting.ask, upstream, now);
             decided.push((waiting.ask.key, Decision::Grant(upstream)));
         }
@@ -273,7 +329,7 @@
     /// Refuses those whose time to wait is over, and puts those behind that cannot be in time.
     fn sort_out(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
         let over = |w: &Waiting| now >= w.since + w.ask.hold;
-        let late = |p: &Place, w: &Waiting| !p.late && now >= w.since + w.ask.objective;
+        let late = |p: &Place, w: &Waiting| !p.level.late && now >= w.since + w.ask.objective;
         let moved: Vec<Place> = self
             .queue
             .iter()
@@ -291,7 +347,7 @@
                 decided.push((waiting.ask.key, Decision::Refuse(Reason::Busy, pause)));
             } else {
                 let place = Place {
-                    late: true,
+                    level: Level::new(waiting.ask.rank, true),
                     ..place
                 };
                 self.places.insert(waiting.ask.key.clone(), place);
@@ -322,14 +378,11 @@
         if let Some(state) = self.state(&run.upstream) {
             state.running = state.running.saturating_sub(1);
             match outcome {
-                Outcome::Served {
-                    first,
-                    rest,
-                    events,
-                } => {
+                Outcome::Served { .. } => {
                     state.health.served();
-                    state.rates.measure(&run, first, rest, events, NEWEST);
-                    pooled.measure(&run, first, rest, events, NEWEST_POOLED);
+                    let (prompt, queued) = (run.prompt, run.queued);
+                    state.rates.learn(prompt, queued, &outcome, NEWEST);
+                    pooled.learn(prompt, queued, &outcome, NEWEST_POOLED);
                 }
                 Outcome::Full => state.full(now),
                 Outcome::Failed => state.health.failed(now),
@@ -347,7 +400,7 @@
         let run = Run {
             upstream: running.upstream,
             since: now,
-            prompt: 0,
+            prompt: running.prompt,
             queued: Duration::ZERO,
             silent: false,
             over: now + running.patience,
@@ -363,6 +416,14 @@
         self.recount();
     }
 
+    /// Takes over what an entry has measured of an upstream.
+    pub(super) fn adopt(&mut self, upstream: &id::Upstream, rates: &Rates) {
+        self.pooled.adopt(rates);
+        if let Some(state) = self.state(upstream) {
+            state.rates.adopt(rates);
+        }
+    }
+
     /// Forgets what runs, but for the keys that are to be kept.
     pub(super) fn retain_running(&mut self, keep: impl Fn(&Key) -> bool) {
         self.running.retain(|key, _| keep(key));
@@ -408,8 +469,8 @@
         states.find(|state| state.upstream.name == *name)
     }
 
-    /// The upstream with room whose answer is expected to end first.
-    fn choose(&self, ask: &Ask, now: Instant) -> Option<usize> {
+    /// The upstream with room whose answer is expected to end first, of those that can be in time.
+    fn choose(&self, ask: &Ask, objective: Duration, now: Instant) -> Option<usize> {
         let healthy = |state: &State| state.health.bound(state.upstream.slots, now) > 0;
         // Where most upstreams fail, resting them all would leave nobody to serve.
         let trusted =
@@ -418,14 +479,14 @@
         candidates
             .filter(|(_, state)| state.has_room(trusted, now))
             .filter(|(_, state)| !ask.excluded.contains(&state.upstream.name))
-            .min_by_key(|(_, state)| self.cost(ask, state, now))
+            .min_by_key(|(_, state)| self.cost(ask, objective, state, now))
             .map(|(i, _)| i)
     }
 
-    fn cost(&self, ask: &Ask, state: &State, now: Instant) -> Duration {
+    fn cost(&self, ask: &Ask, objective: Duration, state: &State, now: Instant) -> Duration {
         let (first, end) = state.expect(ask, &self.pooled, now);
         let mut cost = end + COMPANY * state.running / state.upstream.slots.max(1);
-        if first > ask.objective {
+        if first > objective {
             cost += LATE + first;
         }
         if state.upstream.data_centre != ask.data_centre {
--- a/gooseberrylb_policy/tests/dispatch.rs
+++ b/gooseberrylb_policy/tests/dispatch.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_policy::dispatch::{
-    Allotted, Ask, Decision, Dispatcher, Key, Notice, Outcome, Reason, Running, Upstream,
+    Allotted, Ask, Decision, Dispatcher, Key, Notice, Outcome, Rank, Rates, Reason, Running,
+    Upstream,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -31,6 +32,7 @@
         service: "agronomo".parse().unwrap(),
         account: None,
         units: 0.0,
+        weight: 1.0,
         rank: Default::default(),
         data_centre: "lodi".into(),
         prompt: 1_000,
@@ -125,6 +127,7 @@
         key: key("entry-1", 0),
         service: "agronomo".parse().unwrap(),
         upstream: "a".parse().unwrap(),
+        prompt: 1_000,
         patience: 5_000 * MS,
     };
     let told = Notice {
@@ -293,3 +296,102 @@
     // A tenth of all requests is what the slots have left for the lowest rank.
     assert!(share(third) >= 0.1, "{third:?}");
 }
+
+#[test]
+fn an_account_that_sends_much_at_once_does_not_push_others_back() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], now);
+    let asked = |number: u64, account: &str| Ask {
+        account: Some(account.parse().unwrap()),
+        objective: 30_000 * MS,
+        hold: 60_000 * MS,
+        ..ask(number)
+    };
+    dispatcher.ask(ask(0), now);
+    for number in 1..=20 {
+        assert_eq!(dispatcher.ask(asked(number, "much"), now), Decision::Wait);
+    }
+    for number in 21..=23 {
+        assert_eq!(dispatcher.ask(asked(number, "little"), now), Decision::Wait);
+    }
+    let mut running = 0;
+    let mut order = Vec::new();
+    for step in 1..=8 {
+        let now = now + 10 * MS * step;
+        dispatcher.tell(ended(key("entry-1", running), SERVED), now);
+        running = dispatcher.poll(now)[0].0.number;
+        order.push(running);
+    }
+    let last = order.iter().rposition(|number| *number > 20);
+    assert!(last <= Some(6), "{order:?}");
+}
+
+#[test]
+fn a_request_that_is_late_stands_behind_the_next_rank_in_time_and_before_the_one_after() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("a", 1)], now);
+    dispatcher.ask(ask(0), now);
+    let waits = |number, route, objective| Ask {
+        rank: Rank { account: 1, route },
+        objective,
+        hold: 60_000 * MS,
+        ..ask(number)
+    };
+    let in_time = 30_000 * MS;
+    let asks = [
+        waits(1, 0, Duration::ZERO),
+        waits(2, 2, in_time),
+        waits(3, 1, in_time),
+        waits(4, 0, in_time),
+    ];
+    for ask in asks {
+        assert_eq!(dispatcher.ask(ask, now), Decision::Wait);
+    }
+    let mut running = 0;
+    let order = [1, 2, 3, 4].map(|step| {
+        let now = now + 10 * MS * step;
+        dispatcher.tell(ended(key("entry-1", running), SERVED), now);
+        running = dispatcher.poll(now)[0].0.number;
+        running
+    });
+    assert_eq!(order, [4, 3, 1, 2]);
+}
+
+#[test]
+fn a_new_dispatcher_knows_slow_upstreams_from_what_entries_have_measured() {
+    let now = Instant::now();
+    let service: gooseberrylb_config::id::Service = "agronomo".parse().unwrap();
+    let measured = |first, rest| {
+        let mut rates = Rates::default();
+        let events = 20;
+        let served = Outcome::Served {
+            first,
+            rest,
+            events,
+        };
+        rates.measure(1_000, Duration::ZERO, &served);
+        rates
+    };
+    let rates = vec![
+        (
+            service.clone(),
+            "fast".parse().unwrap(),
+            measured(50 * MS, 200 * MS),
+        ),
+        (
+            service.clone(),
+            "slow".parse().unwrap(),
+            measured(300 * MS, 1_500 * MS),
+        ),
+    ];
+    let mut dispatcher = dispatcher(&[upstream("fast", 5), upstream("slow", 5)], now);
+    let told = Notice {
+        rates,
+        ..Notice::default()
+    };
+    dispatcher.tell(told, now);
+    for number in 0..5 {
+        let decision = dispatcher.ask(ask(number), now);
+        assert_eq!(decision, Decision::Grant("fast".parse().unwrap()));
+    }
+}
