--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -117,7 +117,7 @@
 pub async fn answer(core: &Rc<Core>, report: Report) -> Update {
     if other_cluster(core, &report) {
         log::warn!("{} belongs to another cluster and is refused", report.name);
-        return Update::Ask { address: None };
+        return Update::Ask { instance: None };
     }
     know_cluster(core, report.cluster);
     if core.is_leading() {
@@ -143,9 +143,9 @@
 }
 
 async fn lead(core: &Rc<Core>, report: Report) -> Update {
-    if let Some(address) = relay_for(core, &report.name) {
+    if let Some(relay) = relay_for(core, &report.name) {
         return Update::Ask {
-            address: Some(address),
+            instance: Some(relay),
         };
     }
     let held = report.revision;
@@ -157,11 +157,11 @@
     // The lease is checked after the wait, and the answer is made in the same step: a leader that
     // was frozen meanwhile grants nothing.
     if !core.is_leading() {
-        return Update::Ask { address: None };
+        return Update::Ask { instance: None };
     }
     core.followers.borrow_mut().hear(report, core.clock.now());
     let Some(cluster) = core.cluster() else {
-        return Update::Ask { address: None };
+        return Update::Ask { instance: None };
     };
     Update::Fresh {
         cluster,
@@ -180,7 +180,7 @@
     let told = published.leader.clone().filter(|_| fresh);
     let leader = relay::leader_to_name(&core.identity.name, core.known_leader(), told);
     let elsewhere = || Update::Ask {
-        address: leader.and_then(|name| core.address_of(&name)),
+        instance: leader.and_then(|name| core.address_of(&name).map(|address| (name, address))),
     };
     if core.feed.borrow().directory().instances.len() <= MAX_DIRECT {
         return elsewhere();
@@ -218,7 +218,7 @@
 }
 
 /// Where the relay listens that an instance is to follow, if it is to follow one.
-fn relay_for(core: &Core, name: &id::Instance) -> Option<SocketAddr> {
+fn relay_for(core: &Core, name: &id::Instance) -> Option<(id::Instance, SocketAddr)> {
     let feed = core.feed.borrow();
     let instances: Vec<_> = feed.directory().instances.keys().collect();
     let followers = core.followers.borrow();
@@ -227,7 +227,8 @@
         let follower = followers.get(known);
         follower.is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
     };
-    core.address_of(relay(&instances, &core.identity.name, name, is_alive)?)
+    let relay = relay(&instances, &core.identity.name, name, is_alive)?;
+    Some((relay.clone(), core.address_of(relay)?))
 }
 
 /// Reports to the leader, or to whom it names, for as long as the instance runs.
@@ -263,7 +264,9 @@
                     task::sleep(RETRY_PAUSE).await;
                 }
             }
-            Some(Update::Ask { address }) => {
+            Some(Update::Ask { instance }) => {
+                // A way that is another instance's own may not be there, or not be cut, for this one.
+                let address = instance.map(|(name, told)| core.address_of(&name).unwrap_or(told));
                 log::debug!(asked:? = target.address(), named:? = address; "a report got no lease");
                 if !target.redirect(&core, address) {
                     task::sleep(RETRY_PAUSE).await;
--- a/gooseberrylb_wire/src/message.rs
+++ b/gooseberrylb_wire/src/message.rs
@@ -50,8 +50,9 @@
 pub enum Update {
     /// Ask this instance instead.
     Ask {
-        /// Where it listens for other instances; without one, try any.
-        address: Option<SocketAddr>,
+        /// Its name and where it listens, as the teller knows; without one, try any. The asker may know
+        /// a way of its own to it.
+        instance: Option<(id::Instance, SocketAddr)>,
     },
     /// The configuration is fresh for a while.
     Fresh {
