--- a/gooseberryctl/src/cli.rs
+++ b/gooseberryctl/src/cli.rs
@@ -98,6 +98,10 @@
     },
     /// Show how the system stands.
     Status,
+    /// Print the declaration in force, as it was sent.
+    Declaration,
+    /// Show the upstreams that the platform lists.
+    Upstreams,
     /// Show where a client account's callers should connect.
     Addresses {
         /// The client account.
@@ -159,13 +163,29 @@
         .to_options()
         .descr("Show how the system stands")
         .command("status");
+    let declaration = pure(Command::Declaration)
+        .to_options()
+        .descr("Print the declaration in force, as it was sent")
+        .command("declaration");
+    let upstreams = pure(Command::Upstreams)
+        .to_options()
+        .descr("Show the upstreams that the platform lists")
+        .command("upstreams");
     let addresses = addresses_command();
     let audit = audit_command();
     let report = construct!(Command::Report(report_options()))
         .to_options()
         .descr("Show who got what")
         .command("report");
-    construct!([note, status, addresses, audit, report])
+    construct!([
+        note,
+        status,
+        declaration,
+        upstreams,
+        addresses,
+        audit,
+        report
+    ])
 }
 
 fn note_command() -> impl Parser<Command> {
--- a/gooseberryctl/src/main.rs
+++ b/gooseberryctl/src/main.rs
@@ -49,6 +49,8 @@
         cli::Command::List => notes::list(&access).await,
         cli::Command::Watch { note } => notes::watch(&access, note).await,
         cli::Command::Status => queries::status(&access).await,
+        cli::Command::Declaration => queries::declaration(&access).await,
+        cli::Command::Upstreams => queries::upstreams(&access).await,
         cli::Command::Addresses { account, callers } => {
             queries::addresses(&access, &account, &callers).await
         }
--- a/gooseberryctl/src/queries.rs
+++ b/gooseberryctl/src/queries.rs
@@ -1,9 +1,11 @@
 //! Commands that read.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::SystemTime;
 
 use gooseberrylb_config::answer::{Addresses, Audit, Report, Status};
+use gooseberrylb_config::directory::Listed;
 use gooseberrylb_config::id;
 use gooseberrylb_config::note::time;
 use http_types::Url;
@@ -141,6 +143,45 @@
     Ok(())
 }
 
+/// Prints the declaration in force, byte for byte.
+pub async fn declaration(access: &Access) -> Result<(), Failure> {
+    let body = client::ask(access, &Call::get("/v1/declaration")).await?;
+    say!("{body}");
+    Ok(())
+}
+
+/// Shows the upstreams that the platform lists.
+pub async fn upstreams(access: &Access) -> Result<(), Failure> {
+    let call = Call::get("/v1/upstreams");
+    let Some(listed) = client::ask_for::<BTreeMap<id::Upstream, Listed>>(access, &call).await?
+    else {
+        return Ok(());
+    };
+    let row = |(name, upstream): (&id::Upstream, &Listed)| {
+        vec![
+            name.to_string(),
+            upstream.service.to_string(),
+            upstream.address.to_string(),
+            upstream.data_centre.to_string(),
+            upstream.release.to_string(),
+            upstream.slots.to_string(),
+            if upstream.draining { "draining" } else { "" }.to_owned(),
+        ]
+    };
+    let rows: Vec<Vec<String>> = listed.iter().map(row).collect();
+    let heads = [
+        "upstream",
+        "service",
+        "address",
+        "data centre",
+        "release",
+        "slots",
+        "state",
+    ];
+    table::print(&heads, &rows);
+    Ok(())
+}
+
 /// Shows the audit trail, page by page to its end.
 pub async fn audit(access: &Access, after: u64) -> Result<(), Failure> {
     let mut after = after;
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -32,6 +32,8 @@
     Status,
     /// The declaration in force, as it was sent.
     Declaration,
+    /// The upstreams that the platform lists.
+    Upstreams,
 }
 
 /// What is read, as the JSON of the operators' interface.
@@ -74,6 +76,7 @@
         Question::Report(filter) => found(&state.report(filter)),
         Question::Audit { after, limit } => found(&state.audit(*after, *limit)),
         Question::Status => found(&status(core)),
+        Question::Upstreams => found(&state.directory().listed),
         Question::Declaration => match &state.directory().declaration {
             Some(text) => Answer::Found(text.source.clone()),
             None => Answer::Missing,
--- a/gooseberrylb/src/logging.rs
+++ b/gooseberrylb/src/logging.rs
@@ -4,11 +4,16 @@
 
 use anyhow::{Context, anyhow};
 use gooseberrylb_config::settings;
+use logforth::append::asynchronous::AsyncBuilder;
 use logforth::append::file::FileBuilder;
 use logforth::append::{Stderr, Stdout};
 use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 
+/// The most lines that wait for a reader of standard output; more are dropped, so that none is ever
+/// waited for. At a line a request this is some seconds of the heaviest load of one entry.
+const BUFFERED_LINES: usize = 2_000;
+
 /// How many rotated log files are kept beside the one being written.
 const KEPT_FILES: usize = 7;
 
@@ -28,7 +33,12 @@
     match &log.file {
         None if log.stdout => logforth::starter_log::builder()
             .dispatch(|d| {
-                let append = Stdout::default().with_layout(JsonLayout::default());
+                let stdout = Stdout::default().with_layout(JsonLayout::default());
+                let append = AsyncBuilder::new("log")
+                    .buffered_lines_limit(Some(BUFFERED_LINES))
+                    .overflow_drop_incoming()
+                    .append(stdout)
+                    .build();
                 d.filter(filter).append(append)
             })
             .try_apply()
--- a/gooseberrylb/src/operators.rs
+++ b/gooseberrylb/src/operators.rs
@@ -47,6 +47,8 @@
     app.at("/v1/notes").post(submit).get(notes);
     app.at("/v1/notes/:number").get(note);
     app.at("/v1/status").get(status);
+    app.at("/v1/declaration").get(declaration);
+    app.at("/v1/upstreams").get(upstreams);
     app.at("/v1/report").get(report);
     app.at("/v1/audit").get(audit);
     app.at("/").all(not_found);
@@ -224,6 +226,15 @@
     Ok(ask(&request, Question::Notes, "there are no notes").await)
 }
 
+async fn declaration(request: Request) -> tide::Result {
+    let missing = "no declaration was accepted";
+    Ok(ask(&request, Question::Declaration, missing).await)
+}
+
+async fn upstreams(request: Request) -> tide::Result {
+    Ok(ask(&request, Question::Upstreams, "there is no list").await)
+}
+
 async fn status(request: Request) -> tide::Result {
     Ok(ask(&request, Question::Status, "there is no status").await)
 }
--- a/gooseberrylb/tests/platform.rs
+++ b/gooseberrylb/tests/platform.rs
@@ -438,6 +438,15 @@
 fn declarations_are_checked_kept_as_sent_and_never_replaced_by_older_ones() {
     let fleet = Fleet::start(1);
     fleet.wait_until_declared(&manifest(3, ""));
+    // Operators read the same, and the list, by the product's own interface.
+    let token = "Authorization: Bearer 0123456789abcdef\r\nConnection: close\r\n";
+    let read = |path: &str| {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n{token}\r\n");
+        fleet.send(ENTRY, OPERATORS, &request).unwrap()
+    };
+    assert!(read("/v1/declaration").ends_with(&manifest(3, "")));
+    let listed = read("/v1/upstreams");
+    assert!(listed.contains("i-1") && !listed.contains("i-2") && !listed.contains("i-3"));
     let other_key = r#"},{"name":"other","api-keys":["key-2"]}]}"#;
     let place = r#""host":"a.example","path-prefix":"/plain/","timeout-ms":1,"service":"desk""#;
     let weights = r#""host":"b.example","path-prefix":"/","timeout-ms":1,"traffic-split":[{"service":"desk","weight":0}]"#;
