Share the slack of repeats among the entries that there are

Cause, by reading: each entry took a part of the slack by a guess from the seeds, which on 66 entries adds up to eleven times the slack. Ruled out: counting at the dispatcher, which is silent in just the moments when upstreams fail. Change: the number of entries in the configuration; half of the allowed share is earned.

--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -16,6 +16,7 @@
 use gooseberrylb_config::declaration::{Limits, Route, Table};
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::id;
+use gooseberrylb_config::number::Revision;
 use gooseberrylb_config::settings::Deployment;
 use gooseberrylb_policy::repeat::Budget;
 use rand::Rng;
@@ -49,6 +50,10 @@
 /// The time between two looks for a fresh configuration while requests wait for one.
 const FRESH_LOOK: Duration = Duration::from_millis(20);
 
+/// The part of the allowed share that requests earn: requests of the platform's window are counted at
+/// other moments than here.
+const EARNED_PART: f64 = 0.5;
+
 /// What a planned stop leaves of its time for the process to end by itself.
 const STOP_RESERVE: Duration = Duration::from_millis(700);
 
@@ -71,6 +76,7 @@
     pub pool: Pool,
     /// How many requests may be sent twice.
     pub budget: RefCell<Budget>,
+    budget_revision: Cell<Option<Revision>>,
     open: Cell<usize>,
     connections: Cell<usize>,
     leaving: Cell<bool>,
@@ -81,22 +87,16 @@
 impl Gateway {
     fn new(core: Rc<Core>, dialect: Arc<dyn Dialect>, deployment: &Deployment) -> Rc<Self> {
         let now = core.clock.now();
-        // The slack is the fleet's; its size is not known at the start, and the seeds are a fair
-        // guess at least as to its order.
-        let part = 2.0 * deployment.seeds.len().max(1) as f64;
-        let slack = deployment.retry_slack / part;
-        let budget = Budget::new(
-            deployment.retry_share / 2.0,
-            slack,
-            deployment.retry_window_s,
-            now,
-        );
+        // The slack is the fleet's, and nothing is known of the fleet yet.
+        let share = deployment.retry_share * EARNED_PART;
+        let budget = Budget::new(share, 0.0, deployment.retry_window_s, now);
         Rc::new(Self {
             place: Place::new(core.clone()),
             core,
             dialect,
             pool: Pool::default(),
             budget: RefCell::new(budget),
+            budget_revision: Cell::new(None),
             open: Cell::new(0),
             connections: Cell::new(0),
             leaving: Cell::new(false),
@@ -143,6 +143,23 @@
         !self.is_leaving() && self.is_fresh() && has_upstreams && self.table().is_some()
     }
 
+    /// Takes in a request that may be repeated later.
+    fn earn_repeats(&self) {
+        let published = self.core.published();
+        let now = self.core.clock.now();
+        let mut budget = self.budget.borrow_mut();
+        let revision = Some(published.directory.revision);
+        if let Some(deployment) = &self.core.settings.deployment
+            && self.budget_revision.replace(revision) != revision
+        {
+            let instances = published.directory.instances.values();
+            let entries = instances.filter(|instance| instance.entry).count().max(1);
+            let slack = deployment.retry_slack / entries as f64;
+            budget.change(slack, deployment.retry_window_s, now);
+        }
+        budget.earn(now);
+    }
+
     /// What callers may send.
     pub fn limits(&self) -> Limits {
         self.table()
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -153,7 +153,7 @@
         waited: Duration::ZERO,
         alone: false,
     };
-    gateway.budget.borrow_mut().earn(arrived);
+    gateway.earn_repeats();
     let result = {
         let running = std::pin::pin!(work.run());
         let gone = std::pin::pin!(connection.closed());
--- a/gooseberrylb_policy/src/repeat.rs
+++ b/gooseberrylb_policy/src/repeat.rs
@@ -29,10 +29,19 @@
         }
     }
 
+    /// Changes the slack, as the number of entries that share it changes.
+    pub fn change(&mut self, slack: f64, window: f64, now: Instant) {
+        self.fill(now);
+        let half = slack / 2.0;
+        self.saved_most = half;
+        self.refill = half / window;
+        self.saved = self.saved.min(half);
+    }
+
     /// Takes in a request.
     pub fn earn(&mut self, now: Instant) {
         self.fill(now);
-        self.saved = (self.saved + self.share).min(self.saved_most.max(1.0));
+        self.saved = (self.saved + self.share).min(self.most());
     }
 
     /// Whether a repeat is allowed.
@@ -47,9 +56,14 @@
         self.saved -= 1.0;
     }
 
+    /// The most that is saved up; one repeat at least, or the earned share would be lost.
+    fn most(&self) -> f64 {
+        self.saved_most.max(1.0)
+    }
+
     fn fill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.saved = (self.saved + passed * self.refill).min(self.saved_most.max(1.0));
+        self.saved = (self.saved + passed * self.refill).min(self.most());
         self.at = self.at.max(now);
     }
 }
