Let up to 128 instances on a platform follow the leader themselves

Ruled out: the leader's processor time (0.08 of 0.15 cores), the lease. Change: MAX_DIRECT_ON_PLATFORM. The product's own limit and its tests with relays stay.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -34,7 +34,7 @@
 use super::peers::Accepted;
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
-use super::{Failure, Identity, Shared};
+use super::{Failure, Identity, Shared, relay};
 use crate::gateway::view::Tables;
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
@@ -166,6 +166,14 @@
         })
     }
 
+    /// How many instances follow the leader themselves.
+    pub fn max_direct(&self) -> usize {
+        match self.settings.deployment {
+            Some(_) => relay::MAX_DIRECT_ON_PLATFORM,
+            None => relay::MAX_DIRECT,
+        }
+    }
+
     /// The declaration of a configuration, decoded and indexed.
     pub fn table(&self, directory: &Directory) -> Option<Rc<Table>> {
         self.tables.read(directory, self.dialect.as_deref()?)
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -20,7 +20,7 @@
 use gooseberrylb_wire::message::{News, Report, Update};
 
 use super::core::{Core, Source};
-use super::relay::{self, MAX_DIRECT, relay};
+use super::relay::{self, relay};
 use crate::metrics::METRICS;
 
 /// How long a configuration may be acted on after the leader last proved that it is the newest.
@@ -182,7 +182,7 @@
     let elsewhere = || Update::Ask {
         instance: leader.and_then(|name| core.address_of(&name).map(|address| (name, address))),
     };
-    if core.feed.borrow().directory().instances.len() <= MAX_DIRECT {
+    if core.feed.borrow().directory().instances.len() <= core.max_direct() {
         return elsewhere();
     }
     let held = report.revision;
@@ -227,7 +227,13 @@
         let follower = followers.get(known);
         follower.is_some_and(|f| now < f.heard + ANSWER_TIMEOUT + HOLD)
     };
-    let relay = relay(&instances, &core.identity.name, name, is_alive)?;
+    let relay = relay(
+        core.max_direct(),
+        &instances,
+        &core.identity.name,
+        name,
+        is_alive,
+    )?;
     Some((relay.clone(), core.address_of(relay)?))
 }
 
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -306,7 +306,7 @@
 /// Whether a follower's lease has certainly ended; one that follows a relay may have been handed a
 /// lease by it after its last report reached the leader.
 fn has_lapsed(core: &Core, follower: &Follower, now: Instant) -> bool {
-    let relayed = core.feed.borrow().directory().instances.len() > super::relay::MAX_DIRECT;
+    let relayed = core.feed.borrow().directory().instances.len() > core.max_direct();
     let slack = if relayed { LEASE } else { Duration::ZERO };
     now >= follower.lease_until + slack
 }
--- a/gooseberrylb/src/control/relay.rs
+++ b/gooseberrylb/src/control/relay.rs
@@ -8,6 +8,10 @@
 /// How many instances follow the leader itself; beyond that, relays carry the configuration.
 pub const MAX_DIRECT: usize = 24;
 
+/// The same on a platform, where a change must be in force everywhere within about two seconds: a relay
+/// that is lost takes longer to replace than that. A report costs the leader about 100 µs twice a second.
+pub const MAX_DIRECT_ON_PLATFORM: usize = 128;
+
 /// Whom an instance that does not lead names as the leader: what its consensus node knows goes before
 /// what a leader told it while that was fresh. It never names itself: one that led and was cut off
 /// would send everybody, and itself, back to itself for good.
@@ -21,16 +25,18 @@
 
 /// The relay that `name` is to follow, or none where it follows the leader.
 ///
-/// The instances in order of their names fall into groups of about the square root of their number;
-/// the first of each group that lives follows the leader, and the group follows it. The leader
-/// follows nobody: whoever it followed would have its lease from the leader itself.
+/// Up to `direct` instances all follow the leader. Of more, in order of their names, groups are made
+/// of about the square root of their number; the first of each group that lives follows the leader,
+/// and the group follows it. The leader follows nobody: whoever it followed would have its lease from
+/// the leader itself.
 pub fn relay<'a>(
+    direct: usize,
     instances: &[&'a id::Instance],
     leader: &id::Instance,
     name: &id::Instance,
     is_alive: impl Fn(&id::Instance) -> bool,
 ) -> Option<&'a id::Instance> {
-    if instances.len() <= MAX_DIRECT || name == leader {
+    if instances.len() <= direct || name == leader {
         return None;
     }
     let group_size = instances.len().isqrt() + 1;
--- a/gooseberrylb/src/control/relay/tests.rs
+++ b/gooseberrylb/src/control/relay/tests.rs
@@ -24,13 +24,17 @@
         for step in [2, 3, 7, count + 1] {
             let alive = alive(&names, step);
             for leader in &alive {
-                assert_eq!(relay(&known, leader, leader, |n| alive.contains(n)), None);
+                assert_eq!(
+                    relay(MAX_DIRECT, &known, leader, leader, |n| alive.contains(n)),
+                    None
+                );
                 for name in &alive {
-                    let Some(head) = relay(&known, leader, name, |n| alive.contains(n)) else {
+                    let Some(head) = relay(MAX_DIRECT, &known, leader, name, |n| alive.contains(n))
+                    else {
                         continue;
                     };
                     assert!(alive.contains(head));
-                    let above = relay(&known, leader, head, |n| alive.contains(n));
+                    let above = relay(MAX_DIRECT, &known, leader, head, |n| alive.contains(n));
                     assert_eq!(above, None, "{name} follows {head} in a fleet of {count}");
                 }
             }
