--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -12,7 +12,7 @@
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_policy::dispatch::{
-    Allotted, Ask, Decision, Dispatcher, Key, Notice, Upstream, share,
+    Ask, Decision, Dispatcher, Key, Notice, Quota, Upstream, share,
 };
 
 use super::core::Core;
@@ -24,7 +24,7 @@
 /// The time between two looks at whether something waits.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The window in which the use of allotments is counted where the settings name none.
+/// The window in which the use of quotas is counted where the settings name none.
 const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 
 /// The dispatcher of an instance that leads or may lead.
@@ -142,7 +142,7 @@
             IDLE_INTERVAL
         };
         task::sleep(pause).await;
-        // A leader begins to count the use of allotments when it begins to lead.
+        // A leader begins to count the use of quotas when it begins to lead.
         if core.dispatch.dispatches(&core) && waiting > 0 {
             core.dispatch.poll(&core);
         }
@@ -158,7 +158,7 @@
     pub count: usize,
 }
 
-/// Tells a dispatcher of the upstreams and the allotments, or of one entry's part of them.
+/// Tells a dispatcher of the upstreams and the quotas, or of one entry's part of them.
 pub fn refresh(
     core: &Core,
     directory: &Directory,
@@ -189,22 +189,22 @@
     };
     let deployment = core.settings.deployment.as_ref();
     let window = deployment.map_or(DEFAULT_WINDOW, |d| {
-        Duration::from_secs_f64(d.allotment_window_s)
+        Duration::from_secs_f64(d.quota_window_s)
     });
     let accounts = table.declaration.accounts.iter();
-    let allotted = accounts.filter_map(|account| {
-        let allotment = account.allotment?;
-        Some(Allotted {
+    let quota = accounts.filter_map(|account| {
+        let quota = account.quota?;
+        Some(Quota {
             account: account.name.clone(),
-            per_second: allotment.per_second * part,
-            burst: allotment.burst * part,
+            per_second: quota.per_second * part,
+            burst: quota.burst * part,
             window,
         })
     });
-    dispatcher.set_allotments(&allotted.collect::<Vec<_>>(), now);
+    dispatcher.set_quotas(&quota.collect::<Vec<_>>(), now);
 }
 
-/// What a request counts against an allotment.
+/// What a request counts against a quota.
 pub fn units(unit: Unit, tokens: Option<(u64, u64)>) -> f64 {
     match unit {
         Unit::Requests => 1.0,
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -9,12 +9,13 @@
 use gooseberrylb_config::declaration::{Account, Repeat, Route};
 use gooseberrylb_config::dialect::{Facts, Outgoing, Reply};
 use gooseberrylb_config::id;
-use gooseberrylb_policy::dispatch::{Ask, Outcome, Rank, Reason};
+use gooseberrylb_policy::dispatch::{Outcome, Reason};
 
 use super::Gateway;
 use super::http::{self, Answer, Connection, Framing, Request};
 use super::place::{Grant, Placement};
-use crate::control::dispatch;
+
+mod ask;
 
 /// The most upstreams that could not be reached for one request before it is refused; none of them
 /// got a byte of it.
@@ -27,22 +28,6 @@
 /// The least time that an upstream is given for its first byte before it counts as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
-/// The longest that a late request is held for an upstream, against the time after which callers
-/// give up a stream that has not begun.
-const HOLD_PART: f64 = 0.6;
-
-/// The shortest time after which callers give up a stream that has not begun.
-const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
-
-/// How many objectives a caller waits for a stream to begin.
-const OBJECTIVES_WAITED: u32 = 4;
-
-/// How many of a stream's longest pauses a caller waits for it to go on.
-const GAPS_WAITED: u32 = 8;
-
-/// The tokens that an output has where nobody guesses, as part of the most that it may have.
-const UNGUESSED_OUTPUT: u64 = 4;
-
 /// The time that a refused request is kept away where the refusal gives none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -232,75 +217,6 @@
         }
     }
 
-    /// Asks for an upstream.
-    async fn place(&self) -> Placement {
-        let gateway = &self.gateway;
-        let (now, left) = (self.now(), self.left());
-        let table = gateway.table();
-        let waited = now.saturating_duration_since(self.arrived);
-        // A caller that comes back has used a part of its time already.
-        let full = self
-            .route
-            .time_limit
-            .min(self.facts.patience.unwrap_or(Duration::MAX));
-        let spent_before = self.route.time_limit.saturating_sub(full);
-        let objective = self.route.objective.saturating_sub(waited + spent_before);
-        let service = gateway.pick_target(&self.route);
-        let declared = table
-            .as_ref()
-            .and_then(|t| t.declaration.services.get(&service));
-        let stride = declared.and_then(|s| s.stride);
-        let (prompt, output) = match (self.facts.tokens, stride) {
-            (Some((prompt, most)), Some(_)) => {
-                let guess = self
-                    .facts
-                    .expected_output
-                    .unwrap_or(most / UNGUESSED_OUTPUT);
-                (prompt, guess.min(most))
-            }
-            _ => (0, 0),
-        };
-        let allotment = self.account.as_ref().and_then(|account| account.allotment);
-        let units = allotment.map(|a| dispatch::units(a.unit, self.facts.tokens));
-        let ask = Ask {
-            key: gateway.place.key(),
-            service,
-            account: units.and(self.account.as_ref().map(|account| account.name.clone())),
-            weight: allotment.map_or(1.0, |a| a.per_second),
-            units: units.filter(|_| self.sent == 0).unwrap_or(0.0),
-            rank: self.rank(),
-            data_centre: gateway.core.identity.instance.data_centre.as_str().into(),
-            prompt,
-            events: output / u64::from(stride.unwrap_or(1)),
-            objective,
-            hold: self.hold(waited).min(left),
-            patience: left,
-            excluded: self.excluded.clone(),
-        };
-        gateway.place.place(ask).await
-    }
-
-    /// The request's rank.
-    pub fn rank(&self) -> Rank {
-        let route = self.route.rank;
-        let own = self.account.as_ref().and_then(|account| account.rank);
-        Rank {
-            account: own.unwrap_or(route),
-            route,
-        }
-    }
-
-    /// How long the request is worth holding.
-    fn hold(&self, waited: Duration) -> Duration {
-        let waits = match self.route.streams {
-            true => SHORTEST_PATIENCE
-                .max(self.route.objective * OBJECTIVES_WAITED)
-                .max(self.route.gap * GAPS_WAITED),
-            false => self.route.time_limit,
-        };
-        waits.mul_f64(HOLD_PART).saturating_sub(waited)
-    }
-
     /// Sends the request to the upstream that it was granted.
     async fn attempt(
         &mut self,
@@ -591,7 +507,7 @@
 
 fn refuse(reason: Reason, pause: Duration) -> Own {
     match reason {
-        Reason::Allotment => Own::refusal(429, "the account's allotment is used up", pause),
+        Reason::Quota => Own::refusal(429, "the account's quota is used up", pause),
         Reason::Busy => Own::refusal(503, "the upstreams are busy", pause),
         Reason::NoUpstream => Own::refusal(503, "the service has no upstream", pause),
     }
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -242,7 +242,7 @@
         })
     }
 
-    /// Decides by what this entry knows itself: its own requests, and its part of the allotments.
+    /// Decides by what this entry knows itself: its own requests, and its part of the quotas.
     fn decide_alone(self: &Rc<Self>, ask: &Ask) -> Placement {
         let now = self.core.clock.now();
         let published = self.core.published();
--- a/gooseberrylb/tests/platform.rs
+++ b/gooseberrylb/tests/platform.rs
@@ -206,7 +206,7 @@
             "cluster_key_file": "../key", "operator_token_file": "../key",
             "deployment": {{ "seeds": [{}], "first_start": true, {role} "feed": "{}",
                 "grace_s": 20, "retry_share": 0.2, "retry_slack": 50, "retry_window_s": 10,
-                "allotment_window_s": 8 }} }}"#,
+                "quota_window_s": 8 }} }}"#,
         at(0).ip(),
         at(CALLERS),
         at(OPERATORS),
--- a/gooseberrylb_config/src/declaration.rs
+++ b/gooseberrylb_config/src/declaration.rs
@@ -81,7 +81,7 @@
 
 /// What a client account may use in a second.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Allotment {
+pub struct Quota {
     /// What counts against it.
     pub unit: Unit,
     /// The units a second, over all instances.
@@ -90,7 +90,7 @@
     pub burst: f64,
 }
 
-/// What an allotment counts.
+/// What a quota counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unit {
     /// Requests.
@@ -112,7 +112,7 @@
     /// The rank of its requests in place of the routes'.
     pub rank: Option<u8>,
     /// What it may use; without one, any amount.
-    pub allotment: Option<Allotment>,
+    pub quota: Option<Quota>,
 }
 
 /// What callers may send, and how long they may take.
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -117,8 +117,8 @@
     pub retry_slack: f64,
     /// The length of that window, in seconds.
     pub retry_window_s: f64,
-    /// The length of the window in which the use of allotments is counted, in seconds.
-    pub allotment_window_s: f64,
+    /// The length of the window in which the use of quotas is counted, in seconds.
+    pub quota_window_s: f64,
 }
 
 /// The settings of one instance.
@@ -169,7 +169,7 @@
     retry_share,
     retry_slack,
     retry_window_s,
-    allotment_window_s,
+    quota_window_s,
 });
 read_object!(Peer { name, address, voter = false });
 read_object!(Log {
@@ -345,7 +345,7 @@
         let sizes = [
             ("grace_s", deployment.grace_s as f64),
             ("retry_window_s", deployment.retry_window_s),
-            ("allotment_window_s", deployment.allotment_window_s),
+            ("quota_window_s", deployment.quota_window_s),
         ];
         for (name, value) in sizes {
             if value <= 0.0 {
--- a/gooseberrylb_config/tests/settings.rs
+++ b/gooseberrylb_config/tests/settings.rs
@@ -139,7 +139,7 @@
   "deployment": {
     "seeds": ["10.2.0.6:8229"], "first_start": true, "feed": "10.200.0.35:8225",
     "grace_s": 8, "retry_share": 0.2, "retry_slack": 52, "retry_window_s": 10,
-    "allotment_window_s": 8,
+    "quota_window_s": 8,
   },
 }"#;
 
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -2,7 +2,7 @@
 //!
 //! One dispatcher sees all requests of the fleet. Load that it answers: bursts above what the
 //! upstreams can run, upstreams of unlike speed, upstreams that fail or fall silent, and accounts
-//! that send more than their allotment. Pure: it is told the time and what happened.
+//! that send more than their quota. Pure: it is told the time and what happened.
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -12,7 +12,7 @@
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-use crate::allotment::Window;
+use crate::quota::Window;
 
 pub use service::Rates;
 pub use upstream::Health;
@@ -69,11 +69,11 @@
     pub key: Key,
     /// The service.
     pub service: id::Service,
-    /// The account, where it has an allotment.
+    /// The account, where it has a quota.
     pub account: Option<id::Account>,
-    /// What it counts against the allotment; nothing on a second attempt.
+    /// What it counts against the quota; nothing on a second attempt.
     pub units: f64,
-    /// The account's part among accounts, such as its allotment a second; none counts as 1.
+    /// The account's part among accounts, such as its quota a second; none counts as 1.
     pub weight: f64,
     /// Its rank; the lowest is served first.
     pub rank: Rank,
@@ -97,7 +97,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
     /// Its account has used what it may.
-    Allotment,
+    Quota,
     /// The upstreams cannot run it in time.
     Busy,
     /// The service has no upstream that may be used.
@@ -180,9 +180,9 @@
     pub slots: u32,
 }
 
-/// An account's allotment.
+/// An account's quota.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Allotted {
+pub struct Quota {
     /// The account.
     pub account: id::Account,
     /// The units a second.
@@ -193,7 +193,7 @@
     pub window: Duration,
 }
 
-/// A request that waits or runs, and what it counted against its account's allotment.
+/// A request that waits or runs, and what it counted against its account's quota.
 #[derive(Debug)]
 struct Placed {
     service: id::Service,
@@ -205,7 +205,7 @@
 pub struct Dispatcher {
     services: BTreeMap<id::Service, Service>,
     placed: HashMap<Key, Placed>,
-    /// Since when all use of allotments is known.
+    /// Since when all use of quotas is known.
     counts_since: Option<Instant>,
     windows: BTreeMap<id::Account, Window>,
 }
@@ -231,18 +231,18 @@
         }
     }
 
-    /// Takes the accounts' allotments; what an account has used so far still counts.
-    pub fn set_allotments(&mut self, allotments: &[Allotted], now: Instant) {
+    /// Takes the accounts' quotas; what an account has used so far still counts.
+    pub fn set_quotas(&mut self, quotas: &[Quota], now: Instant) {
         let since = *self.counts_since.get_or_insert(now);
-        let known = |name: &id::Account| allotments.iter().any(|a| a.account == *name);
+        let known = |name: &id::Account| quotas.iter().any(|a| a.account == *name);
         self.windows.retain(|name, _| known(name));
-        for allotted in allotments {
-            let (rate, burst) = (allotted.per_second, allotted.burst);
-            match self.windows.get_mut(&allotted.account) {
+        for quota in quotas {
+            let (rate, burst) = (quota.per_second, quota.burst);
+            match self.windows.get_mut(&quota.account) {
                 Some(window) => window.change(rate, burst),
                 None => {
-                    let window = Window::new(rate, burst, allotted.window, since, now);
-                    self.windows.insert(allotted.account.clone(), window);
+                    let window = Window::new(rate, burst, quota.window, since, now);
+                    self.windows.insert(quota.account.clone(), window);
                 }
             }
         }
@@ -252,7 +252,7 @@
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Decision {
         let window = ask.account.as_ref().and_then(|a| self.windows.get_mut(a));
         if let Some(wait) = window.and_then(|window| window.lacks(ask.units, now)) {
-            return Decision::Refuse(Reason::Allotment, wait);
+            return Decision::Refuse(Reason::Quota, wait);
         }
         let (account, units) = (ask.account.clone(), ask.units);
         let (key, name) = (ask.key.clone(), ask.service.clone());
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -1,9 +1,9 @@
 //! The decisions of gooseberrylb about traffic, as pure code: time, randomness and messages are
 //! passed in, and what is to be done comes out. The daemon carries it out. See `docs/DESIGN.md`.
 
-pub mod allotment;
 pub mod dispatch;
 pub mod moves;
+pub mod quota;
 pub mod repeat;
 pub mod request;
 pub mod scheduler;
--- a/gooseberrylb_policy/src/allotment.rs
+++ b/gooseberrylb_policy/src/quota.rs
@@ -7,7 +7,7 @@
 const STEPS: u32 = 40;
 
 /// The shortest time after which a refused request is told to come back, so that callers who find
-/// an allotment used up do not all return within the same moment.
+/// a quota used up do not all return within the same moment.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
 /// What one account has used lately.
--- a/gooseberrylb_policy/tests/dispatch.rs
+++ b/gooseberrylb_policy/tests/dispatch.rs
@@ -3,8 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_policy::dispatch::{
-    Allotted, Ask, Decision, Dispatcher, Key, Notice, Outcome, Rank, Rates, Reason, Running,
-    Upstream,
+    Ask, Decision, Dispatcher, Key, Notice, Outcome, Quota, Rank, Rates, Reason, Running, Upstream,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -208,15 +207,15 @@
     let start = Instant::now();
     let mut dispatcher = dispatcher(&[upstream("a", 1)], start);
     let account: gooseberrylb_config::id::Account = "bassa-nord".parse().unwrap();
-    dispatcher.set_allotments(&[], start);
+    dispatcher.set_quotas(&[], start);
     let now = start + 2_000 * MS;
-    let allotted = Allotted {
+    let quota = Quota {
         account: account.clone(),
         per_second: 50.0,
         burst: 0.0,
         window: 2_000 * MS,
     };
-    dispatcher.set_allotments(&[allotted], now);
+    dispatcher.set_quotas(&[quota], now);
     let asked = |number| Ask {
         account: Some(account.clone()),
         units: 40.0,
@@ -225,17 +224,17 @@
     assert!(matches!(dispatcher.ask(asked(0), now), Decision::Grant(_)));
     assert_eq!(dispatcher.ask(asked(1), now), Decision::Wait);
     let over = dispatcher.ask(asked(2), now);
-    assert!(matches!(over, Decision::Refuse(Reason::Allotment, _)));
+    assert!(matches!(over, Decision::Refuse(Reason::Quota, _)));
     // The one that waited is refused, and what it counted is free again within the same window.
     let later = now + 1_500 * MS;
     dispatcher.poll(later);
     dispatcher.tell(ended(key("entry-1", 0), SERVED), later);
     for number in 3..4 {
         let decision = dispatcher.ask(asked(number), later);
-        let over = matches!(decision, Decision::Refuse(Reason::Allotment, _));
+        let over = matches!(decision, Decision::Refuse(Reason::Quota, _));
         assert!(!over, "{decision:?}");
         let next = dispatcher.ask(asked(number + 1), later);
-        assert!(matches!(next, Decision::Refuse(Reason::Allotment, _)));
+        assert!(matches!(next, Decision::Refuse(Reason::Quota, _)));
     }
 }
 
--- a/gooseberrylb_policy/tests/allotment.rs
+++ b/gooseberrylb_policy/tests/quota.rs
@@ -1,8 +1,8 @@
-//! Allotments: what an account may use in any window, and no more, whoever counts.
+//! Quotas: what an account may use in any window, and no more, whoever counts.
 
 use std::time::{Duration, Instant};
 
-use gooseberrylb_policy::allotment::Window;
+use gooseberrylb_policy::quota::Window;
 
 const LENGTH: Duration = Duration::from_secs(8);
 const RATE: f64 = 1_000.0;
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn no_window_holds_more_than_the_allotment() {
+fn no_window_holds_more_than_the_quota() {
     let start = Instant::now() + LENGTH * 10;
     let mut window = unused(start);
     let most = RATE * LENGTH.as_secs_f64() + BURST;
