Go on waiting for the new leader when the old one is suspected

Change: only a report to the suspect is given up; a report that names another term is answered at once.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -106,8 +106,8 @@
     next_proposal: Cell<u64>,
     unanswered: RefCell<BTreeMap<id::Instance, Rc<Cell<u32>>>>,
     changed: RefCell<Vec<oneshot::Sender<()>>>,
-    /// Ends the wait for the leader's answer once the leader is suspected.
-    doubt: RefCell<Option<oneshot::Sender<()>>>,
+    /// Ends the wait for an answer once the instance of this address is suspected.
+    doubt: RefCell<Option<(SocketAddr, oneshot::Sender<()>)>>,
 }
 
 /// What a core is made of.
@@ -458,18 +458,20 @@
         self.published.read()
     }
 
-    /// Has this instance look for a leader elsewhere, since the one that it follows is silent.
-    pub fn suspect_leader(&self) {
-        if let Some(doubt) = self.doubt.borrow_mut().take() {
+    /// Has this instance look for a leader elsewhere than at `address`, which is silent. An answer of
+    /// anybody else, who may be the new leader, is still waited for.
+    pub fn suspect(&self, address: SocketAddr) {
+        let mut doubt = self.doubt.borrow_mut();
+        if let Some((_, doubt)) = doubt.take_if(|(waited_for, _)| *waited_for == address) {
             // Nobody waits for an answer then.
             doubt.send(()).ok();
         }
     }
 
-    /// Ends once the leader is suspected.
-    pub async fn leader_suspected(&self) {
+    /// Ends once the instance at `address` is suspected.
+    pub async fn suspected(&self, address: SocketAddr) {
         let (doubt, suspected) = oneshot::channel();
-        *self.doubt.borrow_mut() = Some(doubt);
+        *self.doubt.borrow_mut() = Some((address, doubt));
         if suspected.await.is_err() {
             // Somebody else waits now.
             futures::future::pending::<()>().await;
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -153,7 +153,11 @@
     core.followers
         .borrow_mut()
         .hear(report.clone(), core.clock.now());
-    wait_for_news(core, held).await;
+    // One that followed another leader must hear of this one at once.
+    let term = core.status().map_or(Term(0), |status| status.term);
+    if report.term == term {
+        wait_for_news(core, held).await;
+    }
     // The lease is checked after the wait, and the answer is made in the same step: a leader that
     // was frozen meanwhile grants nothing.
     if !core.is_leading() {
@@ -338,7 +342,8 @@
     if core.is_leading() {
         return Some(answer(core, report).await);
     }
-    let link = core.links.to(target.address()?);
+    let address = target.address()?;
+    let link = core.links.to(address);
     let bytes = codec::encode(&report).ok()?;
     let call = async {
         let client = link.client().await.ok()?;
@@ -348,7 +353,7 @@
         codec::decode(response.get().ok()?.get_update().ok()?).ok()
     };
     let call = std::pin::pin!(call);
-    let suspected = std::pin::pin!(core.leader_suspected());
+    let suspected = std::pin::pin!(core.suspected(address));
     let either = futures::future::select(call, suspected);
     match future::timeout(ANSWER_TIMEOUT, either).await {
         Ok(Either::Left((update, _))) => update,
@@ -376,6 +381,7 @@
         instance,
         folder: core.folder,
         revision: core.feed.borrow().directory().revision,
+        term: core.published().term,
         moves: core.feed.borrow().moves_stamp(),
         cluster: core.cluster(),
         load: core.shared.load.load(Ordering::Relaxed),
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -154,18 +154,18 @@
                 Placement::Refused(reason, pause)
             }
             Some(Decision::Wait | Decision::Unknown) | None => {
-                self.lose_dispatcher(now);
+                self.lose_dispatcher(address, now);
                 self.decide_alone(&ask)
             }
         }
     }
 
-    fn lose_dispatcher(&self, now: Instant) {
+    fn lose_dispatcher(&self, address: SocketAddr, now: Instant) {
         if self.synced.borrow_mut().take().is_some() {
             log::warn!("the dispatcher is lost; requests are placed by this entry alone");
         }
         METRICS.dispatcher_lost.inc();
-        self.core.suspect_leader();
+        self.core.suspect(address);
         self.alone_until.set(Some(now + ALONE));
     }
 
--- a/gooseberrylb_wire/src/message.rs
+++ b/gooseberrylb_wire/src/message.rs
@@ -24,6 +24,8 @@
     pub folder: Option<u64>,
     /// The revision of the configuration that it routes by.
     pub revision: number::Revision,
+    /// The term of the leader that it followed last.
+    pub term: number::Term,
     /// The stamp of the moves that it knows.
     pub moves: u64,
     /// The cluster that it belongs to, once it has heard of one.
