--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -227,7 +227,7 @@
         let address = grant.listed.address;
         let connecting = self.gateway.pool.connect(address, now);
         let connected = future::timeout(self.left(), connecting).await;
-        let (mut connection, _kept) = match connected {
+        let mut connection = match connected {
             Ok(Ok(connected)) => connected,
             Ok(Err(error)) => {
                 log::info!(
--- a/gooseberrylb/src/gateway/pool.rs
+++ b/gooseberrylb/src/gateway/pool.rs
@@ -31,23 +31,18 @@
 }
 
 impl Pool {
-    /// A connection to `address`: a kept one on which nothing has come unasked, or a new one. Also
-    /// says whether it was kept.
-    pub async fn connect(
-        &self,
-        address: SocketAddr,
-        now: Instant,
-    ) -> io::Result<(Connection, bool)> {
+    /// A connection to `address`: a kept one on which nothing has come unasked, or a new one.
+    pub async fn connect(&self, address: SocketAddr, now: Instant) -> io::Result<Connection> {
         while let Some(kept) = self.take(address) {
             if now < kept.until && kept.connection.is_quiet().await {
-                return Ok((kept.connection, true));
+                return Ok(kept.connection);
             }
         }
         METRICS.upstream_connections.inc();
         let stream = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        Ok((Connection::new(stream), false))
+        Ok(Connection::new(stream))
     }
 
     /// Keeps a connection for the next request.
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -1,6 +1,6 @@
 //! Passes a stream on as it comes, and takes it up elsewhere where that is allowed.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future;
 use futures::future::Either;
@@ -95,13 +95,7 @@
             out.clear();
         }
         if progress == Progress::Done {
-            let spent = |from, to: std::time::Instant| to.saturating_duration_since(from);
-            let first = first.unwrap_or(last);
-            let outcome = Outcome::Served {
-                first: spent(live.sent, first),
-                rest: spent(first, last),
-                events: events.count - before,
-            };
+            let outcome = served(live.sent, first, last, events.count - before);
             let address = live.grant.listed.address;
             if let Some(keep) = live.answer.keep {
                 let until = work.gateway.core.clock.now() + keep;
@@ -120,12 +114,8 @@
                 if framing == Framing::Chunked && caller.write(b"0\r\n\r\n").await.is_err() {
                     return (End::CallerGone, events.count);
                 }
-                let first = first.unwrap_or(last);
-                live.grant.end(Outcome::Served {
-                    first: first.saturating_duration_since(live.sent),
-                    rest: last.saturating_duration_since(first),
-                    events: events.count - before,
-                });
+                let outcome = served(live.sent, first, last, events.count - before);
+                live.grant.end(outcome);
                 return (End::Whole, events.count);
             }
             Step::CallerGone => return (End::CallerGone, events.count),
@@ -165,6 +155,16 @@
     }
 }
 
+/// What is told of a stream that came to its end; one without a byte began with its end.
+fn served(sent: Instant, first: Option<Instant>, last: Instant, events: u64) -> Outcome {
+    let first = first.unwrap_or(last);
+    Outcome::Served {
+        first: first.saturating_duration_since(sent),
+        rest: last.saturating_duration_since(first),
+        events,
+    }
+}
+
 /// Waits for more of the stream, for the caller to leave, or for the time limit.
 async fn next(work: &Work, upstream: &mut Connection, caller: &Connection) -> Step {
     let now = work.gateway.core.clock.now();
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -291,11 +291,6 @@
         decided
     }
 
-    /// When the next waiting request is refused if nothing else happens.
-    pub fn next_due(&self) -> Option<Instant> {
-        self.services.values().filter_map(Service::next_due).min()
-    }
-
     /// Takes in what an entry tells.
     pub fn tell(&mut self, notice: Notice, now: Instant) {
         if let Some((entry, running)) = notice.running {
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -321,11 +321,6 @@
         }
     }
 
-    pub(super) fn next_due(&self) -> Option<Instant> {
-        let ends = self.queue.values().map(|w| w.since + w.ask.hold);
-        ends.min()
-    }
-
     /// Refuses those whose time to wait is over, and puts those behind that cannot be in time.
     fn sort_out(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
         let over = |w: &Waiting| now >= w.since + w.ask.hold;
