Refuse what arrives late in a planned stop and could not end before the exit

Cause: an entry that was told to stop took every request until it exited. Callers that keep an address three times its time to live, or that got no newer one, came up to 6.5 s after the signal; their streams were cut when the process exited 7.3 s after it.

Ruled out: closing the listener early (callers count a refused connection as a failed try and wait for nothing; an answer tells them that the request has not run); a longer stop (the grace period is the platform's).

Change: policy::drain decides what is still taken: everything for 2.9 s, later only what ends before the exit by its own time limit. All else gets 503 at once with `Retry-After: 0`, which is true, since it was sent nowhere.

--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -21,6 +21,7 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Revision;
 use gooseberrylb_config::settings::Deployment;
+use gooseberrylb_policy::drain::Drain;
 use gooseberrylb_policy::retry::Budget;
 use rand::Rng;
 
@@ -59,9 +60,6 @@
 /// because the platform's window for counting requests begins at other times than the window here.
 const RETRY_SHARE_FACTOR: f64 = 0.5;
 
-/// Part of the grace period of a planned stop that is left for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
-
 /// Interval at which a planned stop checks for open requests. Also the delay after a failed accept.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -87,8 +85,8 @@
     open_requests: Cell<usize>,
     /// Number of callers' connections.
     connections: Cell<usize>,
-    /// Whether a planned stop is in progress.
-    leaving: Cell<bool>,
+    /// Planned stop in progress, if any.
+    drain: Cell<Option<Drain>>,
     /// Requests that wait for a fresh configuration.
     fresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Channel that is closed when idle connections are to be closed. It carries no messages.
@@ -110,7 +108,7 @@
             budget_revision: Cell::new(None),
             open_requests: Cell::new(0),
             connections: Cell::new(0),
-            leaving: Cell::new(false),
+            drain: Cell::new(None),
             fresh_waiters: RefCell::default(),
             close_idle: async_channel::bounded(1),
         })
@@ -145,7 +143,14 @@
 
     /// Whether a planned stop is in progress.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.drain.get().is_some()
+    }
+
+    /// Whether a request that takes at most `limit` is taken now: always, except late in a planned
+    /// stop.
+    pub fn admits(&self, limit: Duration) -> bool {
+        let now = self.core.clock.now();
+        self.drain.get().is_none_or(|drain| drain.admits(now, limit))
     }
 
     /// Whether this entry can serve callers.
@@ -342,16 +347,17 @@
 /// Serves requests during a planned stop, until callers have moved to other entries and all
 /// requests have ended, or until the grace period is nearly over.
 async fn drain(gateway: &Gateway, grace: Duration) {
-    let began = gateway.core.clock.now();
-    gateway.leaving.set(true);
+    let drain = Drain::new(gateway.core.clock.now(), grace);
+    gateway.drain.set(Some(drain));
     task::sleep(IDLE_CLOSE_DELAY).await;
     gateway.close_idle.0.close();
     loop {
-        let passed = gateway.core.clock.now().saturating_duration_since(began);
-        let done = gateway.open_requests.get() == 0 && passed >= MIN_DRAIN;
-        if done || passed + EXIT_RESERVE >= grace {
+        let now = gateway.core.clock.now();
+        let elapsed = drain.elapsed(now);
+        let done = gateway.open_requests.get() == 0 && elapsed >= MIN_DRAIN;
+        if done || drain.is_over(now) {
             let open_requests = gateway.open_requests.get();
-            log::info!(open = open_requests, ms = passed.as_millis() as u64; "stopped serving callers");
+            log::info!(open = open_requests, ms = elapsed.as_millis() as u64; "stopped serving callers");
             return;
         }
         task::sleep(DRAIN_POLL_INTERVAL).await;
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -142,9 +142,18 @@
         }
     };
     let patience = metadata.patience.unwrap_or(route.time_limit);
+    let time_limit = patience.min(route.time_limit);
+    if !gateway.admits(time_limit) {
+        let fault = leaving_fault();
+        log::info!(
+            id:% = id, status = fault.status, cause = fault.message, limit_ms = time_limit.as_millis() as u64;
+            "refused a request"
+        );
+        return send_fault(gateway, connection, &fault, closes).await;
+    }
     let mut forwarder = Forwarder {
         gateway: gateway.clone(),
-        deadline: arrived + patience.min(route.time_limit),
+        deadline: arrived + time_limit,
         request,
         body,
         metadata,
@@ -276,6 +285,12 @@
     }
 }
 
+/// Returns the response to a request that could not end before this entry exits. Its caller may
+/// turn to another entry at once.
+fn leaving_fault() -> Fault {
+    Fault::with_retry_after(503, "this entry is about to exit", Duration::ZERO)
+}
+
 /// Sends an error response and returns whether the connection stays open.
 async fn send_fault(
     gateway: &Gateway,
--- a/gooseberrylb/tests/platform.rs
+++ b/gooseberrylb/tests/platform.rs
@@ -134,6 +134,9 @@
     if target.contains("cut") {
         return signed_response(request, "200 OK", "Content-Length: 10\r\n\r\nhalf");
     }
+    if target.contains("paused") {
+        thread::sleep(Duration::from_secs(6));
+    }
     if target.contains("slow") {
         thread::sleep(Duration::from_millis(1500));
     }
@@ -209,6 +212,8 @@
     received: RequestLog,
     /// Whether the upstreams of other releases are listed.
     releases: Arc<AtomicBool>,
+    /// Grace period of planned stops, in seconds.
+    grace_s: u64,
     _listeners: Vec<TcpListener>,
 }
 
@@ -222,7 +227,7 @@
 }
 
 /// Returns the settings of an instance: keepers have data folders, and the entry has none.
-fn settings(network: Network, host: u8, folder: &Path) -> String {
+fn settings(network: Network, host: u8, folder: &Path, grace_s: u64) -> String {
     let at = |port| network.address(host, port);
     let seeds = (1..=3).map(|host| format!("\"{}\"", network.address(host, CONTROL)));
     let seeds: Vec<String> = seeds.collect();
@@ -239,7 +244,7 @@
             "operators": "{}", "peers_listen": "{}", {data}
             "cluster_key_file": "../key", "operator_token_file": "../key",
             "deployment": {{ "seeds": [{}], "first_start": true, {role} "feed": "{}",
-                "grace_s": 20, "retry_share": 0.2, "retry_slack": 50, "retry_window_s": 10,
+                "grace_s": {grace_s}, "retry_share": 0.2, "retry_slack": 50, "retry_window_s": 10,
                 "quota_window_s": 8 }} }}"#,
         at(0).ip(),
         at(CALLERS),
@@ -253,6 +258,11 @@
 impl Fleet {
     /// Starts all processes, submits a declaration, and waits until the entry is ready.
     fn start(number: u8) -> Self {
+        Self::start_with_grace(number, 20)
+    }
+
+    /// Like [`Fleet::start`], with a grace period for planned stops in seconds.
+    fn start_with_grace(number: u8, grace_s: u64) -> Self {
         let network = Network::new(number);
         let received = RequestLog::default();
         let log = received.clone();
@@ -275,6 +285,7 @@
             processes: Vec::new(),
             received,
             releases,
+            grace_s,
             _listeners: listeners,
         };
         for host in 1..=ENTRY {
@@ -291,7 +302,7 @@
         let data = folder.join("data");
         std::fs::create_dir_all(&data).unwrap();
         let file = folder.join("settings.json");
-        std::fs::write(&file, settings(self.network, host, &data)).unwrap();
+        std::fs::write(&file, settings(self.network, host, &data, self.grace_s)).unwrap();
         let output = std::fs::File::create(folder.join("output")).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_gooseberrylb"))
             .arg("--settings")
@@ -572,6 +583,29 @@
     assert!(status.success(), "{status}");
 }
 
+/// Found on days with `roll_term`: callers that kept the address of a stopping entry sent streams
+/// that were cut when it exited.
+#[test]
+fn stopping_entry_refuses_late_requests_that_may_outlast_it() {
+    let mut fleet = Fleet::start_with_grace(5, 8);
+    thread::scope(|scope| {
+        // Keeps the process from exiting before its grace period ends.
+        scope.spawn(|| fleet.call("/plain/paused", KEY));
+        fleet.wait(|fleet| fleet.received().iter().any(|r| r.contains("/plain/paused")));
+        fleet.signal(ENTRY, "-TERM");
+        thread::sleep(Duration::from_millis(3_500));
+        let late = fleet.call("/stream/late", KEY);
+        assert!(late.starts_with("HTTP/1.1 503"), "{late}");
+        assert_eq!(field(&late, "retry-after").as_deref(), Some("0.00"));
+        assert_eq!(field(&late, "connection").as_deref(), Some("close"));
+    });
+    assert!(!fleet.received().iter().any(|r| r.contains("/stream/late")));
+    let mut processes = fleet.processes.iter_mut();
+    let (_, entry) = processes.find(|(host, _)| *host == ENTRY).unwrap();
+    let status = entry.wait().unwrap();
+    assert!(status.success(), "{status}");
+}
+
 impl Fleet {
     /// Sends an order of a rollout to a keeper and returns the response.
     fn roll_out(&self, host: u8, order: &str) -> String {
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the decisions are returned. The daemon carries them out. See `docs/DESIGN.md`.
 
 pub mod dispatch;
+pub mod drain;
 pub mod moves;
 pub mod occupancy;
 pub mod quota;
