--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -16,12 +16,13 @@
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
-use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::number::{Index, Revision, Term};
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
 use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
 use gooseberrylb_control::membership::{Change, Membership};
 use gooseberrylb_control::state::{Reply, State};
+use gooseberrylb_policy::dispatch::shard::Plan;
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::plane::Control;
 
@@ -97,12 +98,14 @@
     pub followers: RefCell<Followers>,
     /// Coordinator of moves between versions, active while this instance leads.
     pub move_coordinator: Coordinator,
-    /// Dispatcher, active while this instance leads.
+    /// Dispatcher, active while this instance leads or dispatches a shard.
     pub dispatch: dispatch::Host,
     /// Adapter to the platform's formats, if the instance runs on a platform.
     pub dialect: Option<Arc<dyn Dialect>>,
     /// Last decoded declaration.
     tables: table::Cache,
+    /// Plan of the fleet's shards and the revision that it was made for.
+    plan: RefCell<(Revision, Rc<Plan>)>,
     /// When this instance became leader, while it is one.
     pub leader_since: Cell<Option<Instant>>,
     /// Consensus node, if this instance has a disk.
@@ -167,6 +170,7 @@
             dispatch: dispatch::Host::default(),
             dialect: parts.dialect,
             tables: table::Cache::default(),
+            plan: RefCell::default(),
             leader_since: Cell::new(None),
             node,
             jobs,
@@ -194,6 +198,15 @@
         self.tables.read(directory, self.dialect.as_deref()?)
     }
 
+    /// Returns the plan of the fleet's shards for a configuration.
+    pub fn plan(&self, directory: &Directory) -> Rc<Plan> {
+        let mut cached = self.plan.borrow_mut();
+        if cached.0 != directory.revision {
+            *cached = (directory.revision, Rc::new(Plan::new(directory)));
+        }
+        cached.1.clone()
+    }
+
     /// Returns the status of the consensus node, if there is one.
     pub fn status(&self) -> Option<Status> {
         self.node.as_ref().map(|node| node.borrow().status())
--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -1,24 +1,26 @@
-//! Hosts the dispatcher on the leader: keeps its upstreams, rollouts and quotas current, and sends
-//! its decisions to the entries, which are the instances that take requests from callers.
+//! Hosts the dispatcher of the fleet, on the leader, or of a shard of a large fleet: keeps its
+//! upstreams, rollouts and quotas current, sends its decisions to the entries, which are the
+//! instances that take requests from callers, and exchanges requests with other shards.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use async_std::task;
+use async_std::{future, task};
 use gooseberrylb_config::declaration::Unit;
-use gooseberrylb_config::directory::Directory;
+use gooseberrylb_config::directory::{self, Directory};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_policy::dispatch::{
-    Decision, Dispatcher, Notice, Quota, Request, Upstream, share,
+    Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, shard, share,
 };
 use gooseberrylb_policy::rollout;
 use gooseberrylb_wire::dispatch::Answer;
 
 use super::core::Core;
+use crate::gateway::{self, session::Session};
 use crate::metrics::METRICS;
 
 pub mod session;
@@ -29,6 +31,13 @@
 /// Interval between two checks for waiting requests while none wait.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between two reports to the dispatchers of other shards. Quotas may be exceeded by what
+/// is used meanwhile.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time limit for another dispatcher's answer to an offered request.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Window in which the use of quotas is counted, if the settings have none.
 const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 
@@ -36,47 +45,62 @@
 /// is reserved for the requests that it receives between its first bad responses and the proof.
 const TRIAL_FRACTION: f64 = 0.6;
 
-/// Dispatcher of an instance that leads or may become leader.
+/// Requests that a dispatcher places.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// All requests of the fleet, as the leader of a term.
+    Fleet(Term),
+    /// The requests of a shard.
+    Shard(shard::Number),
+}
+
+/// Dispatcher of an instance that dispatches the fleet or a shard, or may do so later.
 #[derive(Default)]
 pub struct Host {
     dispatcher: RefCell<Dispatcher>,
     /// Revision of the configuration that the dispatcher has.
     revision: Cell<Option<Revision>>,
-    /// Term for which the dispatcher was created.
-    term: Cell<Option<Term>>,
-    /// Channel for the answers to each connected entry.
+    /// Requests that the dispatcher was created for.
+    scope: Cell<Option<Scope>>,
+    /// Channel for the answers to each connected entry or dispatcher.
     sessions: RefCell<HashMap<id::Instance, Sender<Answer>>>,
+    /// Sessions with the dispatchers of other shards.
+    peers: RefCell<BTreeMap<id::Instance, Rc<Session>>>,
 }
 
 impl Host {
-    /// Updates the dispatcher to the current term and configuration; returns whether this instance
-    /// dispatches. Each term starts with an empty dispatcher.
+    /// Updates the dispatcher to the current scope and configuration; returns whether this instance
+    /// dispatches. The leader starts with an empty dispatcher in each term.
     fn prepare(&self, core: &Core) -> bool {
-        if !core.is_leading() {
+        let directory = core.feed.borrow().directory().clone();
+        let Some(scope) = scope(core, &directory) else {
             return false;
-        }
-        let term = core.status().map(|status| status.term);
-        if self.term.get() != term {
-            self.term.set(term);
+        };
+        if self.scope.get() != Some(scope) {
+            self.scope.set(Some(scope));
             self.revision.set(None);
             self.dispatcher.take();
             // Entries open new sessions and report all running requests to the new dispatcher.
             self.sessions.take();
-            log::info!(term = term.map_or(0, |t| t.0); "dispatching started");
+            self.peers.take();
+            log::info!(scope:? = scope; "dispatching started");
         }
-        let directory = core.feed.borrow().directory().clone();
         if self.revision.get() != Some(directory.revision) {
             self.revision.set(Some(directory.revision));
             let mut dispatcher = self.dispatcher.borrow_mut();
             let now = core.clock.now();
-            refresh(core, &directory, &mut dispatcher, None, now);
+            let part = match scope {
+                Scope::Fleet(_) => Part::Fleet,
+                Scope::Shard(number) => Part::Shard(number),
+            };
+            refresh(core, &directory, &mut dispatcher, &part, now);
             dispatcher.retain_entries(|entry| directory.instances.contains_key(entry), now);
         }
         true
     }
 
     /// Returns the decision on a request.
-    pub fn place(&self, core: &Core, request: Request) -> Decision {
+    pub fn place(&self, core: &Rc<Core>, request: Request) -> Decision {
         if !self.prepare(core) {
             return Decision::Unknown;
         }
@@ -88,10 +112,35 @@
             .decisions
             .with_label_values(&[label(&decision)])
             .inc();
+        if decision == Decision::Wait {
+            self.offer(core);
+        }
         decision
     }
 
-    /// Returns what was observed of a service's rollout, while this instance dispatches.
+    /// Returns the decision on a request that the dispatcher of another shard offers.
+    fn place_offered(&self, core: &Core, request: Request) -> Decision {
+        if !self.prepare(core) {
+            return Decision::Unknown;
+        }
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let decision = dispatcher.place_offered(request, core.clock.now());
+        METRICS
+            .offers
+            .with_label_values(&["received", label(&decision)])
+            .inc();
+        decision
+    }
+
+    /// Takes over what the dispatcher of another shard reports.
+    fn adopt_summary(&self, core: &Core, from: &id::Instance, summary: Summary) {
+        if self.prepare(core) {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.adopt_summary(from, summary, core.clock.now());
+        }
+    }
+
+    /// Returns what was observed of a service's rollout, while this instance dispatches the fleet.
     pub fn rollout_observation(
         &self,
         core: &Core,
@@ -104,62 +153,183 @@
         self.dispatcher.borrow().rollout_observation(service, now)
     }
 
-    /// Registers an entry's session in place of an earlier one; returns whether this instance
-    /// dispatches.
-    fn connect(&self, core: &Core, entry: id::Instance, answers: Sender<Answer>) -> bool {
+    /// Registers a session in place of an earlier one of the same instance; returns whether this
+    /// instance dispatches.
+    fn connect(&self, core: &Core, instance: id::Instance, answers: Sender<Answer>) -> bool {
         let is_dispatching = self.prepare(core);
         if is_dispatching {
-            self.sessions.borrow_mut().insert(entry, answers);
+            self.sessions.borrow_mut().insert(instance, answers);
         }
         is_dispatching
     }
 
-    /// Whether `answers` belongs to the entry's current session.
-    fn is_connected(&self, entry: &id::Instance, answers: &Sender<Answer>) -> bool {
+    /// Whether `answers` belongs to the instance's current session.
+    fn is_connected(&self, instance: &id::Instance, answers: &Sender<Answer>) -> bool {
         let sessions = self.sessions.borrow();
         sessions
-            .get(entry)
+            .get(instance)
             .is_some_and(|session| session.same_channel(answers))
     }
 
     /// Removes a session that has ended, unless a later one has replaced it.
-    fn disconnect(&self, entry: &id::Instance, answers: &Sender<Answer>) {
-        if self.is_connected(entry, answers) {
-            self.sessions.borrow_mut().remove(entry);
+    fn disconnect(&self, instance: &id::Instance, answers: &Sender<Answer>) {
+        if self.is_connected(instance, answers) {
+            self.sessions.borrow_mut().remove(instance);
         }
     }
 
-    /// Applies an entry's notice; returns whether this instance dispatches.
-    pub fn apply(&self, core: &Core, notice: Notice) -> bool {
+    /// Applies a notice of an entry or of another dispatcher; returns whether this instance
+    /// dispatches.
+    pub fn apply(&self, core: &Rc<Core>, notice: Notice) -> bool {
         if !self.prepare(core) {
             return false;
         }
         self.dispatcher.borrow_mut().apply(notice, core.clock.now());
         self.poll(core);
+        let relayed = self.dispatcher.borrow_mut().take_relayed();
+        for (peer, notice) in relayed {
+            match self.peer(core, &peer) {
+                Some(session) => session.send_notice(notice),
+                // Its slots become free when the requests' time is over.
+                None => {
+                    log::info!(dispatcher:% = peer; "ends of requests were not relayed; the dispatcher has left")
+                }
+            }
+        }
         true
     }
 
-    /// Sends the decisions on waiting requests to their entries.
-    fn poll(&self, core: &Core) {
+    /// Sends the decisions on waiting requests to their entries, and offers those that still wait
+    /// to other shards.
+    fn poll(&self, core: &Rc<Core>) {
         let decided = self.dispatcher.borrow_mut().poll(core.clock.now());
         for (key, decision) in decided {
             METRICS
                 .decisions
                 .with_label_values(&[label(&decision)])
                 .inc();
-            let sessions = self.sessions.borrow();
-            let session = sessions.get(&key.entry);
-            let sent = session.is_some_and(|session| {
-                let answer = Answer::Decided(key.clone(), decision);
-                session.try_send(answer).is_ok()
+            self.send_decision(key, decision);
+        }
+        self.offer(core);
+    }
+
+    /// Sends the decision on a waiting request to its entry.
+    fn send_decision(&self, key: Key, decision: Decision) {
+        let sessions = self.sessions.borrow();
+        let session = sessions.get(&key.entry);
+        let sent = session.is_some_and(|session| {
+            let answer = Answer::Decided(key.clone(), decision);
+            session.len() < session::MAX_ANSWERS && session.try_send(answer).is_ok()
+        });
+        if !sent {
+            log::info!(entry:% = key.entry, number = key.number; "decision was not delivered; the entry is not connected or its queue is full");
+        }
+    }
+
+    /// Returns the session with the dispatcher of another shard, opening one if needed.
+    fn peer(&self, core: &Rc<Core>, name: &id::Instance) -> Option<Rc<Session>> {
+        let address = core.address_of(name)?;
+        let mut peers = self.peers.borrow_mut();
+        if let Some(session) = peers.get(name).filter(|session| session.is_alive()) {
+            return Some(session.clone());
+        }
+        let dispatcher = gateway::session::Dispatcher {
+            instance: name.clone(),
+            term: None,
+        };
+        let session = Rc::new(Session::open(core, address, dispatcher));
+        peers.insert(name.clone(), session.clone());
+        Some(session)
+    }
+
+    /// Offers waiting requests to other shards that have free slots.
+    fn offer(&self, core: &Rc<Core>) {
+        let now = core.clock.now();
+        let offers = self.dispatcher.borrow_mut().offers(now);
+        for (peer, request) in offers {
+            let key = request.key.clone();
+            let Some(session) = self.peer(core, &peer) else {
+                self.dispatcher.borrow_mut().decline_offer(&key, &peer);
+                continue;
+            };
+            let answers = session.offer(request, now);
+            let core = core.clone();
+            task::spawn_local(async move {
+                let answer = future::timeout(OFFER_TIMEOUT, answers.recv()).await;
+                session.forget(&key);
+                let decision = answer.ok().and_then(Result::ok);
+                core.dispatch.settle_offer(&session, key, decision);
             });
-            if !sent {
-                log::info!(entry:% = key.entry, number = key.number; "decision was not delivered; the entry is not connected or its queue is full");
+        }
+    }
+
+    /// Passes on the grant of another shard's dispatcher to the request's entry, or keeps the
+    /// request queued.
+    fn settle_offer(&self, session: &Session, key: Key, decision: Option<Decision>) {
+        let peer = &session.dispatcher.instance;
+        let is_used = match &decision {
+            Some(Decision::Grant(_)) => self.dispatcher.borrow_mut().accept_offer(&key, peer),
+            Some(Decision::Wait | Decision::Refuse(..) | Decision::Unknown) | None => {
+                self.dispatcher.borrow_mut().decline_offer(&key, peer);
+                false
+            }
+        };
+        let outcome = if is_used { "used" } else { "unused" };
+        METRICS.offers.with_label_values(&["sent", outcome]).inc();
+        match decision {
+            Some(decision @ Decision::Grant(_)) if is_used => self.send_decision(key, decision),
+            // The slot may have been granted, or may still be.
+            Some(Decision::Grant(_)) | None => session.send_notice(Notice {
+                ended: vec![(key, Outcome::Dropped)],
+                ..Notice::default()
+            }),
+            Some(Decision::Wait | Decision::Refuse(..) | Decision::Unknown) => {}
+        }
+    }
+
+    /// Reports the free slots and the use of quotas to all other dispatchers of a divided fleet.
+    /// An instance that entries use only while another is silent reports only then: it would
+    /// report the other's slots as free.
+    fn report(&self, core: &Rc<Core>) {
+        let directory = core.feed.borrow().directory().clone();
+        let plan = core.plan(&directory);
+        let own = &core.identity.name;
+        let Some((_, shard)) = plan.dispatched_by(own) else {
+            return;
+        };
+        let is_first = shard.dispatchers.first() == Some(own);
+        let has_entries = {
+            let sessions = self.sessions.borrow();
+            let mut instances = sessions
+                .keys()
+                .filter_map(|name| directory.instances.get(name));
+            instances.any(|instance| instance.entry)
+        };
+        if !(is_first || has_entries) || !self.prepare(core) {
+            return;
+        }
+        let summary = self.dispatcher.borrow_mut().summary(core.clock.now());
+        let dispatchers = plan.shards().flat_map(|(_, shard)| &shard.dispatchers);
+        for name in dispatchers.filter(|name| *name != own) {
+            if let Some(session) = self.peer(core, name) {
+                session.summarize(summary.clone());
             }
         }
     }
 }
 
+/// Returns the requests that this instance dispatches, if any.
+fn scope(core: &Core, directory: &Directory) -> Option<Scope> {
+    let plan = core.plan(directory);
+    if !plan.is_divided() {
+        let term = core.status().map_or(Term(0), |status| status.term);
+        return core.is_leading().then_some(Scope::Fleet(term));
+    }
+    let (number, _) = plan.dispatched_by(&core.identity.name)?;
+    let is_fresh = core.published().is_fresh(core.clock.now());
+    (is_fresh || core.is_leading()).then_some(Scope::Shard(number))
+}
+
 /// Returns the metric label of a decision.
 fn label(decision: &Decision) -> &'static str {
     match decision {
@@ -188,28 +358,47 @@
     }
 }
 
-/// Part of the upstreams and quotas that belongs to one entry when it places requests alone.
+/// Reports to the dispatchers of other shards for as long as the process runs.
+pub async fn report(core: Rc<Core>) {
+    loop {
+        task::sleep(REPORT_INTERVAL).await;
+        core.dispatch.report(&core);
+    }
+}
+
+/// Part of the upstreams and quotas that a dispatcher has.
 #[derive(Debug, Clone, Copy)]
-pub struct Part {
-    /// Index of the entry among all entries, from 0.
-    pub index: usize,
-    /// Number of entries.
-    pub count: usize,
+pub enum Part {
+    /// All of them.
+    Fleet,
+    /// The upstreams of a shard, and the quotas together with the other shards' dispatchers.
+    Shard(shard::Number),
+    /// The part of one entry that places requests alone.
+    Entry {
+        /// Index of the entry among all entries, from 0.
+        index: usize,
+        /// Number of entries.
+        count: usize,
+    },
 }
 
-/// Sets the dispatcher's upstreams, rollouts and quotas from the configuration; with `part`, only
-/// one entry's part of them.
+/// Sets a part of the upstreams, rollouts and quotas of the configuration in a dispatcher.
 pub fn refresh(
     core: &Core,
     directory: &Directory,
     dispatcher: &mut Dispatcher,
-    part: Option<Part>,
+    part: &Part,
     now: Instant,
 ) {
+    let plan = core.plan(directory);
     let usable = directory
         .listed
         .iter()
-        .filter(|(_, listed)| !listed.draining);
+        .filter(|(_, listed)| !listed.draining)
+        .filter(|(name, listed)| match part {
+            Part::Fleet | Part::Entry { .. } => true,
+            Part::Shard(number) => plan.owns(*number, name, listed),
+        });
     let upstreams = usable.map(|(name, listed)| Upstream {
         name: name.clone(),
         service: listed.service.clone(),
@@ -218,20 +407,24 @@
         slots: listed.slots,
     });
     match part {
-        Some(part) => {
-            let entry_upstreams = share::for_entry(upstreams, part.index, part.count);
+        Part::Entry { index, count } => {
+            let entry_upstreams = share::for_entry(upstreams, *index, *count);
             dispatcher.set_upstreams(entry_upstreams, now);
         }
-        None => dispatcher.set_upstreams(upstreams, now),
+        Part::Fleet | Part::Shard(_) => dispatcher.set_upstreams(upstreams, now),
     }
     let deployment = core.settings.deployment.as_ref();
-    // An entry on its own sends no trial requests, since it does not know how many the others send.
+    // An entry or a shard on its own sends no trial requests, since it does not know how many the
+    // others send.
     let trial_share = match part {
-        Some(_) => 0.0,
-        None => deployment.map_or(0.0, |d| d.trial_share * TRIAL_FRACTION),
+        Part::Entry { .. } | Part::Shard(_) => 0.0,
+        Part::Fleet => deployment.map_or(0.0, |d| d.trial_share * TRIAL_FRACTION),
     };
     dispatcher.set_rollouts(&directory.rollouts, trial_share, now);
-    let fraction = part.map_or(1.0, |part| 1.0 / part.count.max(1) as f64);
+    let fraction = match part {
+        Part::Entry { count, .. } => 1.0 / (*count).max(1) as f64,
+        Part::Fleet | Part::Shard(_) => 1.0,
+    };
     let Some(table) = core.table(directory) else {
         return;
     };
@@ -246,9 +439,22 @@
             window,
         })
     });
+    let quotas: Vec<_> = quotas.collect();
     let instances = directory.instances.values();
-    let entries = instances.filter(|i| i.entry && !i.leaving).count();
-    dispatcher.set_quotas(&quotas.collect::<Vec<_>>(), entries, now);
+    let entries: Vec<_> = instances.filter(|i| i.entry && !i.leaving).collect();
+    match part {
+        Part::Fleet | Part::Entry { .. } => dispatcher.set_quotas(&quotas, entries.len(), now),
+        Part::Shard(number) => {
+            let is_own = |entry: &&&directory::Instance| {
+                let mut shards = plan.shards();
+                let own = shards.find(|(known, _)| known == number);
+                own.is_some_and(|(_, shard)| shard.data_centres.contains(&entry.data_centre))
+            };
+            let own = entries.iter().filter(is_own).count();
+            let share = own as f64 / entries.len().max(1) as f64;
+            dispatcher.set_shared_quotas(&quotas, own, share, now);
+        }
+    }
 }
 
 /// Returns the window in which the use of quotas is counted.
--- a/gooseberrylb/src/control/dispatch/session.rs
+++ b/gooseberrylb/src/control/dispatch/session.rs
@@ -10,12 +10,13 @@
 
 /// Maximum number of answers queued for an entry. The session of an entry that does not read is
 /// closed when the queue is full.
-const MAX_ANSWERS: usize = 8_192;
+pub const MAX_ANSWERS: usize = 8_192;
 
 /// Answers an entry until its session ends or this instance stops dispatching.
 pub async fn serve(core: Rc<Core>, accepted: Accepted) {
     let entry = accepted.greeting.instance;
-    let (answers, outgoing) = async_channel::bounded(MAX_ANSWERS);
+    // A bounded channel would reserve memory for all answers of every session.
+    let (answers, outgoing) = async_channel::unbounded();
     if !core.dispatch.connect(&core, entry.clone(), answers.clone()) {
         return;
     }
@@ -47,9 +48,18 @@
                 let applied = core.dispatch.apply(&core, notice);
                 applied.then_some(Answer::Taken(number))
             }
+            Question::Offer(request) => {
+                let key = request.key.clone();
+                let decision = core.dispatch.place_offered(&core, request);
+                Some(Answer::Decided(key, decision))
+            }
+            Question::Summarize(summary) => {
+                core.dispatch.adopt_summary(&core, &entry, summary);
+                None
+            }
         };
         if let Some(answer) = answer
-            && answers.try_send(answer).is_err()
+            && (answers.len() >= MAX_ANSWERS || answers.try_send(answer).is_err())
         {
             log::warn!(entry:% = entry; "closing the session of an entry that does not read its answers");
             break;
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -184,7 +184,16 @@
         lease: LEASE_DURATION,
         news: core.feed.borrow().catch_up(held_revision),
         moves: core.feed.borrow().moves_unless(moves),
-        loads: core.followers.borrow().loads(),
+        loads: reported_loads(core),
+    }
+}
+
+/// Returns the loads that go out with each answer; none on a platform, where callers are not
+/// directed by load and the list would be most of each answer in a large fleet.
+fn reported_loads(core: &Core) -> Vec<(id::Instance, u32)> {
+    match core.settings.deployment {
+        Some(_) => Vec::new(),
+        None => core.followers.borrow().loads(),
     }
 }
 
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -70,6 +70,9 @@
     }
     if let Some(gateway) = gateway {
         task::spawn_local(dispatch::run(core.clone()));
+        if core.folder.is_some() {
+            task::spawn_local(dispatch::report(core.clone()));
+        }
         task::spawn_local(list::run(core.clone()));
         task::spawn_local(rollout::run(core.clone()));
         gateway::start(core.clone(), gateway);
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -150,7 +150,9 @@
     /// stop.
     pub fn admits(&self, limit: Duration) -> bool {
         let now = self.core.clock.now();
-        self.drain.get().is_none_or(|drain| drain.admits(now, limit))
+        self.drain
+            .get()
+            .is_none_or(|drain| drain.admits(now, limit))
     }
 
     /// Whether this entry can serve callers.
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -21,7 +21,7 @@
 
 use crate::control::Core;
 use crate::control::dispatch;
-use crate::gateway::session::{Leader, Session};
+use crate::gateway::session::{self, Session};
 use crate::metrics::METRICS;
 
 /// Time limit for the dispatcher's first answer on a request. A working dispatcher answers within a
@@ -54,6 +54,10 @@
 /// is replaced.
 const SESSION_SILENCE_LIMIT: Duration = Duration::from_millis(600);
 
+/// Time for which the second dispatcher of a shard is used after the first one was silent. The first
+/// is out of the configuration by then if it has failed.
+const FAILOVER_PERIOD: Duration = Duration::from_secs(4);
+
 /// Decision on a request.
 pub enum Placement {
     /// The request may be sent to an upstream.
@@ -138,6 +142,8 @@
     pending_charges: RefCell<VecDeque<PendingCharge>>,
     /// Time until which requests are placed without asking the dispatcher.
     alone_until: Cell<Option<Instant>>,
+    /// Time until which the second dispatcher of the shard is used.
+    failover_until: Cell<Option<Instant>>,
     /// Dispatcher for requests that are placed alone. It knows only this entry's requests.
     fallback: RefCell<Dispatcher>,
     /// Configuration revision that `fallback` was refreshed from.
@@ -160,6 +166,7 @@
             session: RefCell::default(),
             pending_charges: RefCell::default(),
             alone_until: Cell::new(None),
+            failover_until: Cell::new(None),
             fallback: RefCell::default(),
             fallback_revision: Cell::new(None),
         })
@@ -245,29 +252,42 @@
         if session.silence(now) > SESSION_SILENCE_LIMIT {
             session.close();
         }
+        if !session.is_alive() {
+            self.failover_until.set(Some(now + FAILOVER_PERIOD));
+        }
         self.core.suspect(address);
     }
 
-    /// Returns the address and the term of the dispatcher, if known.
-    fn dispatcher(&self) -> Option<(SocketAddr, Leader)> {
+    /// Returns the dispatcher of this entry's shard, or of the whole fleet, and its address; `None`
+    /// if it is not known.
+    fn dispatcher(&self) -> Option<(SocketAddr, session::Dispatcher)> {
         let published = self.core.published();
-        let leader = published.leader.clone()?;
-        let address = self.core.address_of(&leader)?;
-        Some((address, (leader, published.term)))
+        let plan = self.core.plan(&published.directory);
+        let (instance, term) = match plan.shard_of(&self.core.identity.instance.data_centre) {
+            Some(shard) => {
+                let now = self.core.clock.now();
+                let fails_over = self.failover_until.get().is_some_and(|end| now < end);
+                let second = shard.dispatchers.get(1).filter(|_| fails_over);
+                (second.or(shard.dispatchers.first())?.clone(), None)
+            }
+            None => (published.leader.clone()?, Some(published.term)),
+        };
+        let address = self.core.address_of(&instance)?;
+        Some((address, session::Dispatcher { instance, term }))
     }
 
     /// Returns the session with the dispatcher. Opens one if needed, which begins with all running
     /// requests of this entry.
     fn session(&self) -> Option<(Rc<Session>, SocketAddr)> {
-        let (address, leader) = self.dispatcher()?;
+        let (address, dispatcher) = self.dispatcher()?;
         if let Some(session) = &*self.session.borrow()
             && session.is_alive()
-            && session.leader == leader
+            && session.dispatcher == dispatcher
         {
             return Some((session.clone(), address));
         }
-        log::info!(leader:% = leader.0, term = leader.1.0; "using a new dispatcher");
-        let session = Rc::new(Session::open(&self.core, address, leader));
+        log::info!(dispatcher:% = dispatcher.instance, term = dispatcher.term.map_or(0, |t| t.0); "using a new dispatcher");
+        let session = Rc::new(Session::open(&self.core, address, dispatcher));
         *self.session.borrow_mut() = Some(session.clone());
         self.pending_charges
             .borrow_mut()
@@ -382,13 +402,7 @@
             self.fallback_revision
                 .set(Some(published.directory.revision));
             let part = self.own_part(&published.directory);
-            dispatch::refresh(
-                &self.core,
-                &published.directory,
-                &mut fallback,
-                Some(part),
-                now,
-            );
+            dispatch::refresh(&self.core, &published.directory, &mut fallback, &part, now);
             fallback.apply(self.snapshot_notice(&published.directory), now);
         }
         let decision = fallback.place(request.clone(), now);
@@ -442,7 +456,7 @@
         let instances = directory.instances.iter();
         let entries: Vec<_> = instances.filter(|(_, i)| i.entry && !i.leaving).collect();
         let is_own = |(name, _): &(&id::Instance, _)| **name == self.core.identity.name;
-        dispatch::Part {
+        dispatch::Part::Entry {
             index: entries.iter().position(is_own).unwrap_or_default(),
             count: entries.len(),
         }
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -1,5 +1,5 @@
-//! An entry's session with the dispatcher: one connection that carries questions to the dispatcher
-//! and its answers back.
+//! Session with a dispatcher, of an entry or of the dispatcher of another shard: one connection that
+//! carries questions to the dispatcher and its answers back.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,7 +15,7 @@
 use futures::future::Either;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
-use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request};
+use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, write_all};
 use gooseberrylb_wire::handshake::{self, Greeting};
 use gooseberrylb_wire::plane::Kind;
@@ -32,13 +32,20 @@
 /// Maximum number of answers to one question: [`Decision::Wait`] and the final decision.
 const ANSWERS_PER_REQUEST: usize = 2;
 
-/// Identity of a dispatcher: an instance and the term in which it leads.
-pub type Leader = (id::Instance, Term);
+/// A dispatcher as known to those that ask it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatcher {
+    /// Instance that dispatches.
+    pub instance: id::Instance,
+    /// Term in which it leads, if it dispatches the whole fleet as the leader. It starts anew in
+    /// each term.
+    pub term: Option<Term>,
+}
 
 /// A session with one dispatcher. It cannot be used again after its connection has ended.
 pub struct Session {
     /// Dispatcher at the other end.
-    pub leader: Leader,
+    pub dispatcher: Dispatcher,
     /// Queue of questions to send.
     questions: Sender<Question>,
     /// State shared with the task that runs the connection.
@@ -61,15 +68,16 @@
 
 impl Session {
     /// Opens a session. Questions are queued until the connection is established.
-    pub fn open(core: &Rc<Core>, address: SocketAddr, leader: Leader) -> Self {
-        let (questions, outgoing) = async_channel::bounded(MAX_QUESTIONS);
+    pub fn open(core: &Rc<Core>, address: SocketAddr, dispatcher: Dispatcher) -> Self {
+        // A bounded channel would reserve memory for all questions.
+        let (questions, outgoing) = async_channel::unbounded();
         let state = Rc::new(State {
             alive: Cell::new(true),
             unanswered_since: Cell::new(None),
             acknowledged: Cell::new(0),
             pending: RefCell::default(),
         });
-        let (core, shared, name) = (core.clone(), state.clone(), leader.0.clone());
+        let (core, shared, name) = (core.clone(), state.clone(), dispatcher.instance.clone());
         task::spawn_local(async move {
             if let Err(error) = run(&core, address, &shared, outgoing).await {
                 log::info!(dispatcher:% = name, error:% = error; "the session with the dispatcher ended");
@@ -79,7 +87,7 @@
             shared.pending.borrow_mut().clear();
         });
         Self {
-            leader,
+            dispatcher,
             questions,
             state,
             last_notice: Cell::new(0),
@@ -112,12 +120,30 @@
     /// Asks for an upstream and returns the channel of the answers. The channel is closed if no
     /// answer will arrive.
     pub fn ask(&self, request: Request, now: Instant) -> Receiver<Decision> {
+        let answers = self.expect_answer(&request.key, now);
+        self.send(Question::Ask(request));
+        answers
+    }
+
+    /// Offers a request of another shard and returns the channel of the answer, like
+    /// [`Session::ask`].
+    pub fn offer(&self, request: Request, now: Instant) -> Receiver<Decision> {
+        let answers = self.expect_answer(&request.key, now);
+        self.send(Question::Offer(request));
+        answers
+    }
+
+    /// Reports to the dispatcher of another shard.
+    pub fn summarize(&self, summary: Summary) {
+        self.send(Question::Summarize(summary));
+    }
+
+    /// Returns the channel of the answers on a request that is about to be sent.
+    fn expect_answer(&self, key: &Key, now: Instant) -> Receiver<Decision> {
         let since = self.state.unanswered_since.get();
         self.state.unanswered_since.set(since.or(Some(now)));
         let (pending, answers) = async_channel::bounded(ANSWERS_PER_REQUEST);
-        let key = request.key.clone();
-        self.state.pending.borrow_mut().insert(key, pending);
-        self.send(Question::Ask(request));
+        self.state.pending.borrow_mut().insert(key.clone(), pending);
         answers
     }
 
@@ -140,8 +166,9 @@
 
     /// Queues a question. Closes the session if the queue is full.
     fn send(&self, question: Question) {
-        if self.questions.try_send(question).is_err() && self.is_alive() {
-            log::warn!(dispatcher:% = self.leader.0; "the dispatcher does not read its questions; closing the session");
+        let is_full = self.questions.len() >= MAX_QUESTIONS;
+        if (is_full || self.questions.try_send(question).is_err()) && self.is_alive() {
+            log::warn!(dispatcher:% = self.dispatcher.instance; "the dispatcher does not read its questions; closing the session");
             self.close();
         }
     }
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -51,6 +51,8 @@
     pub placed_alone: IntCounter,
     /// Decisions of this instance's dispatcher, by kind.
     pub decisions: IntCounterVec,
+    /// Requests offered between the dispatchers of different shards, by direction and outcome.
+    pub offers: IntCounterVec,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -188,6 +190,12 @@
                 "Requests placed without the dispatcher.",
             ),
             decisions: counters(&r, "decisions_total", "Decisions by kind.", &["decision"]),
+            offers: counters(
+                &r,
+                "offers_total",
+                "Requests offered between shards, by direction and outcome.",
+                &["direction", "outcome"],
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -18,19 +18,23 @@
 use crate::quota::{Usage, Window};
 use crate::rollout::Observation;
 
+pub use peers::Summary;
 pub use rates::Rates;
 pub use upstream::Health;
 
 pub mod objective;
 pub mod refusals;
+pub mod shard;
 pub mod share;
 
 mod fairness;
+mod peers;
 mod rates;
 mod release;
 mod service;
 mod upstream;
 
+use peers::Peers;
 use service::Service;
 
 /// Identifies a request, or one attempt of it, across all entries.
@@ -255,8 +259,13 @@
     service: id::Service,
     /// Account and units that were charged.
     charge: Option<(id::Account, f64)>,
+    /// Dispatcher of another shard that granted the request one of its upstreams.
+    granted_by: Option<id::Instance>,
 }
 
+/// Least part of an account's quota whose use is reported to the dispatchers of other shards.
+const REPORTED_QUOTA_PART: f64 = 0.05;
+
 /// Decides on the placement of all requests of the fleet.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
@@ -274,6 +283,10 @@
     entry_count: Option<usize>,
     /// Entries that have reported the use before this dispatcher began to count.
     usage_reporters: HashSet<id::Instance>,
+    /// Reports of the dispatchers of other shards.
+    peers: Peers,
+    /// Notices for dispatchers of other shards, about requests that they granted.
+    relayed: BTreeMap<id::Instance, Notice>,
 }
 
 impl Dispatcher {
@@ -319,6 +332,18 @@
     /// Replaces the accounts' quotas, keeping what each account has used so far. `entries` is the
     /// number of entries, each of which may report use from before this dispatcher began to count.
     pub fn set_quotas(&mut self, quotas: &[Quota], entries: usize, now: Instant) {
+        self.set_shared_quotas(quotas, entries, 1.0, now);
+    }
+
+    /// Like [`Dispatcher::set_quotas`], for a dispatcher that places only the part `share` of the
+    /// fleet's requests.
+    pub fn set_shared_quotas(
+        &mut self,
+        quotas: &[Quota],
+        entries: usize,
+        share: f64,
+        now: Instant,
+    ) {
         self.entry_count.get_or_insert(entries);
         let since = *self.counting_since.get_or_insert(now);
         let known = |name: &id::Account| quotas.iter().any(|a| a.account == *name);
@@ -328,7 +353,8 @@
             match self.windows.get_mut(&quota.account) {
                 Some(window) => window.set_limits(rate, burst),
                 None => {
-                    let window = Window::new(rate, burst, quota.window, since, now);
+                    let mut window = Window::new(rate, burst, quota.window, since, now);
+                    window.set_share(share);
                     self.windows.insert(quota.account.clone(), window);
                 }
             }
@@ -337,11 +363,7 @@
 
     /// Grants the request an upstream, queues it, or refuses it.
     pub fn place(&mut self, request: Request, now: Instant) -> Decision {
-        let window = request
-            .account
-            .as_ref()
-            .and_then(|a| self.windows.get_mut(a));
-        if let Some(wait) = window.and_then(|window| window.wait_time(request.units, now)) {
+        if let Some(wait) = self.quota_wait(&request, now) {
             return Decision::Refuse(Reason::Quota, wait);
         }
         let (account, units) = (request.account.clone(), request.units);
@@ -349,6 +371,7 @@
         let Some(service) = self.services.get_mut(&name) else {
             return Decision::Refuse(Reason::NoUpstream, service::NO_UPSTREAM_PAUSE);
         };
+        service.set_elsewhere(self.peers.free_slots(&name, now));
         let decision = service.place(request, now);
         if !matches!(decision, Decision::Refuse(..)) {
             // A queued request is charged at once, so that no more requests are queued than may
@@ -357,17 +380,113 @@
                 window.charge(units, now);
             }
             let charge = account.map(|account| (account, units));
-            let service = name;
-            self.tracked.insert(key, Tracked { service, charge });
+            let tracked = Tracked {
+                service: name,
+                charge,
+                granted_by: None,
+            };
+            self.tracked.insert(key, tracked);
         }
         decision
     }
 
+    /// Returns how long until the request fits into its account's quota, or `None` if it fits now.
+    fn quota_wait(&mut self, request: &Request, now: Instant) -> Option<Duration> {
+        let account = request.account.as_ref()?;
+        let window = self.windows.get_mut(account)?;
+        window.set_elsewhere(self.peers.used(account, window.length(), now));
+        window.wait_time(request.units, now)
+    }
+
+    /// Grants a request that another shard's dispatcher offers an upstream with a free slot, or
+    /// refuses it. The other dispatcher keeps it queued and charges its account.
+    pub fn place_offered(&mut self, request: Request, now: Instant) -> Decision {
+        let (key, name) = (request.key.clone(), request.service.clone());
+        let service = self.services.get_mut(&name);
+        let decision = service.and_then(|service| service.place_offered(request, now));
+        let Some(decision) = decision else {
+            return Decision::Refuse(Reason::Busy, Duration::ZERO);
+        };
+        let tracked = Tracked {
+            service: name,
+            charge: None,
+            granted_by: None,
+        };
+        self.tracked.insert(key, tracked);
+        decision
+    }
+
+    /// Returns what the dispatchers of other shards need to know.
+    pub fn summary(&mut self, now: Instant) -> Summary {
+        let services = self.services.iter();
+        let free = services.map(|(name, service)| (name.clone(), service.free_slots(now)));
+        let windows = self.windows.iter_mut();
+        let used = windows.filter_map(|(account, window)| {
+            let report = window.report(now);
+            let is_worth_reporting = report.used >= window.limit() * REPORTED_QUOTA_PART;
+            is_worth_reporting.then(|| (account.clone(), report))
+        });
+        Summary {
+            free: free.filter(|(_, slots)| *slots > 0).collect(),
+            used: used.collect(),
+        }
+    }
+
+    /// Takes over the summary of another shard's dispatcher.
+    pub fn adopt_summary(&mut self, from: &id::Instance, summary: Summary, now: Instant) {
+        self.peers.adopt(from, summary, now);
+    }
+
+    /// Returns queued requests to offer to other shards with free slots, with the dispatcher to
+    /// offer each to. A request is offered to one dispatcher at a time and stays queued meanwhile.
+    pub fn offers(&mut self, now: Instant) -> Vec<(id::Instance, Request)> {
+        let mut offers = Vec::new();
+        for (name, service) in &mut self.services {
+            service.offer(
+                || self.peers.take_slot(name, now),
+                |peer, request| offers.push((peer, request)),
+                now,
+            );
+        }
+        offers
+    }
+
+    /// Records that `peer` granted an offered request; returns whether the request was still
+    /// queued, so that the grant may be used.
+    pub fn accept_offer(&mut self, key: &Key, peer: &id::Instance) -> bool {
+        let Some(tracked) = self.tracked.get_mut(key) else {
+            return false;
+        };
+        let service = self.services.get_mut(&tracked.service);
+        let was_queued = service.is_some_and(|service| service.withdraw(key));
+        if was_queued {
+            tracked.granted_by = Some(peer.clone());
+        }
+        was_queued
+    }
+
+    /// Records that `peer` has no slot for an offered request, which stays queued.
+    pub fn decline_offer(&mut self, key: &Key, peer: &id::Instance) {
+        let Some(tracked) = self.tracked.get(key) else {
+            return;
+        };
+        self.peers.clear_slots(peer, &tracked.service);
+        if let Some(service) = self.services.get_mut(&tracked.service) {
+            service.decline_offer(key);
+        }
+    }
+
+    /// Returns the notices for dispatchers of other shards since the last call.
+    pub fn take_relayed(&mut self) -> BTreeMap<id::Instance, Notice> {
+        std::mem::take(&mut self.relayed)
+    }
+
     /// Returns the decisions on queued requests: those granted now, and those refused since they
     /// have waited for too long.
     pub fn poll(&mut self, now: Instant) -> Vec<(Key, Decision)> {
         let mut decided = Vec::new();
-        for service in self.services.values_mut() {
+        for (name, service) in &mut self.services {
+            service.set_elsewhere(self.peers.free_slots(name, now));
             service.poll(now, &mut decided);
         }
         for (key, decision) in &decided {
@@ -403,17 +522,25 @@
             self.track_running(run, now);
         }
         for key in &notice.silent {
-            if let Some(tracked) = self.tracked.get(key) {
-                let service = self.services.get_mut(&tracked.service);
-                service.into_iter().for_each(|s| s.mark_silent(key, now));
+            let Some(tracked) = self.tracked.get(key) else {
+                continue;
+            };
+            if let Some(peer) = &tracked.granted_by {
+                let relayed = self.relayed.entry(peer.clone()).or_default();
+                relayed.silent.push(key.clone());
+            } else if let Some(service) = self.services.get_mut(&tracked.service) {
+                service.mark_silent(key, now);
             }
         }
         for (key, outcome) in &notice.ended {
-            if let Some(tracked) = self.tracked.remove(key) {
-                let service = self.services.get_mut(&tracked.service);
-                service
-                    .into_iter()
-                    .for_each(|s| s.finish(key, *outcome, now));
+            let Some(tracked) = self.tracked.remove(key) else {
+                continue;
+            };
+            if let Some(peer) = tracked.granted_by {
+                let relayed = self.relayed.entry(peer).or_default();
+                relayed.ended.push((key.clone(), *outcome));
+            } else if let Some(service) = self.services.get_mut(&tracked.service) {
+                service.finish(key, *outcome, now);
             }
         }
     }
@@ -449,6 +576,7 @@
         let tracked = Tracked {
             service: run.service.clone(),
             charge: None,
+            granted_by: None,
         };
         if self.tracked.insert(run.key.clone(), tracked).is_none() {
             let service = self.services.entry(run.service.clone()).or_default();
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -85,6 +85,8 @@
     request: Request,
     /// Time at which it was queued.
     since: Instant,
+    /// Whether it is offered to the dispatcher of another shard.
+    offered: bool,
 }
 
 /// Position in the queue: by priority, then by fair queueing among accounts, then by arrival.
@@ -168,6 +170,8 @@
     clock: Clock,
     /// Release under rollout, if any.
     release: Option<Release>,
+    /// Free slots in other shards.
+    elsewhere: u32,
 }
 
 impl Service {
@@ -256,16 +260,18 @@
             return Decision::Grant(self.grant(&request, upstream, now));
         }
         let slots = self.usable_slots();
+        if self.elsewhere > 0 {
+            return self.enqueue(request, false, now);
+        }
         if slots == 0 {
             let pause = self.jitter(NO_UPSTREAM_PAUSE, request.patience);
             return Decision::Refuse(Reason::NoUpstream, pause);
         }
         let start = self.clock.start(&request);
-        self.sequence += 1;
         let position = |late| Position {
             priority: Priority::new(request.rank, late),
             start,
-            number: self.sequence,
+            number: self.sequence + 1,
         };
         let wait = |late| {
             let ahead = self.queue.range(..position(late)).count() + 1;
@@ -284,23 +290,101 @@
             let pause = self.jitter(pause.max(MIN_RETRY_PAUSE), request.patience);
             return Decision::Refuse(Reason::Busy, pause);
         }
-        let position = position(!is_in_time);
+        self.enqueue(request, !is_in_time, now)
+    }
+
+    /// Queues a request.
+    fn enqueue(&mut self, request: Request, late: bool, now: Instant) -> Decision {
+        let start = self.clock.start(&request);
+        self.sequence += 1;
+        let position = Position {
+            priority: Priority::new(request.rank, late),
+            start,
+            number: self.sequence,
+        };
         self.arrivals
             .entry(position.priority)
             .or_default()
             .count(now);
         self.clock.assign(&request, start);
         self.positions.insert(request.key.clone(), position);
-        self.queue.insert(
-            position,
-            Queued {
-                request,
-                since: now,
-            },
-        );
+        let queued = Queued {
+            request,
+            since: now,
+            offered: false,
+        };
+        self.queue.insert(position, queued);
         Decision::Wait
     }
 
+    /// Grants a request offered by another shard's dispatcher, if a slot is free and no request of
+    /// this shard waits for it.
+    pub(super) fn place_offered(&mut self, request: Request, now: Instant) -> Option<Decision> {
+        if !self.queue.is_empty() {
+            return None;
+        }
+        let upstream = self.choose(&request, request.objective, now)?;
+        Some(Decision::Grant(self.grant(&request, upstream, now)))
+    }
+
+    /// Sets the number of free slots in other shards.
+    pub(super) fn set_elsewhere(&mut self, slots: u32) {
+        self.elsewhere = slots;
+    }
+
+    /// Returns the number of slots that a request may take now; none while requests are queued.
+    pub(super) fn free_slots(&self, now: Instant) -> u32 {
+        if !self.queue.is_empty() {
+            return 0;
+        }
+        let eligible = self.eligible();
+        let usable = self.upstreams.iter().filter(|state| eligible(state));
+        usable.map(|state| state.free_slots(now)).sum()
+    }
+
+    /// Offers queued requests, in their order, to the shards that `take_slot` names until it names
+    /// none.
+    pub(super) fn offer(
+        &mut self,
+        mut take_slot: impl FnMut() -> Option<id::Instance>,
+        mut offer: impl FnMut(id::Instance, Request),
+        now: Instant,
+    ) {
+        for queued in self.queue.values_mut().filter(|queued| !queued.offered) {
+            let Some(peer) = take_slot() else {
+                return;
+            };
+            queued.offered = true;
+            let waited = now.saturating_duration_since(queued.since);
+            let request = &queued.request;
+            offer(
+                peer,
+                Request {
+                    // The account is charged here.
+                    account: None,
+                    units: 0.0,
+                    objective: request.objective.saturating_sub(waited),
+                    patience: request.patience.saturating_sub(waited),
+                    ..request.clone()
+                },
+            );
+        }
+    }
+
+    /// Makes a request available for offers again.
+    pub(super) fn decline_offer(&mut self, key: &Key) {
+        let position = self.positions.get(key);
+        if let Some(queued) = position.and_then(|position| self.queue.get_mut(position)) {
+            queued.offered = false;
+        }
+    }
+
+    /// Removes a request from the queue; returns whether it was queued.
+    pub(super) fn withdraw(&mut self, key: &Key) -> bool {
+        let position = self.positions.remove(key);
+        position.is_some_and(|position| self.queue.remove(&position).is_some())
+    }
+
     /// Returns the number of slots on upstreams that requests may go to.
     fn usable_slots(&self) -> u32 {
         let eligible = self.eligible();
@@ -426,9 +510,7 @@
 
     /// Removes a queued or running request that ended, and learns from its outcome.
     pub(super) fn finish(&mut self, key: &Key, outcome: Outcome, now: Instant) {
-        if let Some(position) = self.positions.remove(key) {
-            self.queue.remove(&position);
-        }
+        self.withdraw(key);
         self.record_outcome(key, Some(&outcome), now);
         let Some(run) = self.running.remove(key) else {
             return;
@@ -541,9 +623,10 @@
     /// end of the response, with the additions for lateness, contention and distance.
     fn choose(&self, request: &Request, objective: Duration, now: Instant) -> Option<usize> {
         let healthy = |state: &State| state.health.limit(state.upstream.slots, now) > 0;
-        // If most upstreams fail, ejecting them all would leave none to serve.
-        let check_health =
-            self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
+        // If most upstreams fail, ejecting them all would leave none to serve, unless other shards
+        // have some.
+        let check_health = self.elsewhere > 0
+            || self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
         let best = |eligible: &dyn Fn(&State) -> bool| {
             let candidates = self.upstreams.iter().enumerate();
             candidates
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -134,6 +134,15 @@
         self.running < limit && now >= self.full_until
     }
 
+    /// Returns the number of requests that the upstream can still run, given its health.
+    pub(super) fn free_slots(&self, now: Instant) -> u32 {
+        if now < self.full_until {
+            return 0;
+        }
+        let limit = self.health.limit(self.upstream.slots, now);
+        limit.saturating_sub(self.running)
+    }
+
     /// Returns the expected times to the first event and to the end of the response.
     pub(super) fn expected_times(
         &self,
--- a/gooseberrylb_policy/src/quota.rs
+++ b/gooseberrylb_policy/src/quota.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// Number of steps into which a window is divided; use within a step is counted together.
 const STEPS: u32 = 40;
 
@@ -10,6 +12,28 @@
 /// the same moment.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time over which the present rate of use is measured.
+const RATE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Use of an account's quota as one of several counters reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Units used within the window.
+    pub used: f64,
+    /// Present rate of use, in units per second.
+    pub rate: f64,
+}
+
+impl Report {
+    /// Returns the use within the window `age` after the report: what was reported leaves the
+    /// window evenly, and use is assumed to go on at the reported rate.
+    pub fn estimate(&self, age: Duration, window: Duration) -> f64 {
+        let age = age.min(window);
+        let part_left = 1.0 - age.as_secs_f64() / window.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.used * part_left + self.rate * age.as_secs_f64()
+    }
+}
+
 /// Sliding window of one account's recent use, in units.
 ///
 /// An account may use at most `rate * window + burst` in any window, spread over it in any way.
@@ -29,6 +53,10 @@
     assumed: f64,
     /// Share of the assumed use that is not replaced by reports yet.
     unreported_share: f64,
+    /// Time since which use is counted here.
+    since: Instant,
+    /// Units used that other counters of the same quota reported.
+    elsewhere: f64,
 }
 
 /// Use in one step of the window.
@@ -70,6 +98,8 @@
             used: 0.0,
             assumed: per_step * steps.len() as f64,
             unreported_share: 1.0,
+            since,
+            elsewhere: 0.0,
             steps,
         }
     }
@@ -97,6 +127,39 @@
         }
     }
 
+    /// Sets the part of the assumed use that is the use of this counter's own clients, if other
+    /// counters report theirs.
+    pub fn set_share(&mut self, share: f64) {
+        self.unreported_share = self.unreported_share.min(share);
+    }
+
+    /// Sets the units used that other counters of the same quota reported.
+    pub fn set_elsewhere(&mut self, units: f64) {
+        self.elsewhere = units;
+    }
+
+    /// Returns the use counted here, for the other counters of the same quota.
+    pub fn report(&mut self, now: Instant) -> Report {
+        self.expire(now);
+        let counted = || self.steps.iter().filter(|step| step.end > self.since);
+        let recent = counted().filter(|step| step.end + RATE_INTERVAL > now);
+        let recent: f64 = recent.map(|step| step.used).sum();
+        Report {
+            used: counted().map(|step| step.used).sum(),
+            rate: recent / RATE_INTERVAL.as_secs_f64(),
+        }
+    }
+
+    /// Returns the units that may be used in a window.
+    pub fn limit(&self) -> f64 {
+        self.rate * self.length.as_secs_f64() + self.burst
+    }
+
+    /// Returns the length of the window.
+    pub fn length(&self) -> Duration {
+        self.length
+    }
+
     /// Changes the rate and the burst.
     pub fn set_limits(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
@@ -107,12 +170,15 @@
     /// whole quota fits into an unused window.
     pub fn wait_time(&mut self, units: f64, now: Instant) -> Option<Duration> {
         self.expire(now);
-        let limit = self.rate * self.length.as_secs_f64() + self.burst;
-        let total = self.used + self.assumed * self.unreported_share;
+        let limit = self.limit();
+        let own = self.used + self.assumed * self.unreported_share;
+        let total = own + self.elsewhere;
         let mut missing = total + units.min(limit) - limit;
         if missing <= 0.0 {
             return None;
         }
+        // Use elsewhere leaves the window about as fast as the use here.
+        missing *= own / total;
         for step in &self.steps {
             missing -= step.used + step.assumed * self.unreported_share;
             if missing <= 0.0 {
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -1,5 +1,5 @@
-//! Protocol between entries, the instances that take requests from callers, and the dispatcher: a
-//! stream of length-prefixed messages in each direction.
+//! Protocol between entries, the instances that take requests from callers, and a dispatcher, and
+//! among the dispatchers of a divided fleet: a stream of length-prefixed messages in each direction.
 //!
 //! Each request of the fleet causes several messages. A Cap'n Proto call for each, with its
 //! response and the release of that response, would cost the dispatcher more than its decision.
@@ -8,7 +8,7 @@
 use std::io;
 
 use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request};
+use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +22,7 @@
 /// Size of the length prefix of a message, in bytes.
 const LENGTH_BYTES: usize = 4;
 
-/// Message from an entry to the dispatcher.
+/// Message to a dispatcher, from an entry or from the dispatcher of another shard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// Requests an upstream. The first answer is sent at once, also if the request has to wait.
@@ -34,9 +34,14 @@
         /// The events.
         notice: Notice,
     },
+    /// Offers a request that waits in another shard. It is granted a free slot or refused, and
+    /// never queued.
+    Offer(Request),
+    /// Reports the free slots and the use of quotas in another shard. It is not answered.
+    Summarize(Summary),
 }
 
-/// Message from the dispatcher to an entry.
+/// Message from a dispatcher.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// Decision on a request.
