Relay the configuration by keepers, with fewer reports, and let addresses live for 2 s

Cause: in a fleet of more than 128 instances all of them, keepers too, followed the leader through relays chosen by name, which were entries: these are killed, stopped and short of processor time. A leader that came first in its group by name would even have sent that group to itself for ever. Each of some 25 changes a second cost every instance an exchange.

Ruled out: the core's own faults (the out-of-date lines come while it is stable); elections (one term from -11 to 33 s).

Change: the relays are the live instances that take no callers, by rendezvous hashing, first in the entry's data centre; these follow the leader directly. Entries behind a relay report every 300 ms at most, relays every 60 ms. A shard is known by its data centre, so that it keeps its dispatcher's state when another data centre loses its keepers. Only notices with charges are acknowledged. Addresses live for 2 s instead of 1: since a stopping entry refuses what it cannot finish, callers that keep them for 6 s are not cut any more.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -14,7 +14,7 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_policy::dispatch::{
-    Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, shard, share,
+    Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, share,
 };
 use gooseberrylb_policy::rollout;
 use gooseberrylb_wire::dispatch::Answer;
@@ -38,6 +38,9 @@
 /// Time limit for another dispatcher's answer to an offered request.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Least time between two openings of a session with the same dispatcher.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Window in which the use of quotas is counted, if the settings have none.
 const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 
@@ -46,12 +49,12 @@
 const TRIAL_FRACTION: f64 = 0.6;
 
 /// Requests that a dispatcher places.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Scope {
     /// All requests of the fleet, as the leader of a term.
     Fleet(Term),
-    /// The requests of a shard.
-    Shard(shard::Number),
+    /// The requests of a shard, by its name.
+    Shard(id::DataCentre),
 }
 
 /// Dispatcher of an instance that dispatches the fleet or a shard, or may do so later.
@@ -61,11 +64,11 @@
     /// Revision of the configuration that the dispatcher has.
     revision: Cell<Option<Revision>>,
     /// Requests that the dispatcher was created for.
-    scope: Cell<Option<Scope>>,
+    scope: RefCell<Option<Scope>>,
     /// Channel for the answers to each connected entry or dispatcher.
     sessions: RefCell<HashMap<id::Instance, Sender<Answer>>>,
-    /// Sessions with the dispatchers of other shards.
-    peers: RefCell<BTreeMap<id::Instance, Rc<Session>>>,
+    /// Sessions with the dispatchers of other shards, and when each was opened.
+    peers: RefCell<BTreeMap<id::Instance, (Rc<Session>, Instant)>>,
 }
 
 impl Host {
@@ -76,14 +79,14 @@
         let Some(scope) = scope(core, &directory) else {
             return false;
         };
-        if self.scope.get() != Some(scope) {
-            self.scope.set(Some(scope));
+        if self.scope.borrow().as_ref() != Some(&scope) {
+            log::info!(scope:? = scope; "dispatching started");
+            self.scope.replace(Some(scope.clone()));
             self.revision.set(None);
             self.dispatcher.take();
             // Entries open new sessions and report all running requests to the new dispatcher.
             self.sessions.take();
             self.peers.take();
-            log::info!(scope:? = scope; "dispatching started");
         }
         if self.revision.get() != Some(directory.revision) {
             self.revision.set(Some(directory.revision));
@@ -91,7 +94,7 @@
             let now = core.clock.now();
             let part = match scope {
                 Scope::Fleet(_) => Part::Fleet,
-                Scope::Shard(number) => Part::Shard(number),
+                Scope::Shard(name) => Part::Shard(name),
             };
             refresh(core, &directory, &mut dispatcher, &part, now);
             dispatcher.retain_entries(|entry| directory.instances.contains_key(entry), now);
@@ -226,19 +229,23 @@
         }
     }
 
-    /// Returns the session with the dispatcher of another shard, opening one if needed.
+    /// Returns the session with the dispatcher of another shard, opening one if needed; `None` if
+    /// the dispatcher is not known or the last session has just failed.
     fn peer(&self, core: &Rc<Core>, name: &id::Instance) -> Option<Rc<Session>> {
         let address = core.address_of(name)?;
+        let now = core.clock.now();
         let mut peers = self.peers.borrow_mut();
-        if let Some(session) = peers.get(name).filter(|session| session.is_alive()) {
-            return Some(session.clone());
+        match peers.get(name) {
+            Some((session, _)) if session.is_alive() => return Some(session.clone()),
+            Some((_, opened)) if now < *opened + REOPEN_PAUSE => return None,
+            Some(_) | None => {}
         }
         let dispatcher = gateway::session::Dispatcher {
             instance: name.clone(),
             term: None,
         };
         let session = Rc::new(Session::open(core, address, dispatcher));
-        peers.insert(name.clone(), session.clone());
+        peers.insert(name.clone(), (session.clone(), now));
         Some(session)
     }
 
@@ -294,7 +301,7 @@
         let directory = core.feed.borrow().directory().clone();
         let plan = core.plan(&directory);
         let own = &core.identity.name;
-        let Some((_, shard)) = plan.dispatched_by(own) else {
+        let Some(shard) = plan.dispatched_by(own) else {
             return;
         };
         let is_first = shard.dispatchers.first() == Some(own);
@@ -309,7 +316,7 @@
             return;
         }
         let summary = self.dispatcher.borrow_mut().summary(core.clock.now());
-        let dispatchers = plan.shards().flat_map(|(_, shard)| &shard.dispatchers);
+        let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
         for name in dispatchers.filter(|name| *name != own) {
             if let Some(session) = self.peer(core, name) {
                 session.summarize(summary.clone());
@@ -325,9 +332,9 @@
         let term = core.status().map_or(Term(0), |status| status.term);
         return core.is_leading().then_some(Scope::Fleet(term));
     }
-    let (number, _) = plan.dispatched_by(&core.identity.name)?;
+    let shard = plan.dispatched_by(&core.identity.name)?;
     let is_fresh = core.published().is_fresh(core.clock.now());
-    (is_fresh || core.is_leading()).then_some(Scope::Shard(number))
+    (is_fresh || core.is_leading()).then(|| Scope::Shard(shard.name().clone()))
 }
 
 /// Returns the metric label of a decision.
@@ -367,12 +374,12 @@
 }
 
 /// Part of the upstreams and quotas that a dispatcher has.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub enum Part {
     /// All of them.
     Fleet,
-    /// The upstreams of a shard, and the quotas together with the other shards' dispatchers.
-    Shard(shard::Number),
+    /// The upstreams of the named shard, and the quotas together with the other shards' dispatchers.
+    Shard(id::DataCentre),
     /// The part of one entry that places requests alone.
     Entry {
         /// Index of the entry among all entries, from 0.
@@ -397,7 +404,10 @@
         .filter(|(_, listed)| !listed.draining)
         .filter(|(name, listed)| match part {
             Part::Fleet | Part::Entry { .. } => true,
-            Part::Shard(number) => plan.owns(*number, name, listed),
+            Part::Shard(shard) => {
+                let owner = plan.owner(name, listed);
+                owner.is_some_and(|owner| owner.name() == shard)
+            }
         });
     let upstreams = usable.map(|(name, listed)| Upstream {
         name: name.clone(),
@@ -444,11 +454,10 @@
     let entries: Vec<_> = instances.filter(|i| i.entry && !i.leaving).collect();
     match part {
         Part::Fleet | Part::Entry { .. } => dispatcher.set_quotas(&quotas, entries.len(), now),
-        Part::Shard(number) => {
+        Part::Shard(shard) => {
             let is_own = |entry: &&&directory::Instance| {
-                let mut shards = plan.shards();
-                let own = shards.find(|(known, _)| known == number);
-                own.is_some_and(|(_, shard)| shard.data_centres.contains(&entry.data_centre))
+                let owner = plan.shard_of(&entry.data_centre);
+                owner.is_some_and(|owner| owner.name() == shard)
             };
             let own = entries.iter().filter(is_own).count();
             let share = own as f64 / entries.len().max(1) as f64;
--- a/gooseberrylb/src/control/dispatch/session.rs
+++ b/gooseberrylb/src/control/dispatch/session.rs
@@ -45,8 +45,10 @@
                 Some(Answer::Decided(key, decision))
             }
             Question::Tell { number, notice } => {
+                // Entries resend only charges, so that no other notice needs an answer.
+                let has_charges = !notice.charges.is_empty();
                 let applied = core.dispatch.apply(&core, notice);
-                applied.then_some(Answer::Taken(number))
+                (applied && has_charges).then_some(Answer::Taken(number))
             }
             Question::Offer(request) => {
                 let key = request.key.clone();
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -45,6 +45,13 @@
 /// Pause between two reports, which also bounds their rate when they are answered at once.
 const REPORT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two reports of an instance that takes no callers, in a fleet with relays. Changes
+/// come more often than that there, and each costs every instance of the fleet an exchange.
+const RELAY_REPORT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause between two reports of an entry in a fleet with relays.
+const RELAYED_REPORT_PAUSE: Duration = Duration::from_millis(300);
+
 /// State of one follower, as known to the leader or a relay.
 #[derive(Debug, Clone)]
 pub struct Follower {
@@ -247,7 +254,6 @@
 /// the leader.
 fn assigned_relay(core: &Core, name: &id::Instance) -> Option<(id::Instance, SocketAddr)> {
     let feed = core.feed.borrow();
-    let instances: Vec<_> = feed.directory().instances.keys().collect();
     let followers = core.followers.borrow();
     let now = core.clock.now();
     let is_alive = |known: &id::Instance| {
@@ -256,7 +262,7 @@
     };
     let relay = relay(
         core.max_direct_followers(),
-        &instances,
+        &feed.directory().instances,
         &core.identity.name,
         name,
         is_alive,
@@ -326,7 +332,17 @@
                 }
             }
         }
-        task::sleep(REPORT_PAUSE).await;
+        task::sleep(report_pause(&core)).await;
+    }
+}
+
+/// Returns the pause until the next report.
+fn report_pause(core: &Core) -> Duration {
+    let has_relays = core.feed.borrow().directory().instances.len() > core.max_direct_followers();
+    match (has_relays, core.identity.instance.entry) {
+        (false, _) => REPORT_PAUSE,
+        (true, false) => RELAY_REPORT_PAUSE,
+        (true, true) => RELAYED_REPORT_PAUSE,
     }
 }
 
--- a/gooseberrylb/src/control/relay.rs
+++ b/gooseberrylb/src/control/relay.rs
@@ -2,6 +2,7 @@
 //! instances to follow the leader directly, and the instances to ask for the leader.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use gooseberrylb_config::directory::Instance;
 use gooseberrylb_config::id;
@@ -43,13 +44,13 @@
 
 /// Returns the relay that `name` should follow, or `None` if it should follow the leader.
 ///
-/// Up to `max_direct` instances all follow the leader. More instances are divided, in order of
-/// their names, into groups of about the square root of their number. The first live instance of a
-/// group is its relay: it follows the leader, and the rest of the group follows it. The leader
-/// follows nobody, since a relay's lease would come from the leader itself.
+/// Up to `max_direct` instances all follow the leader. In a larger fleet, relays stand between, at
+/// most one on each way: the live instances that take no callers, since they are few, steady and
+/// have processor time left, or entries if there are no others. The leader follows nobody, since a
+/// relay's lease would come from the leader itself.
 pub fn relay<'a>(
     max_direct: usize,
-    instances: &[&'a id::Instance],
+    instances: &'a BTreeMap<id::Instance, Instance>,
     leader: &id::Instance,
     name: &id::Instance,
     is_alive: impl Fn(&id::Instance) -> bool,
@@ -57,12 +58,49 @@
     if instances.len() <= max_direct || name == leader {
         return None;
     }
-    let group_size = instances.len().isqrt() + 1;
-    let position = instances.iter().position(|known| *known == name)?;
-    let mut group = instances
-        .chunks(group_size)
-        .nth(position / group_size)?
-        .iter();
+    if instances.values().any(|instance| !instance.entry) {
+        return steady_relay(instances, leader, name, is_alive);
+    }
+    entry_relay(instances, leader, name, is_alive)
+}
+
+/// Returns the relay of an entry among the instances that take no callers, preferably in its data
+/// centre. Rendezvous hashing spreads the entries, and moves only those of a relay that is lost.
+fn steady_relay<'a>(
+    instances: &'a BTreeMap<id::Instance, Instance>,
+    leader: &id::Instance,
+    name: &id::Instance,
+    is_alive: impl Fn(&id::Instance) -> bool,
+) -> Option<&'a id::Instance> {
+    let own = instances.get(name);
+    if own.is_some_and(|own| !own.entry) {
+        return None;
+    }
+    let data_centre = own.map(|own| &own.data_centre);
+    let relays = instances.iter().filter(|(relay, instance)| {
+        !instance.entry && !instance.leaving && *relay != leader && is_alive(relay)
+    });
+    let rank = |(relay, instance): &(&id::Instance, &Instance)| {
+        let mut hasher = DefaultHasher::new();
+        (name, relay).hash(&mut hasher);
+        (data_centre == Some(&instance.data_centre), hasher.finish())
+    };
+    relays.max_by_key(rank).map(|(relay, _)| relay)
+}
+
+/// Returns the relay of an instance in a fleet of entries only: in the order of names, these are
+/// divided into groups of about the square root of their number, and the first live one of each
+/// group is its relay.
+fn entry_relay<'a>(
+    instances: &'a BTreeMap<id::Instance, Instance>,
+    leader: &id::Instance,
+    name: &id::Instance,
+    is_alive: impl Fn(&id::Instance) -> bool,
+) -> Option<&'a id::Instance> {
+    let names: Vec<_> = instances.keys().filter(|known| *known != leader).collect();
+    let group_size = names.len().isqrt() + 1;
+    let position = names.iter().position(|known| *known == name)?;
+    let mut group = names.chunks(group_size).nth(position / group_size)?.iter();
     let relay_name = *group.find(|known| is_alive(known))?;
     (relay_name != name).then_some(relay_name)
 }
--- a/gooseberrylb/src/gateway/interfaces.rs
+++ b/gooseberrylb/src/gateway/interfaces.rs
@@ -31,10 +31,9 @@
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time to live of the addresses of entries. Some callers keep them three times as long. Requests
-/// that arrive later than 3 s after an entry was told to stop must not be cut off when its grace
-/// period ends.
-const ENTRIES_TTL: Duration = Duration::from_secs(1);
+/// Time to live of the addresses of entries. A stopping entry takes all requests for longer than
+/// that. Some callers keep addresses three times as long, and may be refused there.
+const ENTRIES_TTL: Duration = Duration::from_secs(2);
 
 /// Minimum number of entries in a caller's data centre at which only these are returned. With two,
 /// one is left if the other fails.
--- a/gooseberrylb_policy/src/dispatch/shard.rs
+++ b/gooseberrylb_policy/src/dispatch/shard.rs
@@ -14,20 +14,24 @@
 /// Number of entries up to which the leader dispatches the whole fleet.
 pub const MAX_UNDIVIDED_ENTRIES: usize = 96;
 
-/// Number of an instance's shard within a [`Plan`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Number(usize);
-
 /// One shard of a fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Shard {
-    /// Data centres of the shard's entries and upstreams.
+    /// Data centres of the shard's entries and upstreams. The first one names the shard, whatever
+    /// becomes of the others.
     pub data_centres: Vec<id::DataCentre>,
     /// Instances that may dispatch the shard. Entries use the first, and the second while the first
     /// is silent.
     pub dispatchers: Vec<id::Instance>,
 }
 
+impl Shard {
+    /// Returns the name of the shard.
+    pub fn name(&self) -> &id::DataCentre {
+        &self.data_centres[0]
+    }
+}
+
 /// Shards of a fleet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -79,9 +83,9 @@
         !self.shards.is_empty()
     }
 
-    /// Returns the shards, with their numbers.
-    pub fn shards(&self) -> impl Iterator<Item = (Number, &Shard)> {
-        self.shards.iter().enumerate().map(|(n, s)| (Number(n), s))
+    /// Returns the shards.
+    pub fn shards(&self) -> &[Shard] {
+        &self.shards
     }
 
     /// Returns the shard that an entry in a data centre belongs to; `None` if the leader dispatches
@@ -92,26 +96,24 @@
     }
 
     /// Returns the shard that an instance may dispatch, if any.
-    pub fn dispatched_by(&self, instance: &id::Instance) -> Option<(Number, &Shard)> {
-        let mut shards = self.shards();
-        shards.find(|(_, shard)| shard.dispatchers.contains(instance))
+    pub fn dispatched_by(&self, instance: &id::Instance) -> Option<&Shard> {
+        let mut shards = self.shards.iter();
+        shards.find(|shard| shard.dispatchers.contains(instance))
     }
 
-    /// Whether an upstream belongs to a shard. Those in a data centre without entries are spread
-    /// over all shards.
-    pub fn owns(&self, shard: Number, name: &id::Upstream, upstream: &ListedUpstream) -> bool {
-        let is_local = |shard: &Shard| {
+    /// Returns the shard that an upstream belongs to; `None` if the fleet is not divided. Upstreams
+    /// in a data centre without entries are spread over all shards.
+    pub fn owner(&self, name: &id::Upstream, upstream: &ListedUpstream) -> Option<&Shard> {
+        let is_local = |shard: &&Shard| {
             let mut data_centres = shard.data_centres.iter();
             data_centres.any(|known| known.as_str() == &*upstream.data_centre)
         };
-        match self.shards.iter().position(is_local) {
-            Some(position) => position == shard.0,
-            None => {
-                let mut hasher = DefaultHasher::new();
-                name.hash(&mut hasher);
-                hasher.finish() % self.shards.len() as u64 == shard.0 as u64
-            }
-        }
+        self.shards.iter().find(is_local).or_else(|| {
+            let mut hasher = DefaultHasher::new();
+            name.hash(&mut hasher);
+            let position = hasher.finish().checked_rem(self.shards.len() as u64)?;
+            self.shards.get(usize::try_from(position).ok()?)
+        })
     }
 }
 
--- a/gooseberrylb_policy/src/drain.rs
+++ b/gooseberrylb_policy/src/drain.rs
@@ -6,8 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Time from the start of the stop for which every request is taken: three times the time to live
-/// of an entry's address, for which some callers keep it, less the delivery of the signal.
+/// Time from the start of the stop for which every request is taken. It is longer than the time to
+/// live of an entry's address, and a request that comes so early may be cut off at the exit.
 const ADMISSION_PERIOD: Duration = Duration::from_millis(2_900);
 
 /// Part of the grace period that is left for the process to exit.
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -46,7 +46,7 @@
 pub enum Answer {
     /// Decision on a request.
     Decided(Key, Decision),
-    /// Acknowledges the notice of this number and all earlier ones.
+    /// Acknowledges the notice of this number, which carried charges, and all earlier ones.
     Taken(u64),
 }
 
