Register instances side by side, and report quotas over replaced dispatchers

The leader registered instances one proposal after the other, so 300 of them were complete only 2 to 5 s after traffic began, and each data centre whose keepers came moved shards: eleven dispatchers began between -1.7 and 4.2 s. A dispatcher that began anew reported to the others only what it counted itself; what its entries had used before was known to nobody else.

Ruled out: the lag of 100 ms between reports (quota_holds_over_all_shards_together plays 7.5 times an account's rate); entries that place alone (their charges are reported).

Change: registrations and removals are proposed up to 64 at once. A dispatcher reports all that its entries used, adopted or assumed. One that had no right to dispatch its shard for 1 s, or did not run, starts anew. A shard takes its second dispatcher from its own data centre before others choose. A second dispatcher reports no free slots, which the first may have granted, and is turned to only when the first is silent or cannot be reached, not when a connection broke.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -38,6 +38,10 @@
 /// Time limit for another dispatcher's answer to an offered request.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time without the right to dispatch after which a shard's dispatcher starts anew; longer than the
+/// interval at which it is checked.
+const MAX_LAPSE: Duration = Duration::from_secs(1);
+
 /// Least time between two openings of a session with the same dispatcher.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -65,6 +69,8 @@
     revision: Cell<Option<Revision>>,
     /// Requests that the dispatcher was created for.
     scope: RefCell<Option<Scope>>,
+    /// When this instance last had the right to dispatch them.
+    prepared: Cell<Option<Instant>>,
     /// Channel for the answers to each connected entry or dispatcher.
     sessions: RefCell<HashMap<id::Instance, Sender<Answer>>>,
     /// Sessions with the dispatchers of other shards, and when each was opened.
@@ -76,9 +82,11 @@
     /// dispatches. The leader starts with an empty dispatcher in each term.
     fn prepare(&self, core: &Core) -> bool {
         let directory = core.feed.borrow().directory().clone();
+        self.end_after_lapse(core.clock.now());
         let Some(scope) = scope(core, &directory) else {
             return false;
         };
+        self.prepared.set(Some(core.clock.now()));
         if self.scope.borrow().as_ref() != Some(&scope) {
             log::info!(scope:? = scope; "dispatching started");
             self.scope.replace(Some(scope.clone()));
@@ -102,6 +110,18 @@
         true
     }
 
+    /// Ends the dispatching of a shard that this instance had no right to dispatch for a while, or
+    /// during which it did not run. Another dispatcher took over meanwhile, so that what is known
+    /// here of running requests and of the use of quotas is out of date. A leader starts anew in its
+    /// next term instead.
+    fn end_after_lapse(&self, now: Instant) {
+        let is_shard = matches!(&*self.scope.borrow(), Some(Scope::Shard(_)));
+        let lapsed = self.prepared.get().is_some_and(|at| now > at + MAX_LAPSE);
+        if is_shard && lapsed {
+            log::info!(scope:? = self.scope.take(); "dispatching ended, since it had lapsed");
+        }
+    }
+
     /// Returns the decision on a request.
     pub fn place(&self, core: &Rc<Core>, request: Request) -> Decision {
         if !self.prepare(core) {
@@ -295,8 +315,8 @@
     }
 
     /// Reports the free slots and the use of quotas to all other dispatchers of a divided fleet.
-    /// An instance that entries use only while another is silent reports only then: it would
-    /// report the other's slots as free.
+    /// An instance that entries use only while another is silent reports no slots, which the other
+    /// one may have granted.
     fn report(&self, core: &Rc<Core>) {
         let directory = core.feed.borrow().directory().clone();
         let plan = core.plan(&directory);
@@ -305,17 +325,16 @@
             return;
         };
         let is_first = shard.dispatchers.first() == Some(own);
-        let has_entries = {
-            let sessions = self.sessions.borrow();
-            let mut instances = sessions
-                .keys()
-                .filter_map(|name| directory.instances.get(name));
-            instances.any(|instance| instance.entry)
-        };
-        if !(is_first || has_entries) || !self.prepare(core) {
+        if !self.prepare(core) {
             return;
         }
-        let summary = self.dispatcher.borrow_mut().summary(core.clock.now());
+        let mut summary = self.dispatcher.borrow_mut().summary(core.clock.now());
+        if !is_first {
+            summary.free.clear();
+            if summary.used.is_empty() {
+                return;
+            }
+        }
         let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
         for name in dispatchers.filter(|name| *name != own) {
             if let Some(session) = self.peer(core, name) {
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -11,6 +11,7 @@
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_control::state::{Command, Reply};
 use gooseberrylb_control::views::{self, Candidate, Candidates};
+use gooseberrylb_wire::message::Report;
 
 use super::Failure;
 use super::core::Core;
@@ -23,6 +24,9 @@
 /// [`LEASE_DURATION`], so that the lease of a dead instance has expired.
 pub const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Maximum number of proposals that wait to be accepted at the same time.
+const MAX_CONCURRENT_PROPOSALS: usize = 64;
+
 /// Runs the leader's tasks while this instance leads.
 pub async fn run(core: Rc<Core>) {
     let mut recorded = Term(0);
@@ -89,63 +93,71 @@
         .filter(|(_, f)| now < f.last_contact + INSTANCE_TIMEOUT)
         .map(|(_, f)| f.report.clone())
         .collect();
-    for report in reports {
-        let known_incarnation = core.state.borrow().incarnation(&report.name);
-        let known = core
-            .feed
-            .borrow()
-            .directory()
-            .instances
-            .get(&report.name)
-            .cloned();
-        let at = core.clock.wall();
-        let mut reported_instance = report.instance.clone();
-        reported_instance.leaving = false;
-        let restarted = known_incarnation.is_none_or(|known| known < report.incarnation);
-        let moved = known.as_ref().is_none_or(|known| {
-            let known = directory::Instance {
-                leaving: false,
-                ..known.clone()
-            };
-            known != reported_instance
+    let commands: Vec<Command> = reports
+        .into_iter()
+        .flat_map(|report| registration(core, report))
+        .collect();
+    propose_all(core, &commands).await
+}
+
+/// Returns the commands that register what is new in an instance's report.
+fn registration(core: &Core, report: Report) -> Vec<Command> {
+    let known_incarnation = core.state.borrow().incarnation(&report.name);
+    let known = {
+        let feed = core.feed.borrow();
+        feed.directory().instances.get(&report.name).cloned()
+    };
+    let at = core.clock.wall();
+    let mut reported_instance = report.instance.clone();
+    reported_instance.leaving = false;
+    let restarted = known_incarnation.is_none_or(|known| known < report.incarnation);
+    let moved = known.as_ref().is_none_or(|known| {
+        let known = directory::Instance {
+            leaving: false,
+            ..known.clone()
+        };
+        known != reported_instance
+    });
+    if let Some(later) = known_incarnation.filter(|known| *known > report.incarnation) {
+        // An instance has only one process at a time, so this one started later, after the clock
+        // was set back.
+        return vec![Command::Leave {
+            name: report.name,
+            incarnation: later,
+            draining: false,
+            cause: "restarted with an earlier time of day".into(),
+            at,
+        }];
+    }
+    let (name, incarnation) = (report.name, report.incarnation);
+    let mut commands = Vec::new();
+    if restarted || moved {
+        commands.push(Command::Join {
+            name: name.clone(),
+            instance: reported_instance,
+            incarnation,
+            at,
         });
-        if let Some(later) = known_incarnation.filter(|known| *known > report.incarnation) {
-            // An instance has only one process at a time, so this one started later, after the
-            // clock was set back.
-            let leave = Command::Leave {
-                name: report.name,
-                incarnation: later,
-                draining: false,
-                cause: "restarted with an earlier time of day".into(),
-                at,
-            };
-            propose(core, &leave).await?;
-            continue;
-        }
-        let (name, incarnation) = (report.name, report.incarnation);
-        if restarted || moved {
-            let name = name.clone();
-            propose(
-                core,
-                &Command::Join {
-                    name,
-                    instance: reported_instance,
-                    incarnation,
-                    at,
-                },
-            )
-            .await?;
-        }
-        if report.instance.leaving && !known.is_some_and(|known| known.leaving) {
-            let cause = "a planned stop".into();
-            let leave = Command::Leave {
-                name,
-                incarnation,
-                draining: true,
-                cause,
-                at,
-            };
-            propose(core, &leave).await?;
+    }
+    if report.instance.leaving && !known.is_some_and(|known| known.leaving) {
+        commands.push(Command::Leave {
+            name,
+            incarnation,
+            draining: true,
+            cause: "a planned stop".into(),
+            at,
+        });
+    }
+    commands
+}
+
+/// Proposes commands, each without waiting for the ones before it: a large fleet that starts, or
+/// comes back after a loss of power, registers hundreds of instances at once.
+async fn propose_all(core: &Rc<Core>, commands: &[Command]) -> Result<(), Failure> {
+    for batch in commands.chunks(MAX_CONCURRENT_PROPOSALS) {
+        let proposals = batch.iter().map(|command| propose(core, command));
+        for result in futures::future::join_all(proposals).await {
+            result?;
         }
     }
     Ok(())
@@ -165,6 +177,7 @@
         .keys()
         .cloned()
         .collect();
+    let mut commands = Vec::new();
     for name in names {
         let last_contact = core
             .followers
@@ -177,16 +190,15 @@
         let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
         let cause = format!("not heard of for {} ms", (now - last_contact).as_millis()).into();
         let at = core.clock.wall();
-        let leave = Command::Leave {
+        commands.push(Command::Leave {
             name,
             incarnation,
             draining: false,
             cause,
             at,
-        };
-        propose(core, &leave).await?;
+        });
     }
-    Ok(())
+    propose_all(core, &commands).await
 }
 
 /// Assigns a scheduler and backups to each cell, where they have to change.
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -248,11 +248,13 @@
             log::warn!(dispatcher:% = address; "the dispatcher does not answer; placing requests without it");
         }
         METRICS.dispatcher_lost.inc();
-        // A dispatcher that is only late is asked again in the same session.
-        if session.silence(now) > SESSION_SILENCE_LIMIT {
+        // A dispatcher that is only late is asked again in the same session, and one whose connection
+        // broke in a new one.
+        let is_silent = session.silence(now) > SESSION_SILENCE_LIMIT;
+        if is_silent {
             session.close();
         }
-        if !session.is_alive() {
+        if is_silent || (!session.is_alive() && !session.has_answered()) {
             self.failover_until.set(Some(now + FAILOVER_PERIOD));
         }
         self.core.suspect(address);
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -58,6 +58,8 @@
 struct State {
     /// Whether the session can still be used.
     alive: Cell<bool>,
+    /// Whether the dispatcher has answered anything.
+    answered: Cell<bool>,
     /// Time of the first request after the last answer of the dispatcher.
     unanswered_since: Cell<Option<Instant>>,
     /// Number of the last notice that the dispatcher acknowledged.
@@ -73,6 +75,7 @@
         let (questions, outgoing) = async_channel::unbounded();
         let state = Rc::new(State {
             alive: Cell::new(true),
+            answered: Cell::new(false),
             unanswered_since: Cell::new(None),
             acknowledged: Cell::new(0),
             pending: RefCell::default(),
@@ -99,6 +102,11 @@
         self.state.alive.get() && !self.questions.is_closed()
     }
 
+    /// Whether the dispatcher has answered anything in this session.
+    pub fn has_answered(&self) -> bool {
+        self.state.answered.get()
+    }
+
     /// Returns the time for which requests have been pending without any answer.
     pub fn silence(&self, now: Instant) -> Duration {
         let since = self.state.unanswered_since.get();
@@ -220,6 +228,7 @@
     R: futures::AsyncRead + Unpin,
 {
     while let Some(answer) = reader.next().await? {
+        state.answered.set(true);
         state.unanswered_since.set(None);
         match answer {
             Answer::Taken(number) => state.acknowledged.set(number),
--- a/gooseberrylb_policy/src/dispatch/shard.rs
+++ b/gooseberrylb_policy/src/dispatch/shard.rs
@@ -58,22 +58,25 @@
         plan
     }
 
-    /// Gives each shard a second dispatcher that is no other shard's first one, if there is one.
+    /// Gives each shard a second dispatcher that is no other shard's first one, if there is one:
+    /// first those that have one in their own data centre, so that the loss of an instance
+    /// elsewhere changes nothing for them.
     fn assign_second(&mut self, candidates: &[(&id::Instance, &Instance)]) {
-        let mut used: BTreeSet<id::Instance> = self
-            .shards
-            .iter()
-            .flat_map(|shard| shard.dispatchers.iter().cloned())
-            .collect();
-        for shard in &mut self.shards {
-            let free = |(name, _): &&(&id::Instance, &Instance)| !used.contains(*name);
-            let is_local =
-                |(_, i): &&(&id::Instance, &Instance)| shard.data_centres.contains(&i.data_centre);
-            let local = candidates.iter().filter(free).find(is_local);
-            let second = local.or_else(|| candidates.iter().find(free));
-            if let Some((name, _)) = second {
-                used.insert((*name).clone());
-                shard.dispatchers.push((*name).clone());
+        for must_be_local in [true, false] {
+            let mut used: BTreeSet<id::Instance> = self
+                .shards
+                .iter()
+                .flat_map(|shard| shard.dispatchers.iter().cloned())
+                .collect();
+            for shard in self.shards.iter_mut().filter(|s| s.dispatchers.len() < 2) {
+                let second = candidates.iter().find(|(name, instance)| {
+                    let is_local = shard.data_centres.contains(&instance.data_centre);
+                    !used.contains(*name) && (is_local || !must_be_local)
+                });
+                if let Some((name, _)) = second {
+                    used.insert((*name).clone());
+                    shard.dispatchers.push((*name).clone());
+                }
             }
         }
     }
--- a/gooseberrylb_policy/src/quota.rs
+++ b/gooseberrylb_policy/src/quota.rs
@@ -138,14 +138,16 @@
         self.elsewhere = units;
     }
 
-    /// Returns the use counted here, for the other counters of the same quota.
+    /// Returns the use by this counter's clients, for the other counters of the same quota. It
+    /// includes what these clients used before this counter began, reported or assumed, which no
+    /// other counter reports any more.
     pub fn report(&mut self, now: Instant) -> Report {
         self.expire(now);
-        let counted = || self.steps.iter().filter(|step| step.end > self.since);
-        let recent = counted().filter(|step| step.end + RATE_INTERVAL > now);
+        let recent = self.steps.iter();
+        let recent = recent.filter(|step| step.end + RATE_INTERVAL > now && step.end > self.since);
         let recent: f64 = recent.map(|step| step.used).sum();
         Report {
-            used: counted().map(|step| step.used).sum(),
+            used: self.used + self.assumed * self.unreported_share,
             rate: recent / RATE_INTERVAL.as_secs_f64(),
         }
     }
--- a/gooseberrylb_policy/tests/dispatch_shards.rs
+++ b/gooseberrylb_policy/tests/dispatch_shards.rs
@@ -412,6 +412,78 @@
     }
 }
 
+/// Found on scale-2 of a large fleet: dispatchers were replaced several times in the first seconds,
+/// and what their entries had used before was unknown to the other shards.
+#[test]
+fn quota_holds_while_dispatchers_are_replaced() {
+    const WINDOW: Duration = Duration::from_secs(8);
+    const UNITS: f64 = 4_000.0;
+    let quota = Quota {
+        account: name("hule"),
+        per_second: 500_000.0,
+        burst: 500_000.0,
+        window: WINDOW,
+    };
+    let limit = quota.per_second * 8.0 + quota.burst;
+    let began = Instant::now();
+    let dispatcher = |data_centre: &str, now: Instant| {
+        let mut dispatcher = Dispatcher::new();
+        let engine = upstream(data_centre, "agronomo", data_centre, 1_000_000);
+        dispatcher.set_upstreams([engine], now);
+        dispatcher.set_shared_quotas(std::slice::from_ref(&quota), 1, 0.2, now);
+        dispatcher
+    };
+    let mut dispatchers: Vec<_> = DATA_CENTRES.map(|name| dispatcher(name, began)).into();
+    // What the entry of each shard has used: times and units.
+    let mut spent: [Vec<(u64, f64)>; 5] = Default::default();
+    let (mut due, mut number) = (0.0, 0);
+    for ms in 9_000..25_000_u64 {
+        let now = began + MS * ms as u32;
+        // One dispatcher after the other is replaced by an instance that knows nothing.
+        if ms % 500 == 250 {
+            let shard = (ms / 500) as usize % 5;
+            dispatchers[shard] = dispatcher(DATA_CENTRES[shard], now);
+            let usage = spent[shard].iter().filter(|(at, _)| at + 8_000 > ms);
+            let usage = usage.map(|(at, units)| (MS * (ms - at) as u32, *units));
+            let notice = Notice {
+                spent: Some((name("e"), vec![(name("hule"), usage.collect())])),
+                ..Notice::default()
+            };
+            dispatchers[shard].apply(notice, now);
+        }
+        if ms % 100 == 0 {
+            exchange(&mut dispatchers, now);
+        }
+        due += 6.0 * 500_000.0 / UNITS / 1_000.0;
+        while due >= 1.0 {
+            due -= 1.0;
+            number += 1;
+            let shard = number as usize % 5;
+            let request = Request {
+                account: Some(name("hule")),
+                units: UNITS,
+                ..request("e", number, "agronomo", DATA_CENTRES[shard])
+            };
+            if let Decision::Grant(_) = dispatchers[shard].place(request, now) {
+                spent[shard].push((ms, UNITS));
+            }
+        }
+    }
+    let all: Vec<_> = spent.into_iter().flatten().collect();
+    let used_from = |start: u64| {
+        let within = all
+            .iter()
+            .filter(|(ms, _)| (start..start + 8_000).contains(ms));
+        within.map(|(_, units)| units).sum::<f64>()
+    };
+    let peak = all
+        .iter()
+        .map(|(start, _)| used_from(*start))
+        .fold(0.0, f64::max);
+    let allowed = limit * 1.1 + 190_000.0;
+    assert!(peak <= allowed, "{peak} where {allowed} are allowed");
+}
+
 #[test]
 fn account_within_its_quota_is_never_refused_for_it() {
     for weights in [[0.2; 5], [0.6, 0.1, 0.1, 0.1, 0.1]] {
