Serve a service that has no upstream in a shard from the other shards

Cause: found by reading: a shard without an upstream of a service refused all its requests with "no upstream", whatever the other data centres had. In the deployments at hand that is the time in which the only comando runner of a data centre has left the list; in one whose runners are in some data centres only, all the time.

Change: summaries name every service with upstreams, also without free slots. A shard without any queues the request as long as another shard has some, and may take the last free slot there.

--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -368,10 +368,13 @@
         }
         let (account, units) = (request.account.clone(), request.units);
         let (key, name) = (request.key.clone(), request.service.clone());
-        let Some(service) = self.services.get_mut(&name) else {
+        let has_own = self.services.get(&name).is_some_and(Service::has_slots);
+        let elsewhere = self.peers.capacity(&name, has_own, now);
+        if !self.services.contains_key(&name) && !elsewhere.exists {
             return Decision::Refuse(Reason::NoUpstream, service::NO_UPSTREAM_PAUSE);
-        };
-        service.set_elsewhere(self.peers.free_slots(&name, now));
+        }
+        let service = self.services.entry(name.clone()).or_default();
+        service.set_elsewhere(elsewhere);
         let decision = service.place(request, now);
         if !matches!(decision, Decision::Refuse(..)) {
             // A queued request is charged at once, so that no more requests are queued than may
@@ -419,6 +422,7 @@
     /// Returns what the dispatchers of other shards need to know.
     pub fn summary(&mut self, now: Instant) -> Summary {
         let services = self.services.iter();
+        let services = services.filter(|(_, service)| service.has_slots());
         let free = services.map(|(name, service)| (name.clone(), service.free_slots(now)));
         let windows = self.windows.iter_mut();
         let used = windows.filter_map(|(account, window)| {
@@ -427,7 +431,7 @@
             is_worth_reporting.then(|| (account.clone(), report))
         });
         Summary {
-            free: free.filter(|(_, slots)| *slots > 0).collect(),
+            free: free.collect(),
             used: used.collect(),
         }
     }
@@ -442,8 +446,9 @@
     pub fn offers(&mut self, now: Instant) -> Vec<(id::Instance, Request)> {
         let mut offers = Vec::new();
         for (name, service) in &mut self.services {
+            let has_own = service.has_slots();
             service.offer(
-                || self.peers.take_slot(name, now),
+                || self.peers.take_slot(name, has_own, now),
                 |peer, request| offers.push((peer, request)),
                 now,
             );
@@ -486,7 +491,7 @@
     pub fn poll(&mut self, now: Instant) -> Vec<(Key, Decision)> {
         let mut decided = Vec::new();
         for (name, service) in &mut self.services {
-            service.set_elsewhere(self.peers.free_slots(name, now));
+            service.set_elsewhere(self.peers.capacity(name, service.has_slots(), now));
             service.poll(now, &mut decided);
         }
         for (key, decision) in &decided {
--- a/gooseberrylb_policy/src/dispatch/peers.rs
+++ b/gooseberrylb_policy/src/dispatch/peers.rs
@@ -13,18 +13,28 @@
 const MAX_SLOTS_AGE: Duration = Duration::from_millis(400);
 
 /// Number of free slots that are left to the shard that reported them, as its own next requests
-/// need them.
+/// need them. A shard without an upstream of its own is left none.
 const RESERVED_SLOTS: u32 = 2;
 
 /// What a dispatcher reports to those of the other shards, several times a second.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
-    /// Free slots of each service, without those that queued requests are about to take.
+    /// Free slots of each service that has upstreams in the shard, without those that queued requests
+    /// are about to take.
     pub free: Vec<(id::Service, u32)>,
     /// Use of the accounts' quotas that this dispatcher counted.
     pub used: Vec<(id::Account, quota::Report)>,
 }
 
+/// Upstreams of a service in other shards.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Capacity {
+    /// Whether any other shard has upstreams of the service.
+    pub(super) exists: bool,
+    /// Free slots that requests may be offered to.
+    pub(super) free: u32,
+}
+
 /// Latest summary of another dispatcher.
 #[derive(Debug)]
 struct Peer {
@@ -51,23 +61,28 @@
         self.0.insert(from.clone(), peer);
     }
 
-    /// Returns the number of free slots of a service in other shards.
-    pub(super) fn free_slots(&self, service: &id::Service, now: Instant) -> u32 {
-        self.0
-            .values()
-            .map(|peer| peer.offerable(service, now))
-            .sum()
+    /// Returns what other shards have of a service. With `has_own`, the shard that asks has
+    /// upstreams of its own.
+    pub(super) fn capacity(&self, service: &id::Service, has_own: bool, now: Instant) -> Capacity {
+        let peers = self.0.values();
+        let reports = peers.filter_map(|peer| peer.offerable(service, has_own, now));
+        reports.fold(Capacity::default(), |sum, free| Capacity {
+            exists: true,
+            free: sum.free + free,
+        })
     }
 
     /// Takes a free slot from the dispatcher that has most of them, and returns its name.
     pub(super) fn take_slot(
         &mut self,
         service: &id::Service,
+        has_own: bool,
         now: Instant,
     ) -> Option<id::Instance> {
+        let offerable = |peer: &Peer| peer.offerable(service, has_own, now).unwrap_or(0);
         let peers = self.0.iter_mut();
-        let (name, peer) = peers.max_by_key(|(_, peer)| peer.offerable(service, now))?;
-        if peer.offerable(service, now) == 0 {
+        let (name, peer) = peers.max_by_key(|(_, peer)| offerable(peer))?;
+        if offerable(peer) == 0 {
             return None;
         }
         let free = peer.free.get_mut(service)?;
@@ -77,8 +92,9 @@
 
     /// Records that a dispatcher has no free slot of a service after all.
     pub(super) fn clear_slots(&mut self, name: &id::Instance, service: &id::Service) {
-        if let Some(peer) = self.0.get_mut(name) {
-            peer.free.remove(service);
+        let peer = self.0.get_mut(name);
+        if let Some(free) = peer.and_then(|peer| peer.free.get_mut(service)) {
+            *free = 0;
         }
     }
 
@@ -93,11 +109,11 @@
 }
 
 impl Peer {
-    fn offerable(&self, service: &id::Service, now: Instant) -> u32 {
-        if now >= self.at + MAX_SLOTS_AGE {
-            return 0;
-        }
-        let free = self.free.get(service).copied().unwrap_or(0);
-        free.saturating_sub(RESERVED_SLOTS)
+    /// Returns the free slots of a service that another shard may take; `None` if this one has no
+    /// upstream of the service or its report is too old.
+    fn offerable(&self, service: &id::Service, has_own: bool, now: Instant) -> Option<u32> {
+        let free = *self.free.get(service)?;
+        let reserved = if has_own { RESERVED_SLOTS } else { 0 };
+        (now < self.at + MAX_SLOTS_AGE).then(|| free.saturating_sub(reserved))
     }
 }
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -9,6 +9,7 @@
 use gooseberrylb_config::id;
 
 use super::fairness::{Clock, VirtualTime};
+use super::peers::Capacity;
 use super::rates::{NEWEST_WEIGHT, POOLED_NEWEST_WEIGHT, Rates, update_average};
 use super::release::{Completion, Release};
 use super::upstream::State;
@@ -170,8 +171,8 @@
     clock: Clock,
     /// Release under rollout, if any.
     release: Option<Release>,
-    /// Free slots in other shards.
-    elsewhere: u32,
+    /// Upstreams of the service in other shards.
+    elsewhere: Capacity,
 }
 
 impl Service {
@@ -260,7 +261,7 @@
             return Decision::Grant(self.grant(&request, upstream, now));
         }
         let slots = self.usable_slots();
-        if self.elsewhere > 0 {
+        if self.elsewhere.free > 0 || (slots == 0 && self.elsewhere.exists) {
             return self.enqueue(request, false, now);
         }
         if slots == 0 {
@@ -327,9 +328,14 @@
         Some(Decision::Grant(self.grant(&request, upstream, now)))
     }
 
-    /// Sets the number of free slots in other shards.
-    pub(super) fn set_elsewhere(&mut self, slots: u32) {
-        self.elsewhere = slots;
+    /// Sets what other shards have of the service.
+    pub(super) fn set_elsewhere(&mut self, elsewhere: Capacity) {
+        self.elsewhere = elsewhere;
+    }
+
+    /// Whether the service has upstreams here that requests may go to.
+    pub(super) fn has_slots(&self) -> bool {
+        self.usable_slots() > 0
     }
 
     /// Returns the number of slots that a request may take now; none while requests are queued.
@@ -625,7 +631,7 @@
         let healthy = |state: &State| state.health.limit(state.upstream.slots, now) > 0;
         // If most upstreams fail, ejecting them all would leave none to serve, unless other shards
         // have some.
-        let check_health = self.elsewhere > 0
+        let check_health = self.elsewhere.free > 0
             || self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
         let best = |eligible: &dyn Fn(&State) -> bool| {
             let candidates = self.upstreams.iter().enumerate();
