Share the quota plays' fixtures, and say what a summary's use covers

The two plays of quotas over shards built the same quota and dispatchers and counted windows alike; one copy of each serves both, and the number at the end of a name is parsed in one place. Assertions, bounds and loads are as they were: without reports of adopted use the play of replaced dispatchers still fails. The comment on Summary::used dated from before it covered adopted use. No product code changes.

--- a/gooseberrylb_policy/src/dispatch/peers.rs
+++ b/gooseberrylb_policy/src/dispatch/peers.rs
@@ -22,7 +22,7 @@
     /// Free slots of each service that has upstreams in the shard, without those that queued requests
     /// are about to take.
     pub free: Vec<(id::Service, u32)>,
-    /// Use of the accounts' quotas that this dispatcher counted.
+    /// Use of the accounts' quotas by this dispatcher's entries, also from before it began to count.
     pub used: Vec<(id::Account, quota::Report)>,
 }
 
--- a/gooseberrylb_policy/tests/dispatch_shards.rs
+++ b/gooseberrylb_policy/tests/dispatch_shards.rs
@@ -365,29 +365,49 @@
     }
 }
 
+/// Returns the quota of the account that the plays of quotas use.
+fn quota() -> Quota {
+    Quota {
+        account: name("hule"),
+        per_second: 500_000.0,
+        burst: 500_000.0,
+        window: Duration::from_secs(8),
+    }
+}
+
+/// Returns the dispatcher of a shard with a fifth of the fleet's entries, which are `entries`, that
+/// begins to count the quota now.
+fn quota_dispatcher(data_centre: &str, entries: usize, now: Instant) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new();
+    let engine = upstream(data_centre, "agronomo", data_centre, 1_000_000);
+    dispatcher.set_upstreams([engine], now);
+    dispatcher.set_shared_quotas(&[quota()], entries, 0.2, now);
+    dispatcher
+}
+
+/// Returns the most units that were admitted in any 8 s, of admissions given by their times in ms.
+fn peak(admitted: &[(u64, f64)]) -> f64 {
+    let windows = admitted.iter().map(|(start, _)| {
+        let range = *start..start + 8_000;
+        let within = admitted.iter().filter(|(ms, _)| range.contains(ms));
+        within.map(|(_, units)| units).sum::<f64>()
+    });
+    windows.fold(0.0, f64::max)
+}
+
+/// Returns the number at the end of a name.
+fn number_of(name: &str) -> u64 {
+    name.rsplit('-').next().unwrap().parse().unwrap()
+}
+
 /// Plays an account that sends `rate` units a second, spread over the shards by `weights`, for 20 s
 /// and returns the most units that were admitted in any 8 s, as a part of its limit.
 fn peak_use(weights: [f64; 5], rate: f64) -> f64 {
-    const WINDOW: Duration = Duration::from_secs(8);
     const UNITS: f64 = 4_000.0;
-    let quota = Quota {
-        account: name("hule"),
-        per_second: 500_000.0,
-        burst: 500_000.0,
-        window: WINDOW,
-    };
+    let quota = quota();
     let limit = quota.per_second * 8.0 + quota.burst;
     let began = Instant::now();
-    let mut dispatchers: Vec<Dispatcher> = DATA_CENTRES
-        .iter()
-        .map(|data_centre| {
-            let mut dispatcher = Dispatcher::new();
-            let engine = upstream(data_centre, "agronomo", data_centre, 1_000_000);
-            dispatcher.set_upstreams([engine], began);
-            dispatcher.set_shared_quotas(std::slice::from_ref(&quota), 58, 0.2, began);
-            dispatcher
-        })
-        .collect();
+    let mut dispatchers = DATA_CENTRES.map(|name| quota_dispatcher(name, 58, began));
     let mut admitted: Vec<(u64, f64)> = Vec::new();
     let mut due = [0.0; 5];
     let mut number = 0;
@@ -413,13 +433,7 @@
             }
         }
     }
-    let windows = admitted.iter().map(|(start, _)| {
-        let within = admitted
-            .iter()
-            .filter(|(ms, _)| (*start..start + 8_000).contains(ms));
-        within.map(|(_, units)| units).sum::<f64>()
-    });
-    windows.fold(0.0, f64::max) / limit
+    peak(&admitted) / limit
 }
 
 /// The platform allows a tenth and 190,000 units more than the limit.
@@ -444,24 +458,11 @@
 /// and what their entries had used before was unknown to the other shards.
 #[test]
 fn quota_holds_while_dispatchers_are_replaced() {
-    const WINDOW: Duration = Duration::from_secs(8);
     const UNITS: f64 = 4_000.0;
-    let quota = Quota {
-        account: name("hule"),
-        per_second: 500_000.0,
-        burst: 500_000.0,
-        window: WINDOW,
-    };
+    let quota = quota();
     let limit = quota.per_second * 8.0 + quota.burst;
     let began = Instant::now();
-    let dispatcher = |data_centre: &str, now: Instant| {
-        let mut dispatcher = Dispatcher::new();
-        let engine = upstream(data_centre, "agronomo", data_centre, 1_000_000);
-        dispatcher.set_upstreams([engine], now);
-        dispatcher.set_shared_quotas(std::slice::from_ref(&quota), 1, 0.2, now);
-        dispatcher
-    };
-    let mut dispatchers: Vec<_> = DATA_CENTRES.map(|name| dispatcher(name, began)).into();
+    let mut dispatchers = DATA_CENTRES.map(|name| quota_dispatcher(name, 1, began));
     // What the entry of each shard has used: times and units.
     let mut spent: [Vec<(u64, f64)>; 5] = Default::default();
     let (mut due, mut number) = (0.0, 0);
@@ -470,7 +471,7 @@
         // One dispatcher after the other is replaced by an instance that knows nothing.
         if ms % 500 == 250 {
             let shard = (ms / 500) as usize % 5;
-            dispatchers[shard] = dispatcher(DATA_CENTRES[shard], now);
+            dispatchers[shard] = quota_dispatcher(DATA_CENTRES[shard], 1, now);
             let usage = spent[shard].iter().filter(|(at, _)| at + 8_000 > ms);
             let usage = usage.map(|(at, units)| (MS * (ms - at) as u32, *units));
             let notice = Notice {
@@ -498,16 +499,7 @@
         }
     }
     let all: Vec<_> = spent.into_iter().flatten().collect();
-    let used_from = |start: u64| {
-        let within = all
-            .iter()
-            .filter(|(ms, _)| (start..start + 8_000).contains(ms));
-        within.map(|(_, units)| units).sum::<f64>()
-    };
-    let peak = all
-        .iter()
-        .map(|(start, _)| used_from(*start))
-        .fold(0.0, f64::max);
+    let peak = peak(&all);
     let allowed = limit * 1.1 + 190_000.0;
     assert!(peak <= allowed, "{peak} where {allowed} are allowed");
 }
@@ -532,8 +524,11 @@
 
 /// Time for which an engine runs a request, in ms: a third of the engines are 4.4 times as slow.
 fn run_ms(engine: &id::Upstream) -> u64 {
-    let number: u64 = engine.as_str().rsplit('-').next().unwrap().parse().unwrap();
-    if number % 3 == 2 { 1_700 } else { 390 }
+    if number_of(engine.as_str()) % 3 == 2 {
+        1_700
+    } else {
+        390
+    }
 }
 
 impl Play {
@@ -570,12 +565,12 @@
     fn relay(&mut self, ms: u64, now: Instant, arrivals: &BTreeMap<u64, u64>) {
         for shard in 0..self.dispatchers.len() {
             for (peer, notice) in self.dispatchers[shard].take_relayed() {
-                let peer: usize = peer.as_str().rsplit('-').next().unwrap().parse().unwrap();
+                let peer = number_of(peer.as_str()) as usize;
                 self.dispatchers[peer].apply(notice, now);
             }
             for (peer, request) in self.dispatchers[shard].offers(now) {
                 let key = request.key.clone();
-                let to: usize = peer.as_str().rsplit('-').next().unwrap().parse().unwrap();
+                let to = number_of(peer.as_str()) as usize;
                 match self.dispatchers[to].place_offered(request, now) {
                     Decision::Grant(engine) => {
                         assert!(self.dispatchers[shard].accept_offer(&key, &peer));
