Log the framing of a stream's upstream and the bytes after its last event

Change: `framing` and `partial_bytes` in the line of a finished request and in that of an upstream that failed during a response. No change of logic.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -225,6 +225,7 @@
     let first = stream.and_then(|stream| stream.first);
     let first = first.map(|first| ms(first.saturating_duration_since(forwarder.arrived)));
     let gap = stream.map(|stream| ms(stream.longest_gap));
+    let framing = stream.map(|stream| format!("{:?}", stream.framing));
     METRICS
         .gateway_requests
         .with_label_values(&[outcome.split(' ').next().unwrap_or_default()])
@@ -236,6 +237,7 @@
         patience_ms = patience.as_deref().unwrap_or("-"),
         waited_ms = forwarder.placement_wait.as_millis() as u64, alone = forwarder.alone,
         first_ms = first.as_deref().unwrap_or("-"), gap_ms = gap.as_deref().unwrap_or("-"),
+        framing = framing.as_deref().unwrap_or("-"), partial_bytes = stream.map_or(0, |stream| stream.partial_bytes),
         ms = elapsed.as_millis() as u64, outcome = outcome;
         "request finished"
     );
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -37,15 +37,21 @@
     pub first: Option<Instant>,
     /// Longest time between two consecutive parts of the body.
     pub longest_gap: Duration,
+    /// Framing of the last upstream's response.
+    pub framing: Framing,
+    /// Number of bytes received after the last complete event.
+    pub partial_bytes: usize,
 }
 
 impl Transfer {
-    fn new() -> Self {
+    fn new(framing: Framing) -> Self {
         Self {
             end: End::Broken,
             events: 0,
             first: None,
             longest_gap: Duration::ZERO,
+            framing,
+            partial_bytes: 0,
         }
     }
 
@@ -63,6 +69,7 @@
         Self {
             end,
             events: events.count,
+            partial_bytes: events.unfinished().len(),
             ..self
         }
     }
@@ -104,7 +111,7 @@
     let mut events = Scanner::default();
     let mut out = response_head(&exchange.response, framing, closes);
     let mut body = Body::new(exchange.response.framing);
-    let mut transfer = Transfer::new();
+    let mut transfer = Transfer::new(exchange.response.framing);
     let mut first = None;
     let mut last = exchange.sent_at;
     let mut events_before = 0;
@@ -181,7 +188,8 @@
             Step::Late => return transfer.finish(End::Late, &events),
             Step::End | Step::Broken => {
                 log::info!(
-                    id = forwarder.id(), upstream:% = exchange.grant.upstream, events = events.count;
+                    id = forwarder.id(), upstream:% = exchange.grant.upstream, events = events.count,
+                    framing:? = transfer.framing, partial_bytes = events.unfinished().len();
                     "the upstream failed during a response"
                 );
                 exchange.grant.end(Outcome::Failed);
@@ -206,6 +214,7 @@
                 events.drop_unfinished();
                 exchange = resumed;
                 body = Body::new(exchange.response.framing);
+                transfer.framing = exchange.response.framing;
                 first = None;
                 last = exchange.sent_at;
                 events_before = events.count;
--- a/gooseberrylb/src/gateway/relay/tests.rs
+++ b/gooseberrylb/src/gateway/relay/tests.rs
@@ -4,7 +4,7 @@
 fn longest_gap_excludes_time_before_first_part() {
     let sent = Instant::now();
     let at = |ms| sent + Duration::from_millis(ms);
-    let mut transfer = Transfer::new();
+    let mut transfer = Transfer::new(Framing::Chunked);
     for (last, now) in [(0, 700), (700, 750), (750, 1_050), (1_050, 1_100)] {
         transfer.record_part(at(last), at(now));
     }
