Add a failing test: a stream that ends inside an event is delivered as complete

What callers see: a 200 with a valid signature and a complete chunked framing, whose body ends inside an event.

The test plays upstreams that end a stream with their connection, inside an event, by a reset, before the first event, and in order after the last one. It fails at the first of these: the entry writes the last chunk after "id: 2, da".

--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -67,8 +67,9 @@
         r#"{{"version":{version},"routes":[
             {{"name":"plain","host":"a.example","path-prefix":"/plain/","kind":"unsafe","timeout-ms":5000,"target-latency-ms":2000,"priority":1,"service":"desk","max-attempts":2}},
             {{"name":"inner","host":"a.example","path-prefix":"/plain/inner/","kind":"safe","timeout-ms":5000,"priority":1,"service":"desk","allow-anonymous":true}},
-            {{"name":"stream","host":"a.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"desk","max-attempts":1}}{extra}
-        ],"services":[{{"name":"desk","max-connections":50}}],
+            {{"name":"stream","host":"a.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"desk","max-attempts":1}},
+            {{"name":"resumable","host":"a.example","path-prefix":"/resumable/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"pair","max-attempts":2,"resume-streams":true}}{extra}
+        ],"services":[{{"name":"desk","max-connections":50}},{{"name":"pair","max-connections":50}}],
         "tenants":[{{"name":"hule","api-keys":["key-1","key-2"]}}]}}"#
     )
 }
@@ -149,8 +150,13 @@
                 list_response(network, listed.load(Ordering::SeqCst))
             }),
             serve(network.address(STAND_INS, UPSTREAM), move |request| {
-                log.lock().unwrap().push(request.to_owned());
-                upstream_response(request)
+                let mut log = log.lock().unwrap();
+                let target = |text: &str| text.split(' ').nth(1).map(str::to_owned);
+                let earlier = log.iter().filter(|r| target(r) == target(request));
+                let earlier = earlier.count();
+                log.push(request.to_owned());
+                drop(log);
+                upstream_response(request, earlier)
             }),
         ];
         let home = tempfile::tempdir().unwrap();
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -7,3 +7,4 @@
 mod rollouts;
 mod standin;
 mod stops;
+mod truncation;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::fleet::{Network, STAND_INS, UPSTREAM, field};
 
 /// Reads a message whose body has a `Content-Length`; `None` if the connection ends first.
@@ -26,11 +28,47 @@
     Some(text)
 }
 
+/// What a stand-in does after the text of a response.
+pub enum End {
+    /// Closes the connection in order.
+    Close,
+    /// Resets the connection, once the text has had time to be read.
+    Reset,
+}
+
+/// Response of a stand-in.
+pub struct Answer {
+    text: String,
+    end: End,
+}
+
+impl From<String> for Answer {
+    fn from(text: String) -> Self {
+        Self {
+            text,
+            end: End::Close,
+        }
+    }
+}
+
+impl Answer {
+    fn send(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_all(self.text.as_bytes())?;
+        match self.end {
+            End::Close => Ok(()),
+            End::Reset => {
+                thread::sleep(Duration::from_millis(100));
+                SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
+            }
+        }
+    }
+}
+
 /// Serves requests with the responses that `answer` returns. Closes each connection after one
 /// response.
-pub fn serve(
+pub fn serve<A: Into<Answer>>(
     address: SocketAddr,
-    answer: impl Fn(&str) -> String + Send + Sync + 'static,
+    answer: impl Fn(&str) -> A + Send + Sync + 'static,
 ) -> TcpListener {
     let listener = TcpListener::bind(address).unwrap();
     let accepted = listener.try_clone().unwrap();
@@ -40,8 +78,12 @@
             let (mut stream, answer) = (stream.unwrap(), answer.clone());
             thread::spawn(move || {
                 if let Some(request) = read_message(&mut stream) {
+                    let answer: Answer = answer(&request).into();
                     // The caller may have closed its connection.
-                    stream.write_all(answer(&request).as_bytes()).ok();
+                    answer.send(&mut stream).ok();
+                    if let End::Reset = answer.end {
+                        return;
+                    }
                 }
                 stream.shutdown(Shutdown::Both).ok();
             });
@@ -60,11 +102,59 @@
 }
 
 /// Returns the response of the upstream stand-in, which depends on words in the request's target.
-pub fn upstream_response(request: &str) -> String {
+/// `earlier` is the number of requests with this target before this one.
+pub fn upstream_response(request: &str, earlier: usize) -> Answer {
+    let target = request.split(' ').nth(1).unwrap();
+    if target.contains("unframed") {
+        return unframed_response(request, target);
+    }
+    if target.starts_with("/resumable/") {
+        return resumable_response(request, earlier);
+    }
+    framed_response(request, target).into()
+}
+
+/// Returns a response that ends with its connection.
+fn unframed_response(request: &str, target: &str) -> Answer {
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let body = match target.rsplit('-').next() {
+        Some("whole" | "reset") => events,
+        Some("inside") => "id: 1\ndata: a\n\nid: 2\nda",
+        Some("empty") => "",
+        _ => "hello",
+    };
+    let rest = format!("Content-Type: text/event-stream\r\n\r\n{body}");
+    Answer {
+        text: signed_response(request, "200 OK", &rest),
+        end: match target.ends_with("reset") {
+            true => End::Reset,
+            false => End::Close,
+        },
+    }
+}
+
+/// Number of events of the stand-in's resumable streams.
+pub const RESUMABLE_EVENTS: u32 = 5;
+
+/// Returns a stream that continues after the request's last event. The first request of a target
+/// gets only the beginning of the next event.
+fn resumable_response(request: &str, earlier: usize) -> Answer {
+    let last = field(request, "last-event-id").map_or(0, |id| id.parse().unwrap());
+    let body = match earlier {
+        0 => format!("id: {}\nda", last + 1),
+        _ => (last + 1..=RESUMABLE_EVENTS)
+            .map(|id| format!("id: {id}\ndata: x\n\n"))
+            .collect(),
+    };
+    let rest = format!("Content-Type: text/event-stream\r\n\r\n{body}");
+    signed_response(request, "200 OK", &rest).into()
+}
+
+/// Returns a response with a length or in chunks.
+fn framed_response(request: &str, target: &str) -> String {
     if field(request, "x-gooseberrylb-expect-instance").as_deref() == Some(BAD) {
         return signed_response(request, "500 Oops", "Content-Length: 4\r\n\r\noops");
     }
-    let target = request.split(' ').nth(1).unwrap();
     if target.contains("garbage") {
         return "what is this\r\n\r\n".to_owned();
     }
@@ -123,8 +213,12 @@
         true => other_release(GOOD, "v2") + &other_release(BAD, "v3"),
         false => String::new(),
     };
+    let pair = instance.replace("desk", "pair");
+    let pair: String = ["i-5", "i-6"]
+        .map(|name| format!(r#"{{{pair},"state":"ready","id":"{name}"}},"#))
+        .concat();
     let body = format!(
-        r#"{{"instances":[{others}{{{instance},"state":"ready","id":"i-1"}},
+        r#"{{"instances":[{others}{pair}{{{instance},"state":"ready","id":"i-1"}},
             {{"service":"desk","address":7,"state":"ready","id":"i-2"}},
             {{{instance},"state":"resting","id":"i-3"}}],"next":null}}"#
     );
