Break off a stream that ends inside an event instead of completing it

Cause: a response with neither a length nor chunks ends with its connection. The relay took the end of the connection for the end of the response and wrote the last chunk, also where the upstream had crashed inside an event. A stream that was ended by its last chunk inside an event was completed as well, and one with a length could not be broken off, since its length had been passed on.

Change: a stream is complete only if no event is begun and, where its connection ends it, if it has at least one event. Otherwise it counts as broken: it is resumed where the route allows it, or the caller's connection is closed without the last chunk. Streams with a length are passed on in chunks.

--- a/gooseberrylb/src/gateway/events.rs
+++ b/gooseberrylb/src/gateway/events.rs
@@ -34,6 +34,11 @@
         &self.partial
     }
 
+    /// Whether an event has begun and is not complete. Empty lines after an event are none.
+    pub fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|b| !matches!(b, b'\r' | b'\n'))
+    }
+
     /// Drops the bytes of an incomplete event.
     pub fn drop_unfinished(&mut self) {
         self.partial.clear();
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -92,8 +92,9 @@
 /// Relays the response of `exchange` to the caller.
 ///
 /// A truncated response must not look complete, so the connection to the caller has to be closed
-/// unless the result is [`End::Whole`]. Of a resumable stream only complete events are relayed, so
-/// that another upstream can continue after the last one.
+/// unless the result is [`End::Whole`]. A stream that ends inside an event is truncated, whatever
+/// its framing says. Of a resumable stream only complete events are relayed, so that another
+/// upstream can continue after the last one.
 pub async fn relay(
     forwarder: &mut Forwarder,
     mut exchange: Box<Exchange>,
@@ -102,6 +103,8 @@
 ) -> Transfer {
     let chunked = forwarder.request.accepts_chunked;
     let framing = match exchange.response.framing {
+        // A length would have to be kept even if the stream turns out to be truncated.
+        Framing::Length(_) if forwarder.route.streams && chunked => Framing::Chunked,
         Framing::Length(length) => Framing::Length(length),
         Framing::Empty => Framing::Empty,
         Framing::Chunked | Framing::UntilClose if chunked => Framing::Chunked,
@@ -141,13 +144,10 @@
                 write_data(&mut out, framing, &data);
             }
         }
-        if progress == Progress::Done && framing == Framing::Chunked {
-            // Bytes after the last complete event are part of the response as well.
-            if resumable && !events.unfinished().is_empty() {
-                let rest = events.unfinished().to_vec();
-                write_data(&mut out, framing, &rest);
-            }
-            out.extend_from_slice(b"0\r\n\r\n");
+        let is_truncated = forwarder.route.streams && events.is_inside_event();
+        let is_whole = progress == Progress::Done && !is_truncated;
+        if is_whole {
+            write_end(&mut out, framing, resumable.then_some(&events));
         }
         if !out.is_empty() {
             if caller.write(&out).await.is_err() {
@@ -155,7 +155,7 @@
             }
             out.clear();
         }
-        if progress == Progress::Done {
+        if is_whole {
             let outcome =
                 served_outcome(exchange.sent_at, first, last, events.count - events_before);
             let address = exchange.grant.listed.address;
@@ -169,14 +169,17 @@
             exchange.grant.end(outcome);
             return transfer.finish(End::Whole, &events);
         }
-        let step = match broken {
+        let step = match broken || progress == Progress::Done {
             true => Step::Broken,
             false => wait_next(forwarder, &mut exchange.connection, caller).await,
         };
+        // Without a framing, a crash looks like the end of the stream.
+        let has_event = events.count > events_before;
         match step {
             Step::Bytes => {}
-            Step::End if body.ends_at_close() => {
-                if framing == Framing::Chunked && caller.write(b"0\r\n\r\n").await.is_err() {
+            Step::End if body.ends_at_close() && has_event && !is_truncated => {
+                write_end(&mut out, framing, resumable.then_some(&events));
+                if caller.write(&out).await.is_err() {
                     return transfer.finish(End::CallerGone, &events);
                 }
                 let outcome =
@@ -266,5 +269,17 @@
     }
 }
 
+/// Appends the end of a complete response to `out`, with the bytes that `held_back` has kept.
+fn write_end(out: &mut Vec<u8>, framing: Framing, held_back: Option<&Scanner>) {
+    if let Some(events) = held_back
+        && !events.unfinished().is_empty()
+    {
+        write_data(out, framing, events.unfinished());
+    }
+    if framing == Framing::Chunked {
+        out.extend_from_slice(b"0\r\n\r\n");
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -121,6 +121,7 @@
         Some("whole" | "reset") => events,
         Some("inside") => "id: 1\ndata: a\n\nid: 2\nda",
         Some("empty") => "",
+        Some("spaced") => "id: 1\ndata: a\n\n\n",
         _ => "hello",
     };
     let rest = format!("Content-Type: text/event-stream\r\n\r\n{body}");
@@ -181,6 +182,10 @@
         let event = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
                      f\r\nid: 1\ndata: a\n\n\r\n";
         return match target.contains("broken") {
+            true if target.ends_with("ended") => {
+                let partial = format!("{event}8\r\nid: 2\nda\r\n0\r\n\r\n");
+                signed_response(request, "200 OK", &partial)
+            }
             true => signed_response(request, "200 OK", event),
             false => signed_response(request, "200 OK", &format!("{event}0\r\n\r\n")),
         };
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -15,7 +15,11 @@
         whole.contains("data: b") && looks_complete(&whole),
         "{whole}"
     );
-    for target in ["/stream/unframed-inside", "/stream/unframed-reset"] {
+    let spaced = fleet.call("/stream/unframed-spaced", KEY);
+    assert!(looks_complete(&spaced), "{spaced}");
+    let truncated = ["unframed-inside", "unframed-reset", "broken-ended"];
+    for target in truncated.map(|name| format!("/stream/{name}")) {
+        let target = target.as_str();
         let broken = fleet.call(target, KEY);
         assert!(broken.contains("data: a"), "{target}: {broken}");
         assert!(!looks_complete(&broken), "{target}: {broken}");
