Resume a stream after the event that its caller has, not from the start

A caller that had resumed its own stream after event 25 got event 1 next.

Cause: where an upstream failed before the first event, the entry resumed at the next one after event 0, although the caller had said Last-Event-Id: 25. So the response joined the caller's events with those of a run from the start.

Ruled out: joined bytes of the first upstream's partial event, which was dropped.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -357,8 +357,8 @@
         Ok(Delivery::Buffered(response, body))
     }
 
-    /// Resumes a stream at another upstream after `last_event`, the last event that was relayed.
-    pub async fn resume(&mut self, last_event: Option<u64>) -> Option<Box<Exchange>> {
+    /// Resumes a stream at another upstream after `last_event`, the last event that the caller has.
+    pub async fn resume(&mut self, last_event: u64) -> Option<Box<Exchange>> {
         if let Some(upstream) = self.last_upstream.clone() {
             self.excluded.push(upstream);
         }
@@ -369,7 +369,7 @@
             return None;
         };
         let upstream = grant.upstream.clone();
-        let result = self.attempt(grant, last_event.or(Some(0))).await;
+        let result = self.attempt(grant, Some(last_event)).await;
         self.last_upstream = Some(upstream);
         match result {
             Ok(Delivery::Streamed(exchange)) => Some(exchange),
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -196,9 +196,11 @@
                     "the upstream failed during a response"
                 );
                 exchange.grant.end(Outcome::Failed);
+                let resumed_after = forwarder.metadata.last_event;
+                let last_event = events.last_id.or(resumed_after).unwrap_or(0);
                 let resumed = match resumable {
                     true => {
-                        let resuming = std::pin::pin!(forwarder.resume(events.last_id));
+                        let resuming = std::pin::pin!(forwarder.resume(last_event));
                         let caller_gone = std::pin::pin!(caller.closed());
                         match futures::future::select(resuming, caller_gone).await {
                             Either::Left((resumed, _)) => resumed,
@@ -211,7 +213,7 @@
                     return transfer.finish(End::Broken, &events);
                 };
                 log::info!(
-                    id = forwarder.id(), upstream:% = resumed.grant.upstream, last = events.last_id.unwrap_or(0);
+                    id = forwarder.id(), upstream:% = resumed.grant.upstream, last = last_event;
                     "another upstream resumes the stream"
                 );
                 events.drop_unfinished();
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -1,7 +1,13 @@
 //! Responses that upstreams break off.
 
+use std::thread;
+use std::time::Duration;
+
 use crate::fleet::{Fleet, KEY};
 
+/// Time in which the retry budget earns more than one retry.
+const RETRY_REFILL: Duration = Duration::from_secs(1);
+
 /// Whether a chunked response has its last chunk.
 fn looks_complete(answer: &str) -> bool {
     answer.ends_with("\r\n0\r\n\r\n")
@@ -27,3 +33,25 @@
     let empty = fleet.call("/stream/unframed-empty", KEY);
     assert!(!looks_complete(&empty), "{empty}");
 }
+
+/// Returns the ids of the events in a response.
+fn event_ids(answer: &str) -> Vec<u32> {
+    let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
+#[test]
+fn caller_that_resumes_a_stream_gets_no_event_twice_when_the_next_upstream_fails_first() {
+    let fleet = Fleet::start(7);
+    // The retry budget of an entry is empty at its start.
+    let mut attempt = 0;
+    fleet.wait(|fleet| {
+        attempt += 1;
+        let from_start = fleet.call(&format!("/resumable/{attempt}"), KEY);
+        looks_complete(&from_start) && event_ids(&from_start) == [1, 2, 3, 4, 5]
+    });
+    thread::sleep(RETRY_REFILL);
+    let resumed = fleet.call("/resumable/again", &format!("{KEY}Last-Event-Id: 3\r\n"));
+    assert_eq!(event_ids(&resumed), [4, 5], "{resumed}");
+    assert!(looks_complete(&resumed), "{resumed}");
+}
