Reset the connection of a caller without chunks whose response is truncated

What callers see: an HTTP/1.0 caller gets a stream that ends with its connection. Where the upstream failed, the entry closed that connection in order, so that the truncated stream looked complete. Found by reading.

Change: while such a response is relayed, any close of the connection resets it, also by the end of the process; a whole response is closed in order.

The test fails before: the caller reads "id: 1, data: a" and an orderly end. Covered as well: a plain response without a framing is whole if its connection ends in order, and 502 if it is reset (held before).

--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -10,6 +10,7 @@
 use async_std::io::{Read, WriteExt};
 use async_std::net::TcpStream;
 use gooseberrylb_config::dialect::Field;
+use socket2::SockRef;
 use thiserror::Error;
 
 pub use body::{Body, Progress};
@@ -380,6 +381,15 @@
         (&self.stream).write_all(bytes).await
     }
 
+    /// Sets whether closing the connection resets it, so that the peer does not take its end for
+    /// the end of a response.
+    pub fn reset_on_close(&self, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
+            log::warn!(error:% = error, resets; "setting the linger time of a connection failed");
+        }
+    }
+
     /// Waits until the peer has closed the connection. Does not return while there are bytes to
     /// read.
     pub async fn closed(&self) {
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -92,24 +92,51 @@
 /// Relays the response of `exchange` to the caller.
 ///
 /// A truncated response must not look complete, so the connection to the caller has to be closed
-/// unless the result is [`End::Whole`]. A stream that ends inside an event is truncated, whatever
-/// its framing says. Of a resumable stream only complete events are relayed, so that another
-/// upstream can continue after the last one.
+/// unless the result is [`End::Whole`].
 pub async fn relay(
     forwarder: &mut Forwarder,
-    mut exchange: Box<Exchange>,
+    exchange: Box<Exchange>,
     caller: &mut Connection,
     closes: bool,
 ) -> Transfer {
+    let framing = caller_framing(forwarder, exchange.response.framing);
+    let ends_at_close = framing == Framing::UntilClose;
+    if ends_at_close {
+        // Holds for the end of this process as well.
+        caller.reset_on_close(true);
+    }
+    let transfer = relay_body(forwarder, exchange, caller, framing, closes).await;
+    if ends_at_close && transfer.end == End::Whole {
+        caller.reset_on_close(false);
+    }
+    transfer
+}
+
+/// Returns the framing of the response to the caller, given that of the upstream.
+fn caller_framing(forwarder: &Forwarder, upstream: Framing) -> Framing {
     let chunked = forwarder.request.accepts_chunked;
-    let framing = match exchange.response.framing {
+    match upstream {
         // A length would have to be kept even if the stream turns out to be truncated.
         Framing::Length(_) if forwarder.route.streams && chunked => Framing::Chunked,
         Framing::Length(length) => Framing::Length(length),
         Framing::Empty => Framing::Empty,
         Framing::Chunked | Framing::UntilClose if chunked => Framing::Chunked,
         Framing::Chunked | Framing::UntilClose => Framing::UntilClose,
-    };
+    }
+}
+
+/// Relays a response with its head.
+///
+/// A stream that ends inside an event is truncated, whatever its framing says. Of a resumable
+/// stream only complete events are relayed, so that another upstream can continue after the last
+/// one.
+async fn relay_body(
+    forwarder: &mut Forwarder,
+    mut exchange: Box<Exchange>,
+    caller: &Connection,
+    framing: Framing,
+    closes: bool,
+) -> Transfer {
     let resumable = forwarder.route.retry == Retry::Resume && forwarder.route.streams;
     let mut events = Scanner::default();
     let mut out = response_head(&exchange.response, framing, closes);
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -286,6 +286,19 @@
         self.send(ENTRY, CALLERS, &request).unwrap()
     }
 
+    /// Sends a caller's request in HTTP/1.0 and reads until the connection ends in order.
+    pub fn call_http_1_0(&self, target: &str) -> std::io::Result<String> {
+        let request = format!(
+            "GET {target} HTTP/1.0\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-1\r\n{KEY}\r\n"
+        );
+        let mut stream = TcpStream::connect(self.network.address(ENTRY, CALLERS))?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        stream.write_all(request.as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    }
+
     /// Sends a caller's request and returns the status code of the response.
     pub fn status(&self, target: &str) -> String {
         let answer = self.call(target, KEY);
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -1,5 +1,6 @@
 //! Responses that upstreams break off.
 
+use std::io::ErrorKind;
 use std::thread;
 use std::time::Duration;
 
@@ -55,3 +56,23 @@
     assert_eq!(event_ids(&resumed), [4, 5], "{resumed}");
     assert!(looks_complete(&resumed), "{resumed}");
 }
+
+#[test]
+fn caller_without_chunks_sees_a_reset_where_a_stream_is_truncated() {
+    let fleet = Fleet::start(8);
+    let whole = fleet.call_http_1_0("/stream/unframed-whole").unwrap();
+    assert!(whole.ends_with("data: b\n\n"), "{whole}");
+    for target in ["/stream/broken", "/stream/unframed-inside"] {
+        let error = fleet.call_http_1_0(target).unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{target}");
+    }
+}
+
+#[test]
+fn plain_response_without_framing_is_whole_unless_its_connection_is_reset() {
+    let fleet = Fleet::start(9);
+    let whole = fleet.call("/plain/unframed-text", KEY);
+    assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+    assert!(whole.ends_with("Content-Length: 5\r\nConnection: close\r\n\r\nhello"));
+    assert_eq!(fleet.status("/plain/unframed-reset"), "502");
+}
