Report a plain response as lost if it ends before its stated length

What callers of the own interface saw: a response of a plain service whose connection ended after 4 of 10 bytes came as a served one, and the connection went back to the pool.

Cause: the HTTP library ends a truncated body like a complete one, and the caller of the library did not compare the length.

Change: the reader of a response counts down the stated length and reports a truncated body as lost, so that the caller is told `unknown`, not `served`.

Chunked responses and engines' streams, which have a last line, were reported correctly before.

--- a/gooseberrylb/src/upstream/plain.rs
+++ b/gooseberrylb/src/upstream/plain.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services, which get the caller's body unchanged.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,14 +37,29 @@
 /// The part of a response body that has not been read yet.
 pub struct Rest {
     body: Body,
+    /// Number of bytes that are still to come, if the response states a length.
+    left: Option<usize>,
 }
 
 impl Rest {
-    /// Reads the next chunk; an empty chunk is the end of the body.
+    fn new(body: Body) -> Self {
+        let left = body.len();
+        Self { body, left }
+    }
+
+    /// Reads the next chunk; an empty chunk is the end of the body. Fails if the connection ends
+    /// before the stated length.
     pub async fn next(&mut self) -> Result<Vec<u8>, Error> {
         let mut buffer = vec![0; 16 * 1024];
         let length = self.body.read(&mut buffer).await.map_err(Error::Lost)?;
         buffer.truncate(length);
+        if let Some(left) = &mut self.left {
+            // The library ends a truncated body like a complete one.
+            if length == 0 && *left > 0 {
+                return Err(Error::Lost(io::ErrorKind::UnexpectedEof.into()));
+            }
+            *left = left.saturating_sub(length);
+        }
         Ok(buffer)
     }
 }
@@ -82,12 +98,11 @@
         .response
         .header("Content-Type")
         .map(|v| v.as_str().into());
-    let mut body = exchange.response.take_body();
+    let mut rest = Rest::new(exchange.response.take_body());
     let mut received = Vec::new();
-    let mut buffer = vec![0; 16 * 1024];
     while received.len() < MAX_BUFFERED_BYTES {
-        let length = body.read(&mut buffer).await.map_err(Error::Lost)?;
-        if length == 0 {
+        let chunk = rest.next().await?;
+        if chunk.is_empty() {
             exchange.recycle();
             return Ok(Reply {
                 status,
@@ -95,11 +110,11 @@
                 content: Content::Complete(received),
             });
         }
-        received.extend_from_slice(&buffer[..length]);
+        received.extend_from_slice(&chunk);
     }
     Ok(Reply {
         status,
         content_type,
-        content: Content::Partial(received, Rest { body }),
+        content: Content::Partial(received, rest),
     })
 }
