Refuse a request of the own interface that ends before its stated length

What callers saw: a request whose connection ended within its body was kept from running only because the entry notices callers that hang up; it answered 503 `hung_up`. A caller that is slow to be seen gone would have had a truncated request run.

--- a/gooseberrylb/src/entry/incoming.rs
+++ b/gooseberrylb/src/entry/incoming.rs
@@ -235,7 +235,8 @@
         refuse(StatusCode::PayloadTooLarge, "body_too_large", message)
             .with_finding("body", "send a smaller body, or raise limits.body_bytes")
     };
-    if request.len().is_some_and(|length| length > limit) {
+    let stated = request.len();
+    if stated.is_some_and(|length| length > limit) {
         return Err(too_large());
     }
     let mut body = Vec::new();
@@ -243,6 +244,11 @@
     let receive_timeout = Duration::from_millis(entry.limits.receive_ms);
     match future::timeout(receive_timeout, bounded.read_to_end(&mut body)).await {
         Ok(Ok(_)) if body.len() > limit => Err(too_large()),
+        // The library ends a truncated body like a complete one.
+        Ok(Ok(length)) if stated.is_some_and(|stated| length < stated) => {
+            let message = "the body ended before its stated length";
+            Err(refuse(StatusCode::BadRequest, "bad_body", message))
+        }
         Ok(Ok(_)) => Ok(body.into()),
         Ok(Err(error)) => {
             let message = format!("the body cannot be read: {error}");
--- a/gooseberrylb_testbed/tests/whole_path.rs
+++ b/gooseberrylb_testbed/tests/whole_path.rs
@@ -2,8 +2,11 @@
 //! upstream and back, with instances as separate processes and a release note that routes the
 //! requests.
 
+use std::net::Shutdown;
 use std::time::Duration;
 
+use async_std::io::prelude::*;
+use async_std::net::TcpStream;
 use gooseberrylb_config::note::Note;
 use gooseberrylb_testbed::client::caller::Call;
 use gooseberrylb_testbed::client::tally::Check;
@@ -82,3 +85,24 @@
         .sum();
     assert_eq!(ran, 0);
 }
+
+#[async_std::test]
+async fn request_that_ends_before_its_stated_length_is_not_run() {
+    let (fleet, upstreams) = start().await;
+    let entry = fleet.instances().iter().next().unwrap();
+    let head = "POST /v1/services/comando/start HTTP/1.1\r\nHost: a\r\n\
+        Client-Account: cascina-rossi\r\nIdempotency-Key: half\r\nContent-Length: 10\r\n\r\n";
+    let mut stream = TcpStream::connect(entry.callers()).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(b"half").await.unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("bad_body"), "{answer}");
+    let ran: usize = upstreams
+        .services()
+        .map(|(_, s)| s.executions().len())
+        .sum();
+    assert_eq!(ran, 0, "{answer}");
+}
