Give up responses of upstreams that never end

What callers see: nothing of theirs is answered. Interim responses or trailers without end kept the entry's reader in a loop without a wait, so that the one thread of the gateway served nobody, and no time limit was noticed. An event without end was kept in memory and searched again from its start at each read.

Cause: limits held a line or a head, not the sum of them; a reader whose peer is fast enough never waits, so that no timer runs.

Change: interim heads count towards the limit of a response's head, trailers have a limit together, an event may have 256 KiB, and a reader yields after 16 reads without a wait. Bodies that are not streams are no longer searched for events; a large one was kept whole by that.

--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -26,7 +26,11 @@
 /// Maximum capacity in bytes of the read buffer that a connection keeps while it is empty.
 const MAX_IDLE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Maximum size in bytes of the head of a response.
+/// Number of consecutive reads without waiting after which a reader yields to other tasks, which
+/// share its thread.
+const MAX_READY_READS: u32 = 16;
+
+/// Maximum size in bytes of the head of a response, with those of interim responses before it.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
 /// Reason why a message could not be read.
@@ -323,6 +327,8 @@
     start: usize,
     /// Whether the connection may serve further messages.
     reusable: bool,
+    /// Number of reads since the last one that had to wait.
+    ready_reads: u32,
 }
 
 impl Connection {
@@ -334,6 +340,7 @@
             buffer: Vec::new(),
             start: 0,
             reusable: true,
+            ready_reads: 0,
         }
     }
 
@@ -358,6 +365,11 @@
     /// Cancel safe: no bytes are lost if the future is dropped.
     pub async fn fill(&mut self) -> io::Result<usize> {
         futures::future::poll_fn(|context| {
+            if self.ready_reads >= MAX_READY_READS {
+                self.ready_reads = 0;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             if self.start > 0 {
                 self.buffer.drain(..self.start);
                 self.start = 0;
@@ -371,6 +383,10 @@
                 Poll::Ready(Err(_)) | Poll::Pending => 0,
             };
             self.buffer.truncate(length + count);
+            self.ready_reads = match &read {
+                Poll::Ready(_) => self.ready_reads + 1,
+                Poll::Pending => 0,
+            };
             read
         })
         .await
@@ -453,20 +469,20 @@
 
     /// Reads the head of a response and skips interim responses (1xx).
     pub async fn read_response(&mut self, for_head_request: bool) -> Result<Response, Error> {
+        let mut skipped = 0;
         loop {
             if let Some((response, length)) = Response::parse(self.unread(), for_head_request)? {
                 self.consume(length);
                 if response.status >= 200 {
                     return Ok(response);
                 }
-                continue;
+                skipped += length;
+            } else if self.fill().await? == 0 {
+                return Err(Error::Ended);
             }
-            if self.unread().len() > MAX_RESPONSE_HEAD_BYTES {
+            if skipped + self.unread().len() > MAX_RESPONSE_HEAD_BYTES {
                 return Err(Error::HeadTooLarge(MAX_RESPONSE_HEAD_BYTES));
             }
-            if self.fill().await? == 0 {
-                return Err(Error::Ended);
-            }
         }
     }
 
--- a/gooseberrylb/src/gateway/http/body.rs
+++ b/gooseberrylb/src/gateway/http/body.rs
@@ -5,7 +5,7 @@
 /// Maximum length in bytes of a chunk size line, including extensions.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
 
-/// Maximum length in bytes of a line in the trailer section.
+/// Maximum size in bytes of the trailer section.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// Progress of a decoder.
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub struct Body {
     state: State,
+    /// Size in bytes of the lines read from the trailer section.
+    trailer_bytes: usize,
 }
 
 impl Body {
@@ -51,7 +53,10 @@
             Framing::Chunked => State::Size,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            trailer_bytes: 0,
+        }
     }
 
     /// Whether the body ends when the connection is closed.
@@ -108,9 +113,13 @@
                     }
                     None => return Ok((used, Progress::More)),
                 },
-                State::Trailer => match read_line(rest, MAX_TRAILER_BYTES)? {
+                State::Trailer => match read_line(rest, MAX_TRAILER_BYTES - self.trailer_bytes)? {
                     Some(line) => {
                         used += line.len() + 2;
+                        self.trailer_bytes += line.len() + 2;
+                        if self.trailer_bytes > MAX_TRAILER_BYTES {
+                            return Err(Error::Malformed("the trailer section is too long"));
+                        }
                         if line.is_empty() {
                             self.state = State::Done;
                         }
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -137,7 +137,8 @@
     framing: Framing,
     closes: bool,
 ) -> Transfer {
-    let resumable = forwarder.route.retry == Retry::Resume && forwarder.route.streams;
+    let streams = forwarder.route.streams;
+    let resumable = streams && forwarder.route.retry == Retry::Resume;
     let mut events = Scanner::default();
     let mut out = response_head(&exchange.response, framing, closes);
     let mut body = Body::new(exchange.response.framing);
@@ -160,18 +161,21 @@
             transfer.record_part(last, now);
             last = now;
             first.get_or_insert(last);
-            let pending = events.unfinished().to_vec();
-            let complete = events.scan(&data);
             if resumable {
+                let pending = events.unfinished().to_vec();
+                let complete = events.scan(&data);
                 if complete > 0 {
                     let parts = [&pending[..], &data[..complete]];
                     write_data(&mut out, framing, &parts.concat());
                 }
             } else {
+                if streams {
+                    events.scan(&data);
+                }
                 write_data(&mut out, framing, &data);
             }
         }
-        let is_truncated = forwarder.route.streams && events.is_inside_event();
+        let is_truncated = events.is_inside_event();
         let is_whole = progress == Progress::Done && !is_truncated;
         if is_whole {
             write_end(&mut out, framing, resumable.then_some(&events));
@@ -196,7 +200,8 @@
             exchange.grant.end(outcome);
             return transfer.finish(End::Whole, &events);
         }
-        let step = match broken || progress == Progress::Done {
+        let is_over = progress == Progress::Done || events.is_event_too_large();
+        let step = match broken || is_over {
             true => Step::Broken,
             false => wait_next(forwarder, &mut exchange.connection, caller).await,
         };
--- a/gooseberrylb/tests/framing.rs
+++ b/gooseberrylb/tests/framing.rs
@@ -1,5 +1,9 @@
 //! Parsing of heads, bodies and events that arrive over a socket in pieces of different sizes.
 
+use std::future::Future;
+use std::io::Write;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 use async_std::io::WriteExt;
@@ -28,6 +32,34 @@
     Connection::new(listener.accept().await.unwrap().0)
 }
 
+/// Returns a connection whose peer writes `head` and then `repeated` again and again until the
+/// connection is closed.
+async fn endless_connection(head: &'static [u8], repeated: &'static [u8]) -> Connection {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        let bytes = repeated.repeat(64 * 1024 / repeated.len());
+        let mut written = stream.write_all(head);
+        while written.is_ok() {
+            written = stream.write_all(&bytes);
+        }
+    });
+    Connection::new(listener.accept().await.unwrap().0)
+}
+
+/// Runs `task` on a thread of its own, so that one that never gives up the thread is noticed.
+fn run_with_watchdog(task: impl Future<Output = ()> + Send + 'static) {
+    let (done, ended) = mpsc::channel();
+    thread::spawn(move || {
+        task::block_on(task);
+        done.send(()).unwrap();
+    });
+    ended
+        .recv_timeout(Duration::from_secs(30))
+        .expect("the task ends");
+}
+
 /// Reads a request and returns the framing and content of its body.
 async fn read_request_body(bytes: &'static [u8], size: usize) -> Result<(Framing, Vec<u8>), Error> {
     let mut connection = connection(bytes, size).await;
@@ -187,3 +219,80 @@
         assert_eq!(relayed, stream[..stream.len() - b"id: 3\ndata: br".len()]);
     }
 }
+
+#[test]
+fn heads_and_trailers_without_end_are_rejected() {
+    run_with_watchdog(async {
+        let heads: [(&'static [u8], &'static [u8]); 4] = [
+            (b"", b"what is this"),
+            (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+            (b"HTTP/1.1 200 OK\r\nA: ", b"b"),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ];
+        for (head, repeated) in heads {
+            let mut connection = endless_connection(head, repeated).await;
+            let result = connection.read_response(false).await;
+            assert!(
+                matches!(result, Err(Error::Malformed(_) | Error::HeadTooLarge(_))),
+                "{result:?}"
+            );
+        }
+        let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        let mut connection = endless_connection(chunked, b"A: b\r\n").await;
+        let response = connection.read_response(false).await.unwrap();
+        let result = connection.read_body(response.framing, MAX_BYTES).await;
+        assert!(matches!(result, Err(Error::Malformed(_))), "{result:?}");
+    });
+}
+
+#[test]
+fn body_without_end_is_rejected_at_its_size_limit() {
+    run_with_watchdog(async {
+        let heads: [(&'static [u8], &'static [u8]); 2] = [
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"1\r\nx\r\n",
+            ),
+        ];
+        for (head, repeated) in heads {
+            let mut connection = endless_connection(head, repeated).await;
+            let response = connection.read_response(false).await.unwrap();
+            let result = connection.read_body(response.framing, MAX_BYTES).await;
+            assert!(matches!(result, Err(Error::BodyTooLarge(_))), "{result:?}");
+        }
+    });
+}
+
+#[test]
+fn reader_of_bytes_without_end_yields_to_other_tasks() {
+    const AVAILABLE_BYTES: usize = 512 * 1024;
+    run_with_watchdog(async {
+        let mut connection = endless_connection(b"", b"x").await;
+        // The peer fills the buffers of the connection meanwhile.
+        task::sleep(Duration::from_millis(300)).await;
+        let mut total = 0;
+        let reading = async {
+            while total < AVAILABLE_BYTES {
+                let count = connection.fill().await.unwrap();
+                connection.consume(count);
+                total += count;
+            }
+        };
+        let polled = futures::poll!(std::pin::pin!(reading));
+        assert!(polled.is_pending());
+        assert!((1..=128 * 1024).contains(&total), "{total}");
+    });
+}
+
+#[test]
+fn event_without_end_exceeds_its_size_limit() {
+    let mut scanner = Scanner::default();
+    let part = [b'x'; 4096];
+    let parts = (0..1_000).take_while(|_| {
+        scanner.scan(&part);
+        !scanner.is_event_too_large()
+    });
+    let parts = parts.count();
+    assert!((1..100).contains(&parts), "{parts}");
+}
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -34,6 +34,8 @@
     Close,
     /// Resets the connection, once the text has had time to be read.
     Reset,
+    /// Repeats a text until the peer closes the connection.
+    Endless(&'static str),
 }
 
 /// Response of a stand-in.
@@ -60,6 +62,12 @@
                 thread::sleep(Duration::from_millis(100));
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
             }
+            End::Endless(text) => {
+                let bytes = text.repeat(64 * 1024 / text.len());
+                loop {
+                    stream.write_all(bytes.as_bytes())?;
+                }
+            }
         }
     }
 }
@@ -108,6 +116,9 @@
     if target.contains("unframed") {
         return unframed_response(request, target);
     }
+    if let Some((_, place)) = target.split_once("endless-") {
+        return endless_response(request, place);
+    }
     if target.starts_with("/resumable/") {
         return resumable_response(request, earlier);
     }
@@ -134,6 +145,25 @@
     }
 }
 
+/// Returns bytes without end at a place of a response.
+fn endless_response(request: &str, place: &str) -> Answer {
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    let (text, repeated) = match place {
+        "garbage" => (String::new(), "what is this"),
+        "interim" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        "fields" => (signed_response(request, "200 OK", ""), "A: b\r\n"),
+        "trailers" => {
+            let rest = format!("{chunked}f\r\nid: 1\ndata: a\n\n\r\n0\r\n");
+            (signed_response(request, "200 OK", &rest), "A: b\r\n")
+        }
+        _ => (signed_response(request, "200 OK", "\r\n"), "data: x"),
+    };
+    Answer {
+        text,
+        end: End::Endless(repeated),
+    }
+}
+
 /// Number of events of the stand-in's resumable streams.
 pub const RESUMABLE_EVENTS: u32 = 5;
 
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -1,4 +1,4 @@
-//! Responses that upstreams break off.
+//! Responses that upstreams break off or never end.
 
 use std::io::ErrorKind;
 use std::thread;
@@ -76,3 +76,21 @@
     assert!(whole.ends_with("Content-Length: 5\r\nConnection: close\r\n\r\nhello"));
     assert_eq!(fleet.status("/plain/unframed-reset"), "502");
 }
+
+#[test]
+fn response_without_end_is_given_up_and_others_are_served_meanwhile() {
+    let fleet = Fleet::start(3);
+    for place in ["garbage", "interim", "fields", "trailers", "body"] {
+        let plain = format!("/plain/endless-{place}");
+        let stream = format!("/stream/endless-{place}");
+        thread::scope(|scope| {
+            let calls = [&plain, &stream].map(|target| scope.spawn(|| fleet.call(target, KEY)));
+            assert_eq!(fleet.status("/plain/other"), "201");
+            let [plain, stream] = calls.map(|call| call.join().unwrap());
+            assert!(plain.starts_with("HTTP/1.1 502"), "{place}: {plain}");
+            assert!(!looks_complete(&stream), "{place}: {stream}");
+        });
+    }
+    // The connections to the upstream have been closed, so that its slots are free again.
+    assert_eq!(fleet.status("/plain/after"), "201");
+}
