End a plain response without end when its caller has hung up

What upstreams see: an entry went on reading a response of a plain service for as long as the upstream sent, with a slot of it taken, after the caller had gone.

Change: the transfer ends after the same grace as a stream's, as cancelled.

The test fails before: the upstream still writes 30 s later.

--- a/gooseberrylb/src/entry/relay.rs
+++ b/gooseberrylb/src/entry/relay.rs
@@ -385,8 +385,18 @@
 ) {
     chunks.send(Ok(received)).await.ok();
     let version = Some(attempt.grant.version.clone());
+    // A response without end must not outlive its caller.
+    let mut hang_up: HangUp = hang_up_after_grace(attempt.incoming.clone()).boxed().fuse();
     loop {
-        match rest.next().await {
+        let next = futures::select! {
+            next = rest.next().fuse() => next,
+            () = hang_up => {
+                report.with_cancellation().send(&attempt.entry, Outcome::Unknown);
+                let verdict = Verdict::unknown(version);
+                return account::count(&attempt.entry, &attempt.incoming, &verdict);
+            }
+        };
+        match next {
             Ok(chunk) if chunk.is_empty() => {
                 let figures = *report.figures();
                 report.send(&attempt.entry, Outcome::Served);
--- a/gooseberrylb_testbed/tests/whole_path.rs
+++ b/gooseberrylb_testbed/tests/whole_path.rs
@@ -5,8 +5,10 @@
 use std::net::Shutdown;
 use std::time::Duration;
 
+use async_std::future;
 use async_std::io::prelude::*;
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
+use gooseberrylb_config::id;
 use gooseberrylb_config::note::Note;
 use gooseberrylb_testbed::client::caller::Call;
 use gooseberrylb_testbed::client::tally::Check;
@@ -23,11 +25,16 @@
 async fn start() -> (Fleet, Upstreams) {
     let mut note = Note::parse(NOTE).unwrap();
     let upstreams = Upstreams::start(&mut note).await.unwrap();
+    (start_fleet(&note).await, upstreams)
+}
+
+/// Starts instances with `note` in force.
+async fn start_fleet(note: &Note) -> Fleet {
     let fleet = Builder::new(PROGRAM).start().await.unwrap();
     let operator = fleet.operator();
     operator.submit(&json!(note)).await.unwrap();
     operator.wait_in_force(note.note.0, TIMEOUT).await.unwrap();
-    (fleet, upstreams)
+    fleet
 }
 
 #[async_std::test]
@@ -106,3 +113,43 @@
         .sum();
     assert_eq!(ran, 0, "{answer}");
 }
+
+#[async_std::test]
+async fn response_without_end_does_not_outlive_its_caller() {
+    let mut note = Note::parse(NOTE).unwrap();
+    let _upstreams = Upstreams::start(&mut note).await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = |name: &id::Upstream| name.as_str() == "comando-02";
+    note.added
+        .upstreams
+        .retain(|upstream| !second(&upstream.name));
+    for version in &mut note.added.versions {
+        version.upstreams.retain(|name| !second(name));
+    }
+    for upstream in &mut note.added.upstreams {
+        if upstream.name.as_str() == "comando-01" {
+            upstream.address = listener.local_addr().unwrap();
+        }
+    }
+    let fleet = start_fleet(&note).await;
+    let entry = fleet.instances().iter().next().unwrap();
+    let request = "POST /v1/services/comando/reading HTTP/1.1\r\nHost: a\r\n\
+        Client-Account: cascina-rossi\r\nContent-Length: 1\r\n\r\nx";
+    let mut caller = TcpStream::connect(entry.callers()).await.unwrap();
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let (mut upstream, _) = listener.accept().await.unwrap();
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    upstream.write_all(head.as_bytes()).await.unwrap();
+    let bytes = vec![b'x'; 64 * 1024];
+    for _ in 0..4 {
+        upstream.write_all(&bytes).await.unwrap();
+    }
+    let mut answer = vec![0; 100];
+    caller.read_exact(&mut answer).await.unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 200"));
+    drop(caller);
+    let ended = future::timeout(TIMEOUT, async {
+        while upstream.write_all(&bytes).await.is_ok() {}
+    });
+    ended.await.expect("the entry closes the connection");
+}
