Send nothing to upstreams that say they leave, or want no request for a while

One that turns a request away with 503 may say for how long it wants nothing; BUDGET holds meanwhile. No code read either field.

Change: the adapter decodes both into a Statement of the response; values that cannot be read are ignored and logged, huge ones bounded. An entry keeps what it was told, excludes these upstreams from its requests, and tells its dispatcher, also a new one; a shard's dispatcher tells the others. The dispatcher grants nothing there, has requests wait if all upstreams open soon, and refuses with the time until the first opens otherwise; an upstream whose time is over gets one request until it has served it. The leader marks a leaving upstream as draining in the list, so that entries on their own learn of it as of any change. A new name starts clean, and so does one that the list shows as ready again after it had left. Pure code: policy availability.

Ruled out: reading the field from callers' requests; only responses count, and none with 421, which another upstream at the address sends.

Tests: eight plays of the dispatcher and the table, the adapter's decoding, and real processes with an upstream that says each, in touch, with the keepers stopped, and over a takeover.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -13,6 +13,7 @@
 use gooseberrylb_config::directory::{self, Directory};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_policy::availability::{Announcement, Listing};
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, share,
 };
@@ -105,6 +106,10 @@
                 Scope::Shard(name) => Part::Shard(name),
             };
             refresh(core, &directory, &mut dispatcher, &part, now);
+            if !core.is_leading() {
+                // The leader compares with the list itself, which is newer.
+                dispatcher.update_listing(|name| listing(&directory, name), now);
+            }
             dispatcher.retain_entries(|entry| directory.instances.contains_key(entry), now);
         }
         true
@@ -163,6 +168,47 @@
         }
     }
 
+    /// Takes over what upstreams said of their availability, as told by an entry or by the
+    /// dispatcher of another shard. What an entry tells is passed on to the other shards, whose
+    /// upstreams it may concern.
+    fn announce(&self, core: &Rc<Core>, from: &id::Instance, announcements: Vec<Announcement>) {
+        if !self.prepare(core) {
+            return;
+        }
+        let now = core.clock.now();
+        for announcement in &announcements {
+            log::info!(
+                upstream:% = announcement.upstream, service:% = announcement.service, from:% = from,
+                leaving = announcement.leaving,
+                closed_ms = announcement.closed_for.map_or(0, |time| time.as_millis() as u64);
+                "an upstream wants no requests"
+            );
+        }
+        self.dispatcher.borrow_mut().announce(&announcements, now);
+        let directory = core.feed.borrow().directory().clone();
+        let is_entry = directory.instances.get(from).is_some_and(|i| i.entry);
+        let plan = core.plan(&directory);
+        if !is_entry || !plan.is_divided() {
+            return;
+        }
+        let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
+        for name in dispatchers.filter(|name| **name != core.identity.name) {
+            if let Some(session) = self.peer(core, name) {
+                session.announce(announcements.clone());
+            }
+        }
+    }
+
+    /// Whether an upstream has said that it leaves, as far as known here.
+    pub fn is_leaving(&self, upstream: &id::Upstream) -> bool {
+        self.dispatcher.borrow().is_leaving(upstream)
+    }
+
+    /// Compares what upstreams said of their availability with the list.
+    pub fn update_listing(&self, listing: impl Fn(&id::Upstream) -> Listing, now: Instant) {
+        self.dispatcher.borrow_mut().update_listing(listing, now);
+    }
+
     /// Returns what was observed of a service's rollout, while this instance dispatches the fleet.
     pub fn rollout_observation(
         &self,
@@ -265,6 +311,7 @@
             term: None,
         };
         let session = Rc::new(Session::open(core, address, dispatcher));
+        session.announce(self.dispatcher.borrow().announcements(now));
         peers.insert(name.clone(), (session.clone(), now));
         Some(session)
     }
@@ -344,6 +391,15 @@
     }
 }
 
+/// Returns the state of an upstream in the replicated list.
+pub fn listing(directory: &Directory, upstream: &id::Upstream) -> Listing {
+    match directory.listed.get(upstream) {
+        None => Listing::Absent,
+        Some(listed) if listed.draining => Listing::Draining,
+        Some(_) => Listing::Ready,
+    }
+}
+
 /// Returns the requests that this instance dispatches, if any.
 fn scope(core: &Core, directory: &Directory) -> Option<Scope> {
     let plan = core.plan(directory);
--- a/gooseberrylb/src/control/dispatch/session.rs
+++ b/gooseberrylb/src/control/dispatch/session.rs
@@ -59,6 +59,10 @@
                 core.dispatch.adopt_summary(&core, &entry, summary);
                 None
             }
+            Question::Announce(announcements) => {
+                core.dispatch.announce(&core, &entry, announcements);
+                None
+            }
         };
         if let Some(answer) = answer
             && (answers.len() >= MAX_ANSWERS || answers.try_send(answer).is_err())
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -13,6 +13,7 @@
 use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::id;
 use gooseberrylb_control::state::Command;
+use gooseberrylb_policy::availability::Listing;
 
 use super::core::Core;
 use super::lead;
@@ -51,7 +52,7 @@
                 if !std::mem::replace(&mut readable, true) {
                     log::info!("reading the list of upstreams works again");
                 }
-                propose_changes(&core, list).await;
+                propose_changes(&core, without_leaving(&core, list)).await;
                 INTERVAL
             }
             Err(error) => {
@@ -110,6 +111,22 @@
         .map_err(|finding| anyhow::anyhow!("{finding}"))
 }
 
+/// Marks upstreams as draining that have said that they leave, which the list shows only later.
+fn without_leaving(core: &Core, mut list: List) -> List {
+    let listing = |name: &id::Upstream| match list.get(name) {
+        None => Listing::Absent,
+        Some(listed) if listed.draining => Listing::Draining,
+        Some(_) => Listing::Ready,
+    };
+    core.dispatch.update_listing(listing, core.clock.now());
+    for (name, listed) in &mut list {
+        if !listed.draining && core.dispatch.is_leaving(name) {
+            Arc::make_mut(listed).draining = true;
+        }
+    }
+    list
+}
+
 /// Proposes the differences between `list` and the replicated list.
 async fn propose_changes(core: &Rc<Core>, list: List) {
     let (set, removed) = {
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use super::Gateway;
 use super::http::{self, Connection, Framing, Request, Response};
 use super::place::{Grant, Placement};
+use crate::metrics::METRICS;
 
 mod placement;
 
@@ -435,6 +436,7 @@
                 .dialect
                 .response_metadata(response.status, &response.fields.borrowed());
             let is_ours = reply.attempt.is_none() || reply.attempt == self.metadata.attempt;
+            self.record_statement(grant, &reply);
             if !is_ours && stale_responses < 2 && response.keep_alive.is_some() {
                 // This is the late response to an earlier request on the connection. The response
                 // to this request follows it.
@@ -459,6 +461,18 @@
         }
     }
 
+    /// Takes over what the upstream says of its availability.
+    fn record_statement(&self, grant: &Grant, reply: &ResponseMetadata) {
+        if let Some(value) = &reply.unreadable {
+            METRICS.statements.with_label_values(&["unreadable"]).inc();
+            log::info!(
+                id = self.id(), upstream:% = grant.upstream, value:% = value;
+                "ignoring an unreadable statement of an upstream on its availability"
+            );
+        }
+        grant.record_statement(reply.statement);
+    }
+
     /// Writes the request. Stops early if the upstream responds before it has read the whole body.
     async fn write_request(
         &self,
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -11,8 +11,10 @@
 use std::time::{Duration, Instant};
 
 use async_std::{future, task};
+use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
 use gooseberrylb_config::{id, number};
+use gooseberrylb_policy::availability::{Announcement, Table};
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
@@ -87,6 +89,13 @@
         self.placer.end(&self.key, outcome);
     }
 
+    /// Takes over what the upstream said of its availability in a response.
+    pub fn record_statement(&self, statement: Statement) {
+        let service = &self.listed.service;
+        self.placer
+            .record_statement(service, &self.upstream, statement);
+    }
+
     /// Reports that the upstream has not responded within the expected time.
     pub fn report_silence(&self) {
         self.placer
@@ -148,6 +157,10 @@
     fallback: RefCell<Dispatcher>,
     /// Configuration revision that `fallback` was refreshed from.
     fallback_revision: Cell<Option<number::Revision>>,
+    /// What upstreams said of their availability to this entry.
+    availability: RefCell<Table>,
+    /// Configuration revision that `availability` was compared with.
+    availability_revision: Cell<Option<number::Revision>>,
 }
 
 impl Placer {
@@ -169,6 +182,8 @@
             failover_until: Cell::new(None),
             fallback: RefCell::default(),
             fallback_revision: Cell::new(None),
+            availability: RefCell::default(),
+            availability_revision: Cell::new(None),
         })
     }
 
@@ -182,8 +197,85 @@
         }
     }
 
+    /// Finds an upstream for a request, or refuses it. It is none that this entry knows to want no
+    /// requests, whatever the dispatcher knows.
+    pub async fn place(self: &Rc<Self>, mut request: Request) -> Placement {
+        loop {
+            let unavailable = self.unavailable(&request.service);
+            request.excluded.extend(unavailable);
+            let placement = self.place_once(request.clone()).await;
+            let now = self.core.clock.now();
+            match placement {
+                Placement::Granted(grant)
+                    if self
+                        .availability
+                        .borrow()
+                        .is_unavailable(&grant.upstream, now) => {}
+                placement => return placement,
+            }
+            // The upstream said so while the request waited. Its account is charged already.
+            request.key = self.key();
+            request.units = 0.0;
+        }
+    }
+
+    /// Returns the upstreams of a service that have told this entry that they want no requests.
+    fn unavailable(&self, service: &id::Service) -> Vec<id::Upstream> {
+        let mut availability = self.availability.borrow_mut();
+        if availability.is_empty() {
+            return Vec::new();
+        }
+        let now = self.core.clock.now();
+        let directory = &self.core.published().directory;
+        if self.availability_revision.replace(Some(directory.revision)) != Some(directory.revision)
+        {
+            availability.update(|name| dispatch::listing(directory, name), now);
+        }
+        availability.unavailable(service, now)
+    }
+
+    /// Takes over what an upstream said of its availability, and tells the dispatcher.
+    fn record_statement(
+        &self,
+        service: &id::Service,
+        upstream: &id::Upstream,
+        statement: Statement,
+    ) {
+        let now = self.core.clock.now();
+        let mut availability = self.availability.borrow_mut();
+        let is_new = availability.record(service, upstream, statement, now);
+        if statement == Statement::default() {
+            return;
+        }
+        let kind = if statement.leaving {
+            "leaving"
+        } else {
+            "closed"
+        };
+        METRICS.statements.with_label_values(&[kind]).inc();
+        if is_new {
+            log::info!(
+                upstream:% = upstream, service:% = service, leaving = statement.leaving,
+                closed_ms = statement.closed_for.map_or(0, |time| time.as_millis() as u64);
+                "an upstream wants no requests"
+            );
+        }
+        let announcement = Announcement {
+            service: service.clone(),
+            upstream: upstream.clone(),
+            leaving: statement.leaving,
+            closed_for: statement.closed_for,
+        };
+        let announcements = vec![announcement];
+        self.fallback.borrow_mut().announce(&announcements, now);
+        let session = self.session.borrow().clone();
+        if let Some(session) = session.filter(|session| is_new && session.is_alive()) {
+            session.announce(announcements);
+        }
+    }
+
     /// Finds an upstream for a request, or refuses it.
-    pub async fn place(self: &Rc<Self>, request: Request) -> Placement {
+    async fn place_once(self: &Rc<Self>, request: Request) -> Placement {
         let now = self.core.clock.now();
         if let Some(left) = self.over_quota.borrow().remaining(&request, now) {
             return Placement::Refused(Reason::Quota, left);
@@ -302,6 +394,11 @@
             ..self.snapshot_notice(&self.core.published().directory)
         };
         self.send_notice(&session, notice);
+        session.announce(
+            self.availability
+                .borrow()
+                .announcements(self.core.clock.now()),
+        );
         Some((session, address))
     }
 
@@ -405,6 +502,7 @@
                 .set(Some(published.directory.revision));
             let part = self.own_part(&published.directory);
             dispatch::refresh(&self.core, &published.directory, &mut fallback, &part, now);
+            fallback.update_listing(|name| dispatch::listing(&published.directory, name), now);
             fallback.apply(self.snapshot_notice(&published.directory), now);
         }
         let decision = fallback.place(request.clone(), now);
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -15,6 +15,7 @@
 use futures::future::Either;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
+use gooseberrylb_policy::availability::Announcement;
 use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, write_all};
 use gooseberrylb_wire::handshake::{self, Greeting};
@@ -146,6 +147,13 @@
         self.send(Question::Summarize(summary));
     }
 
+    /// Passes on what upstreams said of their availability.
+    pub fn announce(&self, announcements: Vec<Announcement>) {
+        if !announcements.is_empty() {
+            self.send(Question::Announce(announcements));
+        }
+    }
+
     /// Returns the channel of the answers on a request that is about to be sent.
     fn expect_answer(&self, key: &Key, now: Instant) -> Receiver<Decision> {
         let since = self.state.unanswered_since.get();
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -53,6 +53,8 @@
     pub decisions: IntCounterVec,
     /// Requests offered between the dispatchers of different shards, by direction and outcome.
     pub offers: IntCounterVec,
+    /// Statements of upstreams on their availability, by kind.
+    pub statements: IntCounterVec,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -196,6 +198,12 @@
                 "Requests offered between shards, by direction and outcome.",
                 &["direction", "outcome"],
             ),
+            statements: counters(
+                &r,
+                "upstream_statements_total",
+                "Statements of upstreams on their availability, by kind.",
+                &["kind"],
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -40,7 +40,7 @@
         let pid = std::process::id();
         Self {
             second: 10 + u8::try_from(pid % 200).unwrap(),
-            third: u8::try_from(pid / 200 % 25).unwrap() * 10 + number,
+            third: u8::try_from(pid / 200 % 20).unwrap() * 12 + number,
         }
     }
 
@@ -68,7 +68,8 @@
             {{"name":"plain","host":"a.example","path-prefix":"/plain/","kind":"unsafe","timeout-ms":5000,"target-latency-ms":2000,"priority":1,"service":"desk","max-attempts":2}},
             {{"name":"inner","host":"a.example","path-prefix":"/plain/inner/","kind":"safe","timeout-ms":5000,"priority":1,"service":"desk","allow-anonymous":true}},
             {{"name":"stream","host":"a.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"desk","max-attempts":1}},
-            {{"name":"resumable","host":"a.example","path-prefix":"/resumable/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"pair","max-attempts":2,"resume-streams":true}}{extra}
+            {{"name":"resumable","host":"a.example","path-prefix":"/resumable/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"pair","max-attempts":2,"resume-streams":true}},
+            {{"name":"pair","host":"a.example","path-prefix":"/pair/","kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"service":"pair","max-attempts":2}}{extra}
         ],"services":[{{"name":"desk","max-connections":50}},{{"name":"pair","max-connections":50}}],
         "tenants":[{{"name":"hule","api-keys":["key-1","key-2"]}}]}}"#
     )
@@ -319,6 +320,14 @@
         self.get(2, DIRECTORY, target).unwrap_or_default()
     }
 
+    /// Returns the number of requests that were addressed to an upstream.
+    pub fn requests_to(&self, name: &str) -> usize {
+        let received = self.received();
+        let is_addressed =
+            |r: &&String| field(r, "x-gooseberrylb-expect-instance").as_deref() == Some(name);
+        received.iter().filter(is_addressed).count()
+    }
+
     /// Returns the requests that the upstream stand-in has received.
     pub fn received(&self) -> Vec<String> {
         self.received.lock().unwrap().clone()
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Runs the daemon on a platform as real processes: three keepers and an entry, each on its own
 //! loopback address, with stand-ins for the platform's list of upstreams and for the upstreams.
 
+mod availability;
 mod declarations;
 mod fleet;
 mod requests;
--- a/gooseberrylb/tests/platform/rollouts.rs
+++ b/gooseberrylb/tests/platform/rollouts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::Ordering;
 
-use crate::fleet::{CONTROL, ENTRY, Fleet, KEY, OPERATORS, declaration, field};
+use crate::fleet::{CONTROL, ENTRY, Fleet, KEY, OPERATORS, declaration};
 use crate::standin::{BAD, GOOD};
 
 impl Fleet {
@@ -16,14 +16,6 @@
         self.send(host, CONTROL, &request).unwrap_or_default()
     }
 
-    /// Returns the number of requests that were addressed to an upstream.
-    fn requests_to(&self, name: &str) -> usize {
-        let received = self.received();
-        let is_addressed =
-            |r: &&String| field(r, "x-gooseberrylb-expect-instance").as_deref() == Some(name);
-        received.iter().filter(is_addressed).count()
-    }
-
     /// Sends requests until each keeper reports the rollout in the given state.
     fn wait_for_state(&self, state: &str) {
         let reads_back = |fleet: &Self, host| {
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -119,6 +119,10 @@
     if let Some((_, place)) = target.split_once("endless-") {
         return endless_response(request, place);
     }
+    let instance = field(request, "x-gooseberrylb-expect-instance");
+    if target.starts_with("/pair/") && instance.as_deref() == Some(SPEAKING) {
+        return speaking_response(request, target).into();
+    }
     if target.starts_with("/resumable/") {
         return resumable_response(request, earlier);
     }
@@ -145,6 +149,28 @@
     }
 }
 
+/// Upstream that makes statements on its availability; another one of its service makes none.
+pub const SPEAKING: &str = "i-5";
+
+/// Time in seconds for which the upstream says that it wants no request.
+pub const CLOSED_S: u64 = 2;
+
+/// Returns a response with a statement if the target asks for one.
+fn speaking_response(request: &str, target: &str) -> String {
+    if target.contains("closed") {
+        return format!(
+            "HTTP/1.1 503 Busy\r\nX-Gooseberrylb-Not-Executed: 1\r\nRetry-After: {CLOSED_S}\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+    }
+    let leaving = match target.contains("leaving") {
+        true => "Server-Leaving: 1\r\n",
+        false => "",
+    };
+    let rest = format!("{leaving}Content-Length: 5\r\n\r\nhello");
+    signed_response(request, "201 Made", &rest)
+}
+
 /// Returns bytes without end at a place of a response.
 fn endless_response(request: &str, place: &str) -> Answer {
     let chunked = "Transfer-Encoding: chunked\r\n\r\n";
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -44,6 +44,19 @@
     /// Whether the body has a content encoding, which means that it was not produced by the
     /// upstream itself.
     pub encoded: bool,
+    /// What the upstream says of its own availability.
+    pub statement: Statement,
+    /// Value of a header field about the availability that cannot be read and is ignored.
+    pub unreadable: Option<Arc<str>>,
+}
+
+/// What an upstream says of its own availability in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Whether the upstream leaves and takes no new requests.
+    pub leaving: bool,
+    /// Time for which the upstream wants no request from this instance.
+    pub closed_for: Option<Duration>,
 }
 
 /// Header values that the system adds to a request to an upstream.
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -11,10 +11,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
+use crate::availability::{Announcement, Listing, Table};
 use crate::quota::{Usage, Window};
 use crate::rollout::Observation;
 
@@ -285,6 +287,8 @@
     usage_reporters: HashSet<id::Instance>,
     /// Reports of the dispatchers of other shards.
     peers: Peers,
+    /// What upstreams said of their availability.
+    availability: Table,
     /// Notices for dispatchers of other shards, about requests that they granted.
     relayed: BTreeMap<id::Instance, Notice>,
 }
@@ -308,6 +312,44 @@
         }
         for (name, service) in &mut self.services {
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
+            service.set_availability(&self.availability, now);
+        }
+    }
+
+    /// Takes over what upstreams said of their availability. They get no request accordingly,
+    /// whatever the list says.
+    pub fn announce(&mut self, announcements: &[Announcement], now: Instant) {
+        for announcement in announcements {
+            let statement = Statement {
+                leaving: announcement.leaving,
+                closed_for: announcement.closed_for,
+            };
+            let (service, upstream) = (&announcement.service, &announcement.upstream);
+            self.availability.record(service, upstream, statement, now);
+            if let Some(service) = self.services.get_mut(service) {
+                service.set_availability(&self.availability, now);
+            }
+        }
+    }
+
+    /// Returns what upstreams said of their availability, for another dispatcher.
+    pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
+        self.availability.announcements(now)
+    }
+
+    /// Whether an upstream has said that it leaves.
+    pub fn is_leaving(&self, upstream: &id::Upstream) -> bool {
+        self.availability.is_leaving(upstream)
+    }
+
+    /// Compares what upstreams said with the list, so that those that start anew get requests.
+    pub fn update_listing(&mut self, listing: impl Fn(&id::Upstream) -> Listing, now: Instant) {
+        if self.availability.is_empty() {
+            return;
+        }
+        self.availability.update(listing, now);
+        for service in self.services.values_mut() {
+            service.set_availability(&self.availability, now);
         }
     }
 
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -14,6 +14,7 @@
 use super::release::{Completion, Release};
 use super::upstream::State;
 use super::{Decision, Key, Outcome, Rank, Reason, Request, Running, Upstream};
+use crate::availability::Table;
 use crate::occupancy::Occupancy;
 use crate::rollout::Observation;
 
@@ -268,6 +269,12 @@
             let pause = self.jitter(NO_UPSTREAM_PAUSE, request.patience);
             return Decision::Refuse(Reason::NoUpstream, pause);
         }
+        let closed = self.time_closed(now);
+        if let Some(closed) = closed.filter(|closed| *closed > request.hold) {
+            let pause = self.jitter(closed, request.patience);
+            return Decision::Refuse(Reason::Busy, pause);
+        }
+        let closed = closed.unwrap_or_default().as_secs_f64();
         let start = self.clock.start(&request);
         let position = |late| Position {
             priority: Priority::new(request.rank, late),
@@ -276,7 +283,7 @@
         };
         let wait = |late| {
             let ahead = self.queue.range(..position(late)).count() + 1;
-            self.grant_interval(position(late).priority, slots, now) * ahead as f64
+            closed + self.grant_interval(position(late).priority, slots, now) * ahead as f64
         };
         let firsts = self
             .upstreams
@@ -391,13 +398,33 @@
         position.is_some_and(|position| self.queue.remove(&position).is_some())
     }
 
-    /// Returns the number of slots on upstreams that requests may go to.
+    /// Takes over what upstreams said of their availability.
+    pub(super) fn set_availability(&mut self, table: &Table, now: Instant) {
+        for state in &mut self.upstreams {
+            let name = &state.upstream.name;
+            state.leaving = table.is_leaving(name);
+            let closed_until = table.closed_until(name).filter(|end| *end > now);
+            state.closed_until = closed_until.max(state.closed_until);
+        }
+    }
+
+    /// Returns the number of slots on upstreams that requests may go to, now or once the upstreams
+    /// want requests again.
     fn usable_slots(&self) -> u32 {
         let eligible = self.eligible();
         let usable = self.upstreams.iter().filter(|state| eligible(state));
+        let usable = usable.filter(|state| !state.leaving);
         usable.map(|state| state.upstream.slots).sum()
     }
 
+    /// Returns the time until an upstream wants requests again, if none wants any now.
+    fn time_closed(&self, now: Instant) -> Option<Duration> {
+        let eligible = self.eligible();
+        let usable = self.upstreams.iter().filter(|state| eligible(state));
+        let opens = usable.filter_map(|state| state.opens_at(now)).min()?;
+        (opens > now).then(|| opens.saturating_duration_since(now))
+    }
+
     /// Returns the expected time between two grants to requests of a priority, in seconds:
     /// arrivals of higher priority take their part of the capacity first.
     fn grant_interval(&self, priority: Priority, slots: u32, now: Instant) -> f64 {
@@ -527,7 +554,7 @@
             state.set_running(state.running.saturating_sub(1), in_rollout, now);
             match outcome {
                 Outcome::Served { .. } => {
-                    state.health.record_success();
+                    state.record_served(run.since);
                     let (prompt, prefill_wait) = (run.prompt, run.prefill_wait);
                     state
                         .rates
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -93,6 +93,10 @@
     pub(super) prefill_until: Instant,
     /// End of the pause after the upstream reported that it is full.
     pub(super) full_until: Instant,
+    /// Whether the upstream has said that it leaves.
+    pub(super) leaving: bool,
+    /// Time until which the upstream wants no request, until it has served one after that.
+    pub(super) closed_until: Option<Instant>,
 }
 
 impl State {
@@ -105,6 +109,33 @@
             health: Health::default(),
             prefill_until: now,
             full_until: now,
+            leaving: false,
+            closed_until: None,
+        }
+    }
+
+    /// Returns the time from which on the upstream takes requests again by its own word; `None` if
+    /// it leaves.
+    pub(super) fn opens_at(&self, now: Instant) -> Option<Instant> {
+        (!self.leaving).then(|| self.closed_until.map_or(now, |end| end.max(now)))
+    }
+
+    /// Returns how many requests the upstream wants at most by its own word. After a time in which
+    /// it wanted none, it gets one at first.
+    fn wanted(&self, now: Instant) -> u32 {
+        match self.closed_until {
+            _ if self.leaving => 0,
+            Some(end) if now < end => 0,
+            Some(_) => self.upstream.slots.min(1),
+            None => self.upstream.slots,
+        }
+    }
+
+    /// Records that a request was served that was granted at `since`.
+    pub(super) fn record_served(&mut self, since: Instant) {
+        self.health.record_success();
+        if self.closed_until.is_some_and(|end| since >= end) {
+            self.closed_until = None;
         }
     }
 
@@ -131,7 +162,7 @@
         } else {
             slots
         };
-        self.running < limit && now >= self.full_until
+        self.running < limit.min(self.wanted(now)) && now >= self.full_until
     }
 
     /// Returns the number of requests that the upstream can still run, given its health.
@@ -140,7 +171,7 @@
             return 0;
         }
         let limit = self.health.limit(self.upstream.slots, now);
-        limit.saturating_sub(self.running)
+        limit.min(self.wanted(now)).saturating_sub(self.running)
     }
 
     /// Returns the expected times to the first event and to the end of the response.
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Traffic decisions of gooseberrylb as pure code: time, randomness and messages are passed in,
 //! and the decisions are returned. The daemon carries them out. See `docs/DESIGN.md`.
 
+pub mod availability;
 pub mod dispatch;
 pub mod drain;
 pub mod moves;
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -8,6 +8,7 @@
 use std::io;
 
 use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use gooseberrylb_policy::availability::Announcement;
 use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -39,6 +40,8 @@
     Offer(Request),
     /// Reports the free slots and the use of quotas in another shard. It is not answered.
     Summarize(Summary),
+    /// Passes on what upstreams said of their availability. It is not answered.
+    Announce(Vec<Announcement>),
 }
 
 /// Message from a dispatcher.
