Have soak upstreams leave and ask for pauses, and check both rules

Upstream 0 says now and then that it leaves and starts again 4.5 s later, and upstream 1 turns a request away and wants none for 2 s. The checks go by what callers received and upstreams saw, entry by entry; an interruption of the entry excuses both rules, a fault at links only the second.

--- a/gooseberrylb_testbed/src/soak/caller.rs
+++ b/gooseberrylb_testbed/src/soak/caller.rs
@@ -111,6 +111,7 @@
             body: format!("body of {attempt}"),
             uses_revocable_key,
             sent_at: Instant::now(),
+            entry: connection.get_ref().peer_addr().ok(),
         };
         self.history.record_request(&attempt, &call);
         let response = exchange(&mut connection, &attempt, &call);
--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::deployment::{Deployment, UPSTREAM_COUNT};
+use super::history::Disturbance;
 use super::platform::{Behaviour, FAULTY_BEHAVIOURS, ListState};
 use crate::proxy::{Direction, Faults, Flow};
 
@@ -22,6 +23,9 @@
 /// Time for which an instance is isolated from all others: longer than it may accept a revoked key.
 const ISOLATION_DURATION: Duration = Duration::from_secs(9);
 
+/// Longest time for which a silent connection may still be used.
+const SILENCE_DURATION: Duration = Duration::from_secs(10);
+
 /// Longest time before a stopped process is started again, in milliseconds.
 const MAX_DOWNTIME_MS: u64 = 1_500;
 
@@ -97,9 +101,14 @@
                 downtime,
                 link_bits,
             };
+            let start = Instant::now();
             if let Err(error) = injection.inject(&fault) {
                 println!("failed to inject {fault:?}: {error:#}");
             }
+            if let Some(disturbance) = injection.disturbance(&fault, start) {
+                let stand_ins = &injection.deployment.stand_ins;
+                stand_ins.record_disturbance(disturbance);
+            }
         }));
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
@@ -179,6 +188,33 @@
 }
 
 impl Injection {
+    /// Returns the effect of a fault that began at `start` and has ended, if it affects entries or
+    /// links that they use.
+    fn disturbance(&self, fault: &Fault, start: Instant) -> Option<Disturbance> {
+        let now = Instant::now();
+        let (entry, interrupts, end) = match fault {
+            Fault::Kill(host) | Fault::Stop(host) | Fault::Freeze(host) => (Some(*host), true, now),
+            Fault::Isolate(host) => (Some(*host), false, now),
+            Fault::KillAll | Fault::StopEntries => (None, true, now),
+            Fault::Reset | Fault::Delay { .. } | Fault::HoldOneWay => (None, false, now),
+            // Connections stay silent until they are given up.
+            Fault::Silence => (None, false, now + SILENCE_DURATION),
+            Fault::Hangup(_)
+            | Fault::Wipe(_)
+            | Fault::TornWrite(_)
+            | Fault::KillKeepers
+            | Fault::List(_)
+            | Fault::Upstream(..)
+            | Fault::RestartUpstream(_) => return None,
+        };
+        Some(Disturbance {
+            entry,
+            interrupts,
+            start,
+            end,
+        })
+    }
+
     /// Injects a fault, and clears it once its duration is over.
     fn inject(&self, fault: &Fault) -> anyhow::Result<()> {
         let deployment = &self.deployment;
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -1,7 +1,8 @@
 //! History of a soak test: records what callers, operators and upstreams observe, and checks it
 //! against the guarantees of the system.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,16 @@
 /// Number of requests for each of which one more may be denied; see [`BASE_DENIALS`].
 const REQUESTS_PER_DENIAL: usize = 500;
 
+/// Time after which an entry that has passed on a response of an upstream that leaves sends no
+/// request there, as the platform's bounds state it.
+const DRAIN_BOUND: Duration = Duration::from_millis(3_000);
+
+/// Time after which an entry that an upstream has asked for a pause sends no more than
+/// [`MAX_CLOSED_ARRIVALS`] requests there.
+const CLOSED_BOUND: Duration = Duration::from_millis(500);
+/// See [`CLOSED_BOUND`].
+const MAX_CLOSED_ARRIVALS: usize = 2;
+
 /// Client account of all requests.
 pub const ACCOUNT: &str = "hule";
 
@@ -73,6 +84,52 @@
     pub uses_revocable_key: bool,
     /// Time at which the request was sent.
     pub sent_at: Instant,
+    /// Entry to which the request was sent.
+    pub entry: Option<SocketAddr>,
+}
+
+/// Request that an upstream received.
+#[derive(Debug)]
+struct Arrival {
+    upstream: String,
+    attempt: String,
+    at: Instant,
+}
+
+/// What an upstream said of its availability in a response.
+#[derive(Debug)]
+struct Statement {
+    upstream: String,
+    /// Request that was answered so, and the time.
+    attempt: String,
+    at: Instant,
+    /// Time for which the upstream wants no request; `None` if it leaves.
+    closed_for: Option<Duration>,
+}
+
+/// Fault at entries or at links that they use.
+#[derive(Debug, Clone, Copy)]
+pub struct Disturbance {
+    /// Host number of the entry; `None` for all.
+    pub entry: Option<u8>,
+    /// Whether the process was stopped or suspended, so that it may have forgotten or missed what it
+    /// was told.
+    pub interrupts: bool,
+    /// Time at which the fault began.
+    pub start: Instant,
+    /// Time at which its effect ended.
+    pub end: Instant,
+}
+
+impl Disturbance {
+    /// Whether the fault affects the entry at an address in the period from `from` to `to`.
+    fn affects(&self, entry: Option<SocketAddr>, from: Instant, to: Instant) -> bool {
+        let is_host = |host: u8| match entry.map(|entry| entry.ip()) {
+            Some(IpAddr::V4(ip)) => ip.octets()[3] == host,
+            Some(IpAddr::V6(_)) | None => false,
+        };
+        self.entry.is_none_or(is_host) && self.start <= to && self.end >= from
+    }
 }
 
 /// Execution of a request at an upstream.
@@ -119,6 +176,9 @@
     calls: HashMap<String, Call>,
     statuses: HashMap<String, u16>,
     executions: Vec<Execution>,
+    arrivals: Vec<Arrival>,
+    statements: Vec<Statement>,
+    disturbances: Vec<Disturbance>,
     declarations: Vec<Declaration>,
     violations: Vec<String>,
     read_count: usize,
@@ -145,11 +205,46 @@
         self.records().executions.push(execution);
     }
 
+    /// Records that an upstream has received a request that is meant for it.
+    pub fn record_arrival(&self, upstream: &str, attempt: &str) {
+        self.records().arrivals.push(Arrival {
+            upstream: upstream.to_owned(),
+            attempt: attempt.to_owned(),
+            at: Instant::now(),
+        });
+    }
+
+    /// Records that an upstream turns a request away and wants none for a while.
+    pub fn record_closed(&self, upstream: &str, attempt: &str, time: Duration) {
+        self.records().statements.push(Statement {
+            upstream: upstream.to_owned(),
+            attempt: attempt.to_owned(),
+            at: Instant::now(),
+            closed_for: Some(time),
+        });
+    }
+
+    /// Records a fault that has ended.
+    pub fn record_disturbance(&self, disturbance: Disturbance) {
+        self.records().disturbances.push(disturbance);
+    }
+
     /// Records a response, and a violation if it does not belong to the request. Returns whether it
     /// is a complete success.
     pub fn record_response(&self, attempt: &str, response: &Message) -> bool {
         let mut records = self.records();
         let status = response.status();
+        let signature = response.header(platform::SIGNATURE_HEADER);
+        if let Some(upstream) = signature.and_then(|signature| signature.rsplit('.').next())
+            && response.header(platform::LEAVING_HEADER).is_some()
+        {
+            records.statements.push(Statement {
+                upstream: upstream.to_owned(),
+                attempt: attempt.to_owned(),
+                at: Instant::now(),
+                closed_for: None,
+            });
+        }
         records.statuses.insert(attempt.to_owned(), status);
         let Some(call) = records.calls.get(attempt) else {
             return false;
@@ -297,6 +392,7 @@
                 "BUDGET {excessive} attempts ran more than {MAX_EXECUTIONS} times"
             ));
         }
+        violations.extend(records.check_statements());
         let denials = records.statuses.iter().filter(|(attempt, status)| {
             let uses_revocable_key = records
                 .calls
@@ -313,6 +409,58 @@
 }
 
 impl Records {
+    /// Returns the violations of what upstreams said of their availability. An interruption of the
+    /// entry excuses them, and a fault at links excuses more requests to a closed upstream, as the
+    /// entry may not have been told.
+    fn check_statements(&self) -> Vec<String> {
+        let entry_of = |attempt: &str| self.calls.get(attempt).and_then(|call| call.entry);
+        let mut violations = Vec::new();
+        let mut reported = HashSet::new();
+        for statement in &self.statements {
+            let entry = entry_of(&statement.attempt);
+            let same = self.arrivals.iter().filter(|arrival| {
+                arrival.upstream == statement.upstream
+                    && entry.is_some()
+                    && entry_of(&arrival.attempt) == entry
+                    && !self.disturbances.iter().any(|disturbance| {
+                        let excuses = statement.closed_for.is_some() || disturbance.interrupts;
+                        excuses && disturbance.affects(entry, statement.at, arrival.at)
+                    })
+            });
+            let (upstream, said) = (&statement.upstream, &statement.attempt);
+            match statement.closed_for {
+                Some(time) => {
+                    let period = statement.at + CLOSED_BOUND..statement.at + time;
+                    let count = same.filter(|arrival| period.contains(&arrival.at)).count();
+                    if count > MAX_CLOSED_ARRIVALS {
+                        violations.push(format!(
+                            "BUDGET {count} requests reached {upstream}, closed since {said}"
+                        ));
+                    }
+                }
+                None => {
+                    let is_late = |arrival: &&Arrival| {
+                        let call = self.calls.get(&arrival.attempt);
+                        call.is_some_and(|call| call.sent_at > statement.at + DRAIN_BOUND)
+                    };
+                    // The upstream says so in each response.
+                    if !reported.insert((upstream, entry)) {
+                        continue;
+                    }
+                    let late: Vec<_> = same.filter(is_late).collect();
+                    if let Some(first) = late.first() {
+                        violations.push(format!(
+                            "DRAIN {} and {} others reached {upstream}, leaving since {said}",
+                            first.attempt,
+                            late.len() - 1
+                        ));
+                    }
+                }
+            }
+        }
+        violations
+    }
+
     /// Returns the violation that a single execution shows, if any.
     fn check_execution(&self, execution: &Execution) -> Option<String> {
         let attempt = &execution.attempt;
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::history::{ACCOUNT, Call, Execution, History, Kind, STREAM_EVENTS, event};
+use super::history::{ACCOUNT, Call, Disturbance, Execution, History, Kind, STREAM_EVENTS, event};
 use super::lock;
 use super::wire::{self, Message};
 
@@ -36,6 +36,23 @@
 /// Header with which an upstream states that it did not run the request.
 pub const NOT_EXECUTED_HEADER: &str = "X-Gooseberrylb-Not-Executed";
 
+/// Header with which an upstream states that it leaves.
+pub const LEAVING_HEADER: &str = "Server-Leaving";
+
+/// Upstream that leaves now and then, and starts again under another name.
+const LEAVING_UPSTREAM: usize = 0;
+/// Interval between the requests of a caller with which [`LEAVING_UPSTREAM`] begins to leave.
+const LEAVING_INTERVAL: u64 = 40;
+/// Time from the statement of an upstream that it leaves until it starts again.
+const LEAVING_DURATION: Duration = Duration::from_millis(4_500);
+
+/// Upstream that turns a request away now and then, and wants no further ones for a while.
+const CLOSED_UPSTREAM: usize = 1;
+/// Interval between the requests of a caller with which [`CLOSED_UPSTREAM`] does so.
+const CLOSED_INTERVAL: u64 = 30;
+/// Time in seconds for which it wants no requests.
+const CLOSED_S: u64 = 2;
+
 /// API key of the account that all declarations contain.
 pub const PERMANENT_KEY: &str = "key-steady";
 /// API key of the account that some declarations contain and others don't.
@@ -96,6 +113,8 @@
     advertised: SocketAddr,
     /// Number of starts so far. Each start has a name of its own.
     start_count: AtomicU64,
+    /// Number of the start in which the upstream leaves; 0 if it has not left yet.
+    leaving_start: AtomicU64,
     behaviour: Mutex<Behaviour>,
 }
 
@@ -108,6 +127,40 @@
             self.start_count.load(Ordering::SeqCst)
         )
     }
+
+    /// Whether the upstream says with its response to `attempt` that it leaves.
+    fn is_leaving(self: &Arc<Self>, attempt: &str) -> bool {
+        let start = self.start_count.load(Ordering::SeqCst);
+        if self.leaving_start.load(Ordering::SeqCst) == start {
+            return true;
+        }
+        let begins = self.number == LEAVING_UPSTREAM && is_multiple(attempt, LEAVING_INTERVAL);
+        if begins {
+            self.leaving_start.store(start, Ordering::SeqCst);
+            let upstream = self.clone();
+            thread::spawn(move || {
+                thread::sleep(LEAVING_DURATION);
+                // It may have been restarted meanwhile.
+                let next = start + 1;
+                let count = &upstream.start_count;
+                count
+                    .compare_exchange(start, next, Ordering::SeqCst, Ordering::SeqCst)
+                    .ok();
+            });
+        }
+        begins
+    }
+
+    /// Whether the upstream turns `attempt` away and wants no requests for a while.
+    fn is_closed(&self, attempt: &str) -> bool {
+        self.number == CLOSED_UPSTREAM && is_multiple(attempt, CLOSED_INTERVAL)
+    }
+}
+
+/// Whether the number of an attempt among those of its caller is a multiple of `interval`.
+fn is_multiple(attempt: &str, interval: u64) -> bool {
+    let number = attempt.rsplit('x').next().and_then(|n| n.parse().ok());
+    number.is_some_and(|number: u64| number.is_multiple_of(interval))
 }
 
 /// Stand-ins for the list of upstreams and for the upstreams.
@@ -130,6 +183,7 @@
                 number,
                 advertised: *advertised,
                 start_count: AtomicU64::new(1),
+                leaving_start: AtomicU64::new(0),
                 behaviour: Mutex::new(Behaviour::Normal),
             })
         };
@@ -161,6 +215,11 @@
             .fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Records a fault that has ended.
+    pub fn record_disturbance(&self, disturbance: Disturbance) {
+        self.history.record_disturbance(disturbance);
+    }
+
     /// Sets the state of the list.
     pub fn set_list_state(&self, list_state: ListState) {
         *lock(&self.list_state) = list_state;
@@ -219,7 +278,7 @@
 
 /// Serves one connection to an upstream.
 fn serve_upstream(
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     history: &History,
     stream: &mut BufReader<TcpStream>,
 ) -> io::Result<()> {
@@ -247,6 +306,18 @@
             stream.get_mut().write_all(refusal.as_bytes())?;
             continue;
         }
+        history.record_arrival(&name, &attempt);
+        if upstream.is_closed(&attempt) {
+            history.record_closed(&name, &attempt, Duration::from_secs(CLOSED_S));
+            let refusal = format!(
+                "HTTP/1.1 503 Busy\r\n{}: 1\r\n{}: {attempt}\r\nRetry-After: {CLOSED_S}\r\n\
+                 Content-Length: 0\r\n\r\n",
+                NOT_EXECUTED_HEADER, ATTEMPT_HEADER,
+            );
+            stream.get_mut().write_all(refusal.as_bytes())?;
+            continue;
+        }
+        let leaving = upstream.is_leaving(&attempt);
         history.record_execution(Execution::new(&request, &attempt));
         let writer = stream.get_mut();
         match behaviour {
@@ -267,13 +338,12 @@
                 return Ok(());
             }
         }
-        write_response(
-            &request,
-            &attempt,
-            &name,
-            behaviour == Behaviour::Truncates,
-            writer,
-        )?;
+        let mut head = response_head(&attempt, &name, "200 OK");
+        if leaving {
+            head += &format!("{LEAVING_HEADER}: 1\r\n");
+        }
+        let truncate = behaviour == Behaviour::Truncates;
+        write_response(&request, &attempt, head, truncate, writer)?;
         if behaviour == Behaviour::Truncates {
             return Ok(());
         }
@@ -289,15 +359,14 @@
     )
 }
 
-/// Writes the response to a request, or its beginning if `truncate` is set.
+/// Writes `head` and the body of the response to a request, or their beginning if `truncate` is set.
 fn write_response(
     request: &Message,
     attempt: &str,
-    name: &str,
+    head: String,
     truncate: bool,
     writer: &mut TcpStream,
 ) -> io::Result<()> {
-    let head = response_head(attempt, name, "200 OK");
     if !request.target().starts_with("/stream/") {
         thread::sleep(EVENT_DELAY);
         let body = format!("answer {attempt}");
