--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -303,3 +303,36 @@
         run_history(seed);
     }
 }
+
+/// Returns the time from the start of the last voter until there is a leader, after all `names`
+/// have lost power and started again one after the other.
+fn recovery_time(seed: u64, names: &[&str]) -> Duration {
+    let mut sim = Simulation::new(seed, names, names.len());
+    sim.run_until(5 * SECOND, "a leader is elected", |sim| {
+        sim.leader().is_some()
+    });
+    sim.conditions.sync_ms = 40;
+    let voters: Vec<_> = names.iter().map(|name| instance(name)).collect();
+    voters.iter().for_each(|voter| sim.crash(voter));
+    for voter in &voters {
+        let pause = sim.rng.random_range(0..100);
+        sim.run(Duration::from_millis(pause));
+        sim.start(voter);
+    }
+    let started = sim.now();
+    sim.run_until(10 * SECOND, "a leader is elected", |sim| {
+        sim.leader().is_some()
+    });
+    sim.now() - started
+}
+
+#[test]
+fn voters_that_restart_together_elect_a_leader_within_two_seconds() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+    for count in [3, 5, 9] {
+        for seed in 0..100 {
+            let time = recovery_time(seed, &names[..count]);
+            assert!(time <= 2 * SECOND, "{count} voters, seed {seed}: {time:?}");
+        }
+    }
+}
