Answer 502, not 503, if the configuration lapses after an attempt that may have run

What callers saw: a request that could be repeated was sent to an upstream that stayed silent; before the second attempt the configuration had become older than 3 s, and the entry answered 503 with Retry-After, which says that the request has not run.

Change: 502 once an attempt may have run, as for refused placements.

The test stops the keepers and sends a request to a silent upstream; it fails before with 503.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -175,7 +175,10 @@
                 }
             };
             if !self.gateway.is_fresh() {
-                return Delivery::Fault(self.gateway.not_fresh());
+                return Delivery::Fault(match may_have_run {
+                    true => Fault::new(502, "the upstream failed"),
+                    false => self.gateway.not_fresh(),
+                });
             }
             let upstream = grant.upstream.clone();
             self.last_upstream = Some(upstream.clone());
--- a/gooseberrylb/tests/platform/requests.rs
+++ b/gooseberrylb/tests/platform/requests.rs
@@ -1,6 +1,9 @@
 //! Requests and responses, compared byte by byte.
 
-use crate::fleet::{Fleet, KEY, field};
+use std::thread;
+use std::time::Duration;
+
+use crate::fleet::{ENTRY, Fleet, KEY, field};
 
 #[test]
 fn requests_and_responses_are_forwarded_unchanged() {
@@ -73,3 +76,17 @@
     let anonymous = fleet.call("/plain/inner/x", "");
     assert!(anonymous.starts_with("HTTP/1.1 201"), "{anonymous}");
 }
+
+#[test]
+fn request_that_may_have_run_is_not_refused_when_the_configuration_is_out_of_date() {
+    let fleet = Fleet::start(12);
+    fleet.wait(|fleet| fleet.status("/pair/x") == "201");
+    (1..ENTRY).for_each(|host| fleet.signal(host, "-STOP"));
+    // The first upstream counts as silent after 2 s, when the configuration is 3 s old.
+    thread::sleep(Duration::from_millis(1_500));
+    let answer = fleet.call("/pair/silent", KEY);
+    let was_sent = fleet.received().iter().any(|r| r.contains("/pair/silent"));
+    assert!(was_sent, "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+    assert!(!answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -113,6 +113,9 @@
 /// `earlier` is the number of requests with this target before this one.
 pub fn upstream_response(request: &str, earlier: usize) -> Answer {
     let target = request.split(' ').nth(1).unwrap();
+    if target.contains("silent") {
+        thread::sleep(Duration::from_secs(8));
+    }
     if target.contains("unframed") {
         return unframed_response(request, target);
     }
