End a request at its time limit while its upstream does not read the body

What callers saw: with an upstream that accepts a large body and does not read it, nothing limited the write, so that the request was held until its caller left.

Change: the write is subject to the time that is left, and ends with 504.

The test fails before: no answer within 60 s.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -388,7 +388,11 @@
         connection: &mut Connection,
         head: Vec<u8>,
     ) -> std::result::Result<(Response, ResponseMetadata), Failure> {
-        if let Err(error) = self.write_request(connection, head).await {
+        let writing = self.write_request(connection, head);
+        let Ok(written) = future::timeout(self.time_left(), writing).await else {
+            return Err(Failure::TimedOut);
+        };
+        if let Err(error) = written {
             log::info!(
                 id = self.id(), upstream:% = grant.upstream, error:% = error;
                 "writing the request failed"
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -40,7 +40,7 @@
         let pid = std::process::id();
         Self {
             second: 10 + u8::try_from(pid % 200).unwrap(),
-            third: u8::try_from(pid / 200 % 19).unwrap() * 13 + number,
+            third: u8::try_from(pid / 200 % 18).unwrap() * 14 + number,
         }
     }
 
--- a/gooseberrylb/tests/platform/requests.rs
+++ b/gooseberrylb/tests/platform/requests.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{ENTRY, Fleet, KEY, field};
+use crate::fleet::{CALLERS, ENTRY, Fleet, KEY, field};
 
 #[test]
 fn requests_and_responses_are_forwarded_unchanged() {
@@ -90,3 +90,17 @@
     assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
     assert!(!answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+#[test]
+fn upstream_that_does_not_read_a_body_does_not_hold_the_request_past_its_time_limit() {
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    let fleet = Fleet::start(13);
+    let request = format!(
+        "POST /plain/unread HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-1\r\n\
+         X-Gooseberrylb-Deadline-Ms: 1500\r\nContent-Length: {BODY_BYTES}\r\n\
+         Connection: close\r\n{KEY}\r\n{}",
+        "x".repeat(BODY_BYTES)
+    );
+    let answer = fleet.send(ENTRY, CALLERS, &request).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+}
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -10,6 +10,9 @@
 
 use crate::fleet::{Network, STAND_INS, UPSTREAM, field};
 
+/// Time for which the body of a request to an upstream with `unread` in its target is not read.
+const UNREAD_TIME: Duration = Duration::from_secs(120);
+
 /// Reads a message whose body has a `Content-Length`; `None` if the connection ends first.
 pub fn read_message(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
@@ -21,6 +24,9 @@
         bytes.push(byte[0]);
     }
     let mut text = String::from_utf8(bytes).unwrap();
+    if text.contains("/unread") {
+        thread::sleep(UNREAD_TIME);
+    }
     let length = field(&text, "content-length").map_or(0, |value| value.parse().unwrap());
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
