Pass statements on as they are, and read the list's state in one place

Read as a newcomer: an announcement repeated the fields of the statement, with a conversion at either end; the state of a list entry was derived twice; a function that marks leaving upstreams was named for leaving them out. No change of behaviour.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -179,8 +179,8 @@
         for announcement in &announcements {
             log::info!(
                 upstream:% = announcement.upstream, service:% = announcement.service, from:% = from,
-                leaving = announcement.leaving,
-                closed_ms = announcement.closed_for.map_or(0, |time| time.as_millis() as u64);
+                leaving = announcement.statement.leaving,
+                closed_ms = announcement.statement.closed_for.map_or(0, |time| time.as_millis() as u64);
                 "an upstream wants no requests"
             );
         }
@@ -393,11 +393,7 @@
 
 /// Returns the state of an upstream in the replicated list.
 pub fn listing(directory: &Directory, upstream: &id::Upstream) -> Listing {
-    match directory.listed.get(upstream) {
-        None => Listing::Absent,
-        Some(listed) if listed.draining => Listing::Draining,
-        Some(_) => Listing::Ready,
-    }
+    Listing::new(directory.listed.get(upstream).map(|listed| &**listed))
 }
 
 /// Returns the requests that this instance dispatches, if any.
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -52,7 +52,7 @@
                 if !std::mem::replace(&mut readable, true) {
                     log::info!("reading the list of upstreams works again");
                 }
-                propose_changes(&core, without_leaving(&core, list)).await;
+                propose_changes(&core, mark_leaving(&core, list)).await;
                 INTERVAL
             }
             Err(error) => {
@@ -112,12 +112,8 @@
 }
 
 /// Marks upstreams as draining that have said that they leave, which the list shows only later.
-fn without_leaving(core: &Core, mut list: List) -> List {
-    let listing = |name: &id::Upstream| match list.get(name) {
-        None => Listing::Absent,
-        Some(listed) if listed.draining => Listing::Draining,
-        Some(_) => Listing::Ready,
-    };
+fn mark_leaving(core: &Core, mut list: List) -> List {
+    let listing = |name: &id::Upstream| Listing::new(list.get(name).map(|listed| &**listed));
     core.dispatch.update_listing(listing, core.clock.now());
     for (name, listed) in &mut list {
         if !listed.draining && core.dispatch.is_leaving(name) {
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -205,13 +205,13 @@
             request.excluded.extend(unavailable);
             let placement = self.place_once(request.clone()).await;
             let now = self.core.clock.now();
-            match placement {
-                Placement::Granted(grant)
-                    if self
-                        .availability
-                        .borrow()
-                        .is_unavailable(&grant.upstream, now) => {}
-                placement => return placement,
+            let is_unavailable = |grant: &Grant| {
+                let availability = self.availability.borrow();
+                availability.is_unavailable(&grant.upstream, now)
+            };
+            match &placement {
+                Placement::Granted(grant) if is_unavailable(grant) => {}
+                Placement::Granted(_) | Placement::Refused(..) => return placement,
             }
             // The upstream said so while the request waited. Its account is charged already.
             request.key = self.key();
@@ -263,8 +263,7 @@
         let announcement = Announcement {
             service: service.clone(),
             upstream: upstream.clone(),
-            leaving: statement.leaving,
-            closed_for: statement.closed_for,
+            statement,
         };
         let announcements = vec![announcement];
         self.fallback.borrow_mut().announce(&announcements, now);
--- a/gooseberrylb/src/upstream/http.rs
+++ b/gooseberrylb/src/upstream/http.rs
@@ -272,7 +272,7 @@
     }
 }
 
-/// Reads the JSON body of a response; a body that is larger than [`MAX_JSON_BYTES`] is an error.
+/// Reads the JSON body of a response. A body that is larger than 4 MiB is an error.
 pub async fn read_json<T: DeserializeOwned>(response: &mut Response) -> io::Result<T> {
     let mut bytes = Vec::new();
     let mut bounded = response.take_body().take(MAX_JSON_BYTES);
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::declaration::Declaration;
 use crate::directory::ListedUpstream;
 use crate::directory::rollout::Rollout;
@@ -51,7 +53,7 @@
 }
 
 /// What an upstream says of its own availability in a response.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
     /// Whether the upstream leaves and takes no new requests.
     pub leaving: bool,
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::dialect::Statement;
+use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
@@ -25,10 +26,8 @@
     pub service: id::Service,
     /// Upstream that the statement is about.
     pub upstream: id::Upstream,
-    /// Whether the upstream leaves.
-    pub leaving: bool,
-    /// Time for which the upstream wants no request from now on.
-    pub closed_for: Option<Duration>,
+    /// The statement, with the time that is left now.
+    pub statement: Statement,
 }
 
 /// State of an upstream in the platform's list.
@@ -42,6 +41,17 @@
     Absent,
 }
 
+impl Listing {
+    /// Returns the state that an entry of the list shows.
+    pub fn new(listed: Option<&ListedUpstream>) -> Self {
+        match listed {
+            None => Self::Absent,
+            Some(listed) if listed.draining => Self::Draining,
+            Some(_) => Self::Ready,
+        }
+    }
+}
+
 /// What is known of one upstream.
 #[derive(Debug, Clone)]
 struct Record {
@@ -131,11 +141,13 @@
         let announce = |(name, record): (&id::Upstream, &Record)| Announcement {
             service: record.service.clone(),
             upstream: name.clone(),
-            leaving: record.leaving,
-            closed_for: record
-                .closed_until
-                .map(|end| end.saturating_duration_since(now))
-                .filter(|left| !left.is_zero()),
+            statement: Statement {
+                leaving: record.leaving,
+                closed_for: record
+                    .closed_until
+                    .map(|end| end.saturating_duration_since(now))
+                    .filter(|left| !left.is_zero()),
+            },
         };
         records.map(announce).collect()
     }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
@@ -320,11 +319,8 @@
     /// whatever the list says.
     pub fn announce(&mut self, announcements: &[Announcement], now: Instant) {
         for announcement in announcements {
-            let statement = Statement {
-                leaving: announcement.leaving,
-                closed_for: announcement.closed_for,
-            };
             let (service, upstream) = (&announcement.service, &announcement.upstream);
+            let statement = announcement.statement;
             self.availability.record(service, upstream, statement, now);
             if let Some(service) = self.services.get_mut(service) {
                 service.set_availability(&self.availability, now);
--- a/gooseberrylb_policy/tests/availability.rs
+++ b/gooseberrylb_policy/tests/availability.rs
@@ -41,8 +41,7 @@
     Announcement {
         service: service(),
         upstream: name(index),
-        leaving: statement.leaving,
-        closed_for: statement.closed_for,
+        statement,
     }
 }
 
@@ -252,10 +251,11 @@
     assert!(!table.is_unavailable(&name(0), now + 3_000 * MS));
     // Leaving and closed are told together, with the time that is left.
     assert!(table.record(&service(), &name(0), leaving(), later));
-    let expected = Announcement {
-        closed_for: Some(2_500 * MS),
-        ..announcement(0, leaving())
+    let both = Statement {
+        leaving: true,
+        ..closed(2_500 * MS)
     };
+    let expected = announcement(0, both);
     assert_eq!(table.announcements(later), [expected]);
     assert!(!table.record(&service(), &name(1), Statement::default(), later));
 }
