--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::deployment::{Deployment, UPSTREAM_COUNT};
-use super::history::Disturbance;
+use super::history::Disruption;
 use super::platform::{Behaviour, FAULTY_BEHAVIOURS, ListState};
 use crate::proxy::{Direction, Faults, Flow};
 
@@ -105,9 +105,9 @@
             if let Err(error) = injection.inject(&fault) {
                 println!("failed to inject {fault:?}: {error:#}");
             }
-            if let Some(disturbance) = injection.disturbance(&fault, start) {
+            if let Some(disruption) = injection.disruption(&fault, start) {
                 let stand_ins = &injection.deployment.stand_ins;
-                stand_ins.record_disturbance(disturbance);
+                stand_ins.record_disruption(disruption);
             }
         }));
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
@@ -190,7 +190,7 @@
 impl Injection {
     /// Returns the effect of a fault that began at `start` and has ended, if it affects entries or
     /// links that they use.
-    fn disturbance(&self, fault: &Fault, start: Instant) -> Option<Disturbance> {
+    fn disruption(&self, fault: &Fault, start: Instant) -> Option<Disruption> {
         let now = Instant::now();
         let (entry, interrupts, end) = match fault {
             Fault::Kill(host) | Fault::Stop(host) | Fault::Freeze(host) => (Some(*host), true, now),
@@ -207,7 +207,7 @@
             | Fault::Upstream(..)
             | Fault::RestartUpstream(_) => return None,
         };
-        Some(Disturbance {
+        Some(Disruption {
             entry,
             interrupts,
             start,
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -109,7 +109,7 @@
 
 /// Fault at entries or at links that they use.
 #[derive(Debug, Clone, Copy)]
-pub struct Disturbance {
+pub struct Disruption {
     /// Host number of the entry; `None` for all.
     pub entry: Option<u8>,
     /// Whether the process was stopped or suspended, so that it may have forgotten or missed what it
@@ -121,7 +121,7 @@
     pub end: Instant,
 }
 
-impl Disturbance {
+impl Disruption {
     /// Whether the fault affects the entry at an address in the period from `from` to `to`.
     fn affects(&self, entry: Option<SocketAddr>, from: Instant, to: Instant) -> bool {
         let is_host = |host: u8| match entry.map(|entry| entry.ip()) {
@@ -178,7 +178,7 @@
     executions: Vec<Execution>,
     arrivals: Vec<Arrival>,
     statements: Vec<Statement>,
-    disturbances: Vec<Disturbance>,
+    disruptions: Vec<Disruption>,
     declarations: Vec<Declaration>,
     violations: Vec<String>,
     read_count: usize,
@@ -225,8 +225,8 @@
     }
 
     /// Records a fault that has ended.
-    pub fn record_disturbance(&self, disturbance: Disturbance) {
-        self.records().disturbances.push(disturbance);
+    pub fn record_disruption(&self, disruption: Disruption) {
+        self.records().disruptions.push(disruption);
     }
 
     /// Records a response, and a violation if it does not belong to the request. Returns whether it
@@ -422,9 +422,9 @@
                 arrival.upstream == statement.upstream
                     && entry.is_some()
                     && entry_of(&arrival.attempt) == entry
-                    && !self.disturbances.iter().any(|disturbance| {
-                        let excuses = statement.closed_for.is_some() || disturbance.interrupts;
-                        excuses && disturbance.affects(entry, statement.at, arrival.at)
+                    && !self.disruptions.iter().any(|disruption| {
+                        let excuses = statement.closed_for.is_some() || disruption.interrupts;
+                        excuses && disruption.affects(entry, statement.at, arrival.at)
                     })
             });
             let (upstream, said) = (&statement.upstream, &statement.attempt);
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::history::{ACCOUNT, Call, Disturbance, Execution, History, Kind, STREAM_EVENTS, event};
+use super::history::{ACCOUNT, Call, Disruption, Execution, History, Kind, STREAM_EVENTS, event};
 use super::lock;
 use super::wire::{self, Message};
 
@@ -216,8 +216,8 @@
     }
 
     /// Records a fault that has ended.
-    pub fn record_disturbance(&self, disturbance: Disturbance) {
-        self.history.record_disturbance(disturbance);
+    pub fn record_disruption(&self, disruption: Disruption) {
+        self.history.record_disruption(disruption);
     }
 
     /// Sets the state of the list.
