Log the shared parts of prompts, and how long a failed upstream had been writing

The adapter decodes the parts; finished and broken requests log them, and a broken stream logs what its last upstream had written. No change of logic.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -238,7 +238,7 @@
         waited_ms = forwarder.placement_wait.as_millis() as u64, alone = forwarder.alone,
         first_ms = first.as_deref().unwrap_or("-"), gap_ms = gap.as_deref().unwrap_or("-"),
         framing = framing.as_deref().unwrap_or("-"), partial_bytes = stream.map_or(0, |stream| stream.partial_bytes),
-        ms = elapsed.as_millis() as u64, outcome = outcome;
+        parts = forwarder.parts(), ms = elapsed.as_millis() as u64, outcome = outcome;
         "request finished"
     );
 }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -418,7 +418,7 @@
                 Ok(Ok(response)) => response,
                 Ok(Err(error)) => {
                     log::info!(
-                        id = self.id(), upstream:% = grant.upstream, error:% = error;
+                        id = self.id(), upstream:% = grant.upstream, parts = self.parts(), error:% = error;
                         "an upstream gave no answer"
                     );
                     return Err(Failure::Unknown("the upstream closed the connection"));
@@ -556,6 +556,17 @@
     pub fn id(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or("-")
     }
+
+    /// Returns the shared parts of the request's prompt for log lines.
+    pub fn parts(&self) -> String {
+        let parts: Vec<_> = self
+            .metadata
+            .parts
+            .iter()
+            .map(id::Part::to_string)
+            .collect();
+        parts.join(",")
+    }
 }
 
 /// Returns the response to a request that was not placed.
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -222,9 +222,14 @@
             Step::CallerGone => return transfer.finish(End::CallerGone, &events),
             Step::Late => return transfer.finish(End::Late, &events),
             Step::End | Step::Broken => {
+                let now = forwarder.gateway.core.clock.now();
+                let wrote = first.map(|first| now.saturating_duration_since(first));
                 log::info!(
                     id = forwarder.id(), upstream:% = exchange.grant.upstream, events = events.count,
-                    framing:? = transfer.framing, partial_bytes = events.unfinished().len();
+                    own_events = events.count - events_before,
+                    wrote_ms = wrote.map_or("-".to_owned(), |time| time.as_millis().to_string()),
+                    parts = forwarder.parts(), framing:? = transfer.framing,
+                    partial_bytes = events.unfinished().len();
                     "the upstream failed during a response"
                 );
                 exchange.grant.end(Outcome::Failed);
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -32,6 +32,9 @@
     pub expected_output: Option<u64>,
     /// Number of the last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Parts of the prompt that other requests may share, in order. What belongs to the request or
+    /// its session alone is left out.
+    pub parts: Vec<id::Part>,
 }
 
 /// Metadata of an upstream's response, beyond HTTP itself.
--- a/gooseberrylb_config/src/id.rs
+++ b/gooseberrylb_config/src/id.rs
@@ -1,9 +1,11 @@
 //! Validated names, one newtype per kind of item so that they cannot be confused.
 
 use std::fmt;
+use std::num::ParseIntError;
 use std::str::FromStr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use thiserror::Error;
 
@@ -104,3 +106,23 @@
     /// Name of the operator who submitted a release note.
     Author;
 }
+
+/// Identifies a part of a prompt. Requests whose prompts share a part name the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Part(u128);
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for Part {
+    type Err = ParseIntError;
+
+    /// Parses a hexadecimal number.
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
