Add failing tests: a prompt part that crashes upstreams is sent to more of them

After five crashes, 20 of 20 further requests with the part reach upstreams, from the entry that saw the crashes and from another one. Upstreams of the stand-in crash before the first event of any request with one part; sound requests share the account, the route and the first part.

--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -23,8 +23,10 @@
 pub const FEED: u16 = 17_630;
 pub const UPSTREAM: u16 = 17_640;
 
-/// Host part of the entry's address. The keepers have 1 to 3.
+/// Host part of the first entry's address. The keepers have 1 to 3.
 pub const ENTRY: u8 = 4;
+/// Host part of the address of the last entry that a test may start.
+const LAST_ENTRY: u8 = 6;
 /// Host part of the stand-ins' address.
 pub const STAND_INS: u8 = 9;
 
@@ -69,8 +71,9 @@
             {{"name":"inner","host":"a.example","path-prefix":"/plain/inner/","kind":"safe","timeout-ms":5000,"priority":1,"service":"desk","allow-anonymous":true}},
             {{"name":"stream","host":"a.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"desk","max-attempts":1}},
             {{"name":"resumable","host":"a.example","path-prefix":"/resumable/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"pair","max-attempts":2,"resume-streams":true}},
-            {{"name":"pair","host":"a.example","path-prefix":"/pair/","kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"service":"pair","max-attempts":2}}{extra}
-        ],"services":[{{"name":"desk","max-connections":50}},{{"name":"pair","max-connections":50}}],
+            {{"name":"pair","host":"a.example","path-prefix":"/pair/","kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"service":"pair","max-attempts":2}},
+            {{"name":"crowd","host":"a.example","path-prefix":"/crowd/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"crowd","max-attempts":1}}{extra}
+        ],"services":[{{"name":"desk","max-connections":50}},{{"name":"pair","max-connections":50}},{{"name":"crowd","max-connections":50}}],
         "tenants":[{{"name":"hule","api-keys":["key-1","key-2"]}}]}}"#
     )
 }
@@ -104,14 +107,14 @@
     }
 }
 
-/// Returns the settings of an instance: keepers have data folders, and the entry has none.
+/// Returns the settings of an instance: keepers have data folders, and entries have none.
 pub fn settings(network: Network, host: u8, folder: &Path, grace_s: u64) -> String {
     let at = |port| network.address(host, port);
     let seeds = (1..=3).map(|host| format!("\"{}\"", network.address(host, CONTROL)));
     let seeds: Vec<String> = seeds.collect();
     let (ready, control, directory) = (at(READY), at(CONTROL), at(DIRECTORY));
     let (role, data) = match host {
-        ENTRY => (format!(r#""ready": "{ready}","#), String::new()),
+        ENTRY.. => (format!(r#""ready": "{ready}","#), String::new()),
         _ => (
             format!(r#""control": "{control}", "directory": "{directory}","#),
             format!(r#""data_folder": "{}","#, folder.display()),
@@ -179,6 +182,13 @@
         fleet
     }
 
+    /// Starts one more entry and waits until it is ready.
+    pub fn start_entry(&mut self, host: u8) {
+        assert!((ENTRY..=LAST_ENTRY).contains(&host));
+        self.spawn(host);
+        self.wait(|fleet| fleet.is_ready_at(host));
+    }
+
     /// Starts the process of an instance.
     pub fn spawn(&mut self, host: u8) {
         let folder = self.home.path().join(host.to_string());
@@ -210,7 +220,7 @@
     pub fn output(&self) -> String {
         let path = |host: u8| self.home.path().join(host.to_string()).join("output");
         let read = |host| std::fs::read_to_string(path(host)).unwrap_or_default();
-        (1..=ENTRY).map(read).collect()
+        (1..=LAST_ENTRY).map(read).collect()
     }
 
     /// Sends bytes and reads until the connection ends; `None` if connecting or writing fails.
@@ -230,9 +240,14 @@
         self.send(host, port, &request)
     }
 
-    /// Whether the entry reports that it is ready.
+    /// Whether the first entry reports that it is ready.
     pub fn is_ready(&self) -> bool {
-        let answer = self.get(ENTRY, READY, "/api/readiness");
+        self.is_ready_at(ENTRY)
+    }
+
+    /// Whether an entry reports that it is ready.
+    fn is_ready_at(&self, host: u8) -> bool {
+        let answer = self.get(host, READY, "/api/readiness");
         answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
     }
 
@@ -277,14 +292,20 @@
         }
     }
 
-    /// Sends a caller's request with the given additional fields and returns the response.
+    /// Sends a caller's request with the given additional fields to the first entry and returns the
+    /// response.
     pub fn call(&self, target: &str, fields: &str) -> String {
+        self.call_at(ENTRY, target, fields)
+    }
+
+    /// Like [`Fleet::call`], to any entry.
+    pub fn call_at(&self, host: u8, target: &str, fields: &str) -> String {
         let request = format!(
             "POST {target} HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-1\r\n\
              X-Gooseberrylb-Deadline-Ms: 4000\r\nContent-Length: 3\r\nConnection: close\r\n\
              {fields}\r\nabc"
         );
-        self.send(ENTRY, CALLERS, &request).unwrap()
+        self.send(host, CALLERS, &request).unwrap()
     }
 
     /// Sends a caller's request in HTTP/1.0 and reads until the connection ends in order.
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod declarations;
 mod fleet;
+mod prompts;
 mod requests;
 mod rollouts;
 mod standin;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -132,6 +132,9 @@
     if target.starts_with("/pair/") && instance.as_deref() == Some(SPEAKING) {
         return speaking_response(request, target).into();
     }
+    if target.starts_with("/crowd/") {
+        return crowd_response(request);
+    }
     if target.starts_with("/resumable/") {
         return resumable_response(request, earlier);
     }
@@ -180,6 +183,31 @@
     signed_response(request, "201 Made", &rest)
 }
 
+/// Number of upstreams of the service that has a crash for a part of a prompt.
+const CROWD: u32 = 8;
+
+/// Part of a prompt under which upstreams crash.
+pub const CRASHING_PART: &str = "bad0";
+
+/// Returns a stream, which the upstream's crash breaks off before its first event if the prompt has
+/// the crashing part.
+fn crowd_response(request: &str) -> Answer {
+    let parts = field(request, "x-gooseberrylb-prompt-prefix").unwrap_or_default();
+    let crashes = parts.contains(&format!("{CRASHING_PART}:"));
+    let head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let rest = match crashes {
+        true => head.to_owned(),
+        false => format!("{head}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"),
+    };
+    Answer {
+        text: signed_response(request, "200 OK", &rest),
+        end: match crashes {
+            true => End::Reset,
+            false => End::Close,
+        },
+    }
+}
+
 /// Returns bytes without end at a place of a response.
 fn endless_response(request: &str, place: &str) -> Answer {
     let chunked = "Transfer-Encoding: chunked\r\n\r\n";
@@ -287,8 +315,12 @@
     let pair: String = ["i-5", "i-6"]
         .map(|name| format!(r#"{{{pair},"state":"ready","id":"{name}"}},"#))
         .concat();
+    let crowd = instance.replace("desk", "crowd");
+    let crowd: String = (0..CROWD)
+        .map(|number| format!(r#"{{{crowd},"state":"ready","id":"i-crowd-{number}"}},"#))
+        .collect();
     let body = format!(
-        r#"{{"instances":[{others}{pair}{{{instance},"state":"ready","id":"i-1"}},
+        r#"{{"instances":[{others}{pair}{crowd}{{{instance},"state":"ready","id":"i-1"}},
             {{"service":"desk","address":7,"state":"ready","id":"i-2"}},
             {{{instance},"state":"resting","id":"i-3"}}],"next":null}}"#
     );
