Refuse requests with a part of a prompt that crashes upstreams, at all entries

Cause: a part of some prompts crashes every upstream that begins a response on it. Each crash was taken for a fault of its upstream alone. The entry resumed the stream at another upstream, callers sent it again, and the next requests with the part were granted the upstreams that were left. No instance related crashes of different upstreams to each other.

Change: entries report crashes with the parts of the prompt to their dispatcher, by the way that statements of upstreams take. The dispatcher blocks a part after three crashes of different upstreams at different moments, without a served response in between, unless a blocked part explains them; tells all entries; and tells later ones as they connect. Dispatchers of other shards are told of crashes, new dispatchers of crashes and blocks. Entries refuse with 503 and the time that the block lasts, also while they place alone. Entries without requests keep a session too, or they would tell a new dispatcher nothing.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -13,11 +13,12 @@
 use gooseberrylb_config::directory::{self, Directory};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
-use gooseberrylb_policy::availability::{Announcement, Listing};
+use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::availability::Listing;
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, share,
 };
-use gooseberrylb_policy::rollout;
+use gooseberrylb_policy::{prompt, rollout};
 use gooseberrylb_wire::dispatch::Answer;
 
 use super::core::Core;
@@ -168,23 +169,26 @@
         }
     }
 
-    /// Takes over what upstreams said of their availability, as told by an entry or by the
-    /// dispatcher of another shard. What an entry tells is passed on to the other shards, whose
-    /// upstreams it may concern.
+    /// Takes over what an entry or the dispatcher of another shard tells. What an entry tells is
+    /// passed on to the other shards, whose upstreams it may concern.
     fn announce(&self, core: &Rc<Core>, from: &id::Instance, announcements: Vec<Announcement>) {
         if !self.prepare(core) {
             return;
         }
         let now = core.clock.now();
-        for announcement in &announcements {
-            log::info!(
-                upstream:% = announcement.upstream, service:% = announcement.service, from:% = from,
-                leaving = announcement.statement.leaving,
-                closed_ms = announcement.statement.closed_for.map_or(0, |time| time.as_millis() as u64);
-                "an upstream wants no requests"
-            );
+        let news = self.dispatcher.borrow_mut().announce(announcements, now);
+        if news.is_empty() {
+            return;
         }
-        self.dispatcher.borrow_mut().announce(&announcements, now);
+        news.iter().for_each(|news| log_announcement(from, news));
+        if news.iter().any(is_crash) {
+            let core = core.clone();
+            task::spawn_local(async move {
+                task::sleep(prompt::SETTLING).await;
+                core.dispatch.judge_prompts(&core);
+            });
+        }
+        self.announce_to_entries(core, &news);
         let directory = core.feed.borrow().directory().clone();
         let is_entry = directory.instances.get(from).is_some_and(|i| i.entry);
         let plan = core.plan(&directory);
@@ -194,7 +198,35 @@
         let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
         for name in dispatchers.filter(|name| **name != core.identity.name) {
             if let Some(session) = self.peer(core, name) {
-                session.announce(announcements.clone());
+                session.announce(news.clone());
+            }
+        }
+    }
+
+    /// Blocks the parts of prompts that crash upstreams, and tells the entries. The dispatchers of
+    /// other shards come to the same decision, since they are told of all crashes.
+    fn judge_prompts(&self, core: &Core) {
+        if !self.prepare(core) {
+            return;
+        }
+        let news = self.dispatcher.borrow_mut().judge_prompts(core.clock.now());
+        let own = &core.identity.name;
+        news.iter().for_each(|news| log_announcement(own, news));
+        self.announce_to_entries(core, &news);
+    }
+
+    /// Tells all entries of this dispatcher what binds them too.
+    fn announce_to_entries(&self, core: &Core, news: &[Announcement]) {
+        let binding = news.iter().filter(|news| binds_entries(news));
+        let binding: Vec<_> = binding.cloned().collect();
+        if binding.is_empty() {
+            return;
+        }
+        let directory = core.feed.borrow().directory().clone();
+        let sessions = self.sessions.borrow();
+        for (name, answers) in sessions.iter() {
+            if directory.instances.get(name).is_some_and(|i| i.entry) {
+                send_announcements(name, answers, binding.clone());
             }
         }
     }
@@ -227,6 +259,8 @@
     fn connect(&self, core: &Core, instance: id::Instance, answers: Sender<Answer>) -> bool {
         let is_dispatching = self.prepare(core);
         if is_dispatching {
+            let blocked = self.dispatcher.borrow().blocked_parts(core.clock.now());
+            send_announcements(&instance, &answers, blocked);
             self.sessions.borrow_mut().insert(instance, answers);
         }
         is_dispatching
@@ -310,7 +344,8 @@
             instance: name.clone(),
             term: None,
         };
-        let session = Rc::new(Session::open(core, address, dispatcher));
+        // Dispatchers announce to entries only.
+        let session = Rc::new(Session::open(core, address, dispatcher, drop));
         session.announce(self.dispatcher.borrow().announcements(now));
         peers.insert(name.clone(), (session.clone(), now));
         Some(session)
@@ -391,6 +426,76 @@
     }
 }
 
+/// Queues announcements for an instance. An instance that does not read is told them in its next
+/// session.
+fn send_announcements(
+    instance: &id::Instance,
+    answers: &Sender<Answer>,
+    announcements: Vec<Announcement>,
+) {
+    if announcements.is_empty() {
+        return;
+    }
+    let has_room = answers.len() < session::MAX_ANSWERS;
+    if !has_room || answers.try_send(Answer::Announced(announcements)).is_err() {
+        log::info!(entry:% = instance; "announcements were not delivered; the entry does not read");
+    }
+}
+
+/// Whether entries act on an announcement.
+fn binds_entries(announcement: &Announcement) -> bool {
+    match announcement {
+        Announcement::Prompt(prompt::Report::Blocked { .. } | prompt::Report::Served { .. }) => {
+            true
+        }
+        Announcement::Prompt(prompt::Report::Crashed { .. }) | Announcement::Upstream(_) => false,
+    }
+}
+
+/// Whether an announcement is of a crash, which is judged later.
+fn is_crash(announcement: &Announcement) -> bool {
+    matches!(
+        announcement,
+        Announcement::Prompt(prompt::Report::Crashed { .. })
+    )
+}
+
+/// Logs what an instance learned of an upstream or a prompt, and from which one.
+pub fn log_announcement(from: &id::Instance, announcement: &Announcement) {
+    match announcement {
+        Announcement::Upstream(report) => log::info!(
+            upstream:% = report.upstream, service:% = report.service, from:% = from,
+            leaving = report.statement.leaving,
+            closed_ms = report.statement.closed_for.map_or(0, |time| time.as_millis() as u64);
+            "an upstream wants no requests"
+        ),
+        Announcement::Prompt(prompt::Report::Crashed {
+            upstream,
+            parts,
+            age,
+        }) => {
+            let parts: Vec<_> = parts.iter().map(id::Part::to_string).collect();
+            log::info!(
+                upstream:% = upstream, parts = parts.join(","), age_ms = age.as_millis() as u64, from:% = from;
+                "an upstream crashed as it began a response"
+            );
+        }
+        Announcement::Prompt(prompt::Report::Blocked {
+            part, left, times, ..
+        }) => {
+            METRICS.prompt_parts.with_label_values(&["blocked"]).inc();
+            log::warn!(
+                part:% = part, left_s = left.as_secs(), times = times, from:% = from;
+                "refusing requests with a part of a prompt that crashes upstreams"
+            );
+        }
+        Announcement::Prompt(prompt::Report::Served { part, .. }) => {
+            METRICS.prompt_parts.with_label_values(&["served"]).inc();
+            log::info!(part:% = part, from:% = from; "a part of a prompt is sound after all");
+        }
+    }
+}
+
 /// Returns the state of an upstream in the replicated list.
 pub fn listing(directory: &Directory, upstream: &id::Upstream) -> Listing {
     Listing::new(directory.listed.get(upstream).map(|listed| &**listed))
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -50,7 +50,8 @@
 /// that the entry is leaving and send no more requests that could cross the close.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2500);
 
-/// Interval at which expired connections are removed from the pool.
+/// Interval at which expired connections are removed from the pool and a lost session with the
+/// dispatcher is replaced.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval at which the configuration is checked while requests wait for a fresh one.
@@ -338,11 +339,14 @@
     }
 }
 
-/// Removes expired connections from the pool at regular intervals.
+/// Removes expired connections from the pool at regular intervals, and keeps a session with the
+/// dispatcher. Without one, an entry without requests would neither tell a new dispatcher what it
+/// knows nor learn from it.
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         task::sleep(POOL_SWEEP_INTERVAL).await;
         gateway.pool.sweep(gateway.core.clock.now());
+        gateway.placer.keep_session();
     }
 }
 
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use gooseberrylb_config::dialect::{Outgoing, RequestMetadata, ResponseMetadata};
 use gooseberrylb_config::id;
 use gooseberrylb_policy::dispatch::{Outcome, Reason};
+use gooseberrylb_policy::prompt::Ending;
 
 use super::Gateway;
 use super::http::{self, Connection, Framing, Request, Response};
@@ -334,6 +335,7 @@
                     id = self.id(), upstream:% = grant.upstream, error:% = error;
                     "reading the response body failed"
                 );
+                self.record_ending(&grant, Ending::of_broken(None));
                 grant.end(Outcome::Failed);
                 return Err(Failure::Unknown("the upstream's answer broke off"));
             }
@@ -353,6 +355,10 @@
             }
             return Ok(Delivery::Buffered(response, body));
         }
+        if (200..300).contains(&response.status) {
+            let is_framed = response.framing != Framing::UntilClose;
+            self.record_ending(&grant, Ending::of_complete(is_framed, Duration::ZERO));
+        }
         grant.end(Outcome::Served {
             first: now.saturating_duration_since(sent_at),
             rest: Duration::ZERO,
@@ -421,6 +427,7 @@
                         id = self.id(), upstream:% = grant.upstream, parts = self.parts(), error:% = error;
                         "an upstream gave no answer"
                     );
+                    self.record_ending(grant, Ending::of_broken(None));
                     return Err(Failure::Unknown("the upstream closed the connection"));
                 }
                 Err(_) if self.time_left().is_zero() => return Err(Failure::TimedOut),
@@ -480,6 +487,11 @@
         grant.record_statement(reply.statement);
     }
 
+    /// Records what the end of the run on an upstream told about the parts of the prompt.
+    pub fn record_ending(&self, grant: &Grant, ending: Ending) {
+        grant.record_ending(&self.metadata.parts, ending);
+    }
+
     /// Writes the request. Stops early if the upstream responds before it has read the whole body.
     async fn write_request(
         &self,
@@ -575,6 +587,9 @@
         Reason::Quota => Fault::with_retry_after(429, "the account's quota is used up", pause),
         Reason::Busy => Fault::with_retry_after(503, "the upstreams are busy", pause),
         Reason::NoUpstream => Fault::with_retry_after(503, "the service has no upstream", pause),
+        Reason::Prompt => {
+            Fault::with_retry_after(503, "a part of the prompt crashes upstreams", pause)
+        }
     }
 }
 
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -14,11 +14,13 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
 use gooseberrylb_config::{id, number};
-use gooseberrylb_policy::availability::{Announcement, Table};
+use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::availability::{Report, Table};
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
 };
+use gooseberrylb_policy::prompt::{self, Ending};
 use gooseberrylb_policy::quota::Usage;
 
 use crate::control::Core;
@@ -96,6 +98,11 @@
             .record_statement(service, &self.upstream, statement);
     }
 
+    /// Records what the end of a run told about the parts of its prompt.
+    pub fn record_ending(&self, parts: &[id::Part], ending: Ending) {
+        self.placer.record_ending(&self.upstream, parts, ending);
+    }
+
     /// Reports that the upstream has not responded within the expected time.
     pub fn report_silence(&self) {
         self.placer
@@ -161,6 +168,8 @@
     availability: RefCell<Table>,
     /// Configuration revision that `availability` was compared with.
     availability_revision: Cell<Option<number::Revision>>,
+    /// Parts of prompts that crash upstreams, and the crashes that this entry saw.
+    prompts: RefCell<prompt::Table>,
 }
 
 impl Placer {
@@ -184,6 +193,7 @@
             fallback_revision: Cell::new(None),
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
+            prompts: RefCell::default(),
         })
     }
 
@@ -197,10 +207,14 @@
         }
     }
 
-    /// Finds an upstream for a request, or refuses it. It is none that this entry knows to want no
-    /// requests, whatever the dispatcher knows.
-    pub async fn place(self: &Rc<Self>, mut request: Request) -> Placement {
+    /// Finds an upstream for a request whose prompt has `parts`, or refuses it. It is none that this
+    /// entry knows to want no requests, whatever the dispatcher knows.
+    pub async fn place(self: &Rc<Self>, mut request: Request, parts: &[id::Part]) -> Placement {
         loop {
+            let now = self.core.clock.now();
+            if let Some((_, left)) = self.prompts.borrow().blocked(parts, now) {
+                return Placement::Refused(Reason::Prompt, left);
+            }
             let unavailable = self.unavailable(&request.service);
             request.excluded.extend(unavailable);
             let placement = self.place_once(request.clone()).await;
@@ -209,11 +223,12 @@
                 let availability = self.availability.borrow();
                 availability.is_unavailable(&grant.upstream, now)
             };
+            let is_blocked = self.prompts.borrow().blocked(parts, now).is_some();
             match &placement {
-                Placement::Granted(grant) if is_unavailable(grant) => {}
+                Placement::Granted(grant) if is_blocked || is_unavailable(grant) => {}
                 Placement::Granted(_) | Placement::Refused(..) => return placement,
             }
-            // The upstream said so while the request waited. Its account is charged already.
+            // It became known while the request waited. Its account is charged already.
             request.key = self.key();
             request.units = 0.0;
         }
@@ -260,19 +275,58 @@
                 "an upstream wants no requests"
             );
         }
-        let announcement = Announcement {
+        let announcements = vec![Announcement::Upstream(Report {
             service: service.clone(),
             upstream: upstream.clone(),
             statement,
-        };
-        let announcements = vec![announcement];
-        self.fallback.borrow_mut().announce(&announcements, now);
+        })];
+        let mut fallback = self.fallback.borrow_mut();
+        fallback.announce(announcements.clone(), now);
+        if is_new {
+            self.announce(announcements);
+        }
+    }
+
+    /// Records what the end of a run told about the parts of its prompt, and tells the dispatcher.
+    fn record_ending(&self, upstream: &id::Upstream, parts: &[id::Part], ending: Ending) {
+        if parts.is_empty() {
+            return;
+        }
+        let now = self.core.clock.now();
+        let mut prompts = self.prompts.borrow_mut();
+        let news = prompts.record(upstream, parts, ending, now).into_iter();
+        let news: Vec<_> = news.map(Announcement::Prompt).collect();
+        let own = &self.core.identity.name;
+        news.iter()
+            .for_each(|news| dispatch::log_announcement(own, news));
+        self.announce(news);
+    }
+
+    /// Tells the dispatcher, if there is a session. A later one begins with all that is known.
+    fn announce(&self, announcements: Vec<Announcement>) {
         let session = self.session.borrow().clone();
-        if let Some(session) = session.filter(|session| is_new && session.is_alive()) {
+        if let Some(session) = session.filter(|session| session.is_alive()) {
             session.announce(announcements);
         }
     }
 
+    /// Takes over what the dispatcher tells.
+    fn adopt(&self, dispatcher: &id::Instance, announcements: Vec<Announcement>) {
+        let now = self.core.clock.now();
+        for announcement in announcements {
+            match announcement {
+                Announcement::Prompt(report) => {
+                    let news = self.prompts.borrow_mut().adopt(report, now).into_iter();
+                    news.for_each(|news| {
+                        dispatch::log_announcement(dispatcher, &Announcement::Prompt(news));
+                    });
+                }
+                // The list shows those that leave.
+                Announcement::Upstream(_) => {}
+            }
+        }
+    }
+
     /// Finds an upstream for a request, or refuses it.
     async fn place_once(self: &Rc<Self>, request: Request) -> Placement {
         let now = self.core.clock.now();
@@ -371,7 +425,7 @@
 
     /// Returns the session with the dispatcher. Opens one if needed, which begins with all running
     /// requests of this entry.
-    fn session(&self) -> Option<(Rc<Session>, SocketAddr)> {
+    fn session(self: &Rc<Self>) -> Option<(Rc<Session>, SocketAddr)> {
         let (address, dispatcher) = self.dispatcher()?;
         if let Some(session) = &*self.session.borrow()
             && session.is_alive()
@@ -380,7 +434,15 @@
             return Some((session.clone(), address));
         }
         log::info!(dispatcher:% = dispatcher.instance, term = dispatcher.term.map_or(0, |t| t.0); "using a new dispatcher");
-        let session = Rc::new(Session::open(&self.core, address, dispatcher));
+        let placer = Rc::downgrade(self);
+        let name = dispatcher.instance.clone();
+        let on_announced = move |announcements| {
+            if let Some(placer) = placer.upgrade() {
+                placer.adopt(&name, announcements);
+            }
+        };
+        let session = Session::open(&self.core, address, dispatcher, on_announced);
+        let session = Rc::new(session);
         *self.session.borrow_mut() = Some(session.clone());
         self.pending_charges
             .borrow_mut()
@@ -393,14 +455,27 @@
             ..self.snapshot_notice(&self.core.published().directory)
         };
         self.send_notice(&session, notice);
-        session.announce(
-            self.availability
-                .borrow()
-                .announcements(self.core.clock.now()),
-        );
+        session.announce(self.announcements());
         Some((session, address))
     }
 
+    /// Opens a session with the dispatcher if there is none.
+    pub fn keep_session(self: &Rc<Self>) {
+        let now = self.core.clock.now();
+        if self.alone_until.get().is_none_or(|end| now >= end) {
+            self.session();
+        }
+    }
+
+    /// Returns what a new dispatcher needs to know of upstreams and prompts.
+    fn announcements(&self) -> Vec<Announcement> {
+        let now = self.core.clock.now();
+        let upstreams = self.availability.borrow().reports(now).into_iter();
+        let prompts = self.prompts.borrow().reports(now).into_iter();
+        let upstreams = upstreams.map(Announcement::Upstream);
+        upstreams.chain(prompts.map(Announcement::Prompt)).collect()
+    }
+
     /// Adds the units of a placed request to the usage of its account.
     fn record_usage(&self, request: &Request) {
         let Some(account) = request.account.clone().filter(|_| request.units > 0.0) else {
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use futures::future::Either;
 use gooseberrylb_config::declaration::Retry;
 use gooseberrylb_policy::dispatch::Outcome;
+use gooseberrylb_policy::prompt::Ending;
 
 use super::caller::response_head;
 use super::events::Scanner;
@@ -197,6 +198,7 @@
                     .pool
                     .keep(address, exchange.connection, until);
             }
+            forwarder.record_ending(&exchange.grant, Ending::Served);
             exchange.grant.end(outcome);
             return transfer.finish(End::Whole, &events);
         }
@@ -216,6 +218,8 @@
                 }
                 let outcome =
                     served_outcome(exchange.sent_at, first, last, events.count - events_before);
+                let ending = Ending::of_complete(false, wrote_for(first, last));
+                forwarder.record_ending(&exchange.grant, ending);
                 exchange.grant.end(outcome);
                 return transfer.finish(End::Whole, &events);
             }
@@ -232,6 +236,10 @@
                     partial_bytes = events.unfinished().len();
                     "the upstream failed during a response"
                 );
+                let is_malformed = broken || is_over;
+                if !is_malformed {
+                    forwarder.record_ending(&exchange.grant, Ending::of_broken(wrote));
+                }
                 exchange.grant.end(Outcome::Failed);
                 let resumed_after = forwarder.metadata.last_event;
                 let last_event = events.last_id.or(resumed_after).unwrap_or(0);
@@ -275,6 +283,13 @@
     }
 }
 
+/// Returns the time from the first to the last part of a body.
+fn wrote_for(first: Option<Instant>, last: Instant) -> Duration {
+    first.map_or(Duration::ZERO, |first| {
+        last.saturating_duration_since(first)
+    })
+}
+
 /// Waits for bytes from the upstream, the end of either connection, or the deadline.
 async fn wait_next(forwarder: &Forwarder, upstream: &mut Connection, caller: &Connection) -> Step {
     let now = forwarder.gateway.core.clock.now();
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -15,7 +15,7 @@
 use futures::future::Either;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
-use gooseberrylb_policy::availability::Announcement;
+use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, write_all};
 use gooseberrylb_wire::handshake::{self, Greeting};
@@ -67,11 +67,19 @@
     acknowledged: Cell<u64>,
     /// Where to send the decisions on pending requests.
     pending: RefCell<HashMap<Key, Sender<Decision>>>,
+    /// Called with what the dispatcher announces.
+    on_announced: Box<dyn Fn(Vec<Announcement>)>,
 }
 
 impl Session {
-    /// Opens a session. Questions are queued until the connection is established.
-    pub fn open(core: &Rc<Core>, address: SocketAddr, dispatcher: Dispatcher) -> Self {
+    /// Opens a session. Questions are queued until the connection is established. What the dispatcher
+    /// announces is passed to `on_announced`.
+    pub fn open(
+        core: &Rc<Core>,
+        address: SocketAddr,
+        dispatcher: Dispatcher,
+        on_announced: impl Fn(Vec<Announcement>) + 'static,
+    ) -> Self {
         // A bounded channel would reserve memory for all questions.
         let (questions, outgoing) = async_channel::unbounded();
         let state = Rc::new(State {
@@ -80,6 +88,7 @@
             unanswered_since: Cell::new(None),
             acknowledged: Cell::new(0),
             pending: RefCell::default(),
+            on_announced: Box::new(on_announced),
         });
         let (core, shared, name) = (core.clone(), state.clone(), dispatcher.instance.clone());
         task::spawn_local(async move {
@@ -147,7 +156,7 @@
         self.send(Question::Summarize(summary));
     }
 
-    /// Passes on what upstreams said of their availability.
+    /// Tells what is known of upstreams and prompts.
     pub fn announce(&self, announcements: Vec<Announcement>) {
         if !announcements.is_empty() {
             self.send(Question::Announce(announcements));
@@ -240,6 +249,7 @@
         state.unanswered_since.set(None);
         match answer {
             Answer::Taken(number) => state.acknowledged.set(number),
+            Answer::Announced(announcements) => (state.on_announced)(announcements),
             Answer::Decided(key, decision) => {
                 let mut pending = state.pending.borrow_mut();
                 let is_last = decision != Decision::Wait;
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -55,6 +55,8 @@
     pub offers: IntCounterVec,
     /// Statements of upstreams on their availability, by kind.
     pub statements: IntCounterVec,
+    /// Parts of prompts that were blocked or served after a crash, as learned by this instance.
+    pub prompt_parts: IntCounterVec,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -204,6 +206,12 @@
                 "Statements of upstreams on their availability, by kind.",
                 &["kind"],
             ),
+            prompt_parts: counters(
+                &r,
+                "prompt_parts_total",
+                "Parts of prompts that were blocked, or served after a crash, by event.",
+                &["event"],
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
--- /dev/null
+++ b/gooseberrylb_policy/src/announcement.rs
@@ -0,0 +1,17 @@
+//! What one instance tells others of upstreams and of prompts, so that it binds the whole fleet.
+//!
+//! Entries tell their dispatcher, a dispatcher tells its entries and those of other shards, and a
+//! new dispatcher or entry is told what is known. See `docs/PLATFORM.md`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{availability, prompt};
+
+/// One piece of what an instance knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Announcement {
+    /// What an upstream said of its availability.
+    Upstream(availability::Report),
+    /// What a run told about the parts of its prompt.
+    Prompt(prompt::Report),
+}
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -21,7 +21,7 @@
 
 /// A statement as one instance passes it on to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
+pub struct Report {
     /// Service of the upstream.
     pub service: id::Service,
     /// Upstream that the statement is about.
@@ -135,10 +135,10 @@
     }
 
     /// Returns what other instances need to know now.
-    pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
         let records = self.0.iter();
         let records = records.filter(|(_, record)| record.leaving || record.is_closed(now));
-        let announce = |(name, record): (&id::Upstream, &Record)| Announcement {
+        let report = |(name, record): (&id::Upstream, &Record)| Report {
             service: record.service.clone(),
             upstream: name.clone(),
             statement: Statement {
@@ -149,7 +149,7 @@
                     .filter(|left| !left.is_zero()),
             },
         };
-        records.map(announce).collect()
+        records.map(report).collect()
     }
 
     /// Compares the statements with the list, and forgets those of upstreams that have started anew
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -15,7 +15,9 @@
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-use crate::availability::{Announcement, Listing, Table};
+use crate::announcement::Announcement;
+use crate::availability::{Listing, Table};
+use crate::prompt;
 use crate::quota::{Usage, Window};
 use crate::rollout::Observation;
 
@@ -118,6 +120,8 @@
     Busy,
     /// The service has no usable upstream.
     NoUpstream,
+    /// A part of the prompt crashes upstreams. Entries decide this themselves.
+    Prompt,
 }
 
 /// The dispatcher's decision on a request.
@@ -288,6 +292,8 @@
     peers: Peers,
     /// What upstreams said of their availability.
     availability: Table,
+    /// Parts of prompts under which upstreams crash.
+    prompts: prompt::Table,
     /// Notices for dispatchers of other shards, about requests that they granted.
     relayed: BTreeMap<id::Instance, Notice>,
 }
@@ -315,22 +321,54 @@
         }
     }
 
-    /// Takes over what upstreams said of their availability. They get no request accordingly,
-    /// whatever the list says.
-    pub fn announce(&mut self, announcements: &[Announcement], now: Instant) {
+    /// Takes over what another instance tells, and returns what is new of it.
+    /// Upstreams that want no request get none accordingly, whatever the list says.
+    pub fn announce(
+        &mut self,
+        announcements: Vec<Announcement>,
+        now: Instant,
+    ) -> Vec<Announcement> {
+        let mut news = Vec::new();
         for announcement in announcements {
-            let (service, upstream) = (&announcement.service, &announcement.upstream);
-            let statement = announcement.statement;
-            self.availability.record(service, upstream, statement, now);
-            if let Some(service) = self.services.get_mut(service) {
-                service.set_availability(&self.availability, now);
+            match announcement {
+                Announcement::Upstream(report) => {
+                    let (name, upstream) = (&report.service, &report.upstream);
+                    let is_new = self
+                        .availability
+                        .record(name, upstream, report.statement, now);
+                    if let Some(service) = self.services.get_mut(name).filter(|_| is_new) {
+                        service.set_availability(&self.availability, now);
+                    }
+                    news.extend(is_new.then_some(Announcement::Upstream(report)));
+                }
+                Announcement::Prompt(report) => {
+                    let reports = self.prompts.adopt(report, now);
+                    news.extend(reports.into_iter().map(Announcement::Prompt));
+                }
             }
         }
+        news
     }
 
-    /// Returns what upstreams said of their availability, for another dispatcher.
+    /// Returns what another dispatcher needs to know of upstreams and prompts.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
-        self.availability.announcements(now)
+        let upstreams = self.availability.reports(now).into_iter();
+        let prompts = self.prompts.reports(now).into_iter();
+        let upstreams = upstreams.map(Announcement::Upstream);
+        upstreams.chain(prompts.map(Announcement::Prompt)).collect()
+    }
+
+    /// Blocks the parts of prompts that the known crashes point to, and returns them. A crash counts
+    /// [`prompt::SETTLING`] after it happened.
+    pub fn judge_prompts(&mut self, now: Instant) -> Vec<Announcement> {
+        let blocks = self.prompts.judge(now).into_iter();
+        blocks.map(Announcement::Prompt).collect()
+    }
+
+    /// Returns the parts of prompts that entries refuse.
+    pub fn blocked_parts(&self, now: Instant) -> Vec<Announcement> {
+        let blocks = self.prompts.blocks(now).into_iter();
+        blocks.map(Announcement::Prompt).collect()
     }
 
     /// Whether an upstream has said that it leaves.
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -1,11 +1,13 @@
 //! Traffic decisions of gooseberrylb as pure code: time, randomness and messages are passed in,
 //! and the decisions are returned. The daemon carries them out. See `docs/DESIGN.md`.
 
+pub mod announcement;
 pub mod availability;
 pub mod dispatch;
 pub mod drain;
 pub mod moves;
 pub mod occupancy;
+pub mod prompt;
 pub mod quota;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/gooseberrylb_policy/tests/prompt.rs
@@ -0,0 +1,339 @@
+//! Plays of prompts with a part that crashes every upstream that begins a response on it.
+
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+use gooseberrylb_policy::prompt::{Ending, Report, SETTLING, Table};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Part that all prompts of a route share.
+const SHARED: u32 = 0xf0;
+
+/// Part that crashes upstreams.
+const CRASHING: u32 = 0xbad;
+
+fn part(number: u32) -> id::Part {
+    format!("{number:x}").parse().unwrap()
+}
+
+fn parts(numbers: &[u32]) -> Vec<id::Part> {
+    numbers.iter().copied().map(part).collect()
+}
+
+fn upstream(number: u32) -> id::Upstream {
+    format!("i-{number}").parse().unwrap()
+}
+
+/// Knowledge of one entry and of the dispatcher, with the time of the play.
+struct Play {
+    entry: Table,
+    dispatcher: Table,
+    start: Instant,
+    now: Instant,
+}
+
+impl Play {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            entry: Table::default(),
+            dispatcher: Table::default(),
+            start: now,
+            now,
+        }
+    }
+
+    /// Records the end of a run at the entry and exchanges what follows.
+    fn end(&mut self, ms: u32, number: u32, numbers: &[u32], ending: Ending) {
+        self.now = self.start + ms * MS;
+        let reports = self
+            .entry
+            .record(&upstream(number), &parts(numbers), ending, self.now);
+        for report in reports {
+            self.dispatcher.adopt(report, self.now);
+        }
+    }
+
+    fn crash(&mut self, ms: u32, number: u32, numbers: &[u32]) {
+        self.end(ms, number, numbers, Ending::Crashed);
+    }
+
+    /// Whether the entry refuses a part, once the dispatcher has decided on all crashes.
+    fn is_blocked(&mut self, number: u32) -> bool {
+        self.now += SETTLING;
+        for news in self.dispatcher.judge(self.now) {
+            self.entry.adopt(news, self.now);
+        }
+        self.entry.blocked(&[part(number)], self.now).is_some()
+    }
+}
+
+#[test]
+fn part_of_three_crashes_is_blocked_and_parts_that_are_served_are_not() {
+    let mut play = Play::new();
+    for number in 0..2 {
+        play.crash(500 * number, number, &[SHARED, CRASHING, 100 + number]);
+        play.end(500 * number + 200, 9, &[SHARED, 200], Ending::Served);
+    }
+    assert!(!play.is_blocked(CRASHING));
+    play.crash(1000, 2, &[SHARED, CRASHING, 102]);
+    assert!(play.is_blocked(CRASHING));
+    let request = parts(&[SHARED, CRASHING, 103]);
+    let (blocked, left) = play.entry.blocked(&request, play.now).unwrap();
+    assert_eq!(blocked, part(CRASHING));
+    assert_eq!(left, Duration::from_secs(600));
+    assert!(!play.is_blocked(SHARED));
+    assert!(!play.is_blocked(100));
+}
+
+#[test]
+fn of_parts_that_are_always_together_only_the_last_is_blocked() {
+    let mut play = Play::new();
+    for number in 0..3 {
+        play.crash(500 * number, number, &[SHARED, CRASHING]);
+    }
+    assert!(play.is_blocked(CRASHING));
+    assert!(!play.is_blocked(SHARED));
+    // Crashes that the blocked part explains count against no other.
+    for number in 3..9 {
+        play.crash(500 * number, number, &[SHARED, CRASHING]);
+    }
+    assert!(!play.is_blocked(SHARED));
+    // If others go on, it was the first.
+    for number in 9..12 {
+        play.crash(500 * number, number, &[SHARED, 300 + number]);
+    }
+    assert!(play.is_blocked(SHARED));
+}
+
+#[test]
+fn part_of_requests_that_ran_beside_a_crash_is_not_blocked() {
+    let mut play = Play::new();
+    for number in 0..6 {
+        play.crash(500 * number, number, &[SHARED, 400]);
+        play.crash(500 * number + 3, number, &[SHARED, CRASHING]);
+    }
+    assert!(play.is_blocked(CRASHING));
+    assert!(!play.is_blocked(400));
+    assert!(!play.is_blocked(SHARED));
+}
+
+#[test]
+fn upstreams_that_crash_at_once_or_one_that_breaks_off_many_responses_block_nothing() {
+    let mut play = Play::new();
+    for number in 0..10 {
+        play.crash(4 * number, number, &[SHARED, CRASHING]);
+    }
+    for number in 0..10 {
+        play.crash(2000 * number, 77, &[SHARED, CRASHING]);
+    }
+    assert!(!play.is_blocked(CRASHING));
+    assert!(!play.is_blocked(SHARED));
+}
+
+#[test]
+fn part_that_is_mostly_served_is_not_reported() {
+    let mut play = Play::new();
+    for number in 0..40 {
+        play.end(number, 9, &[SHARED, 200], Ending::Served);
+    }
+    for number in 0..4 {
+        play.crash(1000 + 500 * number, number, &[SHARED, 500 + number]);
+    }
+    let now = play.now;
+    assert!(!play.is_blocked(SHARED));
+    let reports = play.entry.reports(now).into_iter();
+    let names_shared = |report: Report| match report {
+        Report::Crashed { parts, .. } => parts.contains(&part(SHARED)),
+        Report::Blocked { .. } | Report::Served { .. } => false,
+    };
+    assert_eq!(
+        reports
+            .filter(|report| names_shared(report.clone()))
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn served_run_lifts_a_block_and_a_late_report_does_not_bring_it_back() {
+    let mut play = Play::new();
+    for number in 0..3 {
+        play.crash(500 * number, number, &[SHARED, CRASHING]);
+    }
+    assert!(play.is_blocked(CRASHING));
+    let mut cut_off = Table::default();
+    for report in play.dispatcher.blocks(play.now) {
+        assert_eq!(cut_off.adopt(report, play.now).len(), 1);
+    }
+    play.end(1500, 9, &[SHARED, CRASHING], Ending::Served);
+    assert!(!play.is_blocked(CRASHING));
+    play.now += 500 * MS;
+    for report in cut_off.reports(play.now) {
+        assert_eq!(play.dispatcher.adopt(report, play.now), []);
+    }
+}
+
+#[test]
+fn part_that_crashes_again_after_its_block_is_blocked_at_once_for_twice_the_time() {
+    let mut play = Play::new();
+    for number in 0..3 {
+        play.crash(500 * number, number, &[SHARED, CRASHING]);
+    }
+    assert!(play.is_blocked(CRASHING));
+    play.crash(700_000, 20, &[SHARED, CRASHING]);
+    assert!(play.is_blocked(CRASHING));
+    let (_, left) = play.entry.blocked(&[part(CRASHING)], play.now).unwrap();
+    assert_eq!(left, Duration::from_secs(1200));
+}
+
+#[test]
+fn new_dispatcher_concludes_from_what_entries_saw_of_crashes_before() {
+    let mut entries = [(); 3].map(|()| Play::new());
+    let mut dispatcher = Table::default();
+    let now = Instant::now();
+    for (number, play) in (0..).zip(&mut entries) {
+        play.start = now;
+        play.crash(300 * number, number, &[SHARED, CRASHING, 600 + number]);
+        assert!(!play.is_blocked(CRASHING));
+    }
+    let now = now + 900 * MS;
+    // Each entry tells the same twice, since its session ended in between.
+    for play in entries.iter().chain(&entries) {
+        for report in play.entry.reports(now) {
+            dispatcher.adopt(report, now);
+        }
+    }
+    assert_eq!(dispatcher.reports(now).len(), 3);
+    let blocked = dispatcher.judge(now);
+    assert_eq!(blocked.len(), 1);
+    // The entries learn it, and tell it to the next dispatcher.
+    let mut next = Table::default();
+    for report in blocked {
+        entries[0].entry.adopt(report, now);
+    }
+    for report in entries[0].entry.reports(now) {
+        next.adopt(report, now);
+    }
+    assert!(next.blocked(&[part(CRASHING)], now).is_some());
+}
+
+#[test]
+fn endings_tell_only_what_is_certain() {
+    assert_eq!(Ending::of_broken(None), Ending::Crashed);
+    assert_eq!(Ending::of_broken(Some(40 * MS)), Ending::Crashed);
+    assert_eq!(Ending::of_broken(Some(2000 * MS)), Ending::Unclear);
+    assert_eq!(Ending::of_complete(true, 10 * MS), Ending::Served);
+    assert_eq!(Ending::of_complete(false, 10 * MS), Ending::Unclear);
+    assert_eq!(Ending::of_complete(false, 2000 * MS), Ending::Served);
+}
+
+/// Number of entries, of upstreams and of seeds of the play under load.
+const ENTRIES: usize = 7;
+const UPSTREAMS: usize = 18;
+const SEEDS: u64 = 50;
+
+/// Interval at which the dispatcher judges, in milliseconds.
+const JUDGING_MS: u32 = 100;
+
+/// A run of the play under load.
+struct Running {
+    entry: usize,
+    parts: Vec<id::Part>,
+    /// Time at which it begins to write, and at which it ends.
+    writes: u32,
+    ends: u32,
+}
+
+/// Plays 20 s of 60 requests a second on 18 upstreams, 4 a second of them with the crashing part
+/// from 5 s on, and requests of rare documents among the others. Crashed upstreams are back after
+/// 2 s. Messages take 10 ms. Returns the requests that crashed an upstream and the parts blocked.
+fn play_load(seed: u64) -> (usize, Vec<Report>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = Instant::now();
+    let at = |ms: u32| start + ms * MS;
+    let mut entries: Vec<Table> = (0..ENTRIES).map(|_| Table::default()).collect();
+    let mut dispatcher = Table::default();
+    let mut upstreams: Vec<(u32, Vec<Running>)> = (0..UPSTREAMS).map(|_| (0, Vec::new())).collect();
+    let mut lifetimes = 0;
+    let mut names: Vec<u32> = (0..UPSTREAMS as u32).collect();
+    let mut messages: Vec<(u32, Report)> = Vec::new();
+    let mut crashes = 0;
+    for now in 0..20_000 {
+        let (due, later): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(|(time, _)| *time <= now);
+        messages = later;
+        let due = due.into_iter().map(|(_, report)| report);
+        let mut news: Vec<_> = due.flat_map(|r| dispatcher.adopt(r, at(now))).collect();
+        if now % JUDGING_MS == 0 {
+            news.extend(dispatcher.judge(at(now)));
+        }
+        news.retain(|report| !matches!(report, Report::Crashed { .. }));
+        for entry in &mut entries {
+            news.iter()
+                .for_each(|report| drop(entry.adopt(report.clone(), at(now))));
+        }
+        let crashing = now > 5_000 && rng.random_bool(0.004);
+        if crashing || rng.random_bool(0.06) {
+            let entry = rng.random_range(0..ENTRIES);
+            let document = 0x1000 + rng.random_range(0..200);
+            let numbers = match crashing {
+                true => vec![SHARED, CRASHING, 0x100_0000 + now],
+                false => vec![SHARED, document],
+            };
+            let parts = parts(&numbers);
+            let up: Vec<usize> = (0..UPSTREAMS).filter(|i| upstreams[*i].0 <= now).collect();
+            if entries[entry].blocked(&parts, at(now)).is_none() && !up.is_empty() {
+                let writes = now + rng.random_range(60..400);
+                let run = Running {
+                    entry,
+                    parts,
+                    writes,
+                    ends: writes + rng.random_range(100..2000),
+                };
+                upstreams[up[rng.random_range(0..up.len())]].1.push(run);
+            }
+        }
+        for (index, (back, running)) in upstreams.iter_mut().enumerate() {
+            let is_crash = |run: &Running| run.writes == now && run.parts.contains(&part(CRASHING));
+            let crashed = running.iter().any(is_crash);
+            let (ended, rest): (Vec<_>, Vec<_>) = std::mem::take(running)
+                .into_iter()
+                .partition(|run| crashed || run.ends <= now);
+            *running = rest;
+            for run in ended {
+                let wrote = now.checked_sub(run.writes).map(|ms| ms * MS);
+                let ending = match crashed {
+                    true => Ending::of_broken(wrote.filter(|wrote| !wrote.is_zero())),
+                    false => Ending::Served,
+                };
+                let name = upstream(names[index]);
+                let reports = entries[run.entry].record(&name, &run.parts, ending, at(now));
+                messages.extend(reports.into_iter().map(|report| (now + 10, report)));
+            }
+            if crashed {
+                crashes += 1;
+                lifetimes += 1;
+                names[index] = UPSTREAMS as u32 + lifetimes;
+                *back = now + 2000;
+            }
+        }
+    }
+    (crashes, dispatcher.blocks(at(20_000)))
+}
+
+#[test]
+fn under_load_few_upstreams_crash_and_no_sound_part_is_blocked() {
+    for seed in 0..SEEDS {
+        let (crashes, blocked) = play_load(seed);
+        assert!(crashes <= 8, "seed {seed}: {crashes}");
+        let is_crashing = |report: &Report| matches!(report, Report::Blocked { part: p, .. } if *p == part(CRASHING));
+        assert!(
+            blocked.len() == 1 && blocked.iter().all(is_crashing),
+            "seed {seed}: {blocked:?}"
+        );
+    }
+}
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -8,7 +8,7 @@
 use std::io;
 
 use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use gooseberrylb_policy::availability::Announcement;
+use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -40,7 +40,7 @@
     Offer(Request),
     /// Reports the free slots and the use of quotas in another shard. It is not answered.
     Summarize(Summary),
-    /// Passes on what upstreams said of their availability. It is not answered.
+    /// Tells what the sender knows of upstreams and prompts. It is not answered.
     Announce(Vec<Announcement>),
 }
 
@@ -51,6 +51,8 @@
     Decided(Key, Decision),
     /// Acknowledges the notice of this number, which carried charges, and all earlier ones.
     Taken(u64),
+    /// Tells an entry what the dispatcher knows of upstreams and prompts.
+    Announced(Vec<Announcement>),
 }
 
 /// Appends the length prefix and encoding of a message to `bytes`.
