Tell entries what other entries heard of upstreams, so that it binds them alone too

A leaving upstream reached such entries only by the list, and in a divided fleet only from their own dispatcher.

Dispatchers now tell their entries what is new, and entries that connect what is known, by the way that blocked parts of prompts take.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -188,7 +188,7 @@
                 core.dispatch.judge_prompts(&core);
             });
         }
-        self.announce_to_entries(core, &news);
+        self.announce_to_entries(core, from, &news);
         let directory = core.feed.borrow().directory().clone();
         let is_entry = directory.instances.get(from).is_some_and(|i| i.entry);
         let plan = core.plan(&directory);
@@ -212,11 +212,11 @@
         let news = self.dispatcher.borrow_mut().judge_prompts(core.clock.now());
         let own = &core.identity.name;
         news.iter().for_each(|news| log_announcement(own, news));
-        self.announce_to_entries(core, &news);
+        self.announce_to_entries(core, own, &news);
     }
 
-    /// Tells all entries of this dispatcher what binds them too.
-    fn announce_to_entries(&self, core: &Core, news: &[Announcement]) {
+    /// Tells all entries of this dispatcher what binds them too, but for the one that it is from.
+    fn announce_to_entries(&self, core: &Core, from: &id::Instance, news: &[Announcement]) {
         let binding = news.iter().filter(|news| binds_entries(news));
         let binding: Vec<_> = binding.cloned().collect();
         if binding.is_empty() {
@@ -225,7 +225,8 @@
         let directory = core.feed.borrow().directory().clone();
         let sessions = self.sessions.borrow();
         for (name, answers) in sessions.iter() {
-            if directory.instances.get(name).is_some_and(|i| i.entry) {
+            let is_entry = directory.instances.get(name).is_some_and(|i| i.entry);
+            if is_entry && name != from {
                 send_announcements(name, answers, binding.clone());
             }
         }
@@ -259,8 +260,9 @@
     fn connect(&self, core: &Core, instance: id::Instance, answers: Sender<Answer>) -> bool {
         let is_dispatching = self.prepare(core);
         if is_dispatching {
-            let blocked = self.dispatcher.borrow().blocked_parts(core.clock.now());
-            send_announcements(&instance, &answers, blocked);
+            let dispatcher = self.dispatcher.borrow();
+            let known = dispatcher.announcements_for_entries(core.clock.now());
+            send_announcements(&instance, &answers, known);
             self.sessions.borrow_mut().insert(instance, answers);
         }
         is_dispatching
@@ -445,10 +447,9 @@
 /// Whether entries act on an announcement.
 fn binds_entries(announcement: &Announcement) -> bool {
     match announcement {
-        Announcement::Prompt(prompt::Report::Blocked { .. } | prompt::Report::Served { .. }) => {
-            true
-        }
-        Announcement::Prompt(prompt::Report::Crashed { .. }) | Announcement::Upstream(_) => false,
+        Announcement::Prompt(prompt::Report::Blocked { .. } | prompt::Report::Served { .. })
+        | Announcement::Upstream(_) => true,
+        Announcement::Prompt(prompt::Report::Crashed { .. }) => false,
     }
 }
 
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -321,8 +321,17 @@
                         dispatch::log_announcement(dispatcher, &Announcement::Prompt(news));
                     });
                 }
-                // The list shows those that leave.
-                Announcement::Upstream(_) => {}
+                Announcement::Upstream(report) => {
+                    let (service, upstream) = (&report.service, &report.upstream);
+                    let mut availability = self.availability.borrow_mut();
+                    let is_new = availability.record(service, upstream, report.statement, now);
+                    let announcement = Announcement::Upstream(report);
+                    if is_new {
+                        dispatch::log_announcement(dispatcher, &announcement);
+                    }
+                    let mut fallback = self.fallback.borrow_mut();
+                    fallback.announce(vec![announcement], now);
+                }
             }
         }
     }
--- a/gooseberrylb/tests/platform/availability.rs
+++ b/gooseberrylb/tests/platform/availability.rs
@@ -80,3 +80,28 @@
         fleet.requests_to(SPEAKING) > later
     });
 }
+
+#[test]
+fn upstream_that_told_one_entry_to_wait_gets_nothing_from_another_that_places_alone() {
+    let mut fleet = Fleet::start(16);
+    fleet.start_entry(ENTRY + 1);
+    fleet.wait(|fleet| fleet.call_at(ENTRY + 1, "/pair/x", KEY).contains("hello"));
+    let before = fleet.requests_to(SPEAKING);
+    fleet.wait(|fleet| {
+        fleet.call("/pair/closed", KEY);
+        fleet.requests_to(SPEAKING) > before
+    });
+    let said = Instant::now();
+    let count = fleet.requests_to(SPEAKING);
+    let closed = Duration::from_secs(CLOSED_S);
+    thread::sleep(closed / 4);
+    (1..ENTRY).for_each(|host| fleet.signal(host, "-STOP"));
+    while said.elapsed() < closed * 3 / 4 {
+        fleet.call_at(ENTRY + 1, "/pair/x", KEY);
+    }
+    let later = fleet.requests_to(SPEAKING);
+    assert!(
+        later == count || said.elapsed() >= closed,
+        "{later} {count}"
+    );
+}
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -365,10 +365,12 @@
         blocks.map(Announcement::Prompt).collect()
     }
 
-    /// Returns the parts of prompts that entries refuse.
-    pub fn blocked_parts(&self, now: Instant) -> Vec<Announcement> {
+    /// Returns what entries need to know of upstreams and prompts to place requests alone.
+    pub fn announcements_for_entries(&self, now: Instant) -> Vec<Announcement> {
+        let upstreams = self.availability.reports(now).into_iter();
         let blocks = self.prompts.blocks(now).into_iter();
-        blocks.map(Announcement::Prompt).collect()
+        let upstreams = upstreams.map(Announcement::Upstream);
+        upstreams.chain(blocks.map(Announcement::Prompt)).collect()
     }
 
     /// Whether an upstream has said that it leaves.
