Have soak upstreams crash under one part of prompts, and check that it is refused in the end

Callers send such requests all along, and after the last fault every entry gets more of them: first for the 3 s within which the fleet has to know, then 24, of which at most 3 may reach upstreams.

--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -23,7 +23,7 @@
 
 use caller::Caller;
 use deployment::Deployment;
-use history::History;
+use history::{History, Kind};
 
 /// Time within which the deployment must serve at every entry, after its start and again after the
 /// last fault. How long it takes within this limit is not checked.
@@ -33,6 +33,12 @@
 /// deployment counts as healthy.
 const HEALTHY_REQUESTS: usize = 12;
 
+/// Time within which what one instance learns binds all, in a deployment without faults.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Number of requests with a known crashing prompt that are sent at the end.
+const KNOWN_CRASH_REQUESTS: usize = 24;
+
 /// Parameters of a soak test.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -105,6 +111,7 @@
             "not every entry serves {SERVE_TIMEOUT:?} after the last fault"
         ));
     }
+    check_crashing_prompts(&deployment, &history);
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
         if thread.join().is_err() {
@@ -135,6 +142,24 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Sends requests whose prompts crash upstreams to all entries, first for as long as the fleet may
+/// take to learn of it, then to check that it has.
+fn check_crashing_prompts(deployment: &Arc<Deployment>, history: &Arc<History>) {
+    let mut caller = Caller::new(deployment, history, u64::MAX, 1);
+    let end = Instant::now() + CONTACT_TIME;
+    let mut index = 0;
+    while Instant::now() < end {
+        caller.probe(index, Kind::Crashing);
+        caller.probe(index, Kind::Stream);
+        index += 1;
+    }
+    history.check_known_crashes(|| {
+        for index in 0..KNOWN_CRASH_REQUESTS {
+            caller.probe(index, Kind::Crashing);
+        }
+    });
+}
+
 /// Waits until every entry serves requests, and returns whether it did in time. The requests sent
 /// meanwhile are recorded and checked like all others.
 fn wait_until_serving(deployment: &Arc<Deployment>, history: &Arc<History>) -> bool {
@@ -142,7 +167,7 @@
     let end = Instant::now() + SERVE_TIMEOUT;
     let mut served = 0;
     while served < HEALTHY_REQUESTS && Instant::now() < end {
-        served = match caller.probe(served) {
+        served = match caller.probe(served, Kind::Safe) {
             true => served + 1,
             false => 0,
         };
--- a/gooseberrylb_testbed/src/soak/caller.rs
+++ b/gooseberrylb_testbed/src/soak/caller.rs
@@ -31,6 +31,9 @@
 /// One in this many requests of a caller uses the revocable key.
 const REVOCABLE_KEY_INTERVAL: u64 = 5;
 
+/// One in this many requests of a caller has a prompt that crashes upstreams.
+const CRASHING_INTERVAL: u32 = 40;
+
 /// Number of callers created so far.
 static CALLER_COUNT: AtomicU64 = AtomicU64::new(0);
 
@@ -77,7 +80,10 @@
     pub fn run(mut self, stop: &AtomicBool) {
         while !stop.load(Ordering::SeqCst) {
             let kinds = [Kind::Once, Kind::Safe, Kind::Stream];
-            let kind = kinds[self.rng.random_range(0..kinds.len())];
+            let kind = match self.rng.random_ratio(1, CRASHING_INTERVAL) {
+                true => Kind::Crashing,
+                false => kinds[self.rng.random_range(0..kinds.len())],
+            };
             let uses_revocable_key = self.number.is_multiple_of(REVOCABLE_KEY_INTERVAL);
             if self.connection.is_none() {
                 self.connection = self.connect_to_entry();
@@ -89,13 +95,13 @@
 
     /// Sends a request to the entry at `index`, modulo the number of entries. Returns whether it
     /// was served.
-    pub fn probe(&mut self, index: usize) -> bool {
+    pub fn probe(&mut self, index: usize, kind: Kind) -> bool {
         let entries = &self.deployment.entries;
         let entry = self
             .deployment
             .caller_address(entries[index % entries.len()]);
         self.connection = connect(entry);
-        self.call(Kind::Safe, false)
+        self.call(kind, false)
     }
 
     /// Sends a request on the open connection, if there is one. Returns whether it was served.
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -41,6 +41,9 @@
 /// See [`CLOSED_BOUND`].
 const MAX_CLOSED_ARRIVALS: usize = 2;
 
+/// Number of requests with a part that crashes upstreams that may reach these once the part is known.
+const MAX_KNOWN_CRASHES: usize = 3;
+
 /// Client account of all requests.
 pub const ACCOUNT: &str = "hule";
 
@@ -58,6 +61,8 @@
     Safe,
     /// Request that must not run twice and whose response is a stream.
     Stream,
+    /// Like [`Kind::Stream`], with a prompt under which every upstream crashes.
+    Crashing,
 }
 
 impl Kind {
@@ -66,7 +71,7 @@
         match self {
             Kind::Once => "/once/",
             Kind::Safe => "/safe/",
-            Kind::Stream => "/stream/",
+            Kind::Stream | Kind::Crashing => "/stream/",
         }
     }
 }
@@ -214,6 +219,26 @@
         });
     }
 
+    /// Returns the number of requests that reached upstreams and crashed them.
+    fn crash_count(&self) -> usize {
+        let records = self.records();
+        let kind = |arrival: &&Arrival| records.calls.get(&arrival.attempt).map(|call| call.kind);
+        let crashing = |arrival: &&Arrival| kind(arrival) == Some(Kind::Crashing);
+        records.arrivals.iter().filter(crashing).count()
+    }
+
+    /// Records a violation if crashing requests that `send` sends, while the part of their prompts is
+    /// known to be the cause, reach upstreams.
+    pub fn check_known_crashes(&self, send: impl FnOnce()) {
+        let before = self.crash_count();
+        send();
+        let count = self.crash_count() - before;
+        if count > MAX_KNOWN_CRASHES {
+            let line = format!("BUDGET {count} requests with a known part crashed upstreams");
+            self.record_violation(line);
+        }
+    }
+
     /// Records that an upstream turns a request away and wants none for a while.
     pub fn record_closed(&self, upstream: &str, attempt: &str, time: Duration) {
         self.records().statements.push(Statement {
@@ -254,7 +279,7 @@
             .collect();
         let expected = match call.kind {
             Kind::Once | Kind::Safe => format!("answer {attempt}"),
-            Kind::Stream => stream,
+            Kind::Stream | Kind::Crashing => stream,
         };
         let signature = response
             .header(platform::SIGNATURE_HEADER)
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -53,6 +53,14 @@
 /// Time in seconds for which it wants no requests.
 const CLOSED_S: u64 = 2;
 
+/// Header with the parts of a prompt.
+const PROMPT_HEADER: &str = "X-Gooseberrylb-Prompt-Prefix";
+/// Part of a prompt under which every upstream crashes as it begins a response.
+const CRASHING_PART: &str = "bad";
+
+/// Header fields of streams, with the end of the head.
+const STREAM_FIELDS: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// API key of the account that all declarations contain.
 pub const PERMANENT_KEY: &str = "key-steady";
 /// API key of the account that some declarations contain and others don't.
@@ -151,6 +159,11 @@
         begins
     }
 
+    /// Crashes: the upstream starts again under another name.
+    fn crash(&self) {
+        self.start_count.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Whether the upstream turns `attempt` away and wants no requests for a while.
     fn is_closed(&self, attempt: &str) -> bool {
         self.number == CLOSED_UPSTREAM && is_multiple(attempt, CLOSED_INTERVAL)
@@ -210,9 +223,7 @@
 
     /// Simulates a restart of an upstream, which then has another name at the same address.
     pub fn restart(&self, number: usize) {
-        self.upstreams[number]
-            .start_count
-            .fetch_add(1, Ordering::SeqCst);
+        self.upstreams[number].crash();
     }
 
     /// Records a fault that has ended.
@@ -338,6 +349,12 @@
                 return Ok(());
             }
         }
+        let prompt = request.header(PROMPT_HEADER).unwrap_or_default();
+        if prompt.contains(CRASHING_PART) {
+            upstream.crash();
+            let head = response_head(&attempt, &name, "200 OK");
+            return writer.write_all((head + STREAM_FIELDS).as_bytes());
+        }
         let mut head = response_head(&attempt, &name, "200 OK");
         if leaving {
             head += &format!("{LEAVING_HEADER}: 1\r\n");
@@ -375,8 +392,7 @@
         let text = format!("{head}Content-Length: {length}\r\n\r\n{sent}");
         return writer.write_all(text.as_bytes());
     }
-    let type_and_framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    writer.write_all((head + type_and_framing).as_bytes())?;
+    writer.write_all((head + STREAM_FIELDS).as_bytes())?;
     for number in 1..=STREAM_EVENTS {
         thread::sleep(EVENT_DELAY);
         let event = event(attempt, number);
@@ -392,15 +408,21 @@
 pub fn request(attempt: &str, call: &Call, timeout: Duration) -> String {
     let method = match call.kind {
         Kind::Safe => "GET",
-        Kind::Once | Kind::Stream => "POST",
+        Kind::Once | Kind::Stream | Kind::Crashing => "POST",
     };
     let key = if call.uses_revocable_key {
         REVOCABLE_KEY
     } else {
         PERMANENT_KEY
     };
+    let part = match call.kind {
+        Kind::Crashing => CRASHING_PART,
+        Kind::Once | Kind::Safe | Kind::Stream => "50d",
+    };
+    let own = call.body.len();
     format!(
         "{method} {} HTTP/1.1\r\nHost: a.example\r\n{}: {attempt}\r\n{}: {}\r\n\
+         {PROMPT_HEADER}: f0:60,{part}:700,{own}:50\r\n\
          Authorization: Token {key}\r\nContent-Length: {}\r\n\r\n{}",
         call.target,
         ATTEMPT_HEADER,
