Log the limits that upstreams name

Neither the log nor a metric showed that an upstream names a limit, so that nothing told whether it is read, kept by each entry or exceeded by requests that the dispatcher does not know (the hypotheses of the postmortem). No change of logic.

--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -13,6 +13,7 @@
 use async_std::{future, task};
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
+use gooseberrylb_config::number::Rate;
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::availability::{Report, Table};
@@ -168,6 +169,8 @@
     availability: RefCell<Table>,
     /// Configuration revision that `availability` was compared with.
     availability_revision: Cell<Option<number::Revision>>,
+    /// Limits that upstreams named in their last responses to this entry.
+    limits: RefCell<HashMap<id::Upstream, Rate>>,
     /// Parts of prompts that crash upstreams, and the crashes that this entry saw.
     prompts: RefCell<prompt::Table>,
 }
@@ -193,6 +196,7 @@
             fallback_revision: Cell::new(None),
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
+            limits: RefCell::default(),
             prompts: RefCell::default(),
         })
     }
@@ -256,10 +260,11 @@
         upstream: &id::Upstream,
         statement: Statement,
     ) {
+        self.record_limit(service, upstream, statement.limit);
         let now = self.core.clock.now();
         let mut availability = self.availability.borrow_mut();
         let is_new = availability.record(service, upstream, statement, now);
-        if statement == Statement::default() {
+        if !statement.leaving && statement.closed_for.is_none() {
             return;
         }
         let kind = if statement.leaving {
@@ -287,6 +292,24 @@
         }
     }
 
+    /// Logs the limit that an upstream names, if it has changed.
+    fn record_limit(&self, service: &id::Service, upstream: &id::Upstream, limit: Option<Rate>) {
+        let mut limits = self.limits.borrow_mut();
+        if limits.get(upstream).copied() == limit {
+            return;
+        }
+        match limit {
+            Some(limit) => limits.insert(upstream.clone(), limit),
+            None => limits.remove(upstream),
+        };
+        METRICS.statements.with_label_values(&["limit"]).inc();
+        log::info!(
+            upstream:% = upstream, service:% = service,
+            per_second = limit.map_or("-".to_owned(), |limit| limit.to_string());
+            "an upstream limits its requests"
+        );
+    }
+
     /// Records what the end of a run told about the parts of its prompt, and tells the dispatcher.
     fn record_ending(&self, upstream: &id::Upstream, parts: &[id::Part], ending: Ending) {
         if parts.is_empty() {
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -13,6 +13,7 @@
 use crate::directory::rollout::Rollout;
 use crate::finding::{Finding, Findings};
 use crate::id;
+use crate::number::Rate;
 
 /// Name and value of an HTTP header field.
 pub type Field<'a> = httparse::Header<'a>;
@@ -62,6 +63,9 @@
     pub leaving: bool,
     /// Time for which the upstream wants no request from this instance.
     pub closed_for: Option<Duration>,
+    /// Rate of requests that the upstream takes from all instances together, for as long as it says
+    /// so in its responses.
+    pub limit: Option<Rate>,
 }
 
 /// Header values that the system adds to a request to an upstream.
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -92,7 +92,7 @@
         statement: Statement,
         now: Instant,
     ) -> bool {
-        if statement == Statement::default() {
+        if !statement.leaving && statement.closed_for.is_none() {
             return false;
         }
         let record = self.0.entry(upstream.clone()).or_insert_with(|| Record {
@@ -147,6 +147,7 @@
                     .closed_until
                     .map(|end| end.saturating_duration_since(now))
                     .filter(|left| !left.is_zero()),
+                limit: None,
             },
         };
         records.map(report).collect()
--- a/gooseberrylb_policy/tests/availability.rs
+++ b/gooseberrylb_policy/tests/availability.rs
@@ -27,14 +27,14 @@
 fn leaving() -> Statement {
     Statement {
         leaving: true,
-        closed_for: None,
+        ..Statement::default()
     }
 }
 
 fn closed(time: Duration) -> Statement {
     Statement {
-        leaving: false,
         closed_for: Some(time),
+        ..Statement::default()
     }
 }
 
