--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -36,8 +36,12 @@
 /// Time within which what one instance learns binds all, in a deployment without faults.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
-/// Number of requests with a known crashing prompt that are sent at the end.
-const KNOWN_CRASH_REQUESTS: usize = 24;
+/// Time for which requests with a known crashing prompt are sent at the end. The list shows crashed
+/// upstreams again within a second.
+const KNOWN_CRASH_TIME: Duration = Duration::from_secs(4);
+
+/// Pause between these requests.
+const CRASHING_PAUSE: Duration = Duration::from_millis(50);
 
 /// Parameters of a soak test.
 #[derive(Debug, Clone)]
@@ -146,18 +150,19 @@
 /// take to learn of it, then to check that it has.
 fn check_crashing_prompts(deployment: &Arc<Deployment>, history: &Arc<History>) {
     let mut caller = Caller::new(deployment, history, u64::MAX, 1);
-    let end = Instant::now() + CONTACT_TIME;
-    let mut index = 0;
-    while Instant::now() < end {
-        caller.probe(index, Kind::Crashing);
-        caller.probe(index, Kind::Stream);
-        index += 1;
-    }
-    history.check_known_crashes(|| {
-        for index in 0..KNOWN_CRASH_REQUESTS {
+    let mut send_for = |time: Duration| {
+        let end = Instant::now() + time;
+        for index in 0.. {
+            if Instant::now() >= end {
+                return;
+            }
             caller.probe(index, Kind::Crashing);
+            caller.probe(index, Kind::Stream);
+            thread::sleep(CRASHING_PAUSE);
         }
-    });
+    };
+    send_for(CONTACT_TIME);
+    history.check_known_crashes(|| send_for(KNOWN_CRASH_TIME));
 }
 
 /// Waits until every entry serves requests, and returns whether it did in time. The requests sent
