Tell entries what is new also before the directory lists them

upstream_that_told_one_entry_to_wait_gets_nothing_from_another_that_places_alone failed in 2 of 6 whole runs of the platform tests, and once before: the dispatcher was told 59 ms after the second entry had opened its session, and passed nothing on, since the directory did not list that entry yet. A session belongs to an entry unless the directory says otherwise. Ruled out: a lost session; both entries had theirs, and the dispatcher logged the statement. The tests of closed upstreams print the fleet's output when they fail.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -190,9 +190,8 @@
         }
         self.announce_to_entries(core, from, &news);
         let directory = core.feed.borrow().directory().clone();
-        let is_entry = directory.instances.get(from).is_some_and(|i| i.entry);
         let plan = core.plan(&directory);
-        if !is_entry || !plan.is_divided() {
+        if !is_entry(&directory, from) || !plan.is_divided() {
             return;
         }
         let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
@@ -225,8 +224,7 @@
         let directory = core.feed.borrow().directory().clone();
         let sessions = self.sessions.borrow();
         for (name, answers) in sessions.iter() {
-            let is_entry = directory.instances.get(name).is_some_and(|i| i.entry);
-            if is_entry && name != from {
+            if is_entry(&directory, name) && name != from {
                 send_announcements(name, answers, binding.clone());
             }
         }
@@ -497,6 +495,12 @@
     }
 }
 
+/// Whether the other end of a session is an entry, and not the dispatcher of another shard. An entry
+/// that has just started is not in the directory yet.
+fn is_entry(directory: &Directory, name: &id::Instance) -> bool {
+    directory.instances.get(name).is_none_or(|i| i.entry)
+}
+
 /// Returns the state of an upstream in the replicated list.
 pub fn listing(directory: &Directory, upstream: &id::Upstream) -> Listing {
     Listing::new(directory.listed.get(upstream).map(|listed| &**listed))
--- a/gooseberrylb/tests/platform/availability.rs
+++ b/gooseberrylb/tests/platform/availability.rs
@@ -72,7 +72,8 @@
     // A test that was held up shows nothing.
     assert!(
         later == count || said.elapsed() >= closed,
-        "{later} {count}"
+        "{later} {count}\n{}",
+        fleet.output()
     );
     (1..ENTRY).for_each(|host| fleet.signal(host, "-CONT"));
     fleet.wait(|fleet| {
@@ -102,6 +103,7 @@
     let later = fleet.requests_to(SPEAKING);
     assert!(
         later == count || said.elapsed() >= closed,
-        "{later} {count}"
+        "{later} {count}\n{}",
+        fleet.output()
     );
 }
