Add failing tests: a limited upstream gets more than it names

A third test, which holds, asks that the upstream gets requests as before once it names no limit any more.

--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -55,8 +55,8 @@
     }
 }
 
-/// Requests that the upstream stand-in has received.
-pub type RequestLog = Arc<Mutex<Vec<String>>>;
+/// Requests that the upstream stand-in has received, with the times.
+pub type RequestLog = Arc<Mutex<Vec<(Instant, String)>>>;
 
 /// Returns the value of a header field.
 pub fn field(message: &str, name: &str) -> Option<String> {
@@ -159,9 +159,9 @@
             serve(network.address(STAND_INS, UPSTREAM), move |request| {
                 let mut log = log.lock().unwrap();
                 let target = |text: &str| text.split(' ').nth(1).map(str::to_owned);
-                let earlier = log.iter().filter(|r| target(r) == target(request));
+                let earlier = log.iter().filter(|(_, r)| target(r) == target(request));
                 let earlier = earlier.count();
-                log.push(request.to_owned());
+                log.push((Instant::now(), request.to_owned()));
                 drop(log);
                 upstream_response(request, earlier)
             }),
@@ -346,15 +346,25 @@
 
     /// Returns the number of requests that were addressed to an upstream.
     pub fn requests_to(&self, name: &str) -> usize {
-        let received = self.received();
+        self.arrivals_at(name).len()
+    }
+
+    /// Returns the times at which requests that were addressed to an upstream arrived.
+    pub fn arrivals_at(&self, name: &str) -> Vec<Instant> {
+        let received = self.received.lock().unwrap();
         let is_addressed =
-            |r: &&String| field(r, "x-gooseberrylb-expect-instance").as_deref() == Some(name);
-        received.iter().filter(is_addressed).count()
+            |r: &str| field(r, "x-gooseberrylb-expect-instance").as_deref() == Some(name);
+        let addressed = received.iter().filter(|(_, request)| is_addressed(request));
+        addressed.map(|(at, _)| *at).collect()
     }
 
     /// Returns the requests that the upstream stand-in has received.
     pub fn received(&self) -> Vec<String> {
-        self.received.lock().unwrap().clone()
+        let received = self.received.lock().unwrap();
+        received
+            .iter()
+            .map(|(_, request)| request.clone())
+            .collect()
     }
 }
 
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod declarations;
 mod fleet;
+mod limits;
 mod prompts;
 mod requests;
 mod rollouts;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -167,6 +167,9 @@
 /// Time in seconds for which the upstream says that it wants no request.
 pub const CLOSED_S: u64 = 2;
 
+/// Number of requests per second that the upstream takes if it names a limit.
+pub const LIMIT: f64 = 2.0;
+
 /// Returns a response with a statement if the target asks for one.
 fn speaking_response(request: &str, target: &str) -> String {
     if target.contains("closed") {
@@ -175,11 +178,12 @@
              Content-Length: 0\r\n\r\n"
         );
     }
-    let leaving = match target.contains("leaving") {
-        true => "Server-Leaving: 1\r\n",
-        false => "",
+    let statement = match target.rsplit('/').next() {
+        Some("leaving") => "Server-Leaving: 1\r\n".to_owned(),
+        Some("limited") => format!("Server-Limit: {LIMIT}\r\n"),
+        _ => String::new(),
     };
-    let rest = format!("{leaving}Content-Length: 5\r\n\r\nhello");
+    let rest = format!("{statement}Content-Length: 5\r\n\r\nhello");
     signed_response(request, "201 Made", &rest)
 }
 
