Keep the limits that upstreams name, over all entries together

Cause: nothing read the limit. The dispatcher granted by slots and measured rates, and entries that place alone by their part of the slots.

Evidence: 17 and 21 requests in 4 s before the limit was named, 17 after it, all granted by the dispatcher. Ruled out by that: limits kept by each entry alone, and requests that the dispatcher does not know.

Change: a limit is part of what an upstream states, and travels as the rest does: to the dispatcher, to other shards, to all entries, to new dispatchers. The last one heard holds; a success without it, to a request that was sent later, lifts it. The dispatcher keeps a bucket of tokens for each limited upstream, which also pays for what entries placed alone and what other shards offered. While entries place alone, the one with the first slot of the upstream uses half of its limit. What finds no token goes elsewhere, waits or is refused with the time of the next token; waits are computed with the limit in the capacity.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -14,7 +14,7 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::Listing;
+use gooseberrylb_policy::availability::{self, Listing};
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, share,
 };
@@ -462,12 +462,7 @@
 /// Logs what an instance learned of an upstream or a prompt, and from which one.
 pub fn log_announcement(from: &id::Instance, announcement: &Announcement) {
     match announcement {
-        Announcement::Upstream(report) => log::info!(
-            upstream:% = report.upstream, service:% = report.service, from:% = from,
-            leaving = report.statement.leaving,
-            closed_ms = report.statement.closed_for.map_or(0, |time| time.as_millis() as u64);
-            "an upstream wants no requests"
-        ),
+        Announcement::Upstream(report) => log_upstream(from, report),
         Announcement::Prompt(prompt::Report::Crashed {
             upstream,
             parts,
@@ -495,6 +490,26 @@
     }
 }
 
+/// Logs what an instance learned of an upstream, and from which one.
+fn log_upstream(from: &id::Instance, report: &availability::Report) {
+    if report.leaving || report.closed_for.is_some() {
+        log::info!(
+            upstream:% = report.upstream, service:% = report.service, from:% = from,
+            leaving = report.leaving,
+            closed_ms = report.closed_for.map_or(0, |time| time.as_millis() as u64);
+            "an upstream wants no requests"
+        );
+    }
+    if let Some(limit) = report.limit {
+        log::info!(
+            upstream:% = report.upstream, service:% = report.service, from:% = from,
+            per_second = limit.rate.map_or("-".to_owned(), |rate| rate.to_string()),
+            age_ms = limit.age.as_millis() as u64;
+            "an upstream limits its requests"
+        );
+    }
+}
+
 /// Whether the other end of a session is an entry, and not the dispatcher of another shard. An entry
 /// that has just started is not in the directory yet.
 fn is_entry(directory: &Directory, name: &id::Instance) -> bool {
@@ -596,6 +611,7 @@
         release: listed.release.clone(),
         data_centre: listed.data_centre.clone(),
         slots: listed.slots,
+        limit_part: 1.0,
     });
     match part {
         Part::Entry { index, count } => {
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -394,6 +394,7 @@
         connection: &mut Connection,
         head: Vec<u8>,
     ) -> std::result::Result<(Response, ResponseMetadata), Failure> {
+        let sent = self.now();
         let writing = self.write_request(connection, head);
         let Ok(written) = future::timeout(self.time_left(), writing).await else {
             return Err(Failure::TimedOut);
@@ -450,7 +451,9 @@
                 .dialect
                 .response_metadata(response.status, &response.fields.borrowed());
             let is_ours = reply.attempt.is_none() || reply.attempt == self.metadata.attempt;
-            self.record_statement(grant, &reply);
+            let is_success = (200..300).contains(&response.status);
+            let served = (is_ours && is_success).then_some(sent);
+            self.record_statement(grant, &reply, served);
             if !is_ours && stale_responses < 2 && response.keep_alive.is_some() {
                 // This is the late response to an earlier request on the connection. The response
                 // to this request follows it.
@@ -460,7 +463,6 @@
                     continue;
                 }
             }
-            let is_success = (200..300).contains(&response.status);
             if !is_ours || (is_success && (!reply.signed || reply.encoded)) {
                 log::info!(
                     id = self.id(), upstream:% = grant.upstream, status = response.status,
@@ -476,7 +478,7 @@
     }
 
     /// Takes over what the upstream says of its availability.
-    fn record_statement(&self, grant: &Grant, reply: &ResponseMetadata) {
+    fn record_statement(&self, grant: &Grant, reply: &ResponseMetadata, served: Option<Instant>) {
         if let Some(value) = &reply.unreadable {
             METRICS.statements.with_label_values(&["unreadable"]).inc();
             log::info!(
@@ -484,7 +486,7 @@
                 "ignoring an unreadable statement of an upstream on its availability"
             );
         }
-        grant.record_statement(reply.statement);
+        grant.record_statement(reply.statement, served);
     }
 
     /// Records what the end of the run on an upstream told about the parts of the prompt.
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -13,10 +13,9 @@
 use async_std::{future, task};
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
-use gooseberrylb_config::number::Rate;
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::{Report, Table};
+use gooseberrylb_policy::availability::Table;
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
@@ -92,11 +91,12 @@
         self.placer.end(&self.key, outcome);
     }
 
-    /// Takes over what the upstream said of its availability in a response.
-    pub fn record_statement(&self, statement: Statement) {
+    /// Takes over what the upstream said of its availability in a response. `served` is the time at
+    /// which the request was sent, if the response is a success.
+    pub fn record_statement(&self, statement: Statement, served: Option<Instant>) {
         let service = &self.listed.service;
         self.placer
-            .record_statement(service, &self.upstream, statement);
+            .record_statement(service, &self.upstream, statement, served);
     }
 
     /// Records what the end of a run told about the parts of its prompt.
@@ -169,8 +169,6 @@
     availability: RefCell<Table>,
     /// Configuration revision that `availability` was compared with.
     availability_revision: Cell<Option<number::Revision>>,
-    /// Limits that upstreams named in their last responses to this entry.
-    limits: RefCell<HashMap<id::Upstream, Rate>>,
     /// Parts of prompts that crash upstreams, and the crashes that this entry saw.
     prompts: RefCell<prompt::Table>,
 }
@@ -196,7 +194,6 @@
             fallback_revision: Cell::new(None),
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
-            limits: RefCell::default(),
             prompts: RefCell::default(),
         })
     }
@@ -253,61 +250,40 @@
         availability.unavailable(service, now)
     }
 
-    /// Takes over what an upstream said of its availability, and tells the dispatcher.
+    /// Takes over what an upstream said of its availability in a response, and tells the dispatcher.
+    /// A success that names no limit lifts an earlier one; `served` is the time at which its request
+    /// was sent.
     fn record_statement(
         &self,
         service: &id::Service,
         upstream: &id::Upstream,
         statement: Statement,
+        served: Option<Instant>,
     ) {
-        self.record_limit(service, upstream, statement.limit);
         let now = self.core.clock.now();
         let mut availability = self.availability.borrow_mut();
-        let is_new = availability.record(service, upstream, statement, now);
-        if !statement.leaving && statement.closed_for.is_none() {
-            return;
+        let mut is_new = availability.record(service, upstream, statement, now);
+        if let Some(sent) = served.filter(|_| statement.limit.is_none()) {
+            is_new |= availability.record_unlimited(upstream, sent, now);
+        }
+        for (kind, is_said) in [
+            ("leaving", statement.leaving),
+            ("closed", statement.closed_for.is_some()),
+            ("limit", statement.limit.is_some()),
+        ] {
+            if is_said {
+                METRICS.statements.with_label_values(&[kind]).inc();
+            }
         }
-        let kind = if statement.leaving {
-            "leaving"
-        } else {
-            "closed"
+        let Some(report) = availability.report(upstream, now).filter(|_| is_new) else {
+            return;
         };
-        METRICS.statements.with_label_values(&[kind]).inc();
-        if is_new {
-            log::info!(
-                upstream:% = upstream, service:% = service, leaving = statement.leaving,
-                closed_ms = statement.closed_for.map_or(0, |time| time.as_millis() as u64);
-                "an upstream wants no requests"
-            );
-        }
-        let announcements = vec![Announcement::Upstream(Report {
-            service: service.clone(),
-            upstream: upstream.clone(),
-            statement,
-        })];
+        let announcement = Announcement::Upstream(report);
+        dispatch::log_announcement(&self.core.identity.name, &announcement);
+        let announcements = vec![announcement];
         let mut fallback = self.fallback.borrow_mut();
         fallback.announce(announcements.clone(), now);
-        if is_new {
-            self.announce(announcements);
-        }
-    }
-
-    /// Logs the limit that an upstream names, if it has changed.
-    fn record_limit(&self, service: &id::Service, upstream: &id::Upstream, limit: Option<Rate>) {
-        let mut limits = self.limits.borrow_mut();
-        if limits.get(upstream).copied() == limit {
-            return;
-        }
-        match limit {
-            Some(limit) => limits.insert(upstream.clone(), limit),
-            None => limits.remove(upstream),
-        };
-        METRICS.statements.with_label_values(&["limit"]).inc();
-        log::info!(
-            upstream:% = upstream, service:% = service,
-            per_second = limit.map_or("-".to_owned(), |limit| limit.to_string());
-            "an upstream limits its requests"
-        );
+        self.announce(announcements);
     }
 
     /// Records what the end of a run told about the parts of its prompt, and tells the dispatcher.
@@ -345,9 +321,7 @@
                     });
                 }
                 Announcement::Upstream(report) => {
-                    let (service, upstream) = (&report.service, &report.upstream);
-                    let mut availability = self.availability.borrow_mut();
-                    let is_new = availability.record(service, upstream, report.statement, now);
+                    let is_new = self.availability.borrow_mut().adopt(&report, now);
                     let announcement = Announcement::Upstream(report);
                     if is_new {
                         dispatch::log_announcement(dispatcher, &announcement);
--- a/gooseberrylb/tests/platform/limits.rs
+++ b/gooseberrylb/tests/platform/limits.rs
@@ -1,5 +1,6 @@
 //! Upstreams that name a limit to the rate of their requests.
 
+use std::collections::HashSet;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,9 @@
 /// Time after which an entry that has heard a limit keeps it.
 const HEARD: Duration = Duration::from_millis(500);
 
+/// Number of callers that send requests at the same time.
+const CALLERS: usize = 10;
+
 /// Number of requests that may reach a limited upstream in a window.
 fn allowed() -> usize {
     (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5
@@ -28,30 +32,37 @@
 }
 
 impl Fleet {
-    /// Sends requests to the entries in turn for a time, and returns how many were served.
-    fn call_limited(&self, entries: &[u8], time: Duration) -> usize {
+    /// Sends requests for a time, more at once than the upstream without a limit has slots, and
+    /// returns the responses with the entries that they are from.
+    fn call_limited(&self, entries: [u8; 2], time: Duration) -> Vec<(u8, String)> {
         let end = Instant::now() + time;
-        let mut served = 0;
-        for number in 0.. {
-            if Instant::now() >= end {
-                break;
+        let call = |host| {
+            let mut answers = Vec::new();
+            while Instant::now() < end {
+                answers.push((host, self.call_at(host, "/pair/limited", KEY)));
+                thread::sleep(Duration::from_millis(10));
             }
-            let answer = self.call_at(entries[number % entries.len()], "/pair/limited", KEY);
-            served += usize::from(answer.starts_with("HTTP/1.1 201"));
-            thread::sleep(Duration::from_millis(10));
-        }
-        served
+            answers
+        };
+        thread::scope(|scope| {
+            let callers = (0..CALLERS).map(|number| entries[number % 2]);
+            let callers: Vec<_> = callers
+                .map(|host| scope.spawn(move || call(host)))
+                .collect();
+            let answers = callers.into_iter().map(|caller| caller.join().unwrap());
+            answers.flatten().collect()
+        })
     }
 
     /// Sends requests until the upstream that names a limit has done so to both entries.
     fn hear_limit(&self, entries: [u8; 2]) -> Instant {
-        for host in entries {
-            let is_told = |fleet: &Self| {
-                let answer = fleet.call_at(host, "/pair/limited", KEY);
-                answer.contains("Server-Limit")
-            };
-            self.wait(is_told);
-        }
+        let mut told = HashSet::new();
+        self.wait(|fleet| {
+            let answers = fleet.call_limited(entries, HEARD).into_iter();
+            let telling = answers.filter(|(_, answer)| answer.contains("Server-Limit"));
+            told.extend(telling.map(|(host, _)| host));
+            told.len() == entries.len()
+        });
         Instant::now() + HEARD
     }
 }
@@ -62,14 +73,20 @@
     let entries = [ENTRY, ENTRY + 1];
     fleet.start_entry(ENTRY + 1);
     let from = fleet.hear_limit(entries);
-    let served = fleet.call_limited(&entries, 3 * WINDOW);
+    let answers = fleet.call_limited(entries, 3 * WINDOW).into_iter();
+    let served = answers.filter(|(_, answer)| answer.starts_with("HTTP/1.1 201"));
+    let served = served.count();
     let arrivals = fleet.arrivals_at(SPEAKING);
     let most = most_in_window(&arrivals, from);
     assert!(most <= allowed(), "{most} of {} allowed", allowed());
     // The limit is used, and what is beyond it goes to the other upstream.
     let later = arrivals.iter().filter(|at| **at >= from).count();
     let usable = LIMIT * (3 * WINDOW - HEARD).as_secs_f64();
-    assert!(later as f64 >= 0.7 * usable, "{later} of {usable} used");
+    assert!(
+        later as f64 >= 0.7 * usable,
+        "{later} of {usable} used\n{}",
+        fleet.output()
+    );
     assert!(served > 4 * later, "{served} served");
 }
 
@@ -79,12 +96,12 @@
     let entries = [ENTRY, ENTRY + 1];
     fleet.start_entry(ENTRY + 1);
     let from = fleet.hear_limit(entries);
-    fleet.call_limited(&entries, WINDOW);
+    fleet.call_limited(entries, WINDOW);
     (1..ENTRY).for_each(|host| fleet.signal(host, "-STOP"));
-    fleet.call_limited(&entries, WINDOW / 2);
+    fleet.call_limited(entries, WINDOW / 2);
     (1..ENTRY).for_each(|host| fleet.signal(host, "-CONT"));
     fleet.signal(1, "-KILL");
-    fleet.call_limited(&entries, 2 * WINDOW);
+    fleet.call_limited(entries, 2 * WINDOW);
     let most = most_in_window(&fleet.arrivals_at(SPEAKING), from);
     assert!(most <= allowed(), "{most} of {} allowed", allowed());
 }
@@ -95,7 +112,7 @@
     let entries = [ENTRY, ENTRY + 1];
     fleet.start_entry(ENTRY + 1);
     fleet.hear_limit(entries);
-    fleet.call_limited(&entries, WINDOW);
+    fleet.call_limited(entries, WINDOW);
     let before = fleet.requests_to(SPEAKING);
     let end = Instant::now() + WINDOW;
     while Instant::now() < end {
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -132,6 +132,10 @@
     if target.starts_with("/pair/") && instance.as_deref() == Some(SPEAKING) {
         return speaking_response(request, target).into();
     }
+    if target == "/pair/limited" {
+        // Keeps its slots busy, so that there is use for those of the limited upstream.
+        thread::sleep(BUSY_TIME);
+    }
     if target.starts_with("/crowd/") {
         return crowd_response(request);
     }
@@ -167,6 +171,9 @@
 /// Time in seconds for which the upstream says that it wants no request.
 pub const CLOSED_S: u64 = 2;
 
+/// Time that another upstream takes for requests to the one that names a limit.
+const BUSY_TIME: Duration = Duration::from_millis(400);
+
 /// Number of requests per second that the upstream takes if it names a limit.
 pub const LIMIT: f64 = 2.0;
 
--- a/gooseberrylb_policy/examples/dispatch.rs
+++ b/gooseberrylb_policy/examples/dispatch.rs
@@ -31,6 +31,7 @@
         release: "v1".into(),
         data_centre: format!("zone-{}", i % 4).into(),
         slots: SLOTS,
+        limit_part: 1.0,
     });
     dispatcher.set_upstreams(all, now);
     let mut running: VecDeque<Key> = VecDeque::new();
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -1,5 +1,5 @@
-//! What upstreams say of their own availability in their responses: that they leave, or for how
-//! long they want no request.
+//! What upstreams say of their own availability in their responses: that they leave, for how long
+//! they want no request, or how many a second they take.
 //!
 //! The platform's list reports the same later or not at all, so a listed upstream that has said so
 //! gets no request. The time is passed in. See `docs/PLATFORM.md`.
@@ -10,6 +10,7 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::id;
+use gooseberrylb_config::number::Rate;
 use serde::{Deserialize, Serialize};
 
 /// Time after a statement within which the list may still show the upstream as it was before.
@@ -19,15 +20,28 @@
 /// in part.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// A statement as one instance passes it on to another.
+/// What one instance tells another of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Service of the upstream.
     pub service: id::Service,
-    /// Upstream that the statement is about.
+    /// Upstream that the report is about.
     pub upstream: id::Upstream,
-    /// The statement, with the time that is left now.
-    pub statement: Statement,
+    /// Whether the upstream has said that it leaves.
+    pub leaving: bool,
+    /// Time that is left for which the upstream wants no request.
+    pub closed_for: Option<Duration>,
+    /// Limit of the upstream, if it has named one.
+    pub limit: Option<Limit>,
+}
+
+/// Limit of an upstream as last heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Rate of the requests from all instances; `None` if the upstream names none any more.
+    pub rate: Option<Rate>,
+    /// Time since the upstream said so.
+    pub age: Duration,
 }
 
 /// State of an upstream in the platform's list.
@@ -60,6 +74,8 @@
     leaving: bool,
     /// Time until which the upstream wants no request.
     closed_until: Option<Instant>,
+    /// Limit that the upstream named last, `None` in it if it names none any more, and when it said so.
+    limit: Option<(Option<Rate>, Instant)>,
     /// Time of the last statement.
     heard: Instant,
     /// Whether the list has shown since that the upstream leaves or has left. If it is ready again
@@ -68,9 +84,56 @@
 }
 
 impl Record {
+    fn new(service: &id::Service, now: Instant) -> Self {
+        Self {
+            service: service.clone(),
+            leaving: false,
+            closed_until: None,
+            limit: None,
+            heard: now,
+            has_left: false,
+        }
+    }
+
     fn is_closed(&self, now: Instant) -> bool {
         self.closed_until.is_some_and(|end| now < end)
     }
+
+    /// Returns the rate that the upstream takes, if it names one.
+    fn rate(&self) -> Option<Rate> {
+        self.limit.and_then(|(rate, _)| rate)
+    }
+
+    /// Takes over a statement that was made at `at`; returns whether it changes anything.
+    fn update(
+        &mut self,
+        leaving: bool,
+        closed_until: Option<Instant>,
+        limit: Option<(Option<Rate>, Instant)>,
+    ) -> bool {
+        let was = (self.leaving, self.closed_until, self.rate());
+        self.leaving |= leaving;
+        self.closed_until = self.closed_until.max(closed_until);
+        let is_later = |(_, at): &(_, Instant)| self.limit.is_none_or(|(_, known)| known < *at);
+        self.limit = limit.filter(is_later).or(self.limit);
+        was != (self.leaving, self.closed_until, self.rate())
+    }
+
+    fn report(&self, upstream: &id::Upstream, now: Instant) -> Report {
+        Report {
+            service: self.service.clone(),
+            upstream: upstream.clone(),
+            leaving: self.leaving,
+            closed_for: self
+                .closed_until
+                .map(|end| end.saturating_duration_since(now))
+                .filter(|left| !left.is_zero()),
+            limit: self.limit.map(|(rate, at)| Limit {
+                rate,
+                age: now.saturating_duration_since(at),
+            }),
+        }
+    }
 }
 
 /// Statements of upstreams by their names. An upstream that starts anew mostly has a new name.
@@ -84,7 +147,7 @@
     }
 
     /// Records a statement; returns whether it says anything new. Of several times for which an
-    /// upstream wants no request, the one that ends last counts.
+    /// upstream wants no request, the one that ends last counts, and of several limits the last.
     pub fn record(
         &mut self,
         service: &id::Service,
@@ -92,22 +155,48 @@
         statement: Statement,
         now: Instant,
     ) -> bool {
-        if !statement.leaving && statement.closed_for.is_none() {
+        if statement == Statement::default() {
             return false;
         }
-        let record = self.0.entry(upstream.clone()).or_insert_with(|| Record {
-            service: service.clone(),
-            leaving: false,
-            closed_until: None,
-            heard: now,
-            has_left: false,
-        });
-        let was = (record.leaving, record.closed_until);
+        let record = self.0.entry(upstream.clone());
+        let record = record.or_insert_with(|| Record::new(service, now));
         record.heard = now;
-        record.leaving |= statement.leaving;
-        let end = statement.closed_for.map(|time| now + time);
-        record.closed_until = record.closed_until.max(end);
-        was != (record.leaving, record.closed_until)
+        let closed_until = statement.closed_for.map(|time| now + time);
+        let limit = statement.limit.map(|rate| (Some(rate), now));
+        record.update(statement.leaving, closed_until, limit)
+    }
+
+    /// Records that a request that was sent at `sent` was served without a word of a limit; returns
+    /// whether that lifts one.
+    pub fn record_unlimited(
+        &mut self,
+        upstream: &id::Upstream,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(record) = self.0.get_mut(upstream) else {
+            return false;
+        };
+        let is_later = record.limit.is_some_and(|(_, at)| at < sent);
+        is_later && record.update(false, None, Some((None, now)))
+    }
+
+    /// Takes over what another instance tells; returns whether it is new.
+    pub fn adopt(&mut self, report: &Report, now: Instant) -> bool {
+        let record = self.0.entry(report.upstream.clone());
+        let record = record.or_insert_with(|| Record::new(&report.service, now));
+        record.heard = now;
+        let closed_until = report.closed_for.map(|time| now + time);
+        let limit = report.limit.map(|limit| {
+            let at = now.checked_sub(limit.age).unwrap_or(now);
+            (limit.rate, at)
+        });
+        record.update(report.leaving, closed_until, limit)
+    }
+
+    /// Returns the rate of requests that an upstream takes from all instances, if it is limited.
+    pub fn limit(&self, upstream: &id::Upstream) -> Option<Rate> {
+        self.0.get(upstream)?.rate()
     }
 
     /// Whether an upstream has said that it leaves.
@@ -134,23 +223,18 @@
         records.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns what other instances need to know of an upstream now.
+    pub fn report(&self, upstream: &id::Upstream, now: Instant) -> Option<Report> {
+        Some(self.0.get(upstream)?.report(upstream, now))
+    }
+
     /// Returns what other instances need to know now.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
-        let records = self.0.iter();
-        let records = records.filter(|(_, record)| record.leaving || record.is_closed(now));
-        let report = |(name, record): (&id::Upstream, &Record)| Report {
-            service: record.service.clone(),
-            upstream: name.clone(),
-            statement: Statement {
-                leaving: record.leaving,
-                closed_for: record
-                    .closed_until
-                    .map(|end| end.saturating_duration_since(now))
-                    .filter(|left| !left.is_zero()),
-                limit: None,
-            },
-        };
-        records.map(report).collect()
+        let records = self.0.iter().filter(|(_, record)| {
+            record.leaving || record.is_closed(now) || record.limit.is_some()
+        });
+        let reports = records.map(|(name, record)| record.report(name, now));
+        reports.collect()
     }
 
     /// Compares the statements with the list, and forgets those of upstreams that have started anew
@@ -161,7 +245,8 @@
             match listing(name) {
                 Listing::Ready => {
                     let has_restarted = record.has_left && age >= LIST_DELAY;
-                    !has_restarted && (record.leaving || record.is_closed(now) || age < RETENTION)
+                    let holds = record.leaving || record.is_closed(now) || record.rate().is_some();
+                    !has_restarted && (holds || age < RETENTION)
                 }
                 Listing::Draining => {
                     record.has_left = true;
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -242,6 +242,8 @@
     pub data_centre: Arc<str>,
     /// Number of requests that it runs at once.
     pub slots: u32,
+    /// Part of the limit that the upstream may name which this dispatcher uses, from 0 to 1.
+    pub limit_part: f64,
 }
 
 /// Quota of an account.
@@ -332,11 +334,9 @@
         for announcement in announcements {
             match announcement {
                 Announcement::Upstream(report) => {
-                    let (name, upstream) = (&report.service, &report.upstream);
-                    let is_new = self
-                        .availability
-                        .record(name, upstream, report.statement, now);
-                    if let Some(service) = self.services.get_mut(name).filter(|_| is_new) {
+                    let is_new = self.availability.adopt(&report, now);
+                    let service = self.services.get_mut(&report.service);
+                    if let Some(service) = service.filter(|_| is_new) {
                         service.set_availability(&self.availability, now);
                     }
                     news.extend(is_new.then_some(Announcement::Upstream(report)));
@@ -602,6 +602,11 @@
             self.charge(charge, now);
         }
         for run in notice.started {
+            if let Some(service) = self.services.get_mut(&run.service)
+                && !self.tracked.contains_key(&run.key)
+            {
+                service.count_against_limit(&run.upstream, now);
+            }
             self.track_running(run, now);
         }
         for key in &notice.silent {
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -49,6 +49,9 @@
 /// Share of the capacity that is assumed to be left for a rank when higher ranks take all of it.
 const MIN_CAPACITY_SHARE: f64 = 0.05;
 
+/// Least capacity that waits are computed with, in requests per second.
+const MIN_CAPACITY: f64 = 0.01;
+
 /// Shortest pause before a refused request may be retried.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -283,7 +286,7 @@
         };
         let wait = |late| {
             let ahead = self.queue.range(..position(late)).count() + 1;
-            closed + self.grant_interval(position(late).priority, slots, now) * ahead as f64
+            closed + self.grant_interval(position(late).priority, now) * ahead as f64
         };
         let firsts = self
             .upstreams
@@ -405,9 +408,26 @@
             state.leaving = table.is_leaving(name);
             let closed_until = table.closed_until(name).filter(|end| *end > now);
             state.closed_until = closed_until.max(state.closed_until);
+            state.set_limit(table.limit(name), now);
+        }
+    }
+
+    /// Counts a request that an entry placed alone against the limit of its upstream.
+    pub(super) fn count_against_limit(&mut self, upstream: &id::Upstream, now: Instant) {
+        if let Some(state) = self.state(upstream) {
+            state.count_against_limit(now);
         }
     }
 
+    /// Returns the number of requests per second that the usable upstreams serve.
+    fn capacity(&self) -> f64 {
+        let slot_seconds = self.slot_seconds.unwrap_or(DEFAULT_SLOT_SECONDS);
+        let eligible = self.eligible();
+        let usable = self.upstreams.iter().filter(|state| eligible(state));
+        let usable = usable.filter(|state| !state.leaving);
+        usable.map(|state| state.capacity(slot_seconds)).sum()
+    }
+
     /// Returns the number of slots on upstreams that requests may go to, now or once the upstreams
     /// want requests again.
     fn usable_slots(&self) -> u32 {
@@ -427,8 +447,8 @@
 
     /// Returns the expected time between two grants to requests of a priority, in seconds:
     /// arrivals of higher priority take their part of the capacity first.
-    fn grant_interval(&self, priority: Priority, slots: u32, now: Instant) -> f64 {
-        let all = f64::from(slots) / self.slot_seconds.unwrap_or(DEFAULT_SLOT_SECONDS);
+    fn grant_interval(&self, priority: Priority, now: Instant) -> f64 {
+        let all = self.capacity().max(MIN_CAPACITY);
         let higher = self.arrivals.range(..priority);
         let higher_rate: f64 = higher.map(|(_, arrivals)| arrivals.rate(now)).sum();
         1.0 / (all - higher_rate).max(all * MIN_CAPACITY_SHARE)
@@ -705,6 +725,7 @@
                 state.prefill_until.max(now) + state.rates.expected_first(request, &pooled);
         }
         state.set_running(state.running + 1, self.release.is_some(), now);
+        state.count_against_limit(now);
         if let Some(release) = &mut self.release {
             release.record_grant(&state.upstream);
         }
--- a/gooseberrylb_policy/src/dispatch/share.rs
+++ b/gooseberrylb_policy/src/dispatch/share.rs
@@ -7,6 +7,11 @@
 
 use super::Upstream;
 
+/// Part of the limit of an upstream that the entry with its first slot uses while it places alone. All
+/// others use none: parts for each would add up to a burst. The dispatcher may still grant the whole
+/// limit to entries that it reaches.
+const ALONE_LIMIT_PART: f64 = 0.5;
+
 /// Returns the slots that entry `index` of `count` may use, so that all entries together use each
 /// slot once. Each entry gets at least one slot, also where there are more entries than slots.
 pub fn for_entry(
@@ -31,6 +36,10 @@
     for upstream in &mut upstreams {
         let slots = first..first + upstream.slots as usize;
         first = slots.end;
+        upstream.limit_part = match slots.start % count == index {
+            true => ALONE_LIMIT_PART,
+            false => 0.0,
+        };
         let own = slots.filter(|slot| slot % count == index).count();
         upstream.slots = u32::try_from(own).unwrap_or(u32::MAX);
     }
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use gooseberrylb_config::number::Rate;
+
 use super::rates::Rates;
 use super::{Request, Upstream};
+use crate::limit::Bucket;
 use crate::occupancy::Occupancy;
 
 /// Ejection time of an upstream after its first failures; each further failure doubles it.
@@ -97,6 +100,8 @@
     pub(super) leaving: bool,
     /// Time until which the upstream wants no request, until it has served one after that.
     pub(super) closed_until: Option<Instant>,
+    /// Requests that the upstream takes by the limit that it names.
+    pub(super) limit: Option<Bucket>,
 }
 
 impl State {
@@ -111,13 +116,52 @@
             full_until: now,
             leaving: false,
             closed_until: None,
+            limit: None,
         }
     }
 
     /// Returns the time from which on the upstream takes requests again by its own word; `None` if
-    /// it leaves.
+    /// it leaves or is left to others.
     pub(super) fn opens_at(&self, now: Instant) -> Option<Instant> {
-        (!self.leaving).then(|| self.closed_until.map_or(now, |end| end.max(now)))
+        if self.leaving {
+            return None;
+        }
+        let opens = self.closed_until.map_or(now, |end| end.max(now));
+        match &self.limit {
+            Some(limit) => Some(opens.max(limit.opens_at(now)?)),
+            None => Some(opens),
+        }
+    }
+
+    /// Sets the rate of requests that the upstream takes from all instances.
+    pub(super) fn set_limit(&mut self, rate: Option<Rate>, now: Instant) {
+        let part = self.upstream.limit_part;
+        match (&mut self.limit, rate) {
+            (limit, None) => *limit = None,
+            (Some(limit), Some(rate)) => limit.set_rate(rate, part, now),
+            (limit, Some(rate)) => *limit = Some(Bucket::new(rate, part, now)),
+        }
+    }
+
+    /// Counts a request against the limit.
+    pub(super) fn count_against_limit(&mut self, now: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
+    }
+
+    /// Returns the number of requests per second that the upstream serves, if each holds a slot for
+    /// `slot_seconds`.
+    pub(super) fn capacity(&self, slot_seconds: f64) -> f64 {
+        let by_slots = f64::from(self.upstream.slots) / slot_seconds;
+        let limit = self.limit.as_ref().map(Bucket::rate);
+        limit.map_or(by_slots, |limit| limit.min(by_slots))
+    }
+
+    /// Returns the number of requests that the limit allows now.
+    fn allowed(&self, now: Instant) -> u32 {
+        let limit = self.limit.as_ref();
+        limit.map_or(u32::MAX, |limit| limit.available(now))
     }
 
     /// Returns how many requests the upstream wants at most by its own word. After a time in which
@@ -162,7 +206,9 @@
         } else {
             slots
         };
-        self.running < limit.min(self.wanted(now)) && now >= self.full_until
+        self.running < limit.min(self.wanted(now))
+            && self.allowed(now) > 0
+            && now >= self.full_until
     }
 
     /// Returns the number of requests that the upstream can still run, given its health.
@@ -171,7 +217,8 @@
             return 0;
         }
         let limit = self.health.limit(self.upstream.slots, now);
-        limit.min(self.wanted(now)).saturating_sub(self.running)
+        let free = limit.min(self.wanted(now)).saturating_sub(self.running);
+        free.min(self.allowed(now))
     }
 
     /// Returns the expected times to the first event and to the end of the response.
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod availability;
 pub mod dispatch;
 pub mod drain;
+pub mod limit;
 pub mod moves;
 pub mod occupancy;
 pub mod prompt;
--- a/gooseberrylb_policy/tests/availability.rs
+++ b/gooseberrylb_policy/tests/availability.rs
@@ -5,7 +5,7 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::{Listing, Report, Table};
+use gooseberrylb_policy::availability::{Limit, Listing, Report, Table};
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Reason, Request, Upstream,
 };
@@ -42,7 +42,12 @@
     Report {
         service: service(),
         upstream: name(index),
-        statement,
+        leaving: statement.leaving,
+        closed_for: statement.closed_for,
+        limit: statement.limit.map(|rate| Limit {
+            rate: Some(rate),
+            age: Duration::ZERO,
+        }),
     }
 }
 
@@ -72,6 +77,7 @@
             release: "v1".into(),
             data_centre: "lodi".into(),
             slots: SLOTS,
+            limit_part: 1.0,
         });
         self.dispatcher.set_upstreams(upstreams, self.now);
     }
--- a/gooseberrylb_policy/tests/dispatch.rs
+++ b/gooseberrylb_policy/tests/dispatch.rs
@@ -17,6 +17,7 @@
         release: "v1".into(),
         data_centre: "lodi".into(),
         slots,
+        limit_part: 1.0,
     }
 }
 
--- a/gooseberrylb_policy/tests/dispatch_retries.rs
+++ b/gooseberrylb_policy/tests/dispatch_retries.rs
@@ -71,6 +71,7 @@
         release: "v1".into(),
         data_centre: "lodi".into(),
         slots: SLOTS,
+        limit_part: 1.0,
     };
     dispatcher.set_upstreams([upstream], now);
     dispatcher
--- a/gooseberrylb_policy/tests/dispatch_shards.rs
+++ b/gooseberrylb_policy/tests/dispatch_shards.rs
@@ -187,6 +187,7 @@
         release: "v1".into(),
         data_centre: data_centre.into(),
         slots,
+        limit_part: 1.0,
     }
 }
 
--- a/gooseberrylb_policy/tests/dispatch_share.rs
+++ b/gooseberrylb_policy/tests/dispatch_share.rs
@@ -9,6 +9,7 @@
         release: "v1".into(),
         data_centre: "lodi".into(),
         slots,
+        limit_part: 1.0,
     };
     (0..count).map(make).collect()
 }
--- a/gooseberrylb_policy/tests/rollout.rs
+++ b/gooseberrylb_policy/tests/rollout.rs
@@ -94,6 +94,7 @@
         release: release.into(),
         data_centre: ["cremona", "lodi", "mantova"][i % 3].into(),
         slots: 8,
+        limit_part: 1.0,
     };
     let releases = ["v1", "v2"].into_iter();
     releases
