Have a soak upstream name a limit, and check it over all entries

Arrivals count from entries that passed on its limit and were not disrupted since, summed over entries.

--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -41,6 +41,11 @@
 /// See [`CLOSED_BOUND`].
 const MAX_CLOSED_ARRIVALS: usize = 2;
 
+/// Time after which an entry that has passed on a response with a limit keeps it.
+const LIMIT_BOUND: Duration = Duration::from_millis(500);
+/// Window in which the requests at a limited upstream are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// Number of requests with a part that crashes upstreams that may reach these once the part is known.
 const MAX_KNOWN_CRASHES: usize = 3;
 
@@ -101,6 +106,14 @@
     at: Instant,
 }
 
+/// Response of an upstream in which it named its limit, as an entry passed it on.
+#[derive(Debug)]
+struct Limited {
+    upstream: String,
+    entry: Option<SocketAddr>,
+    at: Instant,
+}
+
 /// What an upstream said of its availability in a response.
 #[derive(Debug)]
 struct Statement {
@@ -183,6 +196,7 @@
     executions: Vec<Execution>,
     arrivals: Vec<Arrival>,
     statements: Vec<Statement>,
+    limited: Vec<Limited>,
     disruptions: Vec<Disruption>,
     declarations: Vec<Declaration>,
     violations: Vec<String>,
@@ -270,6 +284,16 @@
                 closed_for: None,
             });
         }
+        if let Some(upstream) = signature.and_then(|signature| signature.rsplit('.').next())
+            && response.header(platform::LIMIT_HEADER).is_some()
+        {
+            let entry = records.calls.get(attempt).and_then(|call| call.entry);
+            records.limited.push(Limited {
+                upstream: upstream.to_owned(),
+                entry,
+                at: Instant::now(),
+            });
+        }
         records.statuses.insert(attempt.to_owned(), status);
         let Some(call) = records.calls.get(attempt) else {
             return false;
@@ -418,6 +442,7 @@
             ));
         }
         violations.extend(records.check_statements());
+        violations.extend(records.check_limits());
         let denials = records.statuses.iter().filter(|(attempt, status)| {
             let uses_revocable_key = records
                 .calls
@@ -486,6 +511,50 @@
         violations
     }
 
+    /// Returns the violations of upstreams' limits. Arrivals count from entries that had passed on a
+    /// response with the limit, unless these were disrupted since or links were.
+    fn check_limits(&self) -> Vec<String> {
+        let binds = |limited: &Limited, arrival: &Arrival, entry: Option<SocketAddr>| {
+            limited.upstream == arrival.upstream
+                && entry.is_some()
+                && limited.entry == entry
+                && arrival.at > limited.at + LIMIT_BOUND
+                && !self
+                    .disruptions
+                    .iter()
+                    .any(|fault| fault.affects(entry, limited.at, arrival.at))
+        };
+        let mut counted: HashMap<&str, Vec<Instant>> = HashMap::new();
+        for arrival in &self.arrivals {
+            let entry = self.calls.get(&arrival.attempt).and_then(|call| call.entry);
+            if self
+                .limited
+                .iter()
+                .any(|limited| binds(limited, arrival, entry))
+            {
+                counted
+                    .entry(&arrival.upstream)
+                    .or_default()
+                    .push(arrival.at);
+            }
+        }
+        let allowed = 1.5 * platform::LIMIT * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        let mut violations = Vec::new();
+        for (upstream, arrivals) in counted {
+            let in_window = |from: &Instant| {
+                let window = *from..*from + LIMIT_WINDOW;
+                arrivals.iter().filter(|at| window.contains(*at)).count()
+            };
+            let most = arrivals.iter().map(in_window).max().unwrap_or(0);
+            if most as f64 > allowed {
+                violations.push(format!(
+                    "LIMIT {upstream} got {most} requests in {LIMIT_WINDOW:?}, {allowed} allowed"
+                ));
+            }
+        }
+        violations
+    }
+
     /// Returns the violation that a single execution shows, if any.
     fn check_execution(&self, execution: &Execution) -> Option<String> {
         let attempt = &execution.attempt;
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -46,6 +46,13 @@
 /// Time from the statement of an upstream that it leaves until it starts again.
 const LEAVING_DURATION: Duration = Duration::from_millis(4_500);
 
+/// Upstream that names a limit in all its responses.
+const LIMITED_UPSTREAM: usize = 2;
+/// Number of requests per second that it takes.
+pub const LIMIT: f64 = 4.0;
+/// Header with which it names its limit.
+pub const LIMIT_HEADER: &str = "Server-Limit";
+
 /// Upstream that turns a request away now and then, and wants no further ones for a while.
 const CLOSED_UPSTREAM: usize = 1;
 /// Interval between the requests of a caller with which [`CLOSED_UPSTREAM`] does so.
@@ -359,6 +366,9 @@
         if leaving {
             head += &format!("{LEAVING_HEADER}: 1\r\n");
         }
+        if upstream.number == LIMITED_UPSTREAM {
+            head += &format!("{LIMIT_HEADER}: {LIMIT}\r\n");
+        }
         let truncate = behaviour == Behaviour::Truncates;
         write_response(&request, &attempt, head, truncate, writer)?;
         if behaviour == Behaviour::Truncates {
