Have the tests of statements reach their upstream whatever was measured

Requests one after the other go to the upstream of two that was measured faster, and the other is measured no more. Targets that the other one turns away as full reach the one that makes statements at the second attempt. Checks and bounds stay.

--- a/gooseberrylb/tests/platform/availability.rs
+++ b/gooseberrylb/tests/platform/availability.rs
@@ -6,6 +6,10 @@
 use crate::fleet::{ENTRY, Fleet, KEY, OPERATORS};
 use crate::standin::{CLOSED_S, SPEAKING};
 
+/// Target whose requests the other upstream of the service turns away as full, so that they reach the
+/// one that makes statements. Which of the two gets a request first depends on measured times.
+const TO_SPEAKING: &str = "/pair/full";
+
 impl Fleet {
     /// Sends requests with `target` until one of them reaches the upstream that makes statements.
     fn wait_for_statement(&self, target: &str) {
@@ -22,12 +26,13 @@
     // A caller's own field means nothing.
     let forged = format!("{KEY}Server-Leaving: 1\r\n");
     fleet.wait(|fleet| {
-        fleet.call("/pair/x", &forged);
+        fleet.call(TO_SPEAKING, &forged);
         fleet.requests_to(SPEAKING) > 3
     });
-    fleet.call("/pair/leaving", KEY);
+    let leaving = format!("{TO_SPEAKING}/leaving");
+    fleet.call(&leaving, KEY);
     fleet.wait(|fleet| {
-        let answer = fleet.call("/pair/leaving", KEY);
+        let answer = fleet.call(&leaving, KEY);
         answer.contains("Server-Leaving: 1")
     });
     let before = fleet.requests_to(SPEAKING);
@@ -55,7 +60,7 @@
 #[test]
 fn upstream_that_wants_no_requests_gets_none_until_its_time_is_over() {
     let fleet = Fleet::start(11);
-    fleet.wait_for_statement("/pair/closed");
+    fleet.wait_for_statement(&format!("{TO_SPEAKING}/closed"));
     let said = Instant::now();
     let count = fleet.requests_to(SPEAKING);
     let closed = Duration::from_secs(CLOSED_S);
@@ -77,7 +82,7 @@
     );
     (1..ENTRY).for_each(|host| fleet.signal(host, "-CONT"));
     fleet.wait(|fleet| {
-        fleet.call("/pair/x", KEY);
+        fleet.call(TO_SPEAKING, KEY);
         fleet.requests_to(SPEAKING) > later
     });
 }
@@ -86,12 +91,10 @@
 fn upstream_that_told_one_entry_to_wait_gets_nothing_from_another_that_places_alone() {
     let mut fleet = Fleet::start(16);
     fleet.start_entry(ENTRY + 1);
-    fleet.wait(|fleet| fleet.call_at(ENTRY + 1, "/pair/x", KEY).contains("hello"));
-    let before = fleet.requests_to(SPEAKING);
-    fleet.wait(|fleet| {
-        fleet.call("/pair/closed", KEY);
-        fleet.requests_to(SPEAKING) > before
-    });
+    // Opens a session. A request to the service of the closed upstream would tell its speed, and the
+    // other one might then get all requests.
+    fleet.wait(|fleet| fleet.call_at(ENTRY + 1, "/plain/x", KEY).contains("hello"));
+    fleet.wait_for_statement(&format!("{TO_SPEAKING}/closed"));
     let said = Instant::now();
     let count = fleet.requests_to(SPEAKING);
     let closed = Duration::from_secs(CLOSED_S);
