Give upstreams whose hosts refuse connections one request at a time

Cause: the dispatcher took a refused connection for one more failure. Where most upstreams fail it ejects none, since failures may be the requests' fault, so that each request was granted three dead upstreams in a row. A refused connection cannot be the request's fault: nothing listens there.

Ruled out: the list; a crashed upstream stays on it for seconds by the platform's rules. Time-outs count as before, since the way from one entry may be their cause.

Change: such an upstream gets nothing for 250 ms, doubling up to 1 s, and then one request at a time until it serves one; it counts in no estimate of the capacity unless all refuse, and then requests wait.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -254,7 +254,12 @@
                     id = self.id(), upstream:% = grant.upstream, error:% = error;
                     "connecting to the upstream failed"
                 );
-                grant.end(Outcome::Failed);
+                // Of other failures, the way from this entry may be the cause.
+                let outcome = match error.kind() {
+                    std::io::ErrorKind::ConnectionRefused => Outcome::Refused,
+                    _ => Outcome::Failed,
+                };
+                grant.end(outcome);
                 return Err(Failure::ConnectFailed);
             }
             Err(_) => return Err(Failure::ConnectFailed),
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -155,6 +155,8 @@
     Failed,
     /// The caller left, or the grant was not used.
     Dropped,
+    /// The upstream's host refused the connection: nothing listens there.
+    Refused,
 }
 
 /// A request that an entry has in flight at an upstream.
--- a/gooseberrylb_policy/src/dispatch/release.rs
+++ b/gooseberrylb_policy/src/dispatch/release.rs
@@ -160,7 +160,9 @@
                 rest,
                 events,
             }) => (false, *first, *rest, *events),
-            Some(Outcome::Failed) | None => (true, Duration::ZERO, Duration::ZERO, 0),
+            Some(Outcome::Failed | Outcome::Refused) | None => {
+                (true, Duration::ZERO, Duration::ZERO, 0)
+            }
             Some(Outcome::Full | Outcome::Dropped) => return,
         };
         let Some(route) = completion.route else {
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -419,13 +419,16 @@
         }
     }
 
-    /// Returns the number of requests per second that the usable upstreams serve.
+    /// Returns the number of requests per second that the usable upstreams serve. Those whose hosts
+    /// refuse connections count only if all do, since some will be back.
     fn capacity(&self) -> f64 {
         let slot_seconds = self.slot_seconds.unwrap_or(DEFAULT_SLOT_SECONDS);
         let eligible = self.eligible();
         let usable = self.upstreams.iter().filter(|state| eligible(state));
-        let usable = usable.filter(|state| !state.leaving);
-        usable.map(|state| state.capacity(slot_seconds)).sum()
+        let usable: Vec<_> = usable.filter(|state| !state.leaving).collect();
+        let none_listens = usable.iter().all(|state| state.refusals > 0);
+        let listening = usable.iter().filter(|s| none_listens || s.refusals == 0);
+        listening.map(|state| state.capacity(slot_seconds)).sum()
     }
 
     /// Returns the number of slots on upstreams that requests may go to, now or once the upstreams
@@ -541,7 +544,9 @@
         };
         let rest = match outcome {
             Some(Outcome::Served { rest, .. }) => *rest,
-            Some(Outcome::Full | Outcome::Failed | Outcome::Dropped) | None => Duration::ZERO,
+            Some(Outcome::Full | Outcome::Failed | Outcome::Dropped | Outcome::Refused) | None => {
+                Duration::ZERO
+            }
         };
         // A silent request was recorded when it became silent.
         if run.silent && outcome.is_some() {
@@ -583,6 +588,10 @@
                 }
                 Outcome::Full => state.record_full(now),
                 Outcome::Failed => state.health.record_failure(now),
+                Outcome::Refused => {
+                    state.health.record_failure(now);
+                    state.record_refused(now);
+                }
                 Outcome::Dropped => {}
             }
         }
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -29,6 +29,13 @@
 /// duration of one plain call.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which an upstream gets no request after its host refused a connection; each further
+/// refusal doubles it.
+const BASE_REFUSED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Limit of that time, so that an upstream that listens again is found soon.
+const MAX_REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
 /// Health of an upstream, judged by its failures.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
@@ -96,6 +103,10 @@
     pub(super) prefill_until: Instant,
     /// End of the pause after the upstream reported that it is full.
     pub(super) full_until: Instant,
+    /// End of the pause after the upstream's host refused a connection.
+    pub(super) refused_until: Instant,
+    /// Refused connections since the last served request.
+    pub(super) refusals: u32,
     /// Whether the upstream has said that it leaves.
     pub(super) leaving: bool,
     /// Time until which the upstream wants no request, until it has served one after that.
@@ -114,19 +125,22 @@
             health: Health::default(),
             prefill_until: now,
             full_until: now,
+            refused_until: now,
+            refusals: 0,
             leaving: false,
             closed_until: None,
             limit: None,
         }
     }
 
-    /// Returns the time from which on the upstream takes requests again by its own word; `None` if
-    /// it leaves or is left to others.
+    /// Returns the time from which on the upstream takes requests again, by its own word or since its
+    /// host may listen again; `None` if it leaves or is left to others.
     pub(super) fn opens_at(&self, now: Instant) -> Option<Instant> {
         if self.leaving {
             return None;
         }
         let opens = self.closed_until.map_or(now, |end| end.max(now));
+        let opens = opens.max(self.refused_until);
         match &self.limit {
             Some(limit) => Some(opens.max(limit.opens_at(now)?)),
             None => Some(opens),
@@ -165,12 +179,13 @@
     }
 
     /// Returns how many requests the upstream wants at most by its own word. After a time in which
-    /// it wanted none, it gets one at first.
+    /// it wanted none, or in which its host refused connections, it gets one at first.
     fn wanted(&self, now: Instant) -> u32 {
         match self.closed_until {
             _ if self.leaving => 0,
             Some(end) if now < end => 0,
             Some(_) => self.upstream.slots.min(1),
+            None if self.refusals > 0 => self.upstream.slots.min(1),
             None => self.upstream.slots,
         }
     }
@@ -178,6 +193,7 @@
     /// Records that a request was served that was granted at `since`.
     pub(super) fn record_served(&mut self, since: Instant) {
         self.health.record_success();
+        self.refusals = 0;
         if self.closed_until.is_some_and(|end| since >= end) {
             self.closed_until = None;
         }
@@ -192,6 +208,17 @@
         self.running = running;
     }
 
+    /// Records that the upstream's host refused a connection. Refusals of requests that were granted
+    /// before the first of them count as one.
+    pub(super) fn record_refused(&mut self, now: Instant) {
+        if now < self.refused_until {
+            return;
+        }
+        let pause = BASE_REFUSED_PAUSE * 2_u32.pow(self.refusals.min(8));
+        self.refused_until = now + pause.min(MAX_REFUSED_PAUSE);
+        self.refusals += 1;
+    }
+
     /// Records that the upstream reported that it is full though it should have room.
     pub(super) fn record_full(&mut self, now: Instant) {
         self.full_until = now + FULL_PAUSE;
@@ -208,12 +235,12 @@
         };
         self.running < limit.min(self.wanted(now))
             && self.allowed(now) > 0
-            && now >= self.full_until
+            && now >= self.full_until.max(self.refused_until)
     }
 
     /// Returns the number of requests that the upstream can still run, given its health.
     pub(super) fn free_slots(&self, now: Instant) -> u32 {
-        if now < self.full_until {
+        if now < self.full_until.max(self.refused_until) {
             return 0;
         }
         let limit = self.health.limit(self.upstream.slots, now);
--- a/gooseberrylb_policy/tests/dispatch.rs
+++ b/gooseberrylb_policy/tests/dispatch.rs
@@ -593,3 +593,82 @@
     assert!(refuses(&mut both, 61.0));
     assert!(!refuses(&mut both, 60.0));
 }
+
+#[test]
+fn upstreams_whose_hosts_refuse_connections_get_one_request_at_a_time_also_if_most_do() {
+    let mut now = Instant::now();
+    let upstreams: Vec<_> = (0..5).map(|i| upstream(&format!("i-{i}"), 5)).collect();
+    let mut dispatcher = dispatcher(&upstreams, now);
+    let is_dead = |name: &str| name != "i-4";
+    let (mut refused, mut number) = (0, 0);
+    // 10 s of 20 requests a second, each of which takes 100 ms where it is served.
+    let mut running: Vec<(Instant, Key)> = Vec::new();
+    for step in 0..1_000 {
+        now += 10 * MS;
+        let mut granted = Vec::new();
+        if step % 5 == 0 {
+            number += 1;
+            let request = request(number);
+            let key = request.key.clone();
+            if let Decision::Grant(name) = dispatcher.place(request, now) {
+                granted.push((key, name));
+            }
+        }
+        let (done, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, _)| *end <= now);
+        running = rest;
+        for (_, key) in done {
+            let served = Outcome::Served {
+                first: 20 * MS,
+                rest: 80 * MS,
+                events: 20,
+            };
+            dispatcher.apply(ended(key, served), now);
+        }
+        for (key, decision) in dispatcher.poll(now) {
+            if let Decision::Grant(name) = decision {
+                granted.push((key, name));
+            }
+        }
+        for (key, name) in granted {
+            if is_dead(name.as_str()) {
+                refused += 1;
+                dispatcher.apply(ended(key, Outcome::Refused), now);
+            } else {
+                running.push((now + 100 * MS, key));
+            }
+        }
+    }
+    // Each of the four is tried again after 250 and 500 ms, and then each second.
+    assert!((8..=4 * 12).contains(&refused), "{refused}");
+}
+
+#[test]
+fn requests_wait_while_all_hosts_refuse_connections_and_the_first_that_listens_is_found() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(&[upstream("i-0", 5)], start);
+    for number in 0..3 {
+        let granted = dispatcher.place(request(number), start);
+        assert!(matches!(granted, Decision::Grant(_)));
+    }
+    for number in 0..3 {
+        let refused = ended(key("entry-1", number), Outcome::Refused);
+        dispatcher.apply(refused, start + 5 * MS);
+    }
+    let decisions = (3..5).map(|number| dispatcher.place(request(number), start + 10 * MS));
+    assert!(
+        decisions
+            .into_iter()
+            .all(|decision| decision == Decision::Wait)
+    );
+    assert_eq!(dispatcher.poll(start + 250 * MS), []);
+    // One tries first, and the rest follow once it is served.
+    let first = dispatcher.poll(start + 260 * MS);
+    assert_eq!(first.len(), 1);
+    let served = Outcome::Served {
+        first: 20 * MS,
+        rest: 80 * MS,
+        events: 20,
+    };
+    dispatcher.apply(ended(first[0].0.clone(), served), start + 400 * MS);
+    assert_eq!(dispatcher.poll(start + 410 * MS).len(), 1);
+}
