Keep statements of upstreams current at entries without requests, in files of their own

Found by reading, not seen: an entry compares what upstreams said with the list only as it places a request. One without requests could tell a new dispatcher that an upstream leaves which has started again under its name since, now that all entries are told what one heard. No test plays it: the stand-in's list does not change so.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -13,18 +13,18 @@
 use gooseberrylb_config::directory::{self, Directory};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
-use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::{self, Listing};
+use gooseberrylb_policy::availability::Listing;
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Quota, Request, Summary, Upstream, share,
 };
-use gooseberrylb_policy::{prompt, rollout};
+use gooseberrylb_policy::rollout;
 use gooseberrylb_wire::dispatch::Answer;
 
 use super::core::Core;
 use crate::gateway::{self, session::Session};
 use crate::metrics::METRICS;
 
+pub mod announce;
 pub mod session;
 
 /// Interval between two polls of the dispatcher while requests wait.
@@ -169,67 +169,6 @@
         }
     }
 
-    /// Takes over what an entry or the dispatcher of another shard tells. What an entry tells is
-    /// passed on to the other shards, whose upstreams it may concern.
-    fn announce(&self, core: &Rc<Core>, from: &id::Instance, announcements: Vec<Announcement>) {
-        if !self.prepare(core) {
-            return;
-        }
-        let now = core.clock.now();
-        let news = self.dispatcher.borrow_mut().announce(announcements, now);
-        if news.is_empty() {
-            return;
-        }
-        news.iter().for_each(|news| log_announcement(from, news));
-        if news.iter().any(is_crash) {
-            let core = core.clone();
-            task::spawn_local(async move {
-                task::sleep(prompt::SETTLING).await;
-                core.dispatch.judge_prompts(&core);
-            });
-        }
-        self.announce_to_entries(core, from, &news);
-        let directory = core.feed.borrow().directory().clone();
-        let plan = core.plan(&directory);
-        if !is_entry(&directory, from) || !plan.is_divided() {
-            return;
-        }
-        let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
-        for name in dispatchers.filter(|name| **name != core.identity.name) {
-            if let Some(session) = self.peer(core, name) {
-                session.announce(news.clone());
-            }
-        }
-    }
-
-    /// Blocks the parts of prompts that crash upstreams, and tells the entries. The dispatchers of
-    /// other shards come to the same decision, since they are told of all crashes.
-    fn judge_prompts(&self, core: &Core) {
-        if !self.prepare(core) {
-            return;
-        }
-        let news = self.dispatcher.borrow_mut().judge_prompts(core.clock.now());
-        let own = &core.identity.name;
-        news.iter().for_each(|news| log_announcement(own, news));
-        self.announce_to_entries(core, own, &news);
-    }
-
-    /// Tells all entries of this dispatcher what binds them too, but for the one that it is from.
-    fn announce_to_entries(&self, core: &Core, from: &id::Instance, news: &[Announcement]) {
-        let binding = news.iter().filter(|news| binds_entries(news));
-        let binding: Vec<_> = binding.cloned().collect();
-        if binding.is_empty() {
-            return;
-        }
-        let directory = core.feed.borrow().directory().clone();
-        let sessions = self.sessions.borrow();
-        for (name, answers) in sessions.iter() {
-            if is_entry(&directory, name) && name != from {
-                send_announcements(name, answers, binding.clone());
-            }
-        }
-    }
-
     /// Whether an upstream has said that it leaves, as far as known here.
     pub fn is_leaving(&self, upstream: &id::Upstream) -> bool {
         self.dispatcher.borrow().is_leaving(upstream)
@@ -260,7 +199,7 @@
         if is_dispatching {
             let dispatcher = self.dispatcher.borrow();
             let known = dispatcher.announcements_for_entries(core.clock.now());
-            send_announcements(&instance, &answers, known);
+            announce::send(&instance, &answers, known);
             self.sessions.borrow_mut().insert(instance, answers);
         }
         is_dispatching
@@ -426,96 +365,6 @@
     }
 }
 
-/// Queues announcements for an instance. An instance that does not read is told them in its next
-/// session.
-fn send_announcements(
-    instance: &id::Instance,
-    answers: &Sender<Answer>,
-    announcements: Vec<Announcement>,
-) {
-    if announcements.is_empty() {
-        return;
-    }
-    let has_room = answers.len() < session::MAX_ANSWERS;
-    if !has_room || answers.try_send(Answer::Announced(announcements)).is_err() {
-        log::info!(entry:% = instance; "announcements were not delivered; the entry does not read");
-    }
-}
-
-/// Whether entries act on an announcement.
-fn binds_entries(announcement: &Announcement) -> bool {
-    match announcement {
-        Announcement::Prompt(prompt::Report::Blocked { .. } | prompt::Report::Served { .. })
-        | Announcement::Upstream(_) => true,
-        Announcement::Prompt(prompt::Report::Crashed { .. }) => false,
-    }
-}
-
-/// Whether an announcement is of a crash, which is judged later.
-fn is_crash(announcement: &Announcement) -> bool {
-    matches!(
-        announcement,
-        Announcement::Prompt(prompt::Report::Crashed { .. })
-    )
-}
-
-/// Logs what an instance learned of an upstream or a prompt, and from which one.
-pub fn log_announcement(from: &id::Instance, announcement: &Announcement) {
-    match announcement {
-        Announcement::Upstream(report) => log_upstream(from, report),
-        Announcement::Prompt(prompt::Report::Crashed {
-            upstream,
-            parts,
-            age,
-        }) => {
-            let parts: Vec<_> = parts.iter().map(id::Part::to_string).collect();
-            log::info!(
-                upstream:% = upstream, parts = parts.join(","), age_ms = age.as_millis() as u64, from:% = from;
-                "an upstream crashed as it began a response"
-            );
-        }
-        Announcement::Prompt(prompt::Report::Blocked {
-            part, left, times, ..
-        }) => {
-            METRICS.prompt_parts.with_label_values(&["blocked"]).inc();
-            log::warn!(
-                part:% = part, left_s = left.as_secs(), times = times, from:% = from;
-                "refusing requests with a part of a prompt that crashes upstreams"
-            );
-        }
-        Announcement::Prompt(prompt::Report::Served { part, .. }) => {
-            METRICS.prompt_parts.with_label_values(&["served"]).inc();
-            log::info!(part:% = part, from:% = from; "a part of a prompt is sound after all");
-        }
-    }
-}
-
-/// Logs what an instance learned of an upstream, and from which one.
-fn log_upstream(from: &id::Instance, report: &availability::Report) {
-    if report.leaving || report.closed_for.is_some() {
-        log::info!(
-            upstream:% = report.upstream, service:% = report.service, from:% = from,
-            leaving = report.leaving,
-            closed_ms = report.closed_for.map_or(0, |time| time.as_millis() as u64);
-            "an upstream wants no requests"
-        );
-    }
-    if let Some(limit) = report.limit {
-        log::info!(
-            upstream:% = report.upstream, service:% = report.service, from:% = from,
-            per_second = limit.rate.map_or("-".to_owned(), |rate| rate.to_string()),
-            age_ms = limit.age.as_millis() as u64;
-            "an upstream limits its requests"
-        );
-    }
-}
-
-/// Whether the other end of a session is an entry, and not the dispatcher of another shard. An entry
-/// that has just started is not in the directory yet.
-fn is_entry(directory: &Directory, name: &id::Instance) -> bool {
-    directory.instances.get(name).is_none_or(|i| i.entry)
-}
-
 /// Returns the state of an upstream in the replicated list.
 pub fn listing(directory: &Directory, upstream: &id::Upstream) -> Listing {
     Listing::new(directory.listed.get(upstream).map(|listed| &**listed))
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -14,7 +14,6 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
 use gooseberrylb_config::{id, number};
-use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::availability::Table;
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
@@ -28,6 +27,8 @@
 use crate::gateway::session::{self, Session};
 use crate::metrics::METRICS;
 
+mod knowledge;
+
 /// Time limit for the dispatcher's first answer on a request. A working dispatcher answers within a
 /// few milliseconds; after the timeout, requests with an objective of 100 ms can still be served in
 /// time.
@@ -235,104 +236,6 @@
         }
     }
 
-    /// Returns the upstreams of a service that have told this entry that they want no requests.
-    fn unavailable(&self, service: &id::Service) -> Vec<id::Upstream> {
-        let mut availability = self.availability.borrow_mut();
-        if availability.is_empty() {
-            return Vec::new();
-        }
-        let now = self.core.clock.now();
-        let directory = &self.core.published().directory;
-        if self.availability_revision.replace(Some(directory.revision)) != Some(directory.revision)
-        {
-            availability.update(|name| dispatch::listing(directory, name), now);
-        }
-        availability.unavailable(service, now)
-    }
-
-    /// Takes over what an upstream said of its availability in a response, and tells the dispatcher.
-    /// A success that names no limit lifts an earlier one; `served` is the time at which its request
-    /// was sent.
-    fn record_statement(
-        &self,
-        service: &id::Service,
-        upstream: &id::Upstream,
-        statement: Statement,
-        served: Option<Instant>,
-    ) {
-        let now = self.core.clock.now();
-        let mut availability = self.availability.borrow_mut();
-        let mut is_new = availability.record(service, upstream, statement, now);
-        if let Some(sent) = served.filter(|_| statement.limit.is_none()) {
-            is_new |= availability.record_unlimited(upstream, sent, now);
-        }
-        for (kind, is_said) in [
-            ("leaving", statement.leaving),
-            ("closed", statement.closed_for.is_some()),
-            ("limit", statement.limit.is_some()),
-        ] {
-            if is_said {
-                METRICS.statements.with_label_values(&[kind]).inc();
-            }
-        }
-        let Some(report) = availability.report(upstream, now).filter(|_| is_new) else {
-            return;
-        };
-        let announcement = Announcement::Upstream(report);
-        dispatch::log_announcement(&self.core.identity.name, &announcement);
-        let announcements = vec![announcement];
-        let mut fallback = self.fallback.borrow_mut();
-        fallback.announce(announcements.clone(), now);
-        self.announce(announcements);
-    }
-
-    /// Records what the end of a run told about the parts of its prompt, and tells the dispatcher.
-    fn record_ending(&self, upstream: &id::Upstream, parts: &[id::Part], ending: Ending) {
-        if parts.is_empty() {
-            return;
-        }
-        let now = self.core.clock.now();
-        let mut prompts = self.prompts.borrow_mut();
-        let news = prompts.record(upstream, parts, ending, now).into_iter();
-        let news: Vec<_> = news.map(Announcement::Prompt).collect();
-        let own = &self.core.identity.name;
-        news.iter()
-            .for_each(|news| dispatch::log_announcement(own, news));
-        self.announce(news);
-    }
-
-    /// Tells the dispatcher, if there is a session. A later one begins with all that is known.
-    fn announce(&self, announcements: Vec<Announcement>) {
-        let session = self.session.borrow().clone();
-        if let Some(session) = session.filter(|session| session.is_alive()) {
-            session.announce(announcements);
-        }
-    }
-
-    /// Takes over what the dispatcher tells.
-    fn adopt(&self, dispatcher: &id::Instance, announcements: Vec<Announcement>) {
-        let now = self.core.clock.now();
-        for announcement in announcements {
-            match announcement {
-                Announcement::Prompt(report) => {
-                    let news = self.prompts.borrow_mut().adopt(report, now).into_iter();
-                    news.for_each(|news| {
-                        dispatch::log_announcement(dispatcher, &Announcement::Prompt(news));
-                    });
-                }
-                Announcement::Upstream(report) => {
-                    let is_new = self.availability.borrow_mut().adopt(&report, now);
-                    let announcement = Announcement::Upstream(report);
-                    if is_new {
-                        dispatch::log_announcement(dispatcher, &announcement);
-                    }
-                    let mut fallback = self.fallback.borrow_mut();
-                    fallback.announce(vec![announcement], now);
-                }
-            }
-        }
-    }
-
     /// Finds an upstream for a request, or refuses it.
     async fn place_once(self: &Rc<Self>, request: Request) -> Placement {
         let now = self.core.clock.now();
@@ -465,23 +368,16 @@
         Some((session, address))
     }
 
-    /// Opens a session with the dispatcher if there is none.
+    /// Opens a session with the dispatcher if there is none, and keeps what was heard of upstreams
+    /// current for it. Without requests nothing else does.
     pub fn keep_session(self: &Rc<Self>) {
+        self.compare_with_list();
         let now = self.core.clock.now();
         if self.alone_until.get().is_none_or(|end| now >= end) {
             self.session();
         }
     }
 
-    /// Returns what a new dispatcher needs to know of upstreams and prompts.
-    fn announcements(&self) -> Vec<Announcement> {
-        let now = self.core.clock.now();
-        let upstreams = self.availability.borrow().reports(now).into_iter();
-        let prompts = self.prompts.borrow().reports(now).into_iter();
-        let upstreams = upstreams.map(Announcement::Upstream);
-        upstreams.chain(prompts.map(Announcement::Prompt)).collect()
-    }
-
     /// Adds the units of a placed request to the usage of its account.
     fn record_usage(&self, request: &Request) {
         let Some(account) = request.account.clone().filter(|_| request.units > 0.0) else {
