--- a/gooseberrylb/tests/platform/availability.rs
+++ b/gooseberrylb/tests/platform/availability.rs
@@ -30,7 +30,6 @@
         fleet.requests_to(SPEAKING) > 3
     });
     let leaving = format!("{TO_SPEAKING}/leaving");
-    fleet.call(&leaving, KEY);
     fleet.wait(|fleet| {
         let answer = fleet.call(&leaving, KEY);
         answer.contains("Server-Leaving: 1")
