Join announcements in one place, and build a report only if it is new

From the last reading, without a change of behaviour: three functions joined reports of upstreams and prompts alike; an entry built the report of an upstream for each of its responses and dropped it unless it was new; a comment named a parameter that is not there. The tests of the policy's limits, prompts, statements, dispatcher and shards, all 20 platform tests, clippy and the docs pass on it.

--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -5,7 +5,7 @@
 
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
-use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::announcement::{self, Announcement};
 use gooseberrylb_policy::prompt::Ending;
 
 use super::Placer;
@@ -60,7 +60,10 @@
                 METRICS.statements.with_label_values(&[kind]).inc();
             }
         }
-        let Some(report) = availability.report(upstream, now).filter(|_| is_new) else {
+        if !is_new {
+            return;
+        }
+        let Some(report) = availability.report(upstream, now) else {
             return;
         };
         let announcement = Announcement::Upstream(report);
@@ -125,9 +128,7 @@
     /// Returns what a new dispatcher needs to know of upstreams and prompts.
     pub(super) fn announcements(&self) -> Vec<Announcement> {
         let now = self.core.clock.now();
-        let upstreams = self.availability.borrow().reports(now).into_iter();
-        let prompts = self.prompts.borrow().reports(now).into_iter();
-        let upstreams = upstreams.map(Announcement::Upstream);
-        upstreams.chain(prompts.map(Announcement::Prompt)).collect()
+        let upstreams = self.availability.borrow().reports(now);
+        announcement::join(upstreams, self.prompts.borrow().reports(now))
     }
 }
--- a/gooseberrylb_policy/src/announcement.rs
+++ b/gooseberrylb_policy/src/announcement.rs
@@ -15,3 +15,13 @@
     /// What a run told about the parts of its prompt.
     Prompt(prompt::Report),
 }
+
+/// Returns reports of upstreams and of prompts as announcements.
+pub fn join(
+    upstreams: Vec<availability::Report>,
+    prompts: Vec<prompt::Report>,
+) -> Vec<Announcement> {
+    let upstreams = upstreams.into_iter().map(Announcement::Upstream);
+    let prompts = prompts.into_iter().map(Announcement::Prompt);
+    upstreams.chain(prompts).collect()
+}
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -104,7 +104,8 @@
         self.limit.and_then(|(rate, _)| rate)
     }
 
-    /// Takes over a statement that was made at `at`; returns whether it changes anything.
+    /// Takes over what was heard; returns whether it changes anything. A limit comes with the time at
+    /// which the upstream named it, or named none any more.
     fn update(
         &mut self,
         leaving: bool,
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -15,7 +15,7 @@
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-use crate::announcement::Announcement;
+use crate::announcement::{self, Announcement};
 use crate::availability::{Listing, Table};
 use crate::prompt;
 use crate::quota::{Usage, Window};
@@ -354,10 +354,7 @@
 
     /// Returns what another dispatcher needs to know of upstreams and prompts.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
-        let upstreams = self.availability.reports(now).into_iter();
-        let prompts = self.prompts.reports(now).into_iter();
-        let upstreams = upstreams.map(Announcement::Upstream);
-        upstreams.chain(prompts.map(Announcement::Prompt)).collect()
+        announcement::join(self.availability.reports(now), self.prompts.reports(now))
     }
 
     /// Blocks the parts of prompts that the known crashes point to, and returns them. A crash counts
@@ -369,10 +366,7 @@
 
     /// Returns what entries need to know of upstreams and prompts to place requests alone.
     pub fn announcements_for_entries(&self, now: Instant) -> Vec<Announcement> {
-        let upstreams = self.availability.reports(now).into_iter();
-        let blocks = self.prompts.blocks(now).into_iter();
-        let upstreams = upstreams.map(Announcement::Upstream);
-        upstreams.chain(blocks.map(Announcement::Prompt)).collect()
+        announcement::join(self.availability.reports(now), self.prompts.blocks(now))
     }
 
     /// Whether an upstream has said that it leaves.
