Log an identity of each request over its attempts

The hypotheses on crashing requests differ in whether the requests that broke off are repeats of one. Each attempt has an id of its own, so that no line told. Now the lines of finished requests and of those that broke off have `content`, a hash of method, target, account and body. No logic changes.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -7,6 +7,7 @@
 use futures::future::Either;
 use gooseberrylb_config::declaration::{Account, Limits, Route, Table};
 use gooseberrylb_config::dialect::RequestMetadata;
+use gooseberrylb_config::id;
 use std::sync::Arc;
 
 use super::Gateway;
@@ -151,9 +152,16 @@
         );
         return send_fault(gateway, connection, &fault, closes).await;
     }
+    let content = id::Content::new(
+        &request.method,
+        &request.target,
+        account.as_ref().map(|account| &account.name),
+        &body,
+    );
     let mut forwarder = Forwarder {
         gateway: gateway.clone(),
         deadline: arrived + time_limit,
+        content,
         request,
         body,
         metadata,
@@ -238,7 +246,7 @@
         waited_ms = forwarder.placement_wait.as_millis() as u64, alone = forwarder.alone,
         first_ms = first.as_deref().unwrap_or("-"), gap_ms = gap.as_deref().unwrap_or("-"),
         framing = framing.as_deref().unwrap_or("-"), partial_bytes = stream.map_or(0, |stream| stream.partial_bytes),
-        parts = forwarder.parts(), ms = elapsed.as_millis() as u64, outcome = outcome;
+        parts = forwarder.parts(), content:% = forwarder.content, ms = elapsed.as_millis() as u64, outcome = outcome;
         "request finished"
     );
 }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -50,6 +50,8 @@
     pub route: Arc<Route>,
     /// Client account of the request; `None` for anonymous requests.
     pub account: Option<Arc<Account>>,
+    /// Identity of the request among all that callers send, for its repeats.
+    pub content: id::Content,
     /// Time at which the head was complete.
     pub arrived: Instant,
     /// Time by which the response must be complete.
@@ -337,7 +339,7 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 log::info!(
-                    id = self.id(), upstream:% = grant.upstream, error:% = error;
+                    id = self.id(), upstream:% = grant.upstream, content:% = self.content, error:% = error;
                     "reading the response body failed"
                 );
                 self.record_ending(&grant, Ending::of_broken(None));
@@ -430,7 +432,7 @@
                 Ok(Ok(response)) => response,
                 Ok(Err(error)) => {
                     log::info!(
-                        id = self.id(), upstream:% = grant.upstream, parts = self.parts(), error:% = error;
+                        id = self.id(), upstream:% = grant.upstream, parts = self.parts(), content:% = self.content, error:% = error;
                         "an upstream gave no answer"
                     );
                     self.record_ending(grant, Ending::of_broken(None));
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -232,7 +232,7 @@
                     id = forwarder.id(), upstream:% = exchange.grant.upstream, events = events.count,
                     own_events = events.count - events_before,
                     wrote_ms = wrote.map_or("-".to_owned(), |time| time.as_millis().to_string()),
-                    parts = forwarder.parts(), framing:? = transfer.framing,
+                    parts = forwarder.parts(), content:% = forwarder.content, framing:? = transfer.framing,
                     partial_bytes = events.unfinished().len();
                     "the upstream failed during a response"
                 );
--- a/gooseberrylb_config/src/id.rs
+++ b/gooseberrylb_config/src/id.rs
@@ -126,3 +126,31 @@
         u128::from_str_radix(text, 16).map(Self)
     }
 }
+
+/// Identifies what a request asks for. All repeats of a request have the same one, whoever sends
+/// them again and to whichever entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Content(u128);
+
+impl Content {
+    /// Returns the identity of requests of an account with a method, a target and a body.
+    pub fn new(method: &str, target: &str, account: Option<&Account>, body: &[u8]) -> Self {
+        let account = account.map_or("", Account::as_str);
+        let mut hasher = blake3::Hasher::new();
+        for field in [method, target, account] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
