Add failing tests: a request that crashes upstreams is sent to more of them

Three tests with real processes, whose upstreams crash under one request only, all fail on this logic: repeats without a prompt reach upstreams at all entries, and of a request with a prompt a part that sound requests share is blocked in its place. The fleets of the tests get room for 30 networks; their addresses stay within one byte.

--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -31,7 +31,7 @@
 pub const STAND_INS: u8 = 9;
 
 /// Maximum number of fleets, whose tests may run at the same time.
-const MAX_FLEETS: u8 = 20;
+const MAX_FLEETS: u8 = 30;
 
 /// Loopback network of one test, derived from the process id so that its ports are free.
 #[derive(Clone, Copy)]
@@ -45,7 +45,7 @@
         let pid = std::process::id();
         Self {
             second: 10 + u8::try_from(pid % 200).unwrap(),
-            third: u8::try_from(pid / 200 % 12).unwrap() * MAX_FLEETS + number,
+            third: u8::try_from(pid / 200 % 8).unwrap() * MAX_FLEETS + number,
         }
     }
 
@@ -75,7 +75,8 @@
             {{"name":"stream","host":"a.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"desk","max-attempts":1}},
             {{"name":"resumable","host":"a.example","path-prefix":"/resumable/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"pair","max-attempts":2,"resume-streams":true}},
             {{"name":"pair","host":"a.example","path-prefix":"/pair/","kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"service":"pair","max-attempts":2}},
-            {{"name":"crowd","host":"a.example","path-prefix":"/crowd/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"crowd","max-attempts":1}}{extra}
+            {{"name":"crowd","host":"a.example","path-prefix":"/crowd/","kind":"streaming","timeout-ms":5000,"target-gap-ms":250,"service":"crowd","max-attempts":1}},
+            {{"name":"lookup","host":"a.example","path-prefix":"/lookup/","kind":"safe","timeout-ms":5000,"target-latency-ms":2000,"service":"crowd","max-attempts":2}}{extra}
         ],"services":[{{"name":"desk","max-connections":50}},{{"name":"pair","max-connections":50}},{{"name":"crowd","max-connections":50}}],
         "tenants":[{{"name":"hule","api-keys":["key-1","key-2"]}}]}}"#
     )
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! loopback address, with stand-ins for the platform's list of upstreams and for the upstreams.
 
 mod availability;
+mod crashes;
 mod declarations;
 mod fleet;
 mod limits;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -136,6 +136,12 @@
         // Keeps its slots busy, so that there is use for those of the limited upstream.
         thread::sleep(BUSY_TIME);
     }
+    if target.ends_with(CRASHING) {
+        return Answer {
+            text: String::new(),
+            end: End::Reset,
+        };
+    }
     if target.starts_with("/crowd/") {
         return crowd_response(request);
     }
@@ -197,6 +203,9 @@
 /// Number of upstreams of the service that has a crash for a part of a prompt.
 const CROWD: u32 = 8;
 
+/// End of the targets of requests under which upstreams crash.
+pub const CRASHING: &str = "/crashing";
+
 /// Part of a prompt under which upstreams crash.
 pub const CRASHING_PART: &str = "bad0";
 
