--- a/gooseberrylb/src/control/dispatch/announce.rs
+++ b/gooseberrylb/src/control/dispatch/announce.rs
@@ -8,7 +8,7 @@
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::{availability, prompt};
+use gooseberrylb_policy::{availability, crash};
 use gooseberrylb_wire::dispatch::Answer;
 
 use super::{Host, session};
@@ -36,8 +36,8 @@
         if news.iter().any(is_crash) {
             let core = core.clone();
             task::spawn_local(async move {
-                task::sleep(prompt::SETTLING).await;
-                core.dispatch.judge_prompts(&core);
+                task::sleep(crash::SETTLING).await;
+                core.dispatch.judge_crashes(&core);
             });
         }
         self.announce_to_entries(core, from, &news);
@@ -56,11 +56,11 @@
 
     /// Blocks the parts of prompts that crash upstreams, and tells the entries. The dispatchers of
     /// other shards come to the same decision, since they are told of all crashes.
-    fn judge_prompts(&self, core: &Core) {
+    fn judge_crashes(&self, core: &Core) {
         if !self.prepare(core) {
             return;
         }
-        let news = self.dispatcher.borrow_mut().judge_prompts(core.clock.now());
+        let news = self.dispatcher.borrow_mut().judge_crashes(core.clock.now());
         let own = &core.identity.name;
         news.iter().for_each(|news| log(own, news));
         self.announce_to_entries(core, own, &news);
@@ -102,9 +102,9 @@
 /// Whether entries act on an announcement.
 fn binds_entries(announcement: &Announcement) -> bool {
     match announcement {
-        Announcement::Prompt(prompt::Report::Blocked { .. } | prompt::Report::Served { .. })
+        Announcement::Crash(crash::Report::Blocked { .. } | crash::Report::Served { .. })
         | Announcement::Upstream(_) => true,
-        Announcement::Prompt(prompt::Report::Crashed { .. }) => false,
+        Announcement::Crash(crash::Report::Crashed { .. }) => false,
     }
 }
 
@@ -112,7 +112,7 @@
 fn is_crash(announcement: &Announcement) -> bool {
     matches!(
         announcement,
-        Announcement::Prompt(prompt::Report::Crashed { .. })
+        Announcement::Crash(crash::Report::Crashed { .. })
     )
 }
 
@@ -120,7 +120,7 @@
 pub fn log(from: &id::Instance, announcement: &Announcement) {
     match announcement {
         Announcement::Upstream(report) => log_upstream(from, report),
-        Announcement::Prompt(prompt::Report::Crashed {
+        Announcement::Crash(crash::Report::Crashed {
             upstream,
             parts,
             age,
@@ -131,7 +131,7 @@
                 "an upstream crashed as it began a response"
             );
         }
-        Announcement::Prompt(prompt::Report::Blocked {
+        Announcement::Crash(crash::Report::Blocked {
             part, left, times, ..
         }) => {
             METRICS.prompt_parts.with_label_values(&["blocked"]).inc();
@@ -140,7 +140,7 @@
                 "refusing requests with a part of a prompt that crashes upstreams"
             );
         }
-        Announcement::Prompt(prompt::Report::Served { part, .. }) => {
+        Announcement::Crash(crash::Report::Served { part, .. }) => {
             METRICS.prompt_parts.with_label_values(&["served"]).inc();
             log::info!(part:% = part, from:% = from; "a part of a prompt is sound after all");
         }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -12,8 +12,8 @@
 use gooseberrylb_config::declaration::{Account, Retry, Route};
 use gooseberrylb_config::dialect::{Outgoing, RequestMetadata, ResponseMetadata};
 use gooseberrylb_config::id;
+use gooseberrylb_policy::crash::Ending;
 use gooseberrylb_policy::dispatch::{Outcome, Reason};
-use gooseberrylb_policy::prompt::Ending;
 
 use super::Gateway;
 use super::http::{self, Connection, Framing, Request, Response};
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -15,11 +15,11 @@
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::availability::Table;
+use gooseberrylb_policy::crash::{self, Ending};
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
 };
-use gooseberrylb_policy::prompt::{self, Ending};
 use gooseberrylb_policy::quota::Usage;
 
 use crate::control::Core;
@@ -171,7 +171,7 @@
     /// Configuration revision that `availability` was compared with.
     availability_revision: Cell<Option<number::Revision>>,
     /// Parts of prompts that crash upstreams, and the crashes that this entry saw.
-    prompts: RefCell<prompt::Table>,
+    crashes: RefCell<crash::Table>,
 }
 
 impl Placer {
@@ -195,7 +195,7 @@
             fallback_revision: Cell::new(None),
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
-            prompts: RefCell::default(),
+            crashes: RefCell::default(),
         })
     }
 
@@ -214,7 +214,7 @@
     pub async fn place(self: &Rc<Self>, mut request: Request, parts: &[id::Part]) -> Placement {
         loop {
             let now = self.core.clock.now();
-            if let Some((_, left)) = self.prompts.borrow().blocked(parts, now) {
+            if let Some((_, left)) = self.crashes.borrow().blocked(parts, now) {
                 return Placement::Refused(Reason::Prompt, left);
             }
             let unavailable = self.unavailable(&request.service);
@@ -225,7 +225,7 @@
                 let availability = self.availability.borrow();
                 availability.is_unavailable(&grant.upstream, now)
             };
-            let is_blocked = self.prompts.borrow().blocked(parts, now).is_some();
+            let is_blocked = self.crashes.borrow().blocked(parts, now).is_some();
             match &placement {
                 Placement::Granted(grant) if is_blocked || is_unavailable(grant) => {}
                 Placement::Granted(_) | Placement::Refused(..) => return placement,
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -6,7 +6,7 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::{self, Announcement};
-use gooseberrylb_policy::prompt::Ending;
+use gooseberrylb_policy::crash::Ending;
 
 use super::Placer;
 use crate::control::dispatch::{self, announce};
@@ -85,9 +85,9 @@
             return;
         }
         let now = self.core.clock.now();
-        let mut prompts = self.prompts.borrow_mut();
-        let news = prompts.record(upstream, parts, ending, now).into_iter();
-        let news: Vec<_> = news.map(Announcement::Prompt).collect();
+        let mut crashes = self.crashes.borrow_mut();
+        let news = crashes.record(upstream, parts, ending, now).into_iter();
+        let news: Vec<_> = news.map(Announcement::Crash).collect();
         let own = &self.core.identity.name;
         news.iter().for_each(|news| announce::log(own, news));
         self.announce(news);
@@ -106,10 +106,10 @@
         let now = self.core.clock.now();
         for announcement in announcements {
             match announcement {
-                Announcement::Prompt(report) => {
-                    let news = self.prompts.borrow_mut().adopt(report, now).into_iter();
+                Announcement::Crash(report) => {
+                    let news = self.crashes.borrow_mut().adopt(report, now).into_iter();
                     news.for_each(|news| {
-                        announce::log(dispatcher, &Announcement::Prompt(news));
+                        announce::log(dispatcher, &Announcement::Crash(news));
                     });
                 }
                 Announcement::Upstream(report) => {
@@ -129,6 +129,6 @@
     pub(super) fn announcements(&self) -> Vec<Announcement> {
         let now = self.core.clock.now();
         let upstreams = self.availability.borrow().reports(now);
-        announcement::join(upstreams, self.prompts.borrow().reports(now))
+        announcement::join(upstreams, self.crashes.borrow().reports(now))
     }
 }
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -6,8 +6,8 @@
 use async_std::future;
 use futures::future::Either;
 use gooseberrylb_config::declaration::Retry;
+use gooseberrylb_policy::crash::Ending;
 use gooseberrylb_policy::dispatch::Outcome;
-use gooseberrylb_policy::prompt::Ending;
 
 use super::caller::response_head;
 use super::events::Scanner;
--- a/gooseberrylb_policy/src/announcement.rs
+++ b/gooseberrylb_policy/src/announcement.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{availability, prompt};
+use crate::{availability, crash};
 
 /// One piece of what an instance knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,15 +13,15 @@
     /// What an upstream said of its availability.
     Upstream(availability::Report),
     /// What a run told about the parts of its prompt.
-    Prompt(prompt::Report),
+    Crash(crash::Report),
 }
 
 /// Returns reports of upstreams and of prompts as announcements.
 pub fn join(
     upstreams: Vec<availability::Report>,
-    prompts: Vec<prompt::Report>,
+    crashes: Vec<crash::Report>,
 ) -> Vec<Announcement> {
     let upstreams = upstreams.into_iter().map(Announcement::Upstream);
-    let prompts = prompts.into_iter().map(Announcement::Prompt);
-    upstreams.chain(prompts).collect()
+    let crashes = crashes.into_iter().map(Announcement::Crash);
+    upstreams.chain(crashes).collect()
 }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -17,7 +17,7 @@
 
 use crate::announcement::{self, Announcement};
 use crate::availability::{Listing, Table};
-use crate::prompt;
+use crate::crash;
 use crate::quota::{Usage, Window};
 use crate::rollout::Observation;
 
@@ -297,7 +297,7 @@
     /// What upstreams said of their availability.
     availability: Table,
     /// Parts of prompts under which upstreams crash.
-    prompts: prompt::Table,
+    crashes: crash::Table,
     /// Notices for dispatchers of other shards, about requests that they granted.
     relayed: BTreeMap<id::Instance, Notice>,
 }
@@ -343,9 +343,9 @@
                     }
                     news.extend(is_new.then_some(Announcement::Upstream(report)));
                 }
-                Announcement::Prompt(report) => {
-                    let reports = self.prompts.adopt(report, now);
-                    news.extend(reports.into_iter().map(Announcement::Prompt));
+                Announcement::Crash(report) => {
+                    let reports = self.crashes.adopt(report, now);
+                    news.extend(reports.into_iter().map(Announcement::Crash));
                 }
             }
         }
@@ -354,19 +354,19 @@
 
     /// Returns what another dispatcher needs to know of upstreams and prompts.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
-        announcement::join(self.availability.reports(now), self.prompts.reports(now))
+        announcement::join(self.availability.reports(now), self.crashes.reports(now))
     }
 
     /// Blocks the parts of prompts that the known crashes point to, and returns them. A crash counts
-    /// [`prompt::SETTLING`] after it happened.
-    pub fn judge_prompts(&mut self, now: Instant) -> Vec<Announcement> {
-        let blocks = self.prompts.judge(now).into_iter();
-        blocks.map(Announcement::Prompt).collect()
+    /// [`crash::SETTLING`] after it happened.
+    pub fn judge_crashes(&mut self, now: Instant) -> Vec<Announcement> {
+        let blocks = self.crashes.judge(now).into_iter();
+        blocks.map(Announcement::Crash).collect()
     }
 
     /// Returns what entries need to know of upstreams and prompts to place requests alone.
     pub fn announcements_for_entries(&self, now: Instant) -> Vec<Announcement> {
-        announcement::join(self.availability.reports(now), self.prompts.blocks(now))
+        announcement::join(self.availability.reports(now), self.crashes.blocks(now))
     }
 
     /// Whether an upstream has said that it leaves.
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -3,12 +3,12 @@
 
 pub mod announcement;
 pub mod availability;
+pub mod crash;
 pub mod dispatch;
 pub mod drain;
 pub mod limit;
 pub mod moves;
 pub mod occupancy;
-pub mod prompt;
 pub mod quota;
 pub mod request;
 pub mod retry;
--- a/gooseberrylb_policy/tests/prompt.rs
+++ b/gooseberrylb_policy/tests/crash.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
-use gooseberrylb_policy::prompt::{Ending, Report, SETTLING, Table};
+use gooseberrylb_policy::crash::{Ending, Report, SETTLING, Table};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
