Refuse repeats of a request that crashes upstreams, at all entries

What callers saw: a request under which three upstreams of order-desk had ended was sent on 9 times; the service had no upstream for seconds, again and again. Cause: crashes are reported with the parts of the prompt only, so that a request without a prompt left no trace, and of one with a prompt a part that sound requests share was blamed. Each repeat has an id of its own. Ruled out: upstreams that end by themselves as they start (the stand-ins have no load); parts taken for sound (no part is involved). Change: the content of a request (method, target, account, body) is one more cause, next to the parts of its prompt, in the same reports, decisions and ways. A part needs crashes of two different requests. A crash that a blocked request explains counts only for parts of it.

--- a/gooseberrylb/src/control/dispatch/announce.rs
+++ b/gooseberrylb/src/control/dispatch/announce.rs
@@ -1,4 +1,4 @@
-//! What a dispatcher is told of upstreams and prompts, and what it tells its entries and the
+//! What a dispatcher is told of upstreams and crashes, and what it tells its entries and the
 //! dispatchers of other shards.
 
 use std::rc::Rc;
@@ -8,6 +8,7 @@
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::crash::Cause;
 use gooseberrylb_policy::{availability, crash};
 use gooseberrylb_wire::dispatch::Answer;
 
@@ -54,7 +55,7 @@
         }
     }
 
-    /// Blocks the parts of prompts that crash upstreams, and tells the entries. The dispatchers of
+    /// Blocks what crashes upstreams, and tells the entries. The dispatchers of
     /// other shards come to the same decision, since they are told of all crashes.
     fn judge_crashes(&self, core: &Core) {
         if !self.prepare(core) {
@@ -116,33 +117,33 @@
     )
 }
 
-/// Logs what an instance learned of an upstream or a prompt, and from which one.
+/// Logs what an instance learned of an upstream or a crash, and from which one.
 pub fn log(from: &id::Instance, announcement: &Announcement) {
     match announcement {
         Announcement::Upstream(report) => log_upstream(from, report),
         Announcement::Crash(crash::Report::Crashed {
             upstream,
-            parts,
+            causes,
             age,
         }) => {
-            let parts: Vec<_> = parts.iter().map(id::Part::to_string).collect();
+            let causes: Vec<_> = causes.iter().map(Cause::to_string).collect();
             log::info!(
-                upstream:% = upstream, parts = parts.join(","), age_ms = age.as_millis() as u64, from:% = from;
+                upstream:% = upstream, causes = causes.join(", "), age_ms = age.as_millis() as u64, from:% = from;
                 "an upstream crashed as it began a response"
             );
         }
         Announcement::Crash(crash::Report::Blocked {
-            part, left, times, ..
+            cause, left, times, ..
         }) => {
-            METRICS.prompt_parts.with_label_values(&["blocked"]).inc();
+            METRICS.crash_causes.with_label_values(&["blocked"]).inc();
             log::warn!(
-                part:% = part, left_s = left.as_secs(), times = times, from:% = from;
-                "refusing requests with a part of a prompt that crashes upstreams"
+                cause:% = cause, left_s = left.as_secs(), times = times, from:% = from;
+                "refusing requests that crash upstreams"
             );
         }
-        Announcement::Crash(crash::Report::Served { part, .. }) => {
-            METRICS.prompt_parts.with_label_values(&["served"]).inc();
-            log::info!(part:% = part, from:% = from; "a part of a prompt is sound after all");
+        Announcement::Crash(crash::Report::Served { cause, .. }) => {
+            METRICS.crash_causes.with_label_values(&["served"]).inc();
+            log::info!(cause:% = cause, from:% = from; "a suspected cause of crashes is sound after all");
         }
     }
 }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 use gooseberrylb_config::declaration::{Account, Retry, Route};
 use gooseberrylb_config::dialect::{Outgoing, RequestMetadata, ResponseMetadata};
 use gooseberrylb_config::id;
-use gooseberrylb_policy::crash::Ending;
+use gooseberrylb_policy::crash::{Cause, Ending};
 use gooseberrylb_policy::dispatch::{Outcome, Reason};
 
 use super::Gateway;
@@ -496,9 +496,15 @@
         grant.record_statement(reply.statement, served);
     }
 
-    /// Records what the end of the run on an upstream told about the parts of the prompt.
+    /// Records what the end of the run on an upstream told about what may crash upstreams.
     pub fn record_ending(&self, grant: &Grant, ending: Ending) {
-        grant.record_ending(&self.metadata.parts, ending);
+        grant.record_ending(&self.causes(), ending);
+    }
+
+    /// Returns what may crash upstreams that run the request.
+    fn causes(&self) -> Vec<Cause> {
+        let parts = self.metadata.parts.iter().copied().map(Cause::Part);
+        parts.chain([Cause::Request(self.content)]).collect()
     }
 
     /// Writes the request. Stops early if the upstream responds before it has read the whole body.
@@ -599,6 +605,7 @@
         Reason::Prompt => {
             Fault::with_retry_after(503, "a part of the prompt crashes upstreams", pause)
         }
+        Reason::Crashing => Fault::with_retry_after(503, "the request crashes upstreams", pause),
     }
 }
 
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -73,7 +73,7 @@
             patience: time_left,
             excluded: self.excluded.clone(),
         };
-        gateway.placer.place(request, &self.metadata.parts).await
+        gateway.placer.place(request, &self.causes()).await
     }
 
     /// Returns the rank of the request. An account without a rank takes that of the route.
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -15,7 +15,7 @@
 use gooseberrylb_config::directory::{Directory, ListedUpstream};
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::availability::Table;
-use gooseberrylb_policy::crash::{self, Ending};
+use gooseberrylb_policy::crash::{self, Cause, Ending};
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
@@ -100,9 +100,9 @@
             .record_statement(service, &self.upstream, statement, served);
     }
 
-    /// Records what the end of a run told about the parts of its prompt.
-    pub fn record_ending(&self, parts: &[id::Part], ending: Ending) {
-        self.placer.record_ending(&self.upstream, parts, ending);
+    /// Records what the end of a run told about what may crash upstreams.
+    pub fn record_ending(&self, causes: &[Cause], ending: Ending) {
+        self.placer.record_ending(&self.upstream, causes, ending);
     }
 
     /// Reports that the upstream has not responded within the expected time.
@@ -170,7 +170,7 @@
     availability: RefCell<Table>,
     /// Configuration revision that `availability` was compared with.
     availability_revision: Cell<Option<number::Revision>>,
-    /// Parts of prompts that crash upstreams, and the crashes that this entry saw.
+    /// What crashes upstreams, and the crashes that this entry saw.
     crashes: RefCell<crash::Table>,
 }
 
@@ -209,13 +209,14 @@
         }
     }
 
-    /// Finds an upstream for a request whose prompt has `parts`, or refuses it. It is none that this
-    /// entry knows to want no requests, whatever the dispatcher knows.
-    pub async fn place(self: &Rc<Self>, mut request: Request, parts: &[id::Part]) -> Placement {
+    /// Finds an upstream for a request, or refuses it, also if one of `causes`, which belong to it,
+    /// crashes upstreams. It is no upstream that this entry knows to want no requests, whatever the
+    /// dispatcher knows.
+    pub async fn place(self: &Rc<Self>, mut request: Request, causes: &[Cause]) -> Placement {
         loop {
             let now = self.core.clock.now();
-            if let Some((_, left)) = self.crashes.borrow().blocked(parts, now) {
-                return Placement::Refused(Reason::Prompt, left);
+            if let Some((cause, left)) = self.crashes.borrow().blocked(causes, now) {
+                return Placement::Refused(reason_of(cause), left);
             }
             let unavailable = self.unavailable(&request.service);
             request.excluded.extend(unavailable);
@@ -225,7 +226,7 @@
                 let availability = self.availability.borrow();
                 availability.is_unavailable(&grant.upstream, now)
             };
-            let is_blocked = self.crashes.borrow().blocked(parts, now).is_some();
+            let is_blocked = self.crashes.borrow().blocked(causes, now).is_some();
             match &placement {
                 Placement::Granted(grant) if is_blocked || is_unavailable(grant) => {}
                 Placement::Granted(_) | Placement::Refused(..) => return placement,
@@ -619,3 +620,11 @@
         }
     }
 }
+
+/// Returns the reason of a refusal because of a cause of crashes.
+fn reason_of(cause: Cause) -> Reason {
+    match cause {
+        Cause::Part(_) => Reason::Prompt,
+        Cause::Request(_) => Reason::Crashing,
+    }
+}
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -1,12 +1,12 @@
-//! What an entry knows of upstreams and prompts: what it heard itself and tells its dispatcher, and
-//! what the dispatcher tells it. Both bind its requests, also while it places them alone.
+//! What an entry knows of upstreams and of what crashes them: what it heard itself and tells its
+//! dispatcher, and what the dispatcher tells it. Both bind its requests, also while it places them alone.
 
 use std::time::Instant;
 
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::{self, Announcement};
-use gooseberrylb_policy::crash::Ending;
+use gooseberrylb_policy::crash::{Cause, Ending};
 
 use super::Placer;
 use crate::control::dispatch::{self, announce};
@@ -74,19 +74,11 @@
         self.announce(announcements);
     }
 
-    /// Records what the end of a run told about the parts of its prompt, and tells the dispatcher.
-    pub(super) fn record_ending(
-        &self,
-        upstream: &id::Upstream,
-        parts: &[id::Part],
-        ending: Ending,
-    ) {
-        if parts.is_empty() {
-            return;
-        }
+    /// Records what the end of a run told about what may crash upstreams, and tells the dispatcher.
+    pub(super) fn record_ending(&self, upstream: &id::Upstream, causes: &[Cause], ending: Ending) {
         let now = self.core.clock.now();
         let mut crashes = self.crashes.borrow_mut();
-        let news = crashes.record(upstream, parts, ending, now).into_iter();
+        let news = crashes.record(upstream, causes, ending, now).into_iter();
         let news: Vec<_> = news.map(Announcement::Crash).collect();
         let own = &self.core.identity.name;
         news.iter().for_each(|news| announce::log(own, news));
@@ -125,7 +117,7 @@
         }
     }
 
-    /// Returns what a new dispatcher needs to know of upstreams and prompts.
+    /// Returns what a new dispatcher needs to know of upstreams and crashes.
     pub(super) fn announcements(&self) -> Vec<Announcement> {
         let now = self.core.clock.now();
         let upstreams = self.availability.borrow().reports(now);
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -156,7 +156,7 @@
         self.send(Question::Summarize(summary));
     }
 
-    /// Tells what is known of upstreams and prompts.
+    /// Tells what is known of upstreams and crashes.
     pub fn announce(&self, announcements: Vec<Announcement>) {
         if !announcements.is_empty() {
             self.send(Question::Announce(announcements));
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -55,8 +55,9 @@
     pub offers: IntCounterVec,
     /// Statements of upstreams on their availability, by kind.
     pub statements: IntCounterVec,
-    /// Parts of prompts that were blocked or served after a crash, as learned by this instance.
-    pub prompt_parts: IntCounterVec,
+    /// Requests and parts of prompts that were blocked, or served after a crash, as learned by this
+    /// instance.
+    pub crash_causes: IntCounterVec,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -206,10 +207,10 @@
                 "Statements of upstreams on their availability, by kind.",
                 &["kind"],
             ),
-            prompt_parts: counters(
+            crash_causes: counters(
                 &r,
-                "prompt_parts_total",
-                "Parts of prompts that were blocked, or served after a crash, by event.",
+                "crash_causes_total",
+                "Requests and parts of prompts that were blocked, or served after a crash, by event.",
                 &["event"],
             ),
             gateway_requests: counters(
--- a/gooseberrylb_policy/src/announcement.rs
+++ b/gooseberrylb_policy/src/announcement.rs
@@ -1,4 +1,4 @@
-//! What one instance tells others of upstreams and of prompts, so that it binds the whole fleet.
+//! What one instance tells others of upstreams and of what crashes them, so that it binds the whole fleet.
 //!
 //! Entries tell their dispatcher, a dispatcher tells its entries and those of other shards, and a
 //! new dispatcher or entry is told what is known. See `docs/PLATFORM.md`.
@@ -12,11 +12,11 @@
 pub enum Announcement {
     /// What an upstream said of its availability.
     Upstream(availability::Report),
-    /// What a run told about the parts of its prompt.
+    /// What a run told about what may crash upstreams.
     Crash(crash::Report),
 }
 
-/// Returns reports of upstreams and of prompts as announcements.
+/// Returns reports of upstreams and of what crashes them as announcements.
 pub fn join(
     upstreams: Vec<availability::Report>,
     crashes: Vec<crash::Report>,
--- a/gooseberrylb_policy/src/crash.rs
+++ b/gooseberrylb_policy/src/crash.rs
@@ -1,26 +1,35 @@
-//! Parts of prompts under which upstreams crash.
+//! Requests, and parts of prompts, under which upstreams crash.
 //!
-//! A part may crash every upstream that begins to write a response on it, whatever else the
-//! prompt holds. Requests with such a part are refused at all entries, so that they do not take
-//! down one upstream after the other. Requests that only share other parts with them are served.
+//! A request may crash every upstream that begins to run it, and so may a part of a prompt, whatever
+//! else the prompt holds. Repeats of such a request, and requests with such a part, are refused at
+//! all entries, so that they do not take down one upstream after the other. Other requests are
+//! served, also if they share parts with the refused ones.
 //!
-//! Entries report crashes, dispatchers conclude from all of them which parts to block, and entries
-//! obey. The time is passed in. See `docs/PLATFORM.md`.
+//! Entries report crashes, dispatchers conclude from all of them which causes to block, and
+//! entries obey. The time is passed in. See `docs/PLATFORM.md`.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-/// Number of crashes, of different upstreams at different moments, that block a part if it was not
-/// served in between.
+/// Number of crashes, at different moments, that block a cause if it was not served in between.
 const BLOCKING_CRASHES: usize = 3;
 
-/// Time for which a part is blocked at first; each further time doubles it.
+/// Number of different upstreams among those that a request crashed, from which on it is blocked. One
+/// that breaks off responses by itself is not enough.
+const MIN_UPSTREAMS: usize = 2;
+
+/// Number of different requests that must have crashed upstreams for a part to be blocked. The
+/// crashes of one request and its repeats are due to the request.
+const BLOCKING_REQUESTS: usize = 2;
+
+/// Time for which a cause is blocked at first; each further time doubles it.
 const FIRST_BLOCK: Duration = Duration::from_secs(600);
 
-/// Longest time for which a part is blocked.
+/// Longest time for which a cause is blocked.
 const MAX_BLOCK: Duration = Duration::from_secs(4 * 3600);
 
 /// Maximum number of doublings of the time, enough for [`MAX_BLOCK`].
@@ -39,28 +48,47 @@
 /// Time within which the broken runs of one upstream belong to the same crash.
 const CRASH_SPREAD: Duration = Duration::from_secs(1);
 
-/// Number of served runs per crash from which on an instance takes a part to be sound.
+/// Number of served runs per crash from which on an instance takes a cause to be sound.
 const SERVED_PER_CRASH: u32 = 10;
 
 /// Period over which an instance counts its own runs; the one before counts too.
 const TALLY_PERIOD: Duration = Duration::from_secs(60);
 
-/// Maximum number of parts whose runs are counted in a period.
+/// Maximum number of causes whose runs are counted in a period.
 const MAX_TALLIES: usize = 4096;
 
 /// Time for which crashed runs are kept.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// Maximum number of crashed runs that are kept.
-const MAX_RUNS: usize = 256;
+const MAX_RUNS: usize = 512;
 
-/// Maximum number of parts whose blocks, or whose last service after a crash, are kept.
-const MAX_PARTS: usize = 1024;
+/// Maximum number of causes whose blocks, or whose last service after a crash, are kept.
+const MAX_CAUSES: usize = 1024;
 
 /// Difference below which the ends of two blocks count as equal; the time in transit varies.
 const BLOCK_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// What the end of a run on an upstream tells about its prompt.
+/// What may crash upstreams. A run has the parts of its prompt that other requests may share, in
+/// order, and then the request itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Cause {
+    /// All requests whose prompts have a part.
+    Part(id::Part),
+    /// A request and its repeats.
+    Request(id::Content),
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part {part}"),
+            Self::Request(content) => write!(f, "request {content}"),
+        }
+    }
+}
+
+/// What the end of a run on an upstream tells about its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
     /// The upstream wrote the whole response.
@@ -91,33 +119,33 @@
     }
 }
 
-/// What one instance tells another about parts of prompts.
+/// What one instance tells another about causes of crashes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Report {
     /// An upstream crashed as it began to write a response.
     Crashed {
         /// Upstream that crashed.
         upstream: id::Upstream,
-        /// Parts of the prompt that may be the cause, in order.
-        parts: Vec<id::Part>,
+        /// What may be the cause, in order.
+        causes: Vec<Cause>,
         /// Time since the crash.
         age: Duration,
     },
-    /// Requests with a part are refused.
+    /// Requests with a cause are refused.
     Blocked {
-        /// Part that crashes upstreams.
-        part: id::Part,
-        /// Time since the part was blocked.
+        /// What crashes upstreams.
+        cause: Cause,
+        /// Time since it was blocked.
         age: Duration,
         /// Time for which it is still blocked.
         left: Duration,
         /// How often it has been blocked in a row.
         times: u32,
     },
-    /// A part that seemed to crash upstreams was served.
+    /// What seemed to crash upstreams was served.
     Served {
-        /// Part that is sound.
-        part: id::Part,
+        /// What is sound.
+        cause: Cause,
         /// Time since then.
         age: Duration,
     },
@@ -128,59 +156,62 @@
 struct Run {
     upstream: id::Upstream,
     at: Instant,
-    parts: Vec<id::Part>,
+    causes: Vec<Cause>,
 }
 
-/// A part whose requests are or were refused.
+/// A cause whose requests are or were refused.
 #[derive(Debug, Clone, Copy)]
 struct Block {
     since: Instant,
     until: Instant,
-    /// How often the part has been blocked in a row.
+    /// How often the cause has been blocked in a row.
     times: u32,
 }
 
-/// Number of an instance's own runs with a part.
+/// Number of an instance's own runs with a cause.
 #[derive(Debug, Clone, Copy, Default)]
 struct Tally {
     served: u32,
     crashed: u32,
 }
 
-/// Crash of one upstream, with the parts of all prompts that it may be due to.
+/// Crash of one upstream, with all runs that ended with it.
 struct Crash<'a> {
     upstream: &'a id::Upstream,
     at: Instant,
-    /// Parts, each with its position in its prompt.
-    parts: Vec<(usize, id::Part)>,
+    runs: Vec<&'a Run>,
 }
 
-/// Crashes that point to a part.
+/// Crashes that point to a cause.
 #[derive(Debug, Default)]
 struct Suspicion<'a> {
-    /// Position of the part in a prompt.
+    /// Position of the cause in its run.
     position: usize,
-    /// Upstreams that crashed, each at a moment of its own.
+    /// Number of crashes, each at a moment of its own.
+    crashes: usize,
+    /// Upstreams that crashed.
     upstreams: BTreeSet<&'a id::Upstream>,
+    /// Requests that ended with them; `None` stands for those that are not known.
+    requests: BTreeSet<Option<id::Content>>,
     /// Number of the last of these moments.
     moment: Option<u32>,
 }
 
-/// What an instance knows of parts under which upstreams crash.
+/// What an instance knows of causes of crashes.
 #[derive(Debug, Default)]
 pub struct Table {
-    /// Runs of this instance in the current period, by part.
-    tallies: HashMap<id::Part, Tally>,
+    /// Runs of this instance in the current period, by cause.
+    tallies: HashMap<Cause, Tally>,
     /// Those of the period before.
-    earlier_tallies: HashMap<id::Part, Tally>,
+    earlier_tallies: HashMap<Cause, Tally>,
     /// Start of the current period.
     period_start: Option<Instant>,
     /// Crashed runs of all instances that told of them, by time.
     runs: VecDeque<Run>,
     /// Blocks, also those that are over.
-    blocks: HashMap<id::Part, Block>,
-    /// Time at which parts were served after a crash.
-    served: HashMap<id::Part, Instant>,
+    blocks: HashMap<Cause, Block>,
+    /// Time at which causes were served after a crash.
+    served: HashMap<Cause, Instant>,
 }
 
 impl Table {
@@ -188,7 +219,7 @@
     pub fn record(
         &mut self,
         upstream: &id::Upstream,
-        parts: &[id::Part],
+        causes: &[Cause],
         ending: Ending,
         now: Instant,
     ) -> Vec<Report> {
@@ -196,11 +227,13 @@
         match ending {
             Ending::Unclear => Vec::new(),
             Ending::Served => {
-                parts.iter().for_each(|part| self.count(*part).served += 1);
-                let suspects = parts.iter().filter(|part| self.is_suspect(part));
+                causes
+                    .iter()
+                    .for_each(|cause| self.count(*cause).served += 1);
+                let suspects = causes.iter().filter(|cause| self.is_suspect(cause));
                 let suspects: Vec<_> = suspects.copied().collect();
-                let served = suspects.into_iter().map(|part| Report::Served {
-                    part,
+                let served = suspects.into_iter().map(|cause| Report::Served {
+                    cause,
                     age: Duration::ZERO,
                 });
                 let served: Vec<_> = served.collect();
@@ -210,11 +243,13 @@
                     .collect()
             }
             Ending::Crashed => {
-                parts.iter().for_each(|part| self.count(*part).crashed += 1);
-                let suspects = parts.iter().filter(|part| !self.is_sound(part));
+                causes
+                    .iter()
+                    .for_each(|cause| self.count(*cause).crashed += 1);
+                let suspects = causes.iter().filter(|cause| !self.is_sound(cause));
                 let report = Report::Crashed {
                     upstream: upstream.clone(),
-                    parts: suspects.copied().collect(),
+                    causes: suspects.copied().collect(),
                     age: Duration::ZERO,
                 };
                 self.adopt(report, now)
@@ -229,21 +264,20 @@
         match report {
             Report::Crashed {
                 upstream,
-                parts,
+                causes,
                 age,
             } => {
                 let at = before(age);
-                let parts = parts.into_iter();
-                let parts = parts.filter(|part| self.served.get(part).is_none_or(|end| *end < at));
+                let is_open = |cause: &Cause| self.served.get(cause).is_none_or(|end| *end < at);
                 let run = Run {
                     upstream,
                     at,
-                    parts: parts.collect(),
+                    causes: causes.into_iter().filter(is_open).collect(),
                 };
                 self.insert_run(run, now)
             }
             Report::Blocked {
-                part,
+                cause,
                 age,
                 left,
                 times,
@@ -253,54 +287,57 @@
                     until: now + left.min(MAX_BLOCK),
                     times,
                 };
-                let is_outdated = self.served.get(&part).is_some_and(|at| *at >= block.since);
-                let known = self.blocks.get(&part);
+                let is_outdated = self.served.get(&cause).is_some_and(|at| *at >= block.since);
+                let known = self.blocks.get(&cause);
                 let is_known =
                     known.is_some_and(|known| known.until + BLOCK_TOLERANCE >= block.until);
                 if is_outdated || is_known {
                     return Vec::new();
                 }
-                self.blocks.insert(part, block);
-                vec![block.report(part, now)]
+                self.blocks.insert(cause, block);
+                vec![block.report(cause, now)]
             }
-            Report::Served { part, age } => {
+            Report::Served { cause, age } => {
                 let at = before(age);
-                let is_later = self.blocks.get(&part).is_none_or(|block| block.since <= at);
-                if !is_later || !self.is_suspect(&part) {
+                let is_later = self
+                    .blocks
+                    .get(&cause)
+                    .is_none_or(|block| block.since <= at);
+                if !is_later || !self.is_suspect(&cause) {
                     return Vec::new();
                 }
-                self.blocks.remove(&part);
+                self.blocks.remove(&cause);
                 let earlier = self.runs.iter_mut().filter(|run| run.at <= at);
-                earlier.for_each(|run| run.parts.retain(|known| *known != part));
-                self.runs.retain(|run| !run.parts.is_empty());
-                self.served.insert(part, at);
-                vec![Report::Served { part, age }]
+                earlier.for_each(|run| run.causes.retain(|known| *known != cause));
+                self.runs.retain(|run| !run.causes.is_empty());
+                self.served.insert(cause, at);
+                vec![Report::Served { cause, age }]
             }
         }
     }
 
-    /// Returns a part that is blocked now and the time for which it still is, if there is one.
-    pub fn blocked(&self, parts: &[id::Part], now: Instant) -> Option<(id::Part, Duration)> {
+    /// Returns a cause that is blocked now and the time for which it still is, if there is one.
+    pub fn blocked(&self, causes: &[Cause], now: Instant) -> Option<(Cause, Duration)> {
         if self.blocks.is_empty() {
             return None;
         }
-        let left = parts.iter().filter_map(|part| {
-            let block = self.blocks.get(part).filter(|block| now < block.until)?;
-            Some((*part, block.until - now))
+        let left = causes.iter().filter_map(|cause| {
+            let block = self.blocks.get(cause).filter(|block| now < block.until)?;
+            Some((*cause, block.until - now))
         });
         left.max_by_key(|(_, left)| *left)
     }
 
-    /// Returns the parts that are blocked now, for entries.
+    /// Returns the causes that are blocked now, for entries.
     pub fn blocks(&self, now: Instant) -> Vec<Report> {
         let blocks = self.blocks.iter();
         let blocks = blocks.filter(|(_, block)| now < block.until);
         blocks
-            .map(|(part, block)| block.report(*part, now))
+            .map(|(cause, block)| block.report(*cause, now))
             .collect()
     }
 
-    /// Returns what another instance that knows nothing needs to know: the blocked parts and the
+    /// Returns what another instance that knows nothing needs to know: the blocked causes and the
     /// crashes.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
         let crashes = self.runs.iter().map(|run| run.report(now));
@@ -309,7 +346,7 @@
         reports
     }
 
-    /// Starts a new period if the current one is over, or has too many parts.
+    /// Starts a new period if the current one is over, or has too many causes.
     fn start_period(&mut self, now: Instant) {
         let start = *self.period_start.get_or_insert(now);
         if now >= start + TALLY_PERIOD || self.tallies.len() >= MAX_TALLIES {
@@ -318,32 +355,32 @@
         }
     }
 
-    fn count(&mut self, part: id::Part) -> &mut Tally {
-        self.tallies.entry(part).or_default()
+    fn count(&mut self, cause: Cause) -> &mut Tally {
+        self.tallies.entry(cause).or_default()
     }
 
-    /// Whether most runs of this instance with a part are served.
-    fn is_sound(&self, part: &id::Part) -> bool {
+    /// Whether most runs of this instance with a cause are served.
+    fn is_sound(&self, cause: &Cause) -> bool {
         let periods = [&self.tallies, &self.earlier_tallies];
-        let tallies = periods.into_iter().filter_map(|period| period.get(part));
+        let tallies = periods.into_iter().filter_map(|period| period.get(cause));
         let (served, crashed) = tallies.fold((0, 0), |(served, crashed), tally| {
             (served + tally.served, crashed + tally.crashed)
         });
         served > 0 && served >= crashed.saturating_mul(SERVED_PER_CRASH)
     }
 
-    /// Whether a part is blocked or was in the prompt of a crashed run.
-    fn is_suspect(&self, part: &id::Part) -> bool {
-        self.blocks.contains_key(part) || self.runs.iter().any(|run| run.parts.contains(part))
+    /// Whether a cause is blocked or belongs to a crashed run.
+    fn is_suspect(&self, cause: &Cause) -> bool {
+        self.blocks.contains_key(cause) || self.runs.iter().any(|run| run.causes.contains(cause))
     }
 
     /// Inserts a crashed run, unless it is known.
     fn insert_run(&mut self, run: Run, now: Instant) -> Vec<Report> {
         let is_same = |known: &Run| {
             let apart = known.at.max(run.at) - known.at.min(run.at);
-            known.upstream == run.upstream && known.parts == run.parts && apart < CRASH_SPREAD
+            known.upstream == run.upstream && known.causes == run.causes && apart < CRASH_SPREAD
         };
-        if run.parts.is_empty() || self.runs.iter().any(is_same) {
+        if run.causes.is_empty() || self.runs.iter().any(is_same) {
             return Vec::new();
         }
         let news = vec![run.report(now)];
@@ -355,76 +392,85 @@
         news
     }
 
-    /// Blocks the parts that the known crashes point to, and returns them. A dispatcher decides on
+    /// Blocks the causes that the known crashes point to, and returns them. A dispatcher decides on
     /// this, since an entry knows only its own runs of a crash.
     pub fn judge(&mut self, now: Instant) -> Vec<Report> {
         let mut news = Vec::new();
-        while let Some(part) = self.culprit(now) {
-            let times = self.blocks.get(&part).map_or(0, |block| block.times);
+        while let Some(cause) = self.culprit(now) {
+            let times = self.blocks.get(&cause).map_or(0, |block| block.times);
             let time = FIRST_BLOCK.saturating_mul(1 << times.min(MAX_DOUBLINGS));
             let block = Block {
                 since: now,
                 until: now + time.min(MAX_BLOCK),
                 times: times + 1,
             };
-            self.blocks.insert(part, block);
-            news.push(block.report(part, now));
+            self.blocks.insert(cause, block);
+            news.push(block.report(cause, now));
         }
         news
     }
 
-    /// Returns the part that the most crashes point to, if these are enough to block it. Crashes
-    /// that a blocked part explains do not count against others. Of several parts that are always
-    /// together the last one is taken, since fewer requests share it.
-    fn culprit(&self, now: Instant) -> Option<id::Part> {
-        let mut suspicions: HashMap<id::Part, Suspicion<'_>> = HashMap::new();
+    /// Returns the cause that the most crashes point to, if these are enough to block it. Of several
+    /// that are always together the last one is taken, since fewer requests share it.
+    fn culprit(&self, now: Instant) -> Option<Cause> {
+        let mut suspicions: HashMap<Cause, Suspicion<'_>> = HashMap::new();
         let mut moment = 0;
         let mut moment_start = None;
         let is_settled = |crash: &Crash<'_>| now >= crash.at + SETTLING;
         for crash in self.crashes().into_iter().filter(is_settled) {
-            let parts = crash.parts.iter();
-            let blocks = parts.filter_map(|(_, part)| Some((*part, self.blocks.get(part)?)));
-            let blocks: Vec<_> = blocks.collect();
-            if blocks.iter().any(|(_, block)| crash.at < block.until) {
-                continue;
-            }
-            if let Some((part, _)) = blocks.first() {
+            let explanation = self.explanation(&crash);
+            if let Some((cause, block)) = explanation
+                && crash.at >= block.until
+            {
                 // It crashed an upstream again after its block was over.
-                return Some(*part);
+                return Some(cause);
             }
             if moment_start.is_none_or(|start| crash.at >= start + MOMENT) {
                 moment_start = Some(crash.at);
                 moment += 1;
             }
-            for (position, part) in &crash.parts {
-                let suspicion = suspicions.entry(*part).or_default();
-                suspicion.position = *position;
-                if suspicion.moment != Some(moment) && suspicion.upstreams.insert(crash.upstream) {
-                    suspicion.moment = Some(moment);
-                }
+            for (run, position, cause) in crash.suspects(explanation.map(|(cause, _)| cause)) {
+                let suspicion = suspicions.entry(cause).or_default();
+                suspicion.position = position;
+                suspicion.requests.insert(run.request());
+                suspicion.count(crash.upstream, moment, cause);
             }
         }
-        let suspicions = suspicions.into_iter();
-        let ranked = suspicions.map(|(part, s)| (s.upstreams.len(), s.position, part));
-        let (crashes, _, part) = ranked.max()?;
-        (crashes >= BLOCKING_CRASHES).then_some(part)
+        let sufficient = suspicions.iter().filter(|(cause, s)| s.suffices(**cause));
+        let mut ranked: Vec<_> = sufficient
+            .map(|(cause, s)| (s.crashes, s.position, *cause))
+            .collect();
+        ranked.sort_unstable();
+        let (crashes, _, cause) = ranked.pop()?;
+        let is_request = |cause: Cause| matches!(cause, Cause::Request(_));
+        let rival = ranked.pop().filter(|rival| rival.0 == crashes);
+        let is_tied = is_request(cause) && rival.is_some_and(|rival| is_request(rival.2));
+        // Of two requests that ended together each time, only one ends with the next crash.
+        (!is_tied || crashes > BLOCKING_CRASHES).then_some(cause)
+    }
+
+    /// Returns a blocked cause that explains a crash, with its block. A part explains more than a
+    /// request.
+    fn explanation(&self, crash: &Crash<'_>) -> Option<(Cause, Block)> {
+        let causes = crash.runs.iter().flat_map(|run| &run.causes);
+        let blocked = causes.filter_map(|cause| Some((*cause, *self.blocks.get(cause)?)));
+        blocked.min_by_key(|(cause, _)| *cause)
     }
 
     /// Returns the crashes, by time.
     fn crashes(&self) -> Vec<Crash<'_>> {
         let mut crashes: Vec<Crash<'_>> = Vec::new();
         for run in &self.runs {
-            let parts = run.parts.iter().copied().enumerate();
             let same = crashes
                 .iter_mut()
                 .rev()
                 .find(|crash| *crash.upstream == run.upstream && run.at < crash.at + CRASH_SPREAD);
             match same {
-                Some(crash) => crash.parts.extend(parts),
+                Some(crash) => crash.runs.push(run),
                 None => crashes.push(Crash {
                     upstream: &run.upstream,
                     at: run.at,
-                    parts: parts.collect(),
+                    runs: vec![run],
                 }),
             }
         }
@@ -446,16 +492,75 @@
     fn report(&self, now: Instant) -> Report {
         Report::Crashed {
             upstream: self.upstream.clone(),
-            parts: self.parts.clone(),
+            causes: self.causes.clone(),
             age: now.saturating_duration_since(self.at),
         }
     }
+
+    /// Returns the request that ran, unless it is known to be sound.
+    fn request(&self) -> Option<id::Content> {
+        self.causes.iter().find_map(|cause| match cause {
+            Cause::Request(content) => Some(*content),
+            Cause::Part(_) => None,
+        })
+    }
+}
+
+impl<'a> Crash<'a> {
+    /// Returns what may be the cause of the crash, with its run and its position there. A blocked
+    /// part explains the crash. A blocked request does too, but a part of it may be the reason.
+    fn suspects(&self, explanation: Option<Cause>) -> Vec<(&'a Run, usize, Cause)> {
+        let mut suspects = Vec::new();
+        for run in &self.runs {
+            for (position, cause) in run.causes.iter().enumerate() {
+                let is_suspect = match (explanation, cause) {
+                    (None, _) => true,
+                    (Some(Cause::Part(_)), _) | (Some(Cause::Request(_)), Cause::Request(_)) => {
+                        false
+                    }
+                    (Some(request @ Cause::Request(_)), Cause::Part(_)) => {
+                        run.causes.contains(&request)
+                    }
+                };
+                if is_suspect {
+                    suspects.push((*run, position, *cause));
+                }
+            }
+        }
+        suspects
+    }
+}
+
+impl<'a> Suspicion<'a> {
+    /// Counts a crash at a moment. An upstream counts once for a part: it may break off responses by
+    /// itself. It may start again under its name and run the same request once more.
+    fn count(&mut self, upstream: &'a id::Upstream, moment: u32, cause: Cause) {
+        if self.moment == Some(moment) {
+            return;
+        }
+        let is_new = self.upstreams.insert(upstream);
+        if is_new || matches!(cause, Cause::Request(_)) {
+            self.moment = Some(moment);
+            self.crashes += 1;
+        }
+    }
+
+    /// Whether the crashes are enough to block the cause.
+    fn suffices(&self, cause: Cause) -> bool {
+        let is_due_to_cause = match cause {
+            Cause::Part(_) => {
+                self.requests.len() >= BLOCKING_REQUESTS || self.requests.contains(&None)
+            }
+            Cause::Request(_) => self.upstreams.len() >= MIN_UPSTREAMS,
+        };
+        is_due_to_cause && self.crashes >= BLOCKING_CRASHES
+    }
 }
 
 impl Block {
-    fn report(&self, part: id::Part, now: Instant) -> Report {
+    fn report(&self, cause: Cause, now: Instant) -> Report {
         Report::Blocked {
-            part,
+            cause,
             age: now.saturating_duration_since(self.since),
             left: self.until.saturating_duration_since(now),
             times: self.times,
@@ -463,13 +568,13 @@
     }
 }
 
-/// Removes the oldest item if there are [`MAX_PARTS`], so that one more can be inserted.
-fn drop_oldest<T>(items: &mut HashMap<id::Part, T>, at: impl Fn(&T) -> Instant) {
-    if items.len() < MAX_PARTS {
+/// Removes the oldest item if there are [`MAX_CAUSES`], so that one more can be inserted.
+fn drop_oldest<T>(items: &mut HashMap<Cause, T>, at: impl Fn(&T) -> Instant) {
+    if items.len() < MAX_CAUSES {
         return;
     }
     let oldest = items.iter().min_by_key(|(_, item)| at(item));
-    if let Some(part) = oldest.map(|(part, _)| *part) {
-        items.remove(&part);
+    if let Some(cause) = oldest.map(|(cause, _)| *cause) {
+        items.remove(&cause);
     }
 }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -122,6 +122,8 @@
     NoUpstream,
     /// A part of the prompt crashes upstreams. Entries decide this themselves.
     Prompt,
+    /// The request crashes upstreams. Entries decide this themselves.
+    Crashing,
 }
 
 /// The dispatcher's decision on a request.
@@ -296,7 +298,7 @@
     peers: Peers,
     /// What upstreams said of their availability.
     availability: Table,
-    /// Parts of prompts under which upstreams crash.
+    /// What crashes upstreams.
     crashes: crash::Table,
     /// Notices for dispatchers of other shards, about requests that they granted.
     relayed: BTreeMap<id::Instance, Notice>,
@@ -352,19 +354,19 @@
         news
     }
 
-    /// Returns what another dispatcher needs to know of upstreams and prompts.
+    /// Returns what another dispatcher needs to know of upstreams and crashes.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
         announcement::join(self.availability.reports(now), self.crashes.reports(now))
     }
 
-    /// Blocks the parts of prompts that the known crashes point to, and returns them. A crash counts
+    /// Blocks the causes that the known crashes point to, and returns them. A crash counts
     /// [`crash::SETTLING`] after it happened.
     pub fn judge_crashes(&mut self, now: Instant) -> Vec<Announcement> {
         let blocks = self.crashes.judge(now).into_iter();
         blocks.map(Announcement::Crash).collect()
     }
 
-    /// Returns what entries need to know of upstreams and prompts to place requests alone.
+    /// Returns what entries need to know of upstreams and crashes to place requests alone.
     pub fn announcements_for_entries(&self, now: Instant) -> Vec<Announcement> {
         announcement::join(self.availability.reports(now), self.crashes.blocks(now))
     }
--- a/gooseberrylb_policy/tests/crash.rs
+++ b/gooseberrylb_policy/tests/crash.rs
@@ -1,9 +1,9 @@
-//! Plays of prompts with a part that crashes every upstream that begins a response on it.
+//! Plays of requests, and of prompts with a part, that crash every upstream that runs them.
 
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
-use gooseberrylb_policy::crash::{Ending, Report, SETTLING, Table};
+use gooseberrylb_policy::crash::{Cause, Ending, Report, SETTLING, Table};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -15,11 +15,11 @@
 /// Part that crashes upstreams.
 const CRASHING: u32 = 0xbad;
 
-fn part(number: u32) -> id::Part {
-    format!("{number:x}").parse().unwrap()
+fn part(number: u32) -> Cause {
+    Cause::Part(format!("{number:x}").parse().unwrap())
 }
 
-fn parts(numbers: &[u32]) -> Vec<id::Part> {
+fn parts(numbers: &[u32]) -> Vec<Cause> {
     numbers.iter().copied().map(part).collect()
 }
 
@@ -147,7 +147,7 @@
     assert!(!play.is_blocked(SHARED));
     let reports = play.entry.reports(now).into_iter();
     let names_shared = |report: Report| match report {
-        Report::Crashed { parts, .. } => parts.contains(&part(SHARED)),
+        Report::Crashed { causes, .. } => causes.contains(&part(SHARED)),
         Report::Blocked { .. } | Report::Served { .. } => false,
     };
     assert_eq!(
@@ -242,7 +242,7 @@
 /// A run of the play under load.
 struct Running {
     entry: usize,
-    parts: Vec<id::Part>,
+    parts: Vec<Cause>,
     /// Time at which it begins to write, and at which it ends.
     writes: u32,
     ends: u32,
@@ -330,7 +330,162 @@
     for seed in 0..SEEDS {
         let (crashes, blocked) = play_load(seed);
         assert!(crashes <= 8, "seed {seed}: {crashes}");
-        let is_crashing = |report: &Report| matches!(report, Report::Blocked { part: p, .. } if *p == part(CRASHING));
+        let is_crashing = |report: &Report| matches!(report, Report::Blocked { cause: p, .. } if *p == part(CRASHING));
+        assert!(
+            blocked.len() == 1 && blocked.iter().all(is_crashing),
+            "seed {seed}: {blocked:?}"
+        );
+    }
+}
+
+fn request(number: u32) -> Cause {
+    let target = format!("/{number}");
+    Cause::Request(id::Content::new("GET", &target, None, b""))
+}
+
+impl Play {
+    /// Records crashed runs of requests on an upstream at the same time.
+    fn crash_requests(&mut self, ms: u32, number: u32, requests: &[Vec<Cause>]) {
+        self.now = self.start + ms * MS;
+        for causes in requests {
+            let reports = self
+                .entry
+                .record(&upstream(number), causes, Ending::Crashed, self.now);
+            for report in reports {
+                self.dispatcher.adopt(report, self.now);
+            }
+        }
+    }
+
+    /// Whether the entry refuses a cause, once the dispatcher has decided on all crashes.
+    fn is_cause_blocked(&mut self, cause: Cause) -> bool {
+        self.is_blocked(0);
+        self.entry.blocked(&[cause], self.now).is_some()
+    }
+}
+
+#[test]
+fn request_of_three_crashes_is_blocked_and_what_ran_beside_it_is_not() {
+    let mut play = Play::new();
+    for number in 0..3 {
+        assert!(!play.is_cause_blocked(request(1)));
+        let beside = vec![request(10 + number)];
+        play.crash_requests(500 * number, number, &[vec![request(1)], beside]);
+    }
+    assert!(play.is_cause_blocked(request(1)));
+    for number in 0..3 {
+        assert!(!play.is_cause_blocked(request(10 + number)));
+    }
+}
+
+#[test]
+fn request_with_a_prompt_is_blocked_in_place_of_its_parts() {
+    let mut play = Play::new();
+    let causes = |own| vec![part(SHARED), part(CRASHING), request(own)];
+    for number in 0..3 {
+        play.crash_requests(500 * number, number, &[causes(1)]);
+    }
+    assert!(play.is_cause_blocked(request(1)));
+    assert!(!play.is_cause_blocked(part(CRASHING)));
+    // If another request with the part crashes upstreams too, it was the part.
+    play.crash_requests(2000, 3, &[causes(2)]);
+    assert!(play.is_cause_blocked(part(CRASHING)));
+    assert!(!play.is_cause_blocked(part(SHARED)));
+}
+
+#[test]
+fn of_two_requests_that_ended_together_each_time_the_next_crash_decides() {
+    let mut play = Play::new();
+    let both = [vec![request(1)], vec![request(2)]];
+    for number in 0..3 {
+        play.crash_requests(500 * number, number, &both);
+    }
+    assert!(!play.is_cause_blocked(request(1)));
+    assert!(!play.is_cause_blocked(request(2)));
+    play.crash_requests(2000, 3, &both[1..]);
+    assert!(play.is_cause_blocked(request(2)));
+    assert!(!play.is_cause_blocked(request(1)));
+}
+
+#[test]
+fn upstream_that_breaks_off_a_request_by_itself_blocks_nothing() {
+    let mut play = Play::new();
+    for number in 0..6 {
+        play.crash_requests(2000 * number, 77, &[vec![request(1)]]);
+    }
+    assert!(!play.is_cause_blocked(request(1)));
+    // One that starts again under its name counts once another has crashed too.
+    play.crash_requests(14_000, 78, &[vec![request(1)]]);
+    assert!(play.is_cause_blocked(request(1)));
+}
+
+/// Plays 20 s of a service with 3 upstreams: 12 sound requests a second, some of them often the same,
+/// and 3 a second that crash their upstream after 80 ms, all with the same content. Returns the number
+/// of crashes and the causes blocked.
+fn play_requests(seed: u64) -> (usize, Vec<Report>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut play = Play::new();
+    let mut running: Vec<(u32, u32, u32)> = Vec::new();
+    let mut names = [0, 1, 2];
+    let mut back = [0; 3];
+    let mut crashes = 0;
+    for now in 0..20_000 {
+        let crashing = rng.random_bool(0.003);
+        if crashing || rng.random_bool(0.012) {
+            let number = match crashing {
+                true => 1,
+                false if rng.random_bool(0.3) => 100 + rng.random_range(0..5),
+                false => 1000 + now,
+            };
+            let up: Vec<usize> = (0..3).filter(|i| back[*i] <= now).collect();
+            play.now = play.start + now * MS;
+            let is_blocked = play.entry.blocked(&[request(number)], play.now).is_some();
+            if !up.is_empty() && !is_blocked {
+                let index = up[rng.random_range(0..up.len())];
+                running.push((index as u32, now + 80, number));
+            }
+        }
+        let ended = |run: &(u32, u32, u32)| run.1 <= now;
+        for (index, _, number) in running.extract_if(.., |run| ended(run)).collect::<Vec<_>>() {
+            let index = index as usize;
+            if back[index] > now {
+                continue;
+            }
+            if number != 1 {
+                play.now = play.start + now * MS;
+                let name = upstream(names[index]);
+                let reports =
+                    play.entry
+                        .record(&name, &[request(number)], Ending::Served, play.now);
+                for report in reports {
+                    play.dispatcher.adopt(report, play.now);
+                }
+                continue;
+            }
+            let beside = running.extract_if(.., |run| run.0 as usize == index);
+            let mut ended: Vec<_> = beside.map(|run| vec![request(run.2)]).collect();
+            ended.push(vec![request(1)]);
+            play.crash_requests(now, names[index], &ended);
+            names[index] += 3;
+            back[index] = now + 3000;
+            crashes += 1;
+        }
+        if now % JUDGING_MS == 0 {
+            play.now = play.start + now * MS;
+            for news in play.dispatcher.judge(play.now) {
+                play.entry.adopt(news, play.now);
+            }
+        }
+    }
+    (crashes, play.dispatcher.blocks(play.now))
+}
+
+#[test]
+fn under_load_a_request_crashes_few_upstreams_and_sound_ones_are_served() {
+    for seed in 0..SEEDS {
+        let (crashes, blocked) = play_requests(seed);
+        assert!(crashes <= 6, "seed {seed}: {crashes}");
+        let is_crashing = |report: &Report| matches!(report, Report::Blocked { cause, .. } if *cause == request(1));
         assert!(
             blocked.len() == 1 && blocked.iter().all(is_crashing),
             "seed {seed}: {blocked:?}"
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -40,7 +40,7 @@
     Offer(Request),
     /// Reports the free slots and the use of quotas in another shard. It is not answered.
     Summarize(Summary),
-    /// Tells what the sender knows of upstreams and prompts. It is not answered.
+    /// Tells what the sender knows of upstreams and crashes. It is not answered.
     Announce(Vec<Announcement>),
 }
 
@@ -51,7 +51,7 @@
     Decided(Key, Decision),
     /// Acknowledges the notice of this number, which carried charges, and all earlier ones.
     Taken(u64),
-    /// Tells an entry what the dispatcher knows of upstreams and prompts.
+    /// Tells an entry what the dispatcher knows of upstreams and crashes.
     Announced(Vec<Announcement>),
 }
 
