--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -115,7 +115,7 @@
             "not every entry serves {SERVE_TIMEOUT:?} after the last fault"
         ));
     }
-    check_crashing_prompts(&deployment, &history);
+    check_crashes(&deployment, &history);
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
         if thread.join().is_err() {
@@ -146,20 +146,21 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Sends requests whose prompts crash upstreams to all entries, first for as long as the fleet may
-/// take to learn of it, then to check that it has.
-fn check_crashing_prompts(deployment: &Arc<Deployment>, history: &Arc<History>) {
+/// Sends requests that crash upstreams to all entries, and sound ones between them, first for as long
+/// as the fleet may take to learn of it, then to check that it has.
+fn check_crashes(deployment: &Arc<Deployment>, history: &Arc<History>) {
     let mut caller = Caller::new(deployment, history, u64::MAX, 1);
     let mut send_for = |time: Duration| {
         let end = Instant::now() + time;
-        for index in 0.. {
-            if Instant::now() >= end {
-                return;
-            }
-            caller.probe(index, Kind::Crashing);
-            caller.probe(index, Kind::Stream);
+        let (mut sent, mut served) = (0, 0);
+        while Instant::now() < end {
+            caller.probe(sent, Kind::CrashingPrompt);
+            caller.probe(sent, Kind::CrashingRequest);
+            served += usize::from(caller.probe(sent, Kind::Stream));
+            sent += 1;
             thread::sleep(CRASHING_PAUSE);
         }
+        (sent, served)
     };
     send_for(CONTACT_TIME);
     history.check_known_crashes(|| send_for(KNOWN_CRASH_TIME));
--- a/gooseberrylb_testbed/src/soak/caller.rs
+++ b/gooseberrylb_testbed/src/soak/caller.rs
@@ -31,7 +31,8 @@
 /// One in this many requests of a caller uses the revocable key.
 const REVOCABLE_KEY_INTERVAL: u64 = 5;
 
-/// One in this many requests of a caller has a prompt that crashes upstreams.
+/// One in this many requests of a caller has a prompt that crashes upstreams, and another one is the
+/// request that does.
 const CRASHING_INTERVAL: u32 = 40;
 
 /// Number of callers created so far.
@@ -80,9 +81,10 @@
     pub fn run(mut self, stop: &AtomicBool) {
         while !stop.load(Ordering::SeqCst) {
             let kinds = [Kind::Once, Kind::Safe, Kind::Stream];
-            let kind = match self.rng.random_ratio(1, CRASHING_INTERVAL) {
-                true => Kind::Crashing,
-                false => kinds[self.rng.random_range(0..kinds.len())],
+            let kind = match self.rng.random_range(0..CRASHING_INTERVAL) {
+                0 => Kind::CrashingPrompt,
+                1 => Kind::CrashingRequest,
+                _ => kinds[self.rng.random_range(0..kinds.len())],
             };
             let uses_revocable_key = self.number.is_multiple_of(REVOCABLE_KEY_INTERVAL);
             if self.connection.is_none() {
@@ -111,10 +113,17 @@
         };
         self.number += 1;
         let attempt = format!("{}x{}", self.name, self.number);
+        let (target, body) = match kind {
+            Kind::CrashingRequest => (platform::CRASHING_TARGET.to_owned(), "crash".to_owned()),
+            Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingPrompt => (
+                format!("{}%2e{}?a=%20&n={}", kind.prefix(), attempt, self.number),
+                format!("body of {attempt}"),
+            ),
+        };
         let call = Call {
             kind,
-            target: format!("{}%2e{}?a=%20&n={}", kind.prefix(), attempt, self.number),
-            body: format!("body of {attempt}"),
+            target,
+            body,
             uses_revocable_key,
             sent_at: Instant::now(),
             entry: connection.get_ref().peer_addr().ok(),
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -46,7 +46,7 @@
 /// Window in which the requests at a limited upstream are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
-/// Number of requests with a part that crashes upstreams that may reach these once the part is known.
+/// Number of requests of a kind that crashes upstreams that may reach these once the cause is known.
 const MAX_KNOWN_CRASHES: usize = 3;
 
 /// Client account of all requests.
@@ -67,7 +67,9 @@
     /// Request that must not run twice and whose response is a stream.
     Stream,
     /// Like [`Kind::Stream`], with a prompt under which every upstream crashes.
-    Crashing,
+    CrashingPrompt,
+    /// Like [`Kind::Safe`], the same request of all callers, under which every upstream crashes.
+    CrashingRequest,
 }
 
 impl Kind {
@@ -75,8 +77,16 @@
     pub fn prefix(self) -> &'static str {
         match self {
             Kind::Once => "/once/",
-            Kind::Safe => "/safe/",
-            Kind::Stream | Kind::Crashing => "/stream/",
+            Kind::Safe | Kind::CrashingRequest => "/safe/",
+            Kind::Stream | Kind::CrashingPrompt => "/stream/",
+        }
+    }
+
+    /// Whether the request may run more than once.
+    fn is_repeatable(self) -> bool {
+        match self {
+            Kind::Safe | Kind::CrashingRequest => true,
+            Kind::Once | Kind::Stream | Kind::CrashingPrompt => false,
         }
     }
 }
@@ -233,22 +243,32 @@
         });
     }
 
-    /// Returns the number of requests that reached upstreams and crashed them.
-    fn crash_count(&self) -> usize {
+    /// Returns the number of requests of a kind that reached upstreams.
+    fn arrival_count(&self, kind: Kind) -> usize {
         let records = self.records();
-        let kind = |arrival: &&Arrival| records.calls.get(&arrival.attempt).map(|call| call.kind);
-        let crashing = |arrival: &&Arrival| kind(arrival) == Some(Kind::Crashing);
-        records.arrivals.iter().filter(crashing).count()
+        let kind_of = |arrival: &Arrival| records.calls.get(&arrival.attempt).map(|call| call.kind);
+        let arrivals = records.arrivals.iter();
+        arrivals.filter(|a| kind_of(a) == Some(kind)).count()
     }
 
-    /// Records a violation if crashing requests that `send` sends, while the part of their prompts is
-    /// known to be the cause, reach upstreams.
-    pub fn check_known_crashes(&self, send: impl FnOnce()) {
-        let before = self.crash_count();
-        send();
-        let count = self.crash_count() - before;
-        if count > MAX_KNOWN_CRASHES {
-            let line = format!("BUDGET {count} requests with a known part crashed upstreams");
+    /// Records a violation if crashing requests that `send` sends, while the cause is known, reach
+    /// upstreams, or if few of the sound ones among them are served. `send` returns the numbers of
+    /// sound ones sent and served.
+    pub fn check_known_crashes(&self, send: impl FnOnce() -> (usize, usize)) {
+        let kinds = [Kind::CrashingPrompt, Kind::CrashingRequest];
+        let before = kinds.map(|kind| self.arrival_count(kind));
+        let (sent, served) = send();
+        for (kind, before) in kinds.into_iter().zip(before) {
+            let count = self.arrival_count(kind) - before;
+            if count > MAX_KNOWN_CRASHES {
+                let line =
+                    format!("BUDGET {count} requests of {kind:?} crashed upstreams though known");
+                self.record_violation(line);
+            }
+        }
+        if served < sent / 2 {
+            let line =
+                format!("LOST {served} of {sent} sound requests were served beside known crashes");
             self.record_violation(line);
         }
     }
@@ -302,8 +322,8 @@
             .map(|number| event(attempt, number))
             .collect();
         let expected = match call.kind {
-            Kind::Once | Kind::Safe => format!("answer {attempt}"),
-            Kind::Stream | Kind::Crashing => stream,
+            Kind::Once | Kind::Safe | Kind::CrashingRequest => format!("answer {attempt}"),
+            Kind::Stream | Kind::CrashingPrompt => stream,
         };
         let signature = response
             .header(platform::SIGNATURE_HEADER)
@@ -422,14 +442,14 @@
                 continue;
             };
             let status = records.statuses.get(attempt).copied().unwrap_or(0);
-            if count > 1 && call.kind != Kind::Safe {
+            if count > 1 && !call.kind.is_repeatable() {
                 violations.push(format!(
                     "TWICE {attempt} ({:?}): {count} executions",
                     call.kind
                 ));
             }
             excessive += usize::from(count > MAX_EXECUTIONS);
-            if matches!(status, 408 | 421 | 429 | 503) && call.kind != Kind::Safe {
+            if matches!(status, 408 | 421 | 429 | 503) && !call.kind.is_repeatable() {
                 violations.push(format!(
                     "REFUSED {attempt} ({:?}): status {status}, but it ran",
                     call.kind
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -64,6 +64,8 @@
 const PROMPT_HEADER: &str = "X-Gooseberrylb-Prompt-Prefix";
 /// Part of a prompt under which every upstream crashes as it begins a response.
 const CRASHING_PART: &str = "bad";
+/// Target of requests under which every upstream crashes.
+pub const CRASHING_TARGET: &str = "/safe/crash";
 
 /// Header fields of streams, with the end of the head.
 const STREAM_FIELDS: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -356,6 +358,10 @@
                 return Ok(());
             }
         }
+        if request.target() == CRASHING_TARGET {
+            upstream.crash();
+            return Ok(());
+        }
         let prompt = request.header(PROMPT_HEADER).unwrap_or_default();
         if prompt.contains(CRASHING_PART) {
             upstream.crash();
@@ -417,8 +423,8 @@
 /// Returns the request of a caller that waits for `timeout`.
 pub fn request(attempt: &str, call: &Call, timeout: Duration) -> String {
     let method = match call.kind {
-        Kind::Safe => "GET",
-        Kind::Once | Kind::Stream | Kind::Crashing => "POST",
+        Kind::Safe | Kind::CrashingRequest => "GET",
+        Kind::Once | Kind::Stream | Kind::CrashingPrompt => "POST",
     };
     let key = if call.uses_revocable_key {
         REVOCABLE_KEY
@@ -426,8 +432,8 @@
         PERMANENT_KEY
     };
     let part = match call.kind {
-        Kind::Crashing => CRASHING_PART,
-        Kind::Once | Kind::Safe | Kind::Stream => "50d",
+        Kind::CrashingPrompt => CRASHING_PART,
+        Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingRequest => "50d",
     };
     let own = call.body.len();
     format!(
