Log which upstreams the dispatcher leaves out, and on whose word

The hypotheses on entries that are cut off from upstreams differ in whether their reports make the dispatcher leave upstreams out for the others. No line told. Now each such decision is one line with upstream, entry, failure and time. No logic changes.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -227,6 +227,7 @@
             return false;
         }
         self.dispatcher.borrow_mut().apply(notice, core.clock.now());
+        log_exclusions(&mut self.dispatcher.borrow_mut());
         self.poll(core);
         let relayed = self.dispatcher.borrow_mut().take_relayed();
         for (peer, notice) in relayed {
@@ -392,6 +393,17 @@
     }
 }
 
+/// Logs which upstreams a dispatcher has left out, and on whose word.
+pub fn log_exclusions(dispatcher: &mut Dispatcher) {
+    for exclusion in dispatcher.take_exclusions() {
+        log::info!(
+            upstream:% = exclusion.upstream, from:% = exclusion.entry, failure:? = exclusion.failure,
+            ms = exclusion.time.as_millis() as u64;
+            "an upstream gets no requests for a while"
+        );
+    }
+}
+
 /// Polls the dispatcher for as long as the process runs.
 pub async fn run(core: Rc<Core>) {
     loop {
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -568,7 +568,13 @@
             ended: ended.clone(),
             ..Notice::default()
         };
-        self.fallback.borrow_mut().apply(notice, now);
+        let mut fallback = self.fallback.borrow_mut();
+        fallback.apply(notice, now);
+        match self.alone_until.get() {
+            Some(_) => dispatch::log_exclusions(&mut fallback),
+            // The dispatcher logs what it decides on the same outcome.
+            None => drop(fallback.take_exclusions()),
+        }
         self.outbox.borrow_mut().ended.extend(ended);
         self.flush_soon();
     }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -23,7 +23,7 @@
 
 pub use peers::Summary;
 pub use rates::Rates;
-pub use upstream::Health;
+pub use upstream::{Exclusion, Failure, Health};
 
 pub mod objective;
 pub mod refusals;
@@ -631,6 +631,12 @@
         }
     }
 
+    /// Returns the decisions to grant upstreams nothing for a while since the last call.
+    pub fn take_exclusions(&mut self) -> Vec<Exclusion> {
+        let services = self.services.values_mut();
+        services.flat_map(Service::take_exclusions).collect()
+    }
+
     /// Forgets the requests and charges of entries for which `is_alive` is false.
     pub fn retain_entries(&mut self, is_alive: impl Fn(&id::Instance) -> bool, now: Instant) {
         self.tracked.retain(|key, _| is_alive(&key.entry));
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -12,7 +12,7 @@
 use super::peers::Capacity;
 use super::rates::{NEWEST_WEIGHT, POOLED_NEWEST_WEIGHT, Rates, update_average};
 use super::release::{Completion, Release};
-use super::upstream::State;
+use super::upstream::{Exclusion, Failure, State};
 use super::{Decision, Key, Outcome, Rank, Reason, Request, Running, Upstream};
 use crate::availability::Table;
 use crate::occupancy::Occupancy;
@@ -177,6 +177,8 @@
     release: Option<Release>,
     /// Upstreams of the service in other shards.
     elsewhere: Capacity,
+    /// Decisions to grant upstreams nothing for a while, until they are taken.
+    exclusions: Vec<Exclusion>,
 }
 
 impl Service {
@@ -530,9 +532,10 @@
         };
         run.silent = true;
         let name = run.upstream.clone();
-        if let Some(state) = self.state(&name) {
-            state.health.record_failure(now);
-        }
+        let ejection = self
+            .state(&name)
+            .and_then(|state| state.health.record_failure(now));
+        self.record_exclusion(&name, key, Failure::Silent, ejection);
         self.record_outcome(key, None, now);
     }
 
@@ -575,6 +578,7 @@
         };
         let mut pooled = self.pooled;
         let in_rollout = self.release.is_some();
+        let mut exclusion = (Failure::Failed, None);
         if let Some(state) = self.state(&run.upstream) {
             state.set_running(state.running.saturating_sub(1), in_rollout, now);
             match outcome {
@@ -587,14 +591,16 @@
                     pooled.update(prompt, prefill_wait, &outcome, POOLED_NEWEST_WEIGHT);
                 }
                 Outcome::Full => state.record_full(now),
-                Outcome::Failed => state.health.record_failure(now),
+                Outcome::Failed => exclusion.1 = state.health.record_failure(now),
                 Outcome::Refused => {
-                    state.health.record_failure(now);
-                    state.record_refused(now);
+                    let ejection = state.health.record_failure(now);
+                    exclusion = (Failure::Refused, ejection.max(state.record_refused(now)));
                 }
                 Outcome::Dropped => {}
             }
         }
+        let (failure, time) = exclusion;
+        self.record_exclusion(&run.upstream, key, failure, time);
         self.pooled = pooled;
         if let Outcome::Served { .. } = outcome {
             let slot_seconds = now.saturating_duration_since(run.since).as_secs_f64();
@@ -602,6 +608,27 @@
         }
     }
 
+    /// Records that an upstream gets no requests for a time, if there is one.
+    fn record_exclusion(
+        &mut self,
+        upstream: &id::Upstream,
+        key: &Key,
+        failure: Failure,
+        time: Option<Duration>,
+    ) {
+        self.exclusions.extend(time.map(|time| Exclusion {
+            upstream: upstream.clone(),
+            entry: key.entry.clone(),
+            failure,
+            time,
+        }));
+    }
+
+    /// Returns the decisions to grant upstreams nothing for a while since the last call.
+    pub(super) fn take_exclusions(&mut self) -> Vec<Exclusion> {
+        std::mem::take(&mut self.exclusions)
+    }
+
     /// Records a request that an entry has in flight.
     pub(super) fn track_running(&mut self, running: Running, now: Instant) {
         let run = InFlight {
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use gooseberrylb_config::id;
 use gooseberrylb_config::number::Rate;
 
 use super::rates::Rates;
@@ -36,6 +37,30 @@
 /// Limit of that time, so that an upstream that listens again is found soon.
 const MAX_REFUSED_PAUSE: Duration = Duration::from_secs(1);
 
+/// Decision to grant an upstream no requests for a while.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Exclusion {
+    /// Upstream that gets no requests.
+    pub upstream: id::Upstream,
+    /// Entry whose request led to the decision.
+    pub entry: id::Instance,
+    /// What happened to that request.
+    pub failure: Failure,
+    /// Time for which the upstream gets none.
+    pub time: Duration,
+}
+
+/// Failure of a request that counts against its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The upstream failed or could not be reached.
+    Failed,
+    /// The upstream's host refused the connection.
+    Refused,
+    /// The upstream has been silent for longer than expected.
+    Silent,
+}
+
 /// Health of an upstream, judged by its failures.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
@@ -59,21 +84,23 @@
         }
     }
 
-    /// Records a request that failed.
-    pub fn record_failure(&mut self, now: Instant) {
+    /// Records a request that failed. Returns the time for which the upstream is ejected, if it is.
+    pub fn record_failure(&mut self, now: Instant) -> Option<Duration> {
         self.consecutive_failures += 1;
         self.failure_rate = self.failure_rate * (1.0 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
-        if self.consecutive_failures >= EJECTION_FAILURES
-            || self.failure_rate >= EJECTION_FAILURE_RATE
+        if self.consecutive_failures < EJECTION_FAILURES
+            && self.failure_rate < EJECTION_FAILURE_RATE
         {
-            let doublings = self
-                .consecutive_failures
-                .saturating_sub(EJECTION_FAILURES)
-                .min(8);
-            let ejection = (BASE_EJECTION * 2_u32.pow(doublings)).min(MAX_EJECTION);
-            self.ejected_until = Some(now + ejection);
-            self.probing = true;
+            return None;
         }
+        let doublings = self
+            .consecutive_failures
+            .saturating_sub(EJECTION_FAILURES)
+            .min(8);
+        let ejection = (BASE_EJECTION * 2_u32.pow(doublings)).min(MAX_EJECTION);
+        self.ejected_until = Some(now + ejection);
+        self.probing = true;
+        Some(ejection)
     }
 
     /// Returns how many requests the upstream should run at most now, out of `slots`.
@@ -208,15 +235,17 @@
         self.running = running;
     }
 
-    /// Records that the upstream's host refused a connection. Refusals of requests that were granted
-    /// before the first of them count as one.
-    pub(super) fn record_refused(&mut self, now: Instant) {
+    /// Records that the upstream's host refused a connection, and returns the pause that this begins.
+    /// Refusals of requests that were granted before the first of them count as one.
+    pub(super) fn record_refused(&mut self, now: Instant) -> Option<Duration> {
         if now < self.refused_until {
-            return;
+            return None;
         }
         let pause = BASE_REFUSED_PAUSE * 2_u32.pow(self.refusals.min(8));
-        self.refused_until = now + pause.min(MAX_REFUSED_PAUSE);
+        let pause = pause.min(MAX_REFUSED_PAUSE);
+        self.refused_until = now + pause;
         self.refusals += 1;
+        Some(pause)
     }
 
     /// Records that the upstream reported that it is full though it should have room.
