--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::standin::{list_response, serve, upstream_response};
+use crate::standin::{CutOff, list_response, serve, upstream_response};
 
 /// Time limit for each wait. The tests make no other assertion about durations.
 pub const TIMEOUT: Duration = Duration::from_secs(60);
@@ -97,6 +97,8 @@
     received: RequestLog,
     /// Whether the upstreams of other releases are listed.
     pub releases: Arc<AtomicBool>,
+    /// Processes that are cut off from the upstreams.
+    cut_off: CutOff,
     /// Grace period of planned stops, in seconds.
     grace_s: u64,
     _listeners: Vec<TcpListener>,
@@ -153,19 +155,26 @@
         let log = received.clone();
         let releases = Arc::new(AtomicBool::new(false));
         let listed = releases.clone();
+        let cut_off = CutOff::default();
         let listeners = vec![
-            serve(network.address(STAND_INS, FEED), move |_| {
-                list_response(network, listed.load(Ordering::SeqCst))
-            }),
-            serve(network.address(STAND_INS, UPSTREAM), move |request| {
-                let mut log = log.lock().unwrap();
-                let target = |text: &str| text.split(' ').nth(1).map(str::to_owned);
-                let earlier = log.iter().filter(|(_, r)| target(r) == target(request));
-                let earlier = earlier.count();
-                log.push((Instant::now(), request.to_owned()));
-                drop(log);
-                upstream_response(request, earlier)
-            }),
+            serve(
+                network.address(STAND_INS, FEED),
+                CutOff::default(),
+                move |_| list_response(network, listed.load(Ordering::SeqCst)),
+            ),
+            serve(
+                network.address(STAND_INS, UPSTREAM),
+                cut_off.clone(),
+                move |request| {
+                    let mut log = log.lock().unwrap();
+                    let target = |text: &str| text.split(' ').nth(1).map(str::to_owned);
+                    let earlier = log.iter().filter(|(_, r)| target(r) == target(request));
+                    let earlier = earlier.count();
+                    log.push((Instant::now(), request.to_owned()));
+                    drop(log);
+                    upstream_response(request, earlier)
+                },
+            ),
         ];
         let home = tempfile::tempdir().unwrap();
         std::fs::write(home.path().join("key"), "0123456789abcdef").unwrap();
@@ -175,6 +184,7 @@
             processes: Vec::new(),
             received,
             releases,
+            cut_off,
             grace_s,
             _listeners: listeners,
         };
@@ -331,6 +341,13 @@
         answer.split(' ').nth(1).unwrap_or_default().to_owned()
     }
 
+    /// Cuts an entry off from all upstreams, or ends that for all entries.
+    pub fn cut_off(&self, host: Option<u8>) {
+        let processes = self.processes.iter();
+        let cut_off = processes.filter(|(known, _)| Some(*known) == host);
+        *self.cut_off.lock().unwrap() = cut_off.map(|(_, process)| process.id()).collect();
+    }
+
     /// Sends a signal to the process of an instance.
     pub fn signal(&self, host: u8, name: &str) {
         let process = self.processes.iter().find(|(known, _)| *known == host);
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod availability;
 mod crashes;
+mod cuts;
 mod declarations;
 mod fleet;
 mod limits;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -78,10 +78,37 @@
     }
 }
 
+/// Processes whose connections to a stand-in are reset.
+pub type CutOff = Arc<Mutex<Vec<u32>>>;
+
+/// Whether the other end of a connection belongs to one of some processes.
+fn is_from(stream: &TcpStream, processes: &[u32]) -> bool {
+    let Ok(SocketAddr::V4(peer)) = stream.peer_addr() else {
+        return false;
+    };
+    // The kernel's table has addresses in the byte order of the machine.
+    let address = u32::from_ne_bytes(peer.ip().octets());
+    let local = format!("{address:08X}:{:04X}", peer.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table
+        .lines()
+        .map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let row = rows.filter(|row| row.len() > 9).find(|row| row[1] == local);
+    let Some(socket) = row.map(|row| format!("socket:[{}]", row[9])) else {
+        return false;
+    };
+    processes.iter().any(|process| {
+        let files = std::fs::read_dir(format!("/proc/{process}/fd"));
+        let mut files = files.into_iter().flatten().flatten();
+        files.any(|file| std::fs::read_link(file.path()).is_ok_and(|link| *link == *socket))
+    })
+}
+
 /// Serves requests with the responses that `answer` returns. Closes each connection after one
-/// response.
+/// response. Connections of processes that are cut off are reset.
 pub fn serve<A: Into<Answer>>(
     address: SocketAddr,
+    cut_off: CutOff,
     answer: impl Fn(&str) -> A + Send + Sync + 'static,
 ) -> TcpListener {
     let listener = TcpListener::bind(address).unwrap();
@@ -90,6 +117,13 @@
     thread::spawn(move || {
         for stream in accepted.incoming() {
             let (mut stream, answer) = (stream.unwrap(), answer.clone());
+            let processes = cut_off.lock().unwrap().clone();
+            if !processes.is_empty() && is_from(&stream, &processes) {
+                SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
+                continue;
+            }
             thread::spawn(move || {
                 if let Some(request) = read_message(&mut stream) {
                     let answer: Answer = answer(&request).into();
