Have other entries forward the requests of an entry that is cut off, and keep its failures from upstreams

Cause: each failed connection was taken for a failure of its upstream, whatever else failed at the same entry. The entry tried three and refused; the dispatcher left the upstreams out for all entries. Ruled out: callers that turn to other entries (in the tests there are none, and the others lose all the same). Change: after a failure the entry opens connections to other upstreams. One that works shows that the upstream is at fault, and only then the dispatcher hears of it. If three fail, the entry is cut off: outcomes and crashes are dropped, and requests go to another entry as they came, with what is left of their time, over an authenticated connection. That one forwards them, never delegates again, and declines with 421 while nothing was sent. A request is charged once.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_std::{future, task};
 use futures::channel::oneshot;
 use gooseberrylb_config::clock::Clock;
@@ -70,6 +70,9 @@
     snapshot: Index,
 }
 
+/// Maximum number of accepted connections that wait for the gateway.
+const MAX_DELEGATED: usize = 64;
+
 /// Callers that wait for the outcome of their proposals.
 type ProposalWaiters = BTreeMap<Proposal, oneshot::Sender<Result<Index, Rejection>>>;
 
@@ -84,6 +87,8 @@
     pub clock: Arc<dyn Clock>,
     /// Receives accepted connections for the traffic plane.
     pub traffic: Sender<Accepted>,
+    /// Passes accepted connections with requests of other entries to the gateway.
+    pub delegated: (Sender<Accepted>, Receiver<Accepted>),
     /// Values set by other threads for this instance's reports.
     pub shared: Arc<Shared>,
     /// Links to other instances.
@@ -161,6 +166,7 @@
             identity: parts.identity,
             clock: parts.clock,
             traffic: parts.traffic,
+            delegated: async_channel::bounded(MAX_DELEGATED),
             shared: parts.shared,
             folder,
             state: RefCell::default(),
--- a/gooseberrylb/src/control/peers.rs
+++ b/gooseberrylb/src/control/peers.rs
@@ -76,6 +76,12 @@
             server::serve(accepted.stream, client.client).await.ok();
         }
         Kind::Dispatch => dispatch::session::serve(core, accepted).await,
+        Kind::Delegate => {
+            // Dropped by instances that are no entries, and by those with too many at once.
+            if core.delegated.0.try_send(accepted).is_err() {
+                log::info!("dropped a connection with requests of another entry");
+            }
+        }
         Kind::Traffic => {
             core.traffic.send(accepted).await.ok();
         }
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use async_std::net::TcpListener;
@@ -22,22 +22,27 @@
 use gooseberrylb_config::number::Revision;
 use gooseberrylb_config::settings::Deployment;
 use gooseberrylb_policy::drain::Drain;
+use gooseberrylb_policy::reach::Reach;
 use gooseberrylb_policy::retry::Budget;
 use rand::Rng;
 
 use crate::control::{Core, Handle};
 use crate::metrics::METRICS;
+use caller::Origin;
+use delegate::Delegates;
 use http::Connection;
 use place::Placer;
 use pool::Pool;
 
 pub mod caller;
+mod delegate;
 pub mod events;
 pub mod forward;
 pub mod http;
 pub mod interfaces;
 mod place;
 pub mod pool;
+mod reach;
 pub mod relay;
 pub mod session;
 pub mod table;
@@ -78,6 +83,12 @@
     pub placer: Rc<Placer>,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Entries that requests are delegated to.
+    delegates: Delegates,
+    /// Whether this entry reaches the upstreams.
+    reach: RefCell<Reach>,
+    /// Time of the last failure whose reason is being looked for.
+    suspected_at: Cell<Option<Instant>>,
     /// Retry budget of this entry.
     pub budget: RefCell<Budget>,
     /// Configuration revision that the slack of `budget` was computed from.
@@ -105,6 +116,9 @@
             core,
             dialect,
             pool: Pool::default(),
+            delegates: Delegates::default(),
+            reach: RefCell::default(),
+            suspected_at: Cell::new(None),
             budget: RefCell::new(budget),
             budget_revision: Cell::new(None),
             open_requests: Cell::new(0),
@@ -283,6 +297,7 @@
     if let Some(listener) = start.callers {
         task::spawn_local(accept(gateway.clone(), TcpListener::from(listener)));
         task::spawn_local(sweep(gateway.clone()));
+        task::spawn_local(accept_delegated(gateway.clone()));
     }
     let grace = Duration::from_secs(deployment.grace_s);
     task::spawn_local(async move {
@@ -316,12 +331,21 @@
         gateway.connections.set(gateway.connections.get() + 1);
         let gateway = gateway.clone();
         task::spawn_local(async move {
-            caller::serve(gateway.clone(), Connection::new(stream)).await;
+            caller::serve(gateway.clone(), Connection::new(stream), Origin::Caller).await;
             gateway.connections.set(gateway.connections.get() - 1);
         });
     }
 }
 
+/// Serves the connections on which other entries delegate requests.
+async fn accept_delegated(gateway: Rc<Gateway>) {
+    while let Ok(accepted) = gateway.core.delegated.1.recv().await {
+        let origin = Origin::Entry(accepted.greeting.instance);
+        let connection = Connection::new(accepted.stream);
+        task::spawn_local(caller::serve(gateway.clone(), connection, origin));
+    }
+}
+
 /// Wakes the waiting requests once the configuration is fresh. Ends when no request waits.
 async fn watch_for_fresh(gateway: Rc<Gateway>) {
     loop {
@@ -345,7 +369,9 @@
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         task::sleep(POOL_SWEEP_INTERVAL).await;
-        gateway.pool.sweep(gateway.core.clock.now());
+        let now = gateway.core.clock.now();
+        gateway.pool.sweep(now);
+        gateway.delegates.sweep(now);
         gateway.placer.keep_session();
     }
 }
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 use super::Gateway;
+use super::delegate::{DECLINED, Ticket};
 use super::forward::{Delivery, Fault, Forwarder, write_field};
 use super::http::{Connection, Error, Framing, Request, Response};
 use super::relay::{End, Transfer, relay};
@@ -26,6 +27,15 @@
 /// `Retry-After` of requests refused because the configuration is not fresh.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Where a connection comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// An entry that is cut off from the upstreams, which sends on its callers' requests.
+    Entry(id::Instance),
+}
+
 /// Whether a connection stays open after a response.
 #[derive(PartialEq, Eq)]
 enum Persistence {
@@ -34,7 +44,7 @@
 }
 
 /// Serves a connection until either side closes it.
-pub async fn serve(gateway: Rc<Gateway>, mut connection: Connection) {
+pub async fn serve(gateway: Rc<Gateway>, mut connection: Connection, origin: Origin) {
     loop {
         let limits = gateway.limits();
         let request = match next_request(&gateway, &mut connection, &limits).await {
@@ -51,7 +61,7 @@
             }
         };
         gateway.begin_request();
-        let persistence = handle(&gateway, &mut connection, request, &limits).await;
+        let persistence = handle(&gateway, &mut connection, request, &origin, &limits).await;
         gateway.finish_request();
         if persistence == Persistence::Close {
             return;
@@ -93,7 +103,8 @@
 async fn handle(
     gateway: &Rc<Gateway>,
     connection: &mut Connection,
-    request: Request,
+    mut request: Request,
+    origin: &Origin,
     limits: &Limits,
 ) -> Persistence {
     let arrived = gateway.core.clock.now();
@@ -121,7 +132,25 @@
         }
     };
     let closes = request.closes;
-    let metadata = gateway.dialect.request_metadata(&request.fields.borrowed());
+    let ticket = match origin {
+        Origin::Caller => None,
+        Origin::Entry(entry) => match Ticket::take(&mut request) {
+            Some(_) if gateway.reach.borrow().is_cut() => {
+                let fault = Fault::new(DECLINED, "this entry is cut off too");
+                return send_fault(gateway, connection, &fault, closes).await;
+            }
+            Some(ticket) => Some(ticket),
+            None => {
+                log::warn!(entry:% = entry; "refused a request of another entry without a valid ticket");
+                return Persistence::Close;
+            }
+        },
+    };
+    let mut metadata = gateway.dialect.request_metadata(&request.fields.borrowed());
+    if let Some(ticket) = ticket {
+        metadata.patience = Some(Duration::from_millis(ticket.left_ms));
+        metadata.last_event = ticket.last_event;
+    }
     let id = metadata.attempt.clone().unwrap_or_else(|| "-".into());
     let max_wait = MAX_FRESH_WAIT.min(metadata.patience.unwrap_or(MAX_FRESH_WAIT) / 3);
     let waited = {
@@ -169,12 +198,18 @@
         account,
         arrived,
         excluded: Vec::new(),
-        attempts: 0,
+        attempts: ticket.map_or(0, |ticket| ticket.attempts),
+        charged: ticket.is_some_and(|ticket| ticket.charged),
+        delegated: ticket.is_some(),
+        delegate: None,
         last_upstream: None,
         placement_wait: Duration::ZERO,
         alone: false,
     };
-    gateway.deposit_retry();
+    // The entry that took a delegated request from its caller has counted it.
+    if ticket.is_none() {
+        gateway.deposit_retry();
+    }
     let delivery = {
         let running = std::pin::pin!(forwarder.run());
         let caller_gone = std::pin::pin!(connection.closed());
@@ -210,13 +245,13 @@
             (persistence, outcome)
         }
     };
-    log_request(&forwarder, &outcome, stream);
+    log_request(&forwarder, origin, &outcome, stream);
     persistence
 }
 
 /// Counts a finished request and logs it in one line: what determined its handling and, for a
 /// stream, the timing that its caller saw.
-fn log_request(forwarder: &Forwarder, outcome: &str, stream: Option<Transfer>) {
+fn log_request(forwarder: &Forwarder, origin: &Origin, outcome: &str, stream: Option<Transfer>) {
     let elapsed = forwarder
         .gateway
         .core
@@ -228,6 +263,14 @@
         .as_ref()
         .map_or("-", |name| name.as_str());
     let account = forwarder.account.as_ref().map_or("-", |a| a.name.as_str());
+    let delegate = forwarder
+        .delegate
+        .as_ref()
+        .map_or("-", |name| name.as_str());
+    let from = match origin {
+        Origin::Caller => "-",
+        Origin::Entry(name) => name.as_str(),
+    };
     let ms = |time: Duration| time.as_millis().to_string();
     let patience = forwarder.metadata.patience.map(ms);
     let first = stream.and_then(|stream| stream.first);
@@ -241,6 +284,7 @@
     METRICS.gateway_seconds.observe(elapsed.as_secs_f64());
     log::info!(
         id = forwarder.id(), route:% = forwarder.route.name, account = account, upstream = upstream,
+        delegate = delegate, from = from,
         attempts = forwarder.attempts, rank:% = forwarder.rank(), objective_ms = forwarder.route.objective.as_millis() as u64, revision = forwarder.gateway.core.published().directory.revision.0,
         patience_ms = patience.as_deref().unwrap_or("-"),
         waited_ms = forwarder.placement_wait.as_millis() as u64, alone = forwarder.alone,
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -3,6 +3,8 @@
 //! A request that may have run is sent again only if its route allows that. Each further attempt
 //! is limited by the route's number of attempts and by the retry budget.
 
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,10 +16,11 @@
 use gooseberrylb_config::id;
 use gooseberrylb_policy::crash::{Cause, Ending};
 use gooseberrylb_policy::dispatch::{Outcome, Reason};
+use gooseberrylb_policy::reach::{Symptom, Verdict};
 
-use super::Gateway;
 use super::http::{self, Connection, Framing, Request, Response};
 use super::place::{Grant, Placement};
+use super::{Gateway, delegate, reach};
 use crate::metrics::METRICS;
 
 mod placement;
@@ -66,6 +69,12 @@
     pub placement_wait: Duration,
     /// Whether the entry made the latest placement alone, without the dispatcher.
     pub alone: bool,
+    /// Whether the account has been charged.
+    pub charged: bool,
+    /// Whether another entry has delegated the request.
+    pub delegated: bool,
+    /// Entry that the request was delegated to.
+    pub delegate: Option<id::Instance>,
 }
 
 /// Error response that the gateway generates itself.
@@ -99,11 +108,29 @@
     }
 }
 
-/// Exchange with an upstream that has sent the head of its response, but not yet all of its body.
+/// On whose responsibility a request runs.
+pub enum Lease {
+    /// That of this entry, at an upstream.
+    Grant(Grant),
+    /// That of another entry, at its address.
+    Delegate(SocketAddr),
+}
+
+impl fmt::Display for Lease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Grant(grant) => grant.upstream.fmt(f),
+            Self::Delegate(address) => write!(f, "entry {address}"),
+        }
+    }
+}
+
+/// Exchange with an upstream, or with another entry, that has sent the head of its response, but not
+/// yet all of its body.
 pub struct Exchange {
-    /// Grant under which the request runs.
-    pub grant: Grant,
-    /// Connection to the upstream.
+    /// On whose responsibility the request runs.
+    pub lease: Lease,
+    /// Connection to the upstream or entry.
     pub connection: Connection,
     /// Head of the response.
     pub response: Response,
@@ -122,23 +149,28 @@
 }
 
 /// Reason why an attempt failed.
-enum Failure {
+pub(super) enum Failure {
     /// The upstream could not be reached and received nothing.
     ConnectFailed,
     /// The upstream states that the request did not run.
     NotRun,
     /// The request may have run. The text is the message for the caller.
     Unknown(&'static str),
+    /// The connection ended before a response, and the request may have run. The text is the message
+    /// for the caller.
+    Lost(&'static str),
+    /// The upstream has been silent for longer than expected, and the request may have run.
+    Silent,
     /// The deadline of the request has passed.
     TimedOut,
 }
 
 impl Forwarder {
-    fn now(&self) -> Instant {
+    pub(super) fn now(&self) -> Instant {
         self.gateway.core.clock.now()
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.now())
     }
 
@@ -165,11 +197,30 @@
             if self.time_left().is_zero() {
                 return Delivery::Fault(self.timeout_fault(may_have_run));
             }
+            if self.gateway.is_cut() && !self.delegated {
+                match self.delegate(None).await {
+                    Some(Ok(delivery)) => return self.settle_delegated(delivery, may_have_run),
+                    Some(Err(Failure::TimedOut)) => {
+                        return Delivery::Fault(Fault::new(504, "the time limit has passed"));
+                    }
+                    Some(Err(_)) if self.may_repeat() => {
+                        may_have_run = true;
+                        continue;
+                    }
+                    Some(Err(_)) => {
+                        return Delivery::Fault(Fault::new(502, "another entry failed"));
+                    }
+                    None => {}
+                }
+            }
             let asked = self.now();
             let placement = self.place().await;
             self.placement_wait += self.now().saturating_duration_since(asked);
             let grant = match placement {
-                Placement::Granted(grant) => grant,
+                Placement::Granted(grant) => {
+                    self.charged = true;
+                    grant
+                }
                 Placement::Refused(..) if may_have_run => {
                     return Delivery::Fault(Fault::new(502, "the upstream failed"));
                 }
@@ -194,9 +245,12 @@
             match failure {
                 Failure::ConnectFailed => {
                     connect_failures += 1;
-                    if connect_failures >= MAX_CONNECT_FAILURES {
+                    if connect_failures >= MAX_CONNECT_FAILURES && !self.finds_cut().await {
                         return Delivery::Fault(match may_have_run {
                             true => Fault::new(502, "no other upstream could be reached"),
+                            false if self.delegated => {
+                                Fault::new(delegate::DECLINED, "no upstream could be reached")
+                            }
                             false => Fault::with_retry_after(
                                 503,
                                 "no upstream could be reached",
@@ -217,12 +271,18 @@
                         });
                     }
                 }
-                Failure::Unknown(cause) => {
+                Failure::Unknown(cause) | Failure::Lost(cause) => {
                     may_have_run = true;
                     if !self.may_repeat() {
                         return Delivery::Fault(Fault::new(502, cause));
                     }
                 }
+                Failure::Silent => {
+                    may_have_run = true;
+                    if !self.may_repeat() {
+                        return Delivery::Fault(Fault::new(502, "the upstream is silent"));
+                    }
+                }
                 Failure::TimedOut => {
                     return Delivery::Fault(Fault::new(504, "the time limit has passed"));
                 }
@@ -230,6 +290,31 @@
         }
     }
 
+    /// Waits for the reason of a failed connection, and returns whether this entry is cut off and
+    /// another one may forward the request.
+    async fn finds_cut(&self) -> bool {
+        if self.delegated {
+            return false;
+        }
+        let now = self.now();
+        let verdict = self.gateway.verdict(Symptom::Lost, now);
+        let verdict = future::timeout(self.time_left(), verdict).await;
+        verdict == Ok(Verdict::Cut) && self.gateway.delegates.has_any(&self.gateway.core, now)
+    }
+
+    /// Returns what to send to the caller of a delegated request. Another entry knows only its own
+    /// part of what "not run" promises.
+    fn settle_delegated(&self, delivery: Delivery, may_have_run: bool) -> Delivery {
+        match delivery {
+            Delivery::Buffered(response, _)
+                if may_have_run && matches!(response.status, 408 | 421 | 429 | 503) =>
+            {
+                Delivery::Fault(Fault::new(502, "the upstream failed"))
+            }
+            delivery => delivery,
+        }
+    }
+
     /// Returns the error response for a request whose deadline passed between two attempts.
     fn timeout_fault(&self, may_have_run: bool) -> Fault {
         match may_have_run {
@@ -249,7 +334,7 @@
         let address = grant.listed.address;
         let connecting = self.gateway.pool.connect(address, now);
         let connected = future::timeout(self.time_left(), connecting).await;
-        let mut connection = match connected {
+        let (mut connection, is_new) = match connected {
             Ok(Ok(connected)) => connected,
             Ok(Err(error)) => {
                 log::info!(
@@ -261,7 +346,7 @@
                     std::io::ErrorKind::ConnectionRefused => Outcome::Refused,
                     _ => Outcome::Failed,
                 };
-                grant.end(outcome);
+                self.end_failed(grant, Symptom::Lost, outcome, Ending::Unclear);
                 return Err(Failure::ConnectFailed);
             }
             Err(_) => return Err(Failure::ConnectFailed),
@@ -278,6 +363,10 @@
         self.attempts += 1;
         let response = match self.send(&grant, &mut connection, head).await {
             Ok((response, reply)) => {
+                self.gateway.record_heard();
+                if is_new {
+                    self.gateway.record_opened(now);
+                }
                 if reply.not_run {
                     let outcome = match response.status {
                         421 => Outcome::Failed,
@@ -290,14 +379,25 @@
                 response
             }
             Err(failure) => {
-                grant.end(Outcome::Failed);
+                let outcome = Outcome::Failed;
+                match failure {
+                    Failure::Lost(_) => {
+                        let ending = Ending::of_broken(None);
+                        self.end_failed(grant, Symptom::Lost, outcome, ending);
+                    }
+                    Failure::Silent | Failure::TimedOut => {
+                        self.end_failed(grant, Symptom::Silent, outcome, Ending::Unclear);
+                    }
+                    Failure::ConnectFailed | Failure::NotRun | Failure::Unknown(_) => {
+                        grant.end(outcome);
+                    }
+                }
                 return Err(failure);
             }
         };
-        let is_large = matches!(response.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
-        if (self.route.streams && response.status == 200) || is_large {
+        if self.is_streamed(&response) {
             return Ok(Delivery::Streamed(Box::new(Exchange {
-                grant,
+                lease: Lease::Grant(grant),
                 connection,
                 response,
                 sent_at,
@@ -307,6 +407,29 @@
             .await
     }
 
+    /// Whether the body of a response is relayed while it arrives.
+    pub(super) fn is_streamed(&self, response: &Response) -> bool {
+        let is_large = matches!(response.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
+        (self.route.streams && response.status == 200) || is_large
+    }
+
+    /// Ends a grant whose request failed, once it is clear that its upstream is the reason.
+    pub(super) fn end_failed(
+        &self,
+        grant: Grant,
+        symptom: Symptom,
+        outcome: Outcome,
+        ending: Ending,
+    ) {
+        let failure = reach::Failure {
+            symptom,
+            outcome,
+            ending,
+            causes: self.causes(),
+        };
+        self.gateway.end_failed(grant, failure);
+    }
+
     /// Reads and drops the body of a response that is not sent to the caller, so that the
     /// connection can be reused.
     async fn discard_body(
@@ -342,8 +465,8 @@
                     id = self.id(), upstream:% = grant.upstream, content:% = self.content, error:% = error;
                     "reading the response body failed"
                 );
-                self.record_ending(&grant, Ending::of_broken(None));
-                grant.end(Outcome::Failed);
+                let ending = Ending::of_broken(None);
+                self.end_failed(grant, Symptom::Lost, Outcome::Failed, ending);
                 return Err(Failure::Unknown("the upstream's answer broke off"));
             }
             Err(_) => return Err(Failure::TimedOut),
@@ -382,6 +505,15 @@
         if self.route.retry != Retry::Resume || !self.may_repeat() {
             return None;
         }
+        if self.gateway.is_cut()
+            && !self.delegated
+            && let Some(result) = self.delegate(Some(last_event)).await
+        {
+            return match result {
+                Ok(Delivery::Streamed(exchange)) => Some(exchange),
+                Ok(Delivery::Buffered(..) | Delivery::Fault(_)) | Err(_) => None,
+            };
+        }
         let Placement::Granted(grant) = self.place().await else {
             return None;
         };
@@ -411,7 +543,7 @@
                 id = self.id(), upstream:% = grant.upstream, error:% = error;
                 "writing the request failed"
             );
-            return Err(Failure::Unknown("the upstream closed the connection"));
+            return Err(Failure::Lost("the upstream closed the connection"));
         }
         let patience = self.route.objective.max(MIN_FIRST_BYTE_TIMEOUT);
         let for_head_request = self.request.method == "HEAD";
@@ -435,20 +567,19 @@
                         id = self.id(), upstream:% = grant.upstream, parts = self.parts(), content:% = self.content, error:% = error;
                         "an upstream gave no answer"
                     );
-                    self.record_ending(grant, Ending::of_broken(None));
-                    return Err(Failure::Unknown("the upstream closed the connection"));
+                    return Err(Failure::Lost("the upstream closed the connection"));
                 }
                 Err(_) if self.time_left().is_zero() => return Err(Failure::TimedOut),
                 Err(_) if reported => continue,
                 Err(_) => {
                     reported = true;
-                    grant.report_silence();
+                    self.gateway.report_silence(grant);
                     log::info!(
                         id = self.id(), upstream:% = grant.upstream, waited_ms = patience.as_millis() as u64;
                         "no response from the upstream within the expected time"
                     );
                     if self.may_repeat() {
-                        return Err(Failure::Unknown("the upstream is silent"));
+                        return Err(Failure::Silent);
                     }
                     continue;
                 }
@@ -498,7 +629,7 @@
 
     /// Records what the end of the run on an upstream told about what may crash upstreams.
     pub fn record_ending(&self, grant: &Grant, ending: Ending) {
-        grant.record_ending(&self.causes(), ending);
+        grant.record_ending(&self.causes(), ending, self.now());
     }
 
     /// Returns what may crash upstreams that run the request.
@@ -508,7 +639,7 @@
     }
 
     /// Writes the request. Stops early if the upstream responds before it has read the whole body.
-    async fn write_request(
+    pub(super) async fn write_request(
         &self,
         connection: &mut Connection,
         mut head: Vec<u8>,
@@ -541,8 +672,9 @@
         Ok(())
     }
 
-    /// Returns the head of the request as it is sent to the upstream.
-    fn request_head(&self, grant: &Grant, time_left: Duration, last_event: Option<u64>) -> Vec<u8> {
+    /// Returns the request line and the fields of the request that are forwarded, without those that
+    /// `is_withheld` names and without the end of the head.
+    pub(super) fn forwarded_head(&self, is_withheld: impl Fn(&str) -> bool) -> Vec<u8> {
         let mut head = Vec::with_capacity(1024 + self.body.len().min(64 * 1024));
         let request = &self.request;
         head.extend_from_slice(request.method.as_bytes());
@@ -554,18 +686,26 @@
             let is_dropped = request.fields.is_hop_by_hop(name)
                 || name.eq_ignore_ascii_case("Content-Length")
                 || name.eq_ignore_ascii_case("Expect")
-                || self.gateway.dialect.is_withheld(name);
+                || is_withheld(name);
             if !is_dropped {
                 write_field(&mut head, name, &field.value);
             }
         }
+        head
+    }
+
+    /// Returns the head of the request as it is sent to the upstream.
+    fn request_head(&self, grant: &Grant, time_left: Duration, last_event: Option<u64>) -> Vec<u8> {
+        let dialect = &self.gateway.dialect;
+        let mut head = self.forwarded_head(|name| dialect.is_withheld(name));
+        let request = &self.request;
         let outgoing = Outgoing {
             upstream: &grant.upstream,
             account: self.account.as_ref().map(|account| &account.name),
             patience: time_left,
             last_event: last_event.or(self.metadata.last_event),
         };
-        self.gateway.dialect.write_outgoing(&outgoing, &mut head);
+        dialect.write_outgoing(&outgoing, &mut head);
         if request.framing != Framing::Empty || !self.body.is_empty() {
             write_field(
                 &mut head,
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -28,7 +28,7 @@
 const DEFAULT_OUTPUT_DIVISOR: u64 = 4;
 
 impl Forwarder {
-    /// Asks for an upstream for the next attempt. Only the first attempt counts against the quota.
+    /// Asks for an upstream for the next attempt. A request counts once against the quota.
     pub(super) async fn place(&self) -> Placement {
         let gateway = &self.gateway;
         let (now, time_left) = (self.now(), self.time_left());
@@ -63,7 +63,7 @@
             route: self.route.name.clone(),
             account: units.and(self.account.as_ref().map(|account| account.name.clone())),
             weight: quota.map_or(1.0, |a| a.per_second),
-            units: units.filter(|_| self.attempts == 0).unwrap_or(0.0),
+            units: units.filter(|_| !self.charged).unwrap_or(0.0),
             rank: self.rank(),
             data_centre: gateway.core.identity.instance.data_centre.as_str().into(),
             prompt,
--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -88,6 +88,13 @@
         Self(parsed.iter().map(to_field).collect())
     }
 
+    /// Removes the last field with the given name and returns its value.
+    pub fn take_last(&mut self, name: &str) -> Option<Vec<u8>> {
+        let has_name = |field: &OwnedField| field.name.eq_ignore_ascii_case(name);
+        let place = self.0.iter().rposition(has_name)?;
+        Some(self.0.remove(place).value)
+    }
+
     /// Returns all fields in their original order.
     pub fn iter(&self) -> impl Iterator<Item = &OwnedField> {
         self.0.iter()
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -100,19 +100,15 @@
             .record_statement(service, &self.upstream, statement, served);
     }
 
-    /// Records what the end of a run told about what may crash upstreams.
-    pub fn record_ending(&self, causes: &[Cause], ending: Ending) {
-        self.placer.record_ending(&self.upstream, causes, ending);
+    /// Records what the end of a run at a time told about what may crash upstreams.
+    pub fn record_ending(&self, causes: &[Cause], ending: Ending, at: Instant) {
+        self.placer
+            .record_ending(&self.upstream, causes, ending, at);
     }
 
-    /// Reports that the upstream has not responded within the expected time.
-    pub fn report_silence(&self) {
-        self.placer
-            .outbox
-            .borrow_mut()
-            .silent
-            .push(self.key.clone());
-        self.placer.flush_soon();
+    /// Returns the key of the attempt.
+    pub fn key(&self) -> &Key {
+        &self.key
     }
 }
 
@@ -209,6 +205,12 @@
         }
     }
 
+    /// Reports that the upstream of an attempt has not responded within the expected time.
+    pub fn report_silence(self: &Rc<Self>, key: Key) {
+        self.outbox.borrow_mut().silent.push(key);
+        self.flush_soon();
+    }
+
     /// Finds an upstream for a request, or refuses it, also if one of `causes`, which belong to it,
     /// crashes upstreams. It is no upstream that this entry knows to want no requests, whatever the
     /// dispatcher knows.
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -74,11 +74,20 @@
         self.announce(announcements);
     }
 
-    /// Records what the end of a run told about what may crash upstreams, and tells the dispatcher.
-    pub(super) fn record_ending(&self, upstream: &id::Upstream, causes: &[Cause], ending: Ending) {
+    /// Records what the end of a run at a time told about what may crash upstreams, and tells the
+    /// dispatcher.
+    pub(super) fn record_ending(
+        &self,
+        upstream: &id::Upstream,
+        causes: &[Cause],
+        ending: Ending,
+        at: Instant,
+    ) {
         let now = self.core.clock.now();
         let mut crashes = self.crashes.borrow_mut();
-        let news = crashes.record(upstream, causes, ending, now).into_iter();
+        let news = crashes
+            .record(upstream, causes, ending, at, now)
+            .into_iter();
         let news: Vec<_> = news.map(Announcement::Crash).collect();
         let own = &self.core.identity.name;
         news.iter().for_each(|news| announce::log(own, news));
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -8,10 +8,11 @@
 use gooseberrylb_config::declaration::Retry;
 use gooseberrylb_policy::crash::Ending;
 use gooseberrylb_policy::dispatch::Outcome;
+use gooseberrylb_policy::reach::Symptom;
 
 use super::caller::response_head;
 use super::events::Scanner;
-use super::forward::{Exchange, Forwarder};
+use super::forward::{Exchange, Forwarder, Lease};
 use super::http::{Body, Connection, Framing, Progress};
 
 /// How the relay of a response ended. The names of the variants appear in log lines.
@@ -190,16 +191,7 @@
         if is_whole {
             let outcome =
                 served_outcome(exchange.sent_at, first, last, events.count - events_before);
-            let address = exchange.grant.listed.address;
-            if let Some(keep_alive) = exchange.response.keep_alive {
-                let until = forwarder.gateway.core.clock.now() + keep_alive;
-                forwarder
-                    .gateway
-                    .pool
-                    .keep(address, exchange.connection, until);
-            }
-            forwarder.record_ending(&exchange.grant, Ending::Served);
-            exchange.grant.end(outcome);
+            finish_whole(forwarder, *exchange, Ending::Served, outcome);
             return transfer.finish(End::Whole, &events);
         }
         let is_over = progress == Progress::Done || events.is_event_too_large();
@@ -219,8 +211,7 @@
                 let outcome =
                     served_outcome(exchange.sent_at, first, last, events.count - events_before);
                 let ending = Ending::of_complete(false, wrote_for(first, last));
-                forwarder.record_ending(&exchange.grant, ending);
-                exchange.grant.end(outcome);
+                finish_whole(forwarder, *exchange, ending, outcome);
                 return transfer.finish(End::Whole, &events);
             }
             Step::CallerGone => return transfer.finish(End::CallerGone, &events),
@@ -229,7 +220,7 @@
                 let now = forwarder.gateway.core.clock.now();
                 let wrote = first.map(|first| now.saturating_duration_since(first));
                 log::info!(
-                    id = forwarder.id(), upstream:% = exchange.grant.upstream, events = events.count,
+                    id = forwarder.id(), upstream:% = exchange.lease, events = events.count,
                     own_events = events.count - events_before,
                     wrote_ms = wrote.map_or("-".to_owned(), |time| time.as_millis().to_string()),
                     parts = forwarder.parts(), content:% = forwarder.content, framing:? = transfer.framing,
@@ -237,10 +228,14 @@
                     "the upstream failed during a response"
                 );
                 let is_malformed = broken || is_over;
-                if !is_malformed {
-                    forwarder.record_ending(&exchange.grant, Ending::of_broken(wrote));
+                match exchange.lease {
+                    Lease::Grant(grant) if is_malformed => grant.end(Outcome::Failed),
+                    Lease::Grant(grant) => {
+                        let ending = Ending::of_broken(wrote);
+                        forwarder.end_failed(grant, Symptom::Lost, Outcome::Failed, ending);
+                    }
+                    Lease::Delegate(_) => {}
                 }
-                exchange.grant.end(Outcome::Failed);
                 let resumed_after = forwarder.metadata.last_event;
                 let last_event = events.last_id.or(resumed_after).unwrap_or(0);
                 let resumed = match resumable {
@@ -258,7 +253,7 @@
                     return transfer.finish(End::Broken, &events);
                 };
                 log::info!(
-                    id = forwarder.id(), upstream:% = resumed.grant.upstream, last = last_event;
+                    id = forwarder.id(), upstream:% = resumed.lease, last = last_event;
                     "another upstream resumes the stream"
                 );
                 events.drop_unfinished();
@@ -273,6 +268,28 @@
     }
 }
 
+/// Reports the end of a complete response and keeps the connection, if it may be reused.
+fn finish_whole(forwarder: &Forwarder, exchange: Exchange, ending: Ending, outcome: Outcome) {
+    let gateway = &forwarder.gateway;
+    let keep_alive = exchange.response.keep_alive;
+    let until = keep_alive.map(|keep_alive| gateway.core.clock.now() + keep_alive);
+    match exchange.lease {
+        Lease::Grant(grant) => {
+            if let Some(until) = until {
+                let address = grant.listed.address;
+                gateway.pool.keep(address, exchange.connection, until);
+            }
+            forwarder.record_ending(&grant, ending);
+            grant.end(outcome);
+        }
+        Lease::Delegate(address) => {
+            if let Some(until) = until {
+                gateway.delegates.keep(address, exchange.connection, until);
+            }
+        }
+    }
+}
+
 /// Returns the outcome of a complete response. If it had no body, `first` counts as `last`.
 fn served_outcome(sent_at: Instant, first: Option<Instant>, last: Instant, events: u64) -> Outcome {
     let first = first.unwrap_or(last);
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -58,6 +58,10 @@
     /// Requests and parts of prompts that were blocked, or served after a crash, as learned by this
     /// instance.
     pub crash_causes: IntCounterVec,
+    /// Requests of callers that other entries forward, by event.
+    pub delegated: IntCounterVec,
+    /// 1 while this entry is cut off from the upstreams, else 0.
+    pub cut_off: IntGauge,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -213,6 +217,17 @@
                 "Requests and parts of prompts that were blocked, or served after a crash, by event.",
                 &["event"],
             ),
+            delegated: counters(
+                &r,
+                "delegated_requests_total",
+                "Requests that another entry forwards, or declined to, by event.",
+                &["event"],
+            ),
+            cut_off: gauge(
+                &r,
+                "cut_off",
+                "Whether this entry is cut off from the upstreams.",
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -90,11 +90,12 @@
     let address = u32::from_ne_bytes(peer.ip().octets());
     let local = format!("{address:08X}:{:04X}", peer.port());
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let rows = table
-        .lines()
-        .map(|row| row.split_whitespace().collect::<Vec<_>>());
-    let row = rows.filter(|row| row.len() > 9).find(|row| row[1] == local);
-    let Some(socket) = row.map(|row| format!("socket:[{}]", row[9])) else {
+    let Some((_, row)) = table.split_once(&format!(": {local} ")) else {
+        return false;
+    };
+    // The remote address, the state, five columns and the inode.
+    let inode = row.split_whitespace().nth(7);
+    let Some(socket) = inode.map(|inode| format!("socket:[{inode}]")) else {
         return false;
     };
     processes.iter().any(|process| {
@@ -118,13 +119,11 @@
         for stream in accepted.incoming() {
             let (mut stream, answer) = (stream.unwrap(), answer.clone());
             let processes = cut_off.lock().unwrap().clone();
-            if !processes.is_empty() && is_from(&stream, &processes) {
-                SockRef::from(&stream)
-                    .set_linger(Some(Duration::ZERO))
-                    .unwrap();
-                continue;
-            }
             thread::spawn(move || {
+                if !processes.is_empty() && is_from(&stream, &processes) {
+                    let resets = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return resets.unwrap();
+                }
                 if let Some(request) = read_message(&mut stream) {
                     let answer: Answer = answer(&request).into();
                     // The caller may have closed its connection.
--- a/gooseberrylb_policy/src/crash.rs
+++ b/gooseberrylb_policy/src/crash.rs
@@ -215,12 +215,14 @@
 }
 
 impl Table {
-    /// Records the end of a run of this instance. Returns what other instances need to know of it.
+    /// Records the end of a run of this instance at a time. Returns what other instances need to know
+    /// of it.
     pub fn record(
         &mut self,
         upstream: &id::Upstream,
         causes: &[Cause],
         ending: Ending,
+        at: Instant,
         now: Instant,
     ) -> Vec<Report> {
         self.start_period(now);
@@ -250,7 +252,7 @@
                 let report = Report::Crashed {
                     upstream: upstream.clone(),
                     causes: suspects.copied().collect(),
-                    age: Duration::ZERO,
+                    age: now.saturating_duration_since(at),
                 };
                 self.adopt(report, now)
             }
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod moves;
 pub mod occupancy;
 pub mod quota;
+pub mod reach;
 pub mod request;
 pub mod retry;
 pub mod rollout;
--- a/gooseberrylb_policy/tests/crash.rs
+++ b/gooseberrylb_policy/tests/crash.rs
@@ -49,9 +49,13 @@
     /// Records the end of a run at the entry and exchanges what follows.
     fn end(&mut self, ms: u32, number: u32, numbers: &[u32], ending: Ending) {
         self.now = self.start + ms * MS;
-        let reports = self
-            .entry
-            .record(&upstream(number), &parts(numbers), ending, self.now);
+        let reports = self.entry.record(
+            &upstream(number),
+            &parts(numbers),
+            ending,
+            self.now,
+            self.now,
+        );
         for report in reports {
             self.dispatcher.adopt(report, self.now);
         }
@@ -311,7 +315,8 @@
                     false => Ending::Served,
                 };
                 let name = upstream(names[index]);
-                let reports = entries[run.entry].record(&name, &run.parts, ending, at(now));
+                let reports =
+                    entries[run.entry].record(&name, &run.parts, ending, at(now), at(now));
                 messages.extend(reports.into_iter().map(|report| (now + 10, report)));
             }
             if crashed {
@@ -348,9 +353,13 @@
     fn crash_requests(&mut self, ms: u32, number: u32, requests: &[Vec<Cause>]) {
         self.now = self.start + ms * MS;
         for causes in requests {
-            let reports = self
-                .entry
-                .record(&upstream(number), causes, Ending::Crashed, self.now);
+            let reports = self.entry.record(
+                &upstream(number),
+                causes,
+                Ending::Crashed,
+                self.now,
+                self.now,
+            );
             for report in reports {
                 self.dispatcher.adopt(report, self.now);
             }
@@ -454,9 +463,13 @@
             if number != 1 {
                 play.now = play.start + now * MS;
                 let name = upstream(names[index]);
-                let reports =
-                    play.entry
-                        .record(&name, &[request(number)], Ending::Served, play.now);
+                let reports = play.entry.record(
+                    &name,
+                    &[request(number)],
+                    Ending::Served,
+                    play.now,
+                    play.now,
+                );
                 for report in reports {
                     play.dispatcher.adopt(report, play.now);
                 }
--- a/gooseberrylb_wire/src/plane.rs
+++ b/gooseberrylb_wire/src/plane.rs
@@ -1,5 +1,6 @@
 //! Kinds of link. Control state and traffic have links of their own, so that neither waits for the
-//! other's thread; a third kind connects the entries of a platform to the dispatcher.
+//! other's thread; two more kinds connect the entries of a platform to the dispatcher and to each
+//! other.
 
 use std::future::Future;
 use std::time::Duration;
@@ -18,6 +19,8 @@
     Traffic,
     /// An entry's [session with the dispatcher](crate::dispatch).
     Dispatch,
+    /// Connection on which an entry sends callers' requests, in HTTP, for another entry to forward.
+    Delegate,
 }
 
 /// Kind of link that carries Cap'n Proto calls.
