--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! loopback address, with stand-ins for the platform's list of upstreams and for the upstreams.
 
 mod availability;
+mod brittle;
 mod crashes;
 mod cuts;
 mod declarations;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -2,9 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::SockRef;
 
@@ -162,9 +163,15 @@
         return endless_response(request, place);
     }
     let instance = field(request, "x-gooseberrylb-expect-instance");
-    if target.starts_with("/pair/") && instance.as_deref() == Some(SPEAKING) {
+    if target.starts_with("/pair/")
+        && target != "/pair/brittle"
+        && instance.as_deref() == Some(SPEAKING)
+    {
         return speaking_response(request, target).into();
     }
+    if target == "/pair/brittle" {
+        return brittle_response(request, instance.as_deref() == Some(SPEAKING)).into();
+    }
     if target == "/pair/limited" {
         // Keeps its slots busy, so that there is use for those of the limited upstream.
         thread::sleep(BUSY_TIME);
@@ -233,6 +240,44 @@
     signed_response(request, "201 Made", &rest)
 }
 
+/// Number of requests that a brittle upstream may turn away in a second.
+pub const TOLERATED: usize = 3;
+
+/// Number of requests that a brittle upstream runs at once, of the slots that the list shows.
+const BRITTLE_ROOM: usize = 2;
+
+/// Number of requests that run at the brittle upstream.
+static BRITTLE_RUNNING: AtomicUsize = AtomicUsize::new(0);
+
+/// Times at which the brittle upstream turned a request away.
+pub static TURNED_AWAY: Mutex<Vec<Instant>> = Mutex::new(Vec::new());
+
+/// Returns a response of one of two busy upstreams, of which one is brittle and says so.
+fn brittle_response(request: &str, is_brittle: bool) -> String {
+    if !is_brittle {
+        thread::sleep(BUSY_TIME);
+        return signed_response(request, "201 Made", "Content-Length: 5\r\n\r\nhello");
+    }
+    let running = BRITTLE_RUNNING.fetch_add(1, Ordering::SeqCst);
+    let field = format!("Server-Brittle: {TOLERATED}\r\n");
+    let response = match running < BRITTLE_ROOM {
+        true => {
+            thread::sleep(BUSY_TIME);
+            let rest = format!("{field}Content-Length: 5\r\n\r\nhello");
+            signed_response(request, "201 Made", &rest)
+        }
+        false => {
+            TURNED_AWAY.lock().unwrap().push(Instant::now());
+            format!(
+                "HTTP/1.1 503 Full\r\nX-Gooseberrylb-Not-Executed: 1\r\n{field}\
+                 Content-Length: 0\r\n\r\n"
+            )
+        }
+    };
+    BRITTLE_RUNNING.fetch_sub(1, Ordering::SeqCst);
+    response
+}
+
 /// Number of upstreams of the service that has a crash for a part of a prompt.
 const CROWD: u32 = 8;
 
