Keep brittle upstreams from having to turn requests away

Cause: nothing read the field. The dispatcher grants all listed slots, and again 50 ms after a rejection. Change: the tolerance is one more statement of an upstream, next to its limit, in the same reports and over the same ways (entries, dispatchers, shards, takeovers, entries that place alone). The dispatcher leaves one slot free, since a new connection may take one, and after a rejection pauses for twice the time that the tolerance allows, goes down to what ran beside it, and up by one in 2 s. Entries alone pause eight times as long. Pure plays of an overload on three such upstreams: at most 3 in any second, half or more of what they have room for is served.

--- a/gooseberrylb/src/control/dispatch/announce.rs
+++ b/gooseberrylb/src/control/dispatch/announce.rs
@@ -161,11 +161,19 @@
     if let Some(limit) = report.limit {
         log::info!(
             upstream:% = report.upstream, service:% = report.service, from:% = from,
-            per_second = limit.rate.map_or("-".to_owned(), |rate| rate.to_string()),
+            per_second = limit.value.map_or("-".to_owned(), |rate| rate.to_string()),
             age_ms = limit.age.as_millis() as u64;
             "an upstream limits its requests"
         );
     }
+    if let Some(tolerance) = report.tolerance {
+        log::info!(
+            upstream:% = report.upstream, service:% = report.service, from:% = from,
+            tolerance = tolerance.value.map_or("-".to_owned(), |number| number.to_string()),
+            age_ms = tolerance.age.as_millis() as u64;
+            "an upstream says how many requests it can turn away"
+        );
+    }
 }
 
 /// Whether the other end of a session is an entry, and not the dispatcher of another shard. An entry
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -36,7 +36,7 @@
     }
 
     /// Takes over what an upstream said of its availability in a response, and tells the dispatcher.
-    /// A success that names no limit lifts an earlier one; `served` is the time at which its request
+    /// A success that names no limit or tolerance lifts an earlier one; `served` is the time at which its request
     /// was sent.
     pub(super) fn record_statement(
         &self,
@@ -48,13 +48,14 @@
         let now = self.core.clock.now();
         let mut availability = self.availability.borrow_mut();
         let mut is_new = availability.record(service, upstream, statement, now);
-        if let Some(sent) = served.filter(|_| statement.limit.is_none()) {
-            is_new |= availability.record_unlimited(upstream, sent, now);
+        if let Some(sent) = served {
+            is_new |= availability.record_served(upstream, statement, sent, now);
         }
         for (kind, is_said) in [
             ("leaving", statement.leaving),
             ("closed", statement.closed_for.is_some()),
             ("limit", statement.limit.is_some()),
+            ("brittle", statement.tolerance.is_some()),
         ] {
             if is_said {
                 METRICS.statements.with_label_values(&[kind]).inc();
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -66,6 +66,9 @@
     /// Rate of requests that the upstream takes from all instances together, for as long as it says
     /// so in its responses.
     pub limit: Option<Rate>,
+    /// Number of requests that the upstream can turn away in a second without failing, for as long as
+    /// it says so in its responses.
+    pub tolerance: Option<u32>,
 }
 
 /// Header values that the system adds to a request to an upstream.
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -1,5 +1,5 @@
 //! What upstreams say of their own availability in their responses: that they leave, for how long
-//! they want no request, or how many a second they take.
+//! they want no request, how many a second they take, or how few they can turn away.
 //!
 //! The platform's list reports the same later or not at all, so a listed upstream that has said so
 //! gets no request. The time is passed in. See `docs/PLATFORM.md`.
@@ -31,16 +31,18 @@
     pub leaving: bool,
     /// Time that is left for which the upstream wants no request.
     pub closed_for: Option<Duration>,
-    /// Limit of the upstream, if it has named one.
-    pub limit: Option<Limit>,
+    /// Rate of the requests from all instances, if the upstream has named one.
+    pub limit: Option<Said<Rate>>,
+    /// Number of requests that the upstream can turn away in a second, if it has named one.
+    pub tolerance: Option<Said<u32>>,
 }
 
-/// Limit of an upstream as last heard.
+/// What an upstream said last of something that holds for as long as it says so.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Limit {
-    /// Rate of the requests from all instances; `None` if the upstream names none any more.
-    pub rate: Option<Rate>,
-    /// Time since the upstream said so.
+pub struct Said<T> {
+    /// What it said; `None` if it does not say so any more.
+    pub value: Option<T>,
+    /// Time since then.
     pub age: Duration,
 }
 
@@ -66,6 +68,42 @@
     }
 }
 
+/// What an upstream said last of something, and when.
+#[derive(Debug, Clone, Copy)]
+struct Latest<T>(Option<(Option<T>, Instant)>);
+
+impl<T: Copy> Latest<T> {
+    fn value(&self) -> Option<T> {
+        self.0.and_then(|(value, _)| value)
+    }
+
+    /// Takes over what was said later than what is known.
+    fn update(&mut self, said: Option<(Option<T>, Instant)>) {
+        let is_later = |(_, at): &(_, Instant)| self.0.is_none_or(|(_, known)| known < *at);
+        self.0 = said.filter(is_later).or(self.0);
+    }
+
+    /// Returns that nothing is said any more, if a request that was sent at `sent` shows it.
+    fn unsaid(&self, sent: Instant, now: Instant) -> Option<(Option<T>, Instant)> {
+        let is_later = self.0.is_some_and(|(_, at)| at < sent);
+        is_later.then_some((None, now))
+    }
+
+    fn said(&self, now: Instant) -> Option<Said<T>> {
+        self.0.map(|(value, at)| Said {
+            value,
+            age: now.saturating_duration_since(at),
+        })
+    }
+}
+
+impl<T> Said<T> {
+    /// Returns what was said, with its time.
+    fn at(self, now: Instant) -> (Option<T>, Instant) {
+        (self.value, now.checked_sub(self.age).unwrap_or(now))
+    }
+}
+
 /// What is known of one upstream.
 #[derive(Debug, Clone)]
 struct Record {
@@ -74,8 +112,10 @@
     leaving: bool,
     /// Time until which the upstream wants no request.
     closed_until: Option<Instant>,
-    /// Limit that the upstream named last, `None` in it if it names none any more, and when it said so.
-    limit: Option<(Option<Rate>, Instant)>,
+    /// Rate of the requests from all instances.
+    limit: Latest<Rate>,
+    /// Number of requests that the upstream can turn away in a second.
+    tolerance: Latest<u32>,
     /// Time of the last statement.
     heard: Instant,
     /// Whether the list has shown since that the upstream leaves or has left. If it is ready again
@@ -89,7 +129,8 @@
             service: service.clone(),
             leaving: false,
             closed_until: None,
-            limit: None,
+            limit: Latest(None),
+            tolerance: Latest(None),
             heard: now,
             has_left: false,
         }
@@ -99,25 +140,33 @@
         self.closed_until.is_some_and(|end| now < end)
     }
 
-    /// Returns the rate that the upstream takes, if it names one.
-    fn rate(&self) -> Option<Rate> {
-        self.limit.and_then(|(rate, _)| rate)
+    /// Returns what the upstream says, without the time at which it did.
+    fn content(&self) -> (bool, Option<Instant>, Option<Rate>, Option<u32>) {
+        let (limit, tolerance) = (self.limit.value(), self.tolerance.value());
+        (self.leaving, self.closed_until, limit, tolerance)
+    }
+
+    /// Whether the upstream says anything that binds requests now.
+    fn holds(&self, now: Instant) -> bool {
+        let (leaving, _, limit, tolerance) = self.content();
+        leaving || self.is_closed(now) || limit.is_some() || tolerance.is_some()
     }
 
-    /// Takes over what was heard; returns whether it changes anything. A limit comes with the time at
-    /// which the upstream named it, or named none any more.
+    /// Takes over what was heard; returns whether it changes anything. A limit and a tolerance come
+    /// with the time at which the upstream named them, or named none any more.
     fn update(
         &mut self,
         leaving: bool,
         closed_until: Option<Instant>,
         limit: Option<(Option<Rate>, Instant)>,
+        tolerance: Option<(Option<u32>, Instant)>,
     ) -> bool {
-        let was = (self.leaving, self.closed_until, self.rate());
+        let was = self.content();
         self.leaving |= leaving;
         self.closed_until = self.closed_until.max(closed_until);
-        let is_later = |(_, at): &(_, Instant)| self.limit.is_none_or(|(_, known)| known < *at);
-        self.limit = limit.filter(is_later).or(self.limit);
-        was != (self.leaving, self.closed_until, self.rate())
+        self.limit.update(limit);
+        self.tolerance.update(tolerance);
+        was != self.content()
     }
 
     fn report(&self, upstream: &id::Upstream, now: Instant) -> Report {
@@ -129,10 +178,8 @@
                 .closed_until
                 .map(|end| end.saturating_duration_since(now))
                 .filter(|left| !left.is_zero()),
-            limit: self.limit.map(|(rate, at)| Limit {
-                rate,
-                age: now.saturating_duration_since(at),
-            }),
+            limit: self.limit.said(now),
+            tolerance: self.tolerance.said(now),
         }
     }
 }
@@ -164,22 +211,30 @@
         record.heard = now;
         let closed_until = statement.closed_for.map(|time| now + time);
         let limit = statement.limit.map(|rate| (Some(rate), now));
-        record.update(statement.leaving, closed_until, limit)
+        let tolerance = statement.tolerance.map(|number| (Some(number), now));
+        record.update(statement.leaving, closed_until, limit, tolerance)
     }
 
-    /// Records that a request that was sent at `sent` was served without a word of a limit; returns
-    /// whether that lifts one.
-    pub fn record_unlimited(
+    /// Records that a request that was sent at `sent` was served with a statement. Returns whether
+    /// that lifts a limit or a tolerance that it does not name.
+    pub fn record_served(
         &mut self,
         upstream: &id::Upstream,
+        statement: Statement,
         sent: Instant,
         now: Instant,
     ) -> bool {
         let Some(record) = self.0.get_mut(upstream) else {
             return false;
         };
-        let is_later = record.limit.is_some_and(|(_, at)| at < sent);
-        is_later && record.update(false, None, Some((None, now)))
+        let limit = record.limit.unsaid(sent, now);
+        let tolerance = record.tolerance.unsaid(sent, now);
+        record.update(
+            false,
+            None,
+            limit.filter(|_| statement.limit.is_none()),
+            tolerance.filter(|_| statement.tolerance.is_none()),
+        )
     }
 
     /// Takes over what another instance tells; returns whether it is new.
@@ -188,16 +243,19 @@
         let record = record.or_insert_with(|| Record::new(&report.service, now));
         record.heard = now;
         let closed_until = report.closed_for.map(|time| now + time);
-        let limit = report.limit.map(|limit| {
-            let at = now.checked_sub(limit.age).unwrap_or(now);
-            (limit.rate, at)
-        });
-        record.update(report.leaving, closed_until, limit)
+        let limit = report.limit.map(|said| said.at(now));
+        let tolerance = report.tolerance.map(|said| said.at(now));
+        record.update(report.leaving, closed_until, limit, tolerance)
     }
 
     /// Returns the rate of requests that an upstream takes from all instances, if it is limited.
     pub fn limit(&self, upstream: &id::Upstream) -> Option<Rate> {
-        self.0.get(upstream)?.rate()
+        self.0.get(upstream)?.limit.value()
+    }
+
+    /// Returns the number of requests that an upstream can turn away in a second, if it is brittle.
+    pub fn tolerance(&self, upstream: &id::Upstream) -> Option<u32> {
+        self.0.get(upstream)?.tolerance.value()
     }
 
     /// Whether an upstream has said that it leaves.
@@ -231,9 +289,11 @@
 
     /// Returns what other instances need to know now.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
-        let records = self.0.iter().filter(|(_, record)| {
-            record.leaving || record.is_closed(now) || record.limit.is_some()
-        });
+        let is_worth_telling = |record: &Record| {
+            record.holds(now) || record.limit.0.is_some() || record.tolerance.0.is_some()
+        };
+        let records = self.0.iter();
+        let records = records.filter(|(_, record)| is_worth_telling(record));
         let reports = records.map(|(name, record)| record.report(name, now));
         reports.collect()
     }
@@ -246,8 +306,7 @@
             match listing(name) {
                 Listing::Ready => {
                     let has_restarted = record.has_left && age >= LIST_DELAY;
-                    let holds = record.leaving || record.is_closed(now) || record.rate().is_some();
-                    !has_restarted && (holds || age < RETENTION)
+                    !has_restarted && (record.holds(now) || age < RETENTION)
                 }
                 Listing::Draining => {
                     record.has_left = true;
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -410,7 +410,9 @@
             state.leaving = table.is_leaving(name);
             let closed_until = table.closed_until(name).filter(|end| *end > now);
             state.closed_until = closed_until.max(state.closed_until);
-            state.set_limit(table.limit(name), now);
+            let (limit, tolerance) = (table.limit(name), table.tolerance(name));
+            state.set_limit(limit, now);
+            state.set_tolerance(tolerance);
         }
     }
 
@@ -583,7 +585,7 @@
             state.set_running(state.running.saturating_sub(1), in_rollout, now);
             match outcome {
                 Outcome::Served { .. } => {
-                    state.record_served(run.since);
+                    state.record_served(run.since, now);
                     let (prompt, prefill_wait) = (run.prompt, run.prefill_wait);
                     state
                         .rates
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -9,6 +9,7 @@
 use super::{Request, Upstream};
 use crate::limit::Bucket;
 use crate::occupancy::Occupancy;
+use crate::room::Room;
 
 /// Ejection time of an upstream after its first failures; each further failure doubles it.
 const BASE_EJECTION: Duration = Duration::from_millis(500);
@@ -140,6 +141,8 @@
     pub(super) closed_until: Option<Instant>,
     /// Requests that the upstream takes by the limit that it names.
     pub(super) limit: Option<Bucket>,
+    /// Room of the upstream, if it says that it is brittle.
+    pub(super) room: Option<Room>,
 }
 
 impl State {
@@ -157,6 +160,7 @@
             leaving: false,
             closed_until: None,
             limit: None,
+            room: None,
         }
     }
 
@@ -184,6 +188,16 @@
         }
     }
 
+    /// Sets the number of requests that the upstream can turn away in a second.
+    pub(super) fn set_tolerance(&mut self, tolerance: Option<u32>) {
+        let slots = self.upstream.slots;
+        match (&mut self.room, tolerance) {
+            (room, None) => *room = None,
+            (Some(room), Some(tolerance)) => room.tolerance = tolerance,
+            (room, Some(tolerance)) => *room = Some(Room::new(slots, tolerance)),
+        }
+    }
+
     /// Counts a request against the limit.
     pub(super) fn count_against_limit(&mut self, now: Instant) {
         if let Some(limit) = &mut self.limit {
@@ -208,18 +222,24 @@
     /// Returns how many requests the upstream wants at most by its own word. After a time in which
     /// it wanted none, or in which its host refused connections, it gets one at first.
     fn wanted(&self, now: Instant) -> u32 {
-        match self.closed_until {
+        let room = self.room.as_ref();
+        let room = room.map_or(self.upstream.slots, |room| room.slots);
+        let wanted = match self.closed_until {
             _ if self.leaving => 0,
             Some(end) if now < end => 0,
             Some(_) => self.upstream.slots.min(1),
             None if self.refusals > 0 => self.upstream.slots.min(1),
             None => self.upstream.slots,
-        }
+        };
+        wanted.min(room)
     }
 
     /// Records that a request was served that was granted at `since`.
-    pub(super) fn record_served(&mut self, since: Instant) {
+    pub(super) fn record_served(&mut self, since: Instant, now: Instant) {
         self.health.record_success();
+        if let Some(room) = &mut self.room {
+            room.record_served(self.upstream.slots, now);
+        }
         self.refusals = 0;
         if self.closed_until.is_some_and(|end| since >= end) {
             self.closed_until = None;
@@ -248,9 +268,14 @@
         Some(pause)
     }
 
-    /// Records that the upstream reported that it is full though it should have room.
+    /// Records that the upstream reported that it is full though it should have room. A brittle one
+    /// gets a longer pause, and fewer requests after it.
     pub(super) fn record_full(&mut self, now: Instant) {
-        self.full_until = now + FULL_PAUSE;
+        let pause = match &mut self.room {
+            Some(room) => room.record_full(self.running, self.upstream.limit_part, now),
+            None => FULL_PAUSE,
+        };
+        self.full_until = self.full_until.max(now + pause);
     }
 
     /// Whether the upstream can run one more request. With `check_health`, an upstream that failed
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod request;
 pub mod retry;
 pub mod rollout;
+pub mod room;
 pub mod scheduler;
--- a/gooseberrylb_policy/tests/availability.rs
+++ b/gooseberrylb_policy/tests/availability.rs
@@ -5,7 +5,7 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::{Limit, Listing, Report, Table};
+use gooseberrylb_policy::availability::{Listing, Report, Said, Table};
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Reason, Request, Upstream,
 };
@@ -44,10 +44,11 @@
         upstream: name(index),
         leaving: statement.leaving,
         closed_for: statement.closed_for,
-        limit: statement.limit.map(|rate| Limit {
-            rate: Some(rate),
+        limit: statement.limit.map(|rate| Said {
+            value: Some(rate),
             age: Duration::ZERO,
         }),
+        tolerance: None,
     }
 }
 
--- a/gooseberrylb_policy/tests/limit.rs
+++ b/gooseberrylb_policy/tests/limit.rs
@@ -5,7 +5,7 @@
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::availability::{Limit, Report, Table};
+use gooseberrylb_policy::availability::{Report, Said, Table};
 use gooseberrylb_policy::dispatch::{
     Decision, Dispatcher, Key, Notice, Outcome, Reason, Request, Running, Upstream, share,
 };
@@ -50,10 +50,11 @@
         upstream: name(index),
         leaving: false,
         closed_for: None,
-        limit: Some(Limit {
-            rate: rate.map(|rate| rate.parse().unwrap()),
+        limit: Some(Said {
+            value: rate.map(|rate| rate.parse().unwrap()),
             age,
         }),
+        tolerance: None,
     }
 }
 
@@ -363,9 +364,12 @@
     assert!(table.record(&service(), &name(0), limited, now));
     assert!(!table.record(&service(), &name(0), limited, now + 10 * MS));
     let at = now + 100 * MS;
-    assert!(!table.record_unlimited(&name(0), now, at), "sent before");
+    assert!(
+        !table.record_served(&name(0), Statement::default(), now, at),
+        "sent before"
+    );
     assert!(table.limit(&name(0)).is_some());
-    assert!(table.record_unlimited(&name(0), now + 50 * MS, at));
+    assert!(table.record_served(&name(0), Statement::default(), now + 50 * MS, at));
     assert_eq!(table.limit(&name(0)), None);
     assert!(!table.adopt(&report(0, Some("1.9"), 200 * MS), at + 100 * MS));
     assert_eq!(table.limit(&name(0)), None);
--- /dev/null
+++ b/gooseberrylb_policy/tests/room.rs
@@ -0,0 +1,174 @@
+//! Plays of upstreams that fail if they have to turn too many requests away.
+
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::availability::{Report, Said};
+use gooseberrylb_policy::dispatch::{
+    Decision, Dispatcher, Key, Notice, Outcome, Request, Upstream,
+};
+use gooseberrylb_policy::room::Room;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Duration = Duration::from_millis(1);
+
+const UPSTREAMS: usize = 3;
+
+const SLOTS: u32 = 6;
+
+/// Number of requests that an upstream can turn away in a second.
+const TOLERANCE: u32 = 3;
+
+fn service() -> id::Service {
+    "desk".parse().unwrap()
+}
+
+fn name(index: usize) -> id::Upstream {
+    format!("i-{index}").parse().unwrap()
+}
+
+fn request(number: u64) -> Request {
+    Request {
+        key: Key {
+            entry: "entry-1".parse().unwrap(),
+            incarnation: 1,
+            number,
+        },
+        service: service(),
+        route: "lookup".into(),
+        account: None,
+        units: 0.0,
+        weight: 1.0,
+        rank: 1.into(),
+        data_centre: "sfax-a".into(),
+        prompt: 0,
+        events: 0,
+        objective: 100 * MS,
+        hold: 400 * MS,
+        patience: 600 * MS,
+        excluded: Vec::new(),
+    }
+}
+
+/// Plays 30 s of requests, more than the upstreams can run, of which each has room for `room` and turns
+/// the others away. All of them say that they are brittle from the first second on. Returns the times
+/// from the fourth second on at which each turned a request away, and the number of those served.
+fn play(seed: u64, room: usize) -> (Vec<Vec<u32>>, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut dispatcher = Dispatcher::new();
+    let upstreams = (0..UPSTREAMS).map(|index| Upstream {
+        name: name(index),
+        service: service(),
+        release: "v1".into(),
+        data_centre: "sfax-a".into(),
+        slots: SLOTS,
+        limit_part: 1.0,
+    });
+    dispatcher.set_upstreams(upstreams, start);
+    let mut running: Vec<(u32, usize, Key, Outcome)> = Vec::new();
+    let mut rejected = vec![Vec::new(); UPSTREAMS];
+    let mut served = 0;
+    for ms in 0..30_000 {
+        let now = start + ms * MS;
+        if ms == 1_000 {
+            let report = |index| Report {
+                service: service(),
+                upstream: name(index),
+                leaving: false,
+                closed_for: None,
+                limit: None,
+                tolerance: Some(Said {
+                    value: Some(TOLERANCE),
+                    age: Duration::ZERO,
+                }),
+            };
+            let reports = (0..UPSTREAMS).map(|index| Announcement::Upstream(report(index)));
+            dispatcher.announce(reports.collect(), now);
+        }
+        let mut decided = dispatcher.poll(now);
+        if rng.random_bool(0.3) {
+            let request = request(u64::from(ms));
+            let key = request.key.clone();
+            decided.push((key, dispatcher.place(request, now)));
+        }
+        for (key, decision) in decided {
+            let Decision::Grant(upstream) = decision else {
+                continue;
+            };
+            let index = (0..UPSTREAMS).find(|i| name(*i) == upstream).unwrap();
+            let at_work =
+                |run: &&(u32, usize, Key, Outcome)| run.1 == index && run.3 != Outcome::Full;
+            let (end, outcome) = match running.iter().filter(at_work).count() < room {
+                true => (
+                    ms + rng.random_range(20..120),
+                    Outcome::Served {
+                        first: 50 * MS,
+                        rest: Duration::ZERO,
+                        events: 0,
+                    },
+                ),
+                false => (ms + 3, Outcome::Full),
+            };
+            if outcome == Outcome::Full && ms >= 4_000 {
+                rejected[index].push(ms);
+            }
+            running.push((end, index, key, outcome));
+        }
+        let ended = running.extract_if(.., |run| run.0 <= ms);
+        let ended: Vec<_> = ended.map(|(_, _, key, outcome)| (key, outcome)).collect();
+        served += ended.iter().filter(|(_, o)| *o != Outcome::Full).count();
+        let notice = Notice {
+            ended,
+            ..Notice::default()
+        };
+        dispatcher.apply(notice, now);
+    }
+    (rejected, served)
+}
+
+#[test]
+fn brittle_upstreams_turn_away_no_more_than_they_tolerate_and_are_used() {
+    for seed in 0..6 {
+        for room in [2, 4] {
+            let (rejected, served) = play(seed, room);
+            for times in &rejected {
+                let in_second = |from: &u32| {
+                    let second = *from..*from + 1_000;
+                    times.iter().filter(|at| second.contains(at)).count()
+                };
+                let most = times.iter().map(in_second).max().unwrap_or(0);
+                assert!(
+                    most <= TOLERANCE as usize,
+                    "seed {seed}, room {room}: {most}"
+                );
+            }
+            // Of what the room allows at 70 ms a request, with pauses after rejections.
+            let possible = UPSTREAMS * room * 30_000 / 70;
+            assert!(
+                served * 2 >= possible,
+                "seed {seed}, room {room}: {served} of {possible}"
+            );
+        }
+    }
+}
+
+#[test]
+fn room_grows_again_while_nothing_is_turned_away() {
+    let now = Instant::now();
+    let mut room = Room::new(SLOTS, TOLERANCE);
+    assert_eq!(room.slots, SLOTS - 1);
+    let pause = room.record_full(2, 1.0, now);
+    assert!(pause > 500 * MS && room.slots == 2);
+    // Others that place alone pause too.
+    assert!(room.clone().record_full(2, 0.5, now) > pause);
+    room.record_served(SLOTS, now + 1_000 * MS);
+    assert_eq!(room.slots, 2);
+    for second in 1..20 {
+        room.record_served(SLOTS, now + second * 1_000 * MS);
+    }
+    assert_eq!(room.slots, SLOTS - 1);
+    assert_eq!(Room::new(1, TOLERANCE).slots, 1);
+}
