Have the soak play cut-off entries, brittle and pausing upstreams, each with a check

Upstream 3 is brittle with less room than its slots, and falls over if it has to turn away more than it says (LIMIT, counted under twice as many callers). Upstreams pause for 1.2 s and go on (LOST). Entries have links to others, as they delegate to each other.

--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -8,6 +8,8 @@
 mod declarations;
 mod fleet;
 mod limits;
+#[path = "../../../gooseberrylb_testbed/src/proxy/owner.rs"]
+mod owner;
 mod prompts;
 mod requests;
 mod rollouts;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -10,6 +10,7 @@
 use socket2::SockRef;
 
 use crate::fleet::{Network, STAND_INS, UPSTREAM, field};
+use crate::owner;
 
 /// Time for which the body of a request to an upstream with `unread` in its target is not read.
 const UNREAD_TIME: Duration = Duration::from_secs(120);
@@ -82,30 +83,6 @@
 /// Processes whose connections to a stand-in are reset.
 pub type CutOff = Arc<Mutex<Vec<u32>>>;
 
-/// Whether the other end of a connection belongs to one of some processes.
-fn is_from(stream: &TcpStream, processes: &[u32]) -> bool {
-    let Ok(SocketAddr::V4(peer)) = stream.peer_addr() else {
-        return false;
-    };
-    // The kernel's table has addresses in the byte order of the machine.
-    let address = u32::from_ne_bytes(peer.ip().octets());
-    let local = format!("{address:08X}:{:04X}", peer.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let Some((_, row)) = table.split_once(&format!(": {local} ")) else {
-        return false;
-    };
-    // The remote address, the state, five columns and the inode.
-    let inode = row.split_whitespace().nth(7);
-    let Some(socket) = inode.map(|inode| format!("socket:[{inode}]")) else {
-        return false;
-    };
-    processes.iter().any(|process| {
-        let files = std::fs::read_dir(format!("/proc/{process}/fd"));
-        let mut files = files.into_iter().flatten().flatten();
-        files.any(|file| std::fs::read_link(file.path()).is_ok_and(|link| *link == *socket))
-    })
-}
-
 /// Serves requests with the responses that `answer` returns. Closes each connection after one
 /// response. Connections of processes that are cut off are reset.
 pub fn serve<A: Into<Answer>>(
@@ -121,7 +98,8 @@
             let (mut stream, answer) = (stream.unwrap(), answer.clone());
             let processes = cut_off.lock().unwrap().clone();
             thread::spawn(move || {
-                if !processes.is_empty() && is_from(&stream, &processes) {
+                let peer = stream.peer_addr();
+                if !processes.is_empty() && peer.is_ok_and(|peer| owner::is_of(peer, &processes)) {
                     let resets = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return resets.unwrap();
                 }
--- a/gooseberrylb_testbed/src/proxy.rs
+++ b/gooseberrylb_testbed/src/proxy.rs
@@ -2,6 +2,7 @@
 //! target, and applies the faults that are set.
 
 pub mod control;
+mod owner;
 mod relay;
 
 use std::io;
@@ -81,6 +82,17 @@
     }
 }
 
+/// What happens to the open connections of processes that are cut off from a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpenConnections {
+    /// They are reset.
+    Reset,
+    /// They drop all further bytes.
+    Silent,
+    /// They live on.
+    Live,
+}
+
 /// Way in which a connection is ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stop {
@@ -91,6 +103,8 @@
 /// Connection through a link.
 #[derive(Debug)]
 struct Connection {
+    /// Address of the connecting side.
+    peer: Option<SocketAddr>,
     stop: Sender<Stop>,
     silence: Arc<relay::Silence>,
 }
@@ -100,6 +114,8 @@
 struct State {
     faults: Faults,
     connections: Vec<Connection>,
+    /// Processes whose new connections are reset.
+    cut_off: Vec<u32>,
     forwarded_bytes: u64,
 }
 
@@ -191,6 +207,26 @@
         }
     }
 
+    /// Cuts some processes off from the target: resets their new connections.
+    pub fn cut_off(&self, processes: &[u32], open: OpenConnections) {
+        let mut state = lock(&self.state);
+        state.cut_off = processes.to_vec();
+        let is_theirs = |c: &&Connection| c.peer.is_some_and(|peer| owner::is_of(peer, processes));
+        for connection in state.connections.iter().filter(is_theirs) {
+            match open {
+                // Fails only if the connection has already ended.
+                OpenConnections::Reset => drop(connection.stop.try_send(Stop::Reset)),
+                OpenConnections::Silent => connection.silence.set(),
+                OpenConnections::Live => {}
+            }
+        }
+    }
+
+    /// Ends what [`Link::cut_off`] began.
+    pub fn end_cut_off(&self) {
+        lock(&self.state).cut_off.clear();
+    }
+
     fn stop(&self, stop: Stop) {
         for connection in lock(&self.state).connections.drain(..) {
             // Fails only if the connection has already ended.
@@ -227,7 +263,19 @@
         }
         match accepted {
             Ok((caller, _)) if lock(state).faults.refuse => reset_on_drop(&caller),
-            Ok((caller, _)) => track(caller, target, state, link_closed),
+            Ok((caller, peer)) => {
+                let (state, link_closed) = (state.clone(), link_closed.clone());
+                let cut_off = lock(&state).cut_off.clone();
+                if cut_off.is_empty() {
+                    track(caller, target, &state, &link_closed);
+                    continue;
+                }
+                // Others connect meanwhile.
+                thread::spawn(move || match owner::is_of(peer, &cut_off) {
+                    true => reset_on_drop(&caller),
+                    false => track(caller, target, &state, &link_closed),
+                });
+            }
             Err(error) => log::warn!("accepting a connection failed: {error}"),
         }
     }
@@ -245,6 +293,7 @@
     let mut locked = lock(state);
     locked.connections.retain(|c| !c.stop.is_closed());
     locked.connections.push(Connection {
+        peer: caller.peer_addr().ok(),
         stop,
         silence: silence.clone(),
     });
--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use caller::Caller;
@@ -116,6 +116,8 @@
         ));
     }
     check_crashes(&deployment, &history);
+    check_cut_off(&deployment, &history, &mut rng);
+    check_brittle(options, &deployment, &history);
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
         if thread.join().is_err() {
@@ -166,6 +168,55 @@
     history.check_known_crashes(|| send_for(KNOWN_CRASH_TIME));
 }
 
+/// Cuts an entry off from the upstreams, and checks that others serve its requests.
+fn check_cut_off(deployment: &Arc<Deployment>, history: &Arc<History>, rng: &mut ChaCha8Rng) {
+    let entries = &deployment.entries;
+    let index = rng.random_range(0..entries.len());
+    if entries.len() < 2 {
+        return;
+    }
+    deployment.cut_off(entries[index], faults::random_cut(rng));
+    let call_for = |number: usize, index: usize, time: Duration| {
+        let mut caller = Caller::new(deployment, history, u64::MAX, number);
+        let end = Instant::now() + time;
+        let (mut sent, mut served) = (0, 0);
+        while Instant::now() < end {
+            let kind = [Kind::Once, Kind::Safe, Kind::Stream][sent % 3];
+            served += usize::from(caller.probe(index, kind));
+            sent += 1;
+            thread::sleep(CRASHING_PAUSE);
+        }
+        (sent, served)
+    };
+    call_for(2, index, CONTACT_TIME);
+    let (cut_off, others) = thread::scope(|scope| {
+        let others = scope.spawn(|| call_for(3, index + 1, KNOWN_CRASH_TIME));
+        let cut_off = call_for(4, index, KNOWN_CRASH_TIME);
+        (cut_off, others.join().unwrap_or_default())
+    });
+    deployment.end_cut_off();
+    history.check_cut_off(entries[index], cut_off, others);
+}
+
+/// Sends more requests than the brittle upstream has room for, and checks that it rarely falls over.
+fn check_brittle(options: &Options, deployment: &Arc<Deployment>, history: &Arc<History>) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..2 * options.callers).map(|index| {
+        let caller = Caller::new(deployment, history, u64::MAX - 1, index);
+        let stop = stop.clone();
+        thread::spawn(move || caller.run(&stop))
+    });
+    let callers: Vec<_> = callers.collect();
+    thread::sleep(CONTACT_TIME);
+    history.check_falls(|| thread::sleep(KNOWN_CRASH_TIME));
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        if caller.join().is_err() {
+            history.record_violation("a caller panicked".to_owned());
+        }
+    }
+}
+
 /// Waits until every entry serves requests, and returns whether it did in time. The requests sent
 /// meanwhile are recorded and checked like all others.
 fn wait_until_serving(deployment: &Arc<Deployment>, history: &Arc<History>) -> bool {
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -1,7 +1,8 @@
 //! Processes of a soak test and the proxies between them. Each instance has its own port for peers,
 //! derived from its host number. It listens at that port of its own address, and dials a keeper at
 //! that port of the keeper's address, where a proxy listens. So each instance has a link of its own
-//! to every other keeper, and two keepers have one in each direction.
+//! to every other keeper, and two keepers have one in each direction. Entries have such links to a few
+//! others.
 
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -20,7 +21,7 @@
 use super::platform::StandIns;
 use super::{Options, lock};
 use crate::fleet::signal;
-use crate::proxy::Link;
+use crate::proxy::{Link, OpenConnections};
 
 /// Base of the ports for peers: the host number of an instance is added to it.
 const PEER_PORT_BASE: u16 = 17_800;
@@ -41,12 +42,17 @@
 /// Port at which an upstream itself listens, behind its proxy.
 const PROXIED_UPSTREAM_PORT: u16 = 17_741;
 
+/// Beginning of the names of links to upstreams.
+const TO_UPSTREAM: &str = "to upstream";
+
 /// Host number of the first entry. Keepers are numbered from 1.
 const FIRST_ENTRY_HOST: u8 = 100;
 /// Host number of the first stand-in.
 const FIRST_STAND_IN_HOST: u8 = 200;
 /// Number of upstreams.
 pub const UPSTREAM_COUNT: u8 = 4;
+/// Number of other entries that an entry has a link to.
+const MAX_DELEGATES: usize = 4;
 /// Number of keepers that are named as seeds in the settings, as on the platform.
 const SEED_COUNT: u8 = 3;
 /// Time that an instance has for its shutdown after SIGTERM, in seconds.
@@ -87,6 +93,17 @@
     home: tempfile::TempDir,
 }
 
+/// Returns the entries that an entry may delegate requests to: the next ones.
+fn delegates_of(host: u8, entries: &[u8]) -> Vec<u8> {
+    let Some(index) = entries.iter().position(|entry| *entry == host) else {
+        return Vec::new();
+    };
+    let next = entries.iter().cycle().skip(index + 1);
+    next.take(MAX_DELEGATES.min(entries.len() - 1))
+        .copied()
+        .collect()
+}
+
 impl Deployment {
     /// Starts the stand-ins, the proxies and all processes.
     pub fn start(options: &Options, history: Arc<History>) -> anyhow::Result<Self> {
@@ -120,14 +137,17 @@
         let mut links = Vec::new();
         for (advertised, listen) in &upstream_addresses {
             links.push(Link::start(
-                &format!("to upstream {advertised}"),
+                &format!("{TO_UPSTREAM} {advertised}"),
                 *advertised,
                 *listen,
             )?);
         }
         let all: Vec<u8> = keepers.iter().chain(&entries).copied().collect();
         for from in &all {
-            for to in keepers.iter().filter(|to| *to != from) {
+            for to in keepers.iter().chain(&delegates_of(*from, &entries)) {
+                if to == from {
+                    continue;
+                }
                 let (listen, target) = (at(*to, peer_port(*from)), at(*to, peer_port(*to)));
                 links.push(Link::start(&format!("{from} to {to}"), listen, target)?);
             }
@@ -188,6 +208,20 @@
         self.links.iter().filter(between)
     }
 
+    /// Cuts an entry off from all upstreams.
+    pub fn cut_off(&self, host: u8, open: OpenConnections) {
+        let process = self.process(host);
+        let processes: Vec<u32> = process.child.iter().map(Child::id).collect();
+        let upstreams = self.links.iter();
+        let upstreams = upstreams.filter(|link| link.name().starts_with(TO_UPSTREAM));
+        upstreams.for_each(|link| link.cut_off(&processes, open));
+    }
+
+    /// Ends all cuts of entries from upstreams.
+    pub fn end_cut_off(&self) {
+        self.links.iter().for_each(Link::end_cut_off);
+    }
+
     fn address(&self, host: u8, port: u16) -> SocketAddr {
         address(self.second_octet, self.third_octet, host, port)
     }
--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -12,7 +12,7 @@
 use super::deployment::{Deployment, UPSTREAM_COUNT};
 use super::history::Disruption;
 use super::platform::{Behaviour, FAULTY_BEHAVIOURS, ListState};
-use crate::proxy::{Direction, Faults, Flow};
+use crate::proxy::{Direction, Faults, Flow, OpenConnections};
 
 /// Longest pause between the starts of two faults, in milliseconds.
 const MAX_PAUSE_MS: u64 = 900;
@@ -60,6 +60,8 @@
     HoldOneWay,
     /// Holds back all bytes between an instance and the others.
     Isolate(u8),
+    /// Cuts an entry off from all upstreams.
+    CutOff(u8, OpenConnections),
     /// Sets the state of the list of upstreams.
     List(ListState),
     /// Sets the behaviour of the upstream with this index.
@@ -127,6 +129,7 @@
         .links()
         .iter()
         .for_each(|link| link.set_faults(Faults::default()));
+    deployment.end_cut_off();
     deployment.stand_ins.set_list_state(ListState::Available);
     (0..usize::from(UPSTREAM_COUNT))
         .for_each(|i| deployment.stand_ins.set_behaviour(i, Behaviour::Normal));
@@ -144,7 +147,7 @@
     let entry = deployment.entries.choose(rng).copied().unwrap_or(keeper);
     let instance = if rng.random_bool(0.5) { keeper } else { entry };
     let upstream = rng.random_range(0..usize::from(UPSTREAM_COUNT));
-    match rng.random_range(0..22) {
+    match rng.random_range(0..23) {
         0..3 => Fault::Kill(instance),
         3..5 => Fault::Stop(instance),
         5..8 => Fault::Freeze(instance),
@@ -165,6 +168,7 @@
                 .choose(rng)
                 .unwrap_or(&ListState::Down),
         ),
+        22 => Fault::CutOff(entry, random_cut(rng)),
         18 => Fault::RestartUpstream(upstream),
         19 | 20 => Fault::Isolate(instance),
         _ => Fault::Upstream(
@@ -176,6 +180,16 @@
     }
 }
 
+/// Returns what happens to open connections in a cut of an entry from upstreams.
+pub fn random_cut(rng: &mut ChaCha8Rng) -> OpenConnections {
+    let cuts = [
+        OpenConnections::Reset,
+        OpenConnections::Silent,
+        OpenConnections::Live,
+    ];
+    cuts[rng.random_range(0..cuts.len())]
+}
+
 /// Fault being injected, with its parameters.
 struct Injection {
     deployment: Arc<Deployment>,
@@ -194,7 +208,7 @@
         let now = Instant::now();
         let (entry, interrupts, end) = match fault {
             Fault::Kill(host) | Fault::Stop(host) | Fault::Freeze(host) => (Some(*host), true, now),
-            Fault::Isolate(host) => (Some(*host), false, now),
+            Fault::Isolate(host) | Fault::CutOff(host, _) => (Some(*host), false, now),
             Fault::KillAll | Fault::StopEntries => (None, true, now),
             Fault::Reset | Fault::Delay { .. } | Fault::HoldOneWay => (None, false, now),
             // Connections stay silent until they are given up.
@@ -273,6 +287,12 @@
                 links().for_each(|link| link.set_faults(Faults::default()));
                 Ok(())
             }
+            Fault::CutOff(host, open) => {
+                deployment.cut_off(*host, *open);
+                thread::sleep(self.duration);
+                deployment.end_cut_off();
+                Ok(())
+            }
             Fault::List(list_state) => {
                 deployment.stand_ins.set_list_state(*list_state);
                 thread::sleep(self.duration);
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -49,6 +49,21 @@
 /// Number of requests of a kind that crashes upstreams that may reach these once the cause is known.
 const MAX_KNOWN_CRASHES: usize = 3;
 
+/// Number of times that a brittle upstream may fall over: two, and a tenth of their number.
+const MAX_FALLS: usize = 2;
+
+/// Number of first attempts that may fail at an entry that is cut off, in addition to one in
+/// [`ATTEMPTS_PER_FAILURE`].
+const BASE_FAILURES: usize = 10;
+/// See [`BASE_FAILURES`].
+const ATTEMPTS_PER_FAILURE: usize = 50;
+
+/// Number of requests whose upstream goes on after a pause that may end without an answer.
+const MAX_LOST: usize = 3;
+
+/// Time within which a request ends.
+const REQUEST_TIME: Duration = Duration::from_secs(4);
+
 /// Client account of all requests.
 pub const ACCOUNT: &str = "hule";
 
@@ -208,6 +223,10 @@
     statements: Vec<Statement>,
     limited: Vec<Limited>,
     disruptions: Vec<Disruption>,
+    /// Requests whose upstream was silent for a while and then responded.
+    paused: HashSet<String>,
+    /// Number of times that a brittle upstream fell over.
+    fall_count: usize,
     declarations: Vec<Declaration>,
     violations: Vec<String>,
     read_count: usize,
@@ -283,6 +302,38 @@
         });
     }
 
+    /// Records that an upstream is silent for a while and then responds to a request.
+    pub fn record_pause(&self, attempt: &str) {
+        self.records().paused.insert(attempt.to_owned());
+    }
+
+    /// Records that a brittle upstream had to turn away more requests than it tolerates.
+    pub fn record_fall(&self) {
+        self.records().fall_count += 1;
+    }
+
+    /// Records a violation if a brittle upstream falls over too often while `press` sends requests.
+    pub fn check_falls(&self, press: impl FnOnce()) {
+        let before = self.records().fall_count;
+        press();
+        let count = self.records().fall_count - before;
+        if count > MAX_FALLS {
+            self.record_violation(format!("LIMIT a brittle upstream fell over {count} times"));
+        }
+    }
+
+    /// Records a violation if an entry that is cut off from upstreams serves first attempts less than
+    /// two thirds as often as the others. The figures are of those sent and served.
+    pub fn check_cut_off(&self, entry: u8, cut_off: (usize, usize), others: (usize, usize)) {
+        let is_worse = cut_off.1 * others.0 * 3 < others.1 * cut_off.0 * 2;
+        let failed = cut_off.0 - cut_off.1;
+        if is_worse && failed > BASE_FAILURES + cut_off.0 / ATTEMPTS_PER_FAILURE {
+            self.record_violation(format!(
+                "RECOVER {entry} was cut off and served {cut_off:?}, the others {others:?}"
+            ));
+        }
+    }
+
     /// Records a fault that has ended.
     pub fn record_disruption(&self, disruption: Disruption) {
         self.records().disruptions.push(disruption);
@@ -463,6 +514,7 @@
         }
         violations.extend(records.check_statements());
         violations.extend(records.check_limits());
+        violations.extend(records.check_pauses());
         let denials = records.statuses.iter().filter(|(attempt, status)| {
             let uses_revocable_key = records
                 .calls
@@ -531,6 +583,24 @@
         violations
     }
 
+    /// Returns the violation of requests that ended without an answer though their upstream went on,
+    /// unless a fault affected their entry or links meanwhile.
+    fn check_pauses(&self) -> Option<String> {
+        let is_lost = |attempt: &&String| {
+            let Some(call) = self.calls.get(*attempt) else {
+                return false;
+            };
+            let end = call.sent_at + REQUEST_TIME;
+            let mut faults = self.disruptions.iter();
+            !self.statuses.contains_key(*attempt)
+                && !faults.any(|fault| fault.affects(call.entry, call.sent_at, end))
+        };
+        let lost = self.paused.iter().filter(is_lost).count();
+        let line =
+            format!("LOST {lost} requests ended without an answer though their upstream went on");
+        (lost > MAX_LOST).then_some(line)
+    }
+
     /// Returns the violations of upstreams' limits. Arrivals count from entries that had passed on a
     /// response with the limit, unless these were disrupted since or links were.
     fn check_limits(&self) -> Vec<String> {
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -4,10 +4,10 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::history::{ACCOUNT, Call, Disruption, Execution, History, Kind, STREAM_EVENTS, event};
 use super::lock;
@@ -20,6 +20,9 @@
 /// callers wait.
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(6);
 
+/// Time for which an upstream is silent that goes on after it.
+const PAUSE_DURATION: Duration = Duration::from_millis(1_200);
+
 /// Time for which an upstream or the list waits for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -60,6 +63,17 @@
 /// Time in seconds for which it wants no requests.
 const CLOSED_S: u64 = 2;
 
+/// Upstream that is brittle, and says so in all its responses.
+const BRITTLE_UPSTREAM: usize = 3;
+/// Number of requests that it runs at once, fewer than the slots in the list.
+const BRITTLE_ROOM: usize = 2;
+/// Number of requests that it can turn away in a second; beyond it, it crashes.
+const TOLERANCE: usize = 3;
+/// Period in which those that it turns away are counted.
+const TOLERANCE_PERIOD: Duration = Duration::from_secs(1);
+/// Header with which it says so.
+const BRITTLE_HEADER: &str = "Server-Brittle";
+
 /// Header with the parts of a prompt.
 const PROMPT_HEADER: &str = "X-Gooseberrylb-Prompt-Prefix";
 /// Part of a prompt under which every upstream crashes as it begins a response.
@@ -99,16 +113,19 @@
     Malformed,
     /// Runs requests and ends the connection within the response.
     Truncates,
+    /// Is silent for a while and then responds correctly.
+    Pauses,
 }
 
 /// All behaviours other than [`Behaviour::Normal`].
-pub const FAULTY_BEHAVIOURS: [Behaviour; 6] = [
+pub const FAULTY_BEHAVIOURS: [Behaviour; 7] = [
     Behaviour::DropsResponse,
     Behaviour::Unresponsive,
     Behaviour::ServerError,
     Behaviour::AtCapacity,
     Behaviour::Malformed,
     Behaviour::Truncates,
+    Behaviour::Pauses,
 ];
 
 /// State of the list of upstreams.
@@ -133,9 +150,51 @@
     /// Number of the start in which the upstream leaves; 0 if it has not left yet.
     leaving_start: AtomicU64,
     behaviour: Mutex<Behaviour>,
+    /// Number of requests that run.
+    running: AtomicUsize,
+    /// Times at which a brittle upstream turned requests away since it started.
+    turned_away: Mutex<Vec<Instant>>,
+}
+
+/// Counts a request as running at an upstream until dropped.
+struct Run<'a>(&'a Upstream);
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Upstream {
+    /// Counts a request as running; `None` if the upstream is brittle and has no room for it.
+    fn begin(&self) -> Option<Run<'_>> {
+        let before = self.running.fetch_add(1, Ordering::SeqCst);
+        let run = Run(self);
+        let is_full = self.number == BRITTLE_UPSTREAM && before >= BRITTLE_ROOM;
+        (!is_full).then_some(run)
+    }
+
+    /// Records that a brittle upstream turns a request away; returns whether that was one too many.
+    fn turn_away(&self) -> bool {
+        let now = Instant::now();
+        let mut times = lock(&self.turned_away);
+        times.retain(|at| *at + TOLERANCE_PERIOD > now);
+        times.push(now);
+        let falls = times.len() > TOLERANCE;
+        if falls {
+            times.clear();
+        }
+        falls
+    }
+
+    /// Returns the field with which a brittle upstream says so.
+    fn brittle_field(&self) -> String {
+        match self.number {
+            BRITTLE_UPSTREAM => format!("{BRITTLE_HEADER}: {TOLERANCE}\r\n"),
+            _ => String::new(),
+        }
+    }
+
     /// Returns the name under which the upstream runs since its last start.
     fn name(&self) -> String {
         format!(
@@ -207,6 +266,8 @@
                 start_count: AtomicU64::new(1),
                 leaving_start: AtomicU64::new(0),
                 behaviour: Mutex::new(Behaviour::Normal),
+                running: AtomicUsize::new(0),
+                turned_away: Mutex::default(),
             })
         };
         let stand_ins = Arc::new(Self {
@@ -337,11 +398,30 @@
             stream.get_mut().write_all(refusal.as_bytes())?;
             continue;
         }
+        let Some(_run) = upstream.begin() else {
+            if upstream.turn_away() {
+                history.record_fall();
+                upstream.crash();
+                return Ok(());
+            }
+            let refusal = format!(
+                "HTTP/1.1 503 Full\r\n{}: 1\r\n{}: {attempt}\r\n{}Content-Length: 0\r\n\r\n",
+                NOT_EXECUTED_HEADER,
+                ATTEMPT_HEADER,
+                upstream.brittle_field(),
+            );
+            stream.get_mut().write_all(refusal.as_bytes())?;
+            continue;
+        };
         let leaving = upstream.is_leaving(&attempt);
         history.record_execution(Execution::new(&request, &attempt));
         let writer = stream.get_mut();
         match behaviour {
             Behaviour::Normal | Behaviour::Truncates | Behaviour::AtCapacity => {}
+            Behaviour::Pauses => {
+                history.record_pause(&attempt);
+                thread::sleep(PAUSE_DURATION);
+            }
             Behaviour::DropsResponse => return Ok(()),
             Behaviour::Unresponsive => {
                 thread::sleep(UNRESPONSIVE_DURATION);
@@ -372,6 +452,7 @@
         if leaving {
             head += &format!("{LEAVING_HEADER}: 1\r\n");
         }
+        head += &upstream.brittle_field();
         if upstream.number == LIMITED_UPSTREAM {
             head += &format!("{LIMIT_HEADER}: {LIMIT}\r\n");
         }
