Install the signal handlers before the settings are read

The handlers are installed first now; what is left is the start of the process itself. Not reproduced: the window is a few ms.

--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -47,6 +47,14 @@
 ///
 /// `dialect` translates the formats of the platform, for settings with a deployment.
 pub fn run(options: cli::Options, dialect: Arc<dyn Dialect>) -> ExitCode {
+    // Handlers are installed before all else, so that no signal kills a starting instance.
+    let signals = match Receiver::new() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("gooseberrylb: cannot install signal handlers: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
     let settings = match Settings::load(&options.settings) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -65,14 +73,6 @@
         return ExitCode::from(EXIT_USAGE);
     }
     exit_on_panic();
-    // Handlers are installed before the start, so that no signal kills a starting instance.
-    let signals = match Receiver::new() {
-        Ok(signals) => signals,
-        Err(error) => {
-            log::error!("cannot install signal handlers: {error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
     match start(Arc::new(settings), dialect) {
         Ok(instance) => {
             task::block_on(instance.serve(signals, &options.settings));
