Give a new connection to a stopping entry time for its first request

Cause: from 2.5 s after the signal on idle connections are closed, and one that was just accepted counted as idle. A request that comes a few ms after its connection was lost. The new test waits 200 ms between the two; it failed before (no response) and passes after. Change: a connection without any request yet has a second for the first one.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_std::future;
+use async_std::{future, task};
 use futures::future::Either;
 use gooseberrylb_config::declaration::{Account, Limits, Route, Table};
 use gooseberrylb_config::dialect::RequestMetadata;
@@ -36,6 +36,9 @@
     Entry(id::Instance),
 }
 
+/// Time that a new connection to a leaving entry has for its first request, which may be on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// Whether a connection stays open after a response.
 #[derive(PartialEq, Eq)]
 enum Persistence {
@@ -45,9 +48,12 @@
 
 /// Serves a connection until either side closes it.
 pub async fn serve(gateway: Rc<Gateway>, mut connection: Connection, origin: Origin) {
+    let mut is_new = true;
     loop {
         let limits = gateway.limits();
-        let request = match next_request(&gateway, &mut connection, &limits).await {
+        let next = next_request(&gateway, &mut connection, &limits, is_new).await;
+        is_new = false;
+        let request = match next {
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(error) => {
@@ -74,11 +80,17 @@
     gateway: &Gateway,
     connection: &mut Connection,
     limits: &Limits,
+    is_new: bool,
 ) -> std::result::Result<Option<Request>, Error> {
     if connection.unread().is_empty() {
         let count = {
             let filling = std::pin::pin!(connection.fill());
-            let leaving = std::pin::pin!(gateway.idle_close());
+            let leaving = std::pin::pin!(async {
+                gateway.idle_close().await;
+                if is_new {
+                    task::sleep(FIRST_REQUEST_TIME).await;
+                }
+            });
             let either = futures::future::select(filling, leaving);
             match future::timeout(limits.idle, either).await {
                 Ok(Either::Left((read, _))) => read?,
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -239,7 +239,13 @@
 
     /// Sends bytes and reads until the connection ends; `None` if connecting or writing fails.
     pub fn send(&self, host: u8, port: u16, bytes: &str) -> Option<String> {
+        self.send_after(Duration::ZERO, host, port, bytes)
+    }
+
+    /// Like [`Fleet::send`], with a pause between connecting and sending.
+    fn send_after(&self, pause: Duration, host: u8, port: u16, bytes: &str) -> Option<String> {
         let mut stream = TcpStream::connect(self.network.address(host, port)).ok()?;
+        thread::sleep(pause);
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         stream.write_all(bytes.as_bytes()).ok()?;
         let mut answer = Vec::new();
@@ -314,12 +320,14 @@
 
     /// Like [`Fleet::call`], to any entry.
     pub fn call_at(&self, host: u8, target: &str, fields: &str) -> String {
-        let request = format!(
-            "POST {target} HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-1\r\n\
-             X-Gooseberrylb-Deadline-Ms: 4000\r\nContent-Length: 3\r\nConnection: close\r\n\
-             {fields}\r\nabc"
-        );
-        self.send(host, CALLERS, &request).unwrap()
+        self.send(host, CALLERS, &call_text(target, fields))
+            .unwrap()
+    }
+
+    /// Like [`Fleet::call`], with a pause between connecting and sending.
+    pub fn call_after(&self, pause: Duration, target: &str, fields: &str) -> String {
+        let text = call_text(target, fields);
+        self.send_after(pause, ENTRY, CALLERS, &text).unwrap()
     }
 
     /// Sends a caller's request in HTTP/1.0 and reads until the connection ends in order.
@@ -386,5 +394,14 @@
     }
 }
 
+/// Returns a caller's request.
+fn call_text(target: &str, fields: &str) -> String {
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-1\r\n\
+         X-Gooseberrylb-Deadline-Ms: 4000\r\nContent-Length: 3\r\nConnection: close\r\n\
+         {fields}\r\nabc"
+    )
+}
+
 /// Header field with the key of the client account.
 pub const KEY: &str = "Authorization: Token key-1\r\n";
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -55,3 +55,19 @@
     let status = entry.wait().unwrap();
     assert!(status.success(), "{status}");
 }
+
+#[test]
+fn new_connection_to_a_stopping_entry_has_time_for_its_first_request() {
+    let mut fleet = Fleet::start_with_grace(26, 8);
+    thread::scope(|scope| {
+        scope.spawn(|| fleet.call("/plain/paused", KEY));
+        fleet.wait(|fleet| fleet.received().iter().any(|r| r.contains("/plain/paused")));
+        fleet.signal(ENTRY, "-TERM");
+        thread::sleep(Duration::from_millis(3_500));
+        let late = fleet.call_after(Duration::from_millis(200), "/stream/late", KEY);
+        assert!(late.starts_with("HTTP/1.1 503"), "{late}");
+    });
+    let mut processes = fleet.processes.iter_mut();
+    let (_, entry) = processes.find(|(host, _)| *host == ENTRY).unwrap();
+    assert!(entry.wait().unwrap().success());
+}
