Split the results of forwarding from the forwarder, and the delegation from its loop

forward.rs had grown to 780 lines; what comes of a request is a file of its own now, and reach::Failure is a Report, since two other types are called Failure.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -3,8 +3,6 @@
 //! A request that may have run is sent again only if its route allows that. Each further attempt
 //! is limited by the route's number of attempts and by the retry budget.
 
-use std::fmt;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,14 +13,17 @@
 use gooseberrylb_config::dialect::{Outgoing, RequestMetadata, ResponseMetadata};
 use gooseberrylb_config::id;
 use gooseberrylb_policy::crash::{Cause, Ending};
-use gooseberrylb_policy::dispatch::{Outcome, Reason};
+use gooseberrylb_policy::dispatch::Outcome;
 use gooseberrylb_policy::reach::{Symptom, Verdict};
 
-use super::http::{self, Connection, Framing, Request, Response};
+use super::http::{Connection, Framing, Request, Response};
 use super::place::{Grant, Placement};
 use super::{Gateway, delegate, reach};
 use crate::metrics::METRICS;
 
+pub use exchange::{Delivery, Exchange, Failure, Fault, Lease};
+
+mod exchange;
 mod placement;
 
 /// Maximum number of failed connection attempts per request. They are not counted as attempts of
@@ -77,94 +78,6 @@
     pub delegate: Option<id::Instance>,
 }
 
-/// Error response that the gateway generates itself.
-#[derive(Debug, Clone)]
-pub struct Fault {
-    /// HTTP status code.
-    pub status: u16,
-    /// Message in the body.
-    pub message: &'static str,
-    /// Value of the `Retry-After` field. It is set only if the request did not run and will not.
-    pub retry_after: Option<Duration>,
-}
-
-impl Fault {
-    /// Creates an error response without a `Retry-After` field.
-    pub fn new(status: u16, message: &'static str) -> Self {
-        Self {
-            status,
-            message,
-            retry_after: None,
-        }
-    }
-
-    /// Creates a refusal of a request that did not run and will not.
-    pub fn with_retry_after(status: u16, message: &'static str, retry_after: Duration) -> Self {
-        Self {
-            status,
-            message,
-            retry_after: Some(retry_after),
-        }
-    }
-}
-
-/// On whose responsibility a request runs.
-pub enum Lease {
-    /// That of this entry, at an upstream.
-    Grant(Grant),
-    /// That of another entry, at its address.
-    Delegate(SocketAddr),
-}
-
-impl fmt::Display for Lease {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Grant(grant) => grant.upstream.fmt(f),
-            Self::Delegate(address) => write!(f, "entry {address}"),
-        }
-    }
-}
-
-/// Exchange with an upstream, or with another entry, that has sent the head of its response, but not
-/// yet all of its body.
-pub struct Exchange {
-    /// On whose responsibility the request runs.
-    pub lease: Lease,
-    /// Connection to the upstream or entry.
-    pub connection: Connection,
-    /// Head of the response.
-    pub response: Response,
-    /// Time at which the request was sent.
-    pub sent_at: Instant,
-}
-
-/// What to send to the caller.
-pub enum Delivery {
-    /// Response whose body is relayed while it arrives.
-    Streamed(Box<Exchange>),
-    /// Response that was read in full.
-    Buffered(Response, Vec<u8>),
-    /// Error response of the gateway.
-    Fault(Fault),
-}
-
-/// Reason why an attempt failed.
-pub(super) enum Failure {
-    /// The upstream could not be reached and received nothing.
-    ConnectFailed,
-    /// The upstream states that the request did not run.
-    NotRun,
-    /// The request may have run. The text is the message for the caller.
-    Unknown(&'static str),
-    /// The connection ended before a response, and the request may have run. The text is the message
-    /// for the caller.
-    Lost(&'static str),
-    /// The upstream has been silent for longer than expected, and the request may have run.
-    Silent,
-    /// The deadline of the request has passed.
-    TimedOut,
-}
-
 impl Forwarder {
     pub(super) fn now(&self) -> Instant {
         self.gateway.core.clock.now()
@@ -197,21 +110,11 @@
             if self.time_left().is_zero() {
                 return Delivery::Fault(self.timeout_fault(may_have_run));
             }
-            if self.gateway.is_cut() && !self.delegated {
-                match self.delegate(None).await {
-                    Some(Ok(delivery)) => return self.settle_delegated(delivery, may_have_run),
-                    Some(Err(Failure::TimedOut)) => {
-                        return Delivery::Fault(Fault::new(504, "the time limit has passed"));
-                    }
-                    Some(Err(_)) if self.may_repeat() => {
-                        may_have_run = true;
-                        continue;
-                    }
-                    Some(Err(_)) => {
-                        return Delivery::Fault(Fault::new(502, "another entry failed"));
-                    }
-                    None => {}
-                }
+            if self.gateway.is_cut()
+                && !self.delegated
+                && let Some(delivery) = self.run_elsewhere(&mut may_have_run).await
+            {
+                return delivery;
             }
             let asked = self.now();
             let placement = self.place().await;
@@ -225,7 +128,7 @@
                     return Delivery::Fault(Fault::new(502, "the upstream failed"));
                 }
                 Placement::Refused(reason, pause) => {
-                    return Delivery::Fault(refusal(reason, pause));
+                    return Delivery::Fault(Fault::refusal(reason, pause));
                 }
             };
             if !self.gateway.is_fresh() {
@@ -246,17 +149,7 @@
                 Failure::ConnectFailed => {
                     connect_failures += 1;
                     if connect_failures >= MAX_CONNECT_FAILURES && !self.finds_cut().await {
-                        return Delivery::Fault(match may_have_run {
-                            true => Fault::new(502, "no other upstream could be reached"),
-                            false if self.delegated => {
-                                Fault::new(delegate::DECLINED, "no upstream could be reached")
-                            }
-                            false => Fault::with_retry_after(
-                                503,
-                                "no upstream could be reached",
-                                DEFAULT_RETRY_AFTER,
-                            ),
-                        });
+                        return Delivery::Fault(self.unreachable_fault(may_have_run));
                     }
                 }
                 Failure::NotRun => {
@@ -302,6 +195,36 @@
         verdict == Ok(Verdict::Cut) && self.gateway.delegates.has_any(&self.gateway.core, now)
     }
 
+    /// Has other entries forward the request until one responds. Returns `None` if none takes it.
+    async fn run_elsewhere(&mut self, may_have_run: &mut bool) -> Option<Delivery> {
+        loop {
+            let failure = match self.delegate(None).await? {
+                Ok(delivery) => return Some(self.settle_delegated(delivery, *may_have_run)),
+                Err(failure) => failure,
+            };
+            if matches!(failure, Failure::TimedOut) || self.time_left().is_zero() {
+                return Some(Delivery::Fault(self.timeout_fault(true)));
+            }
+            if !self.may_repeat() {
+                return Some(Delivery::Fault(Fault::new(502, "another entry failed")));
+            }
+            *may_have_run = true;
+        }
+    }
+
+    /// Returns the error response for a request whose upstreams could not be reached.
+    fn unreachable_fault(&self, may_have_run: bool) -> Fault {
+        match may_have_run {
+            true => Fault::new(502, "no other upstream could be reached"),
+            false if self.delegated => {
+                Fault::new(delegate::DECLINED, "no upstream could be reached")
+            }
+            false => {
+                Fault::with_retry_after(503, "no upstream could be reached", DEFAULT_RETRY_AFTER)
+            }
+        }
+    }
+
     /// Returns what to send to the caller of a delegated request. Another entry knows only its own
     /// part of what "not run" promises.
     fn settle_delegated(&self, delivery: Delivery, may_have_run: bool) -> Delivery {
@@ -421,13 +344,13 @@
         outcome: Outcome,
         ending: Ending,
     ) {
-        let failure = reach::Failure {
+        let report = reach::Report {
             symptom,
             outcome,
             ending,
             causes: self.causes(),
         };
-        self.gateway.end_failed(grant, failure);
+        self.gateway.end_failed(grant, report);
     }
 
     /// Reads and drops the body of a response that is not sent to the caller, so that the
@@ -736,19 +659,6 @@
     }
 }
 
-/// Returns the response to a request that was not placed.
-fn refusal(reason: Reason, pause: Duration) -> Fault {
-    match reason {
-        Reason::Quota => Fault::with_retry_after(429, "the account's quota is used up", pause),
-        Reason::Busy => Fault::with_retry_after(503, "the upstreams are busy", pause),
-        Reason::NoUpstream => Fault::with_retry_after(503, "the service has no upstream", pause),
-        Reason::Prompt => {
-            Fault::with_retry_after(503, "a part of the prompt crashes upstreams", pause)
-        }
-        Reason::Crashing => Fault::with_retry_after(503, "the request crashes upstreams", pause),
-    }
-}
-
 /// Appends a header field to `head`.
 pub fn write_field(head: &mut Vec<u8>, name: &str, value: &[u8]) {
     head.extend_from_slice(name.as_bytes());
@@ -756,14 +666,3 @@
     head.extend_from_slice(value);
     head.extend_from_slice(b"\r\n");
 }
-
-impl From<http::Error> for Fault {
-    fn from(error: http::Error) -> Self {
-        match error {
-            http::Error::HeadTooLarge(_) => Fault::new(431, "the head is too large"),
-            http::Error::BodyTooLarge(_) => Fault::new(413, "the body is too large"),
-            http::Error::Malformed(message) => Fault::new(400, message),
-            http::Error::Io(_) | http::Error::Ended => Fault::new(400, "the request broke off"),
-        }
-    }
-}
--- a/gooseberrylb/src/gateway/reach.rs
+++ b/gooseberrylb/src/gateway/reach.rs
@@ -38,7 +38,7 @@
 const MAX_VERDICT_WAIT: Duration = Duration::from_secs(1);
 
 /// What a request that failed is reported as, if its upstream is the reason.
-pub struct Failure {
+pub struct Report {
     /// What kind of failure it is.
     pub symptom: Symptom,
     /// Outcome for the dispatcher.
@@ -52,15 +52,15 @@
 impl Gateway {
     /// Ends a grant whose request failed at its upstream. The outcome is reported once it is clear
     /// that the upstream is the reason; otherwise the grant is dropped.
-    pub(super) fn end_failed(self: &Rc<Self>, grant: Grant, failure: Failure) {
+    pub(super) fn end_failed(self: &Rc<Self>, grant: Grant, report: Report) {
         let failed_at = self.core.clock.now();
-        self.suspect(&grant.upstream, failure.symptom);
+        self.suspect(&grant.upstream, report.symptom);
         let gateway = self.clone();
         task::spawn_local(async move {
-            let verdict = gateway.verdict(failure.symptom, failed_at).await;
+            let verdict = gateway.verdict(report.symptom, failed_at).await;
             if verdict == Verdict::Upstream {
-                grant.record_ending(&failure.causes, failure.ending, failed_at);
-                grant.end(failure.outcome);
+                grant.record_ending(&report.causes, report.ending, failed_at);
+                grant.end(report.outcome);
             }
         });
     }
