Find out reliably whose connection a stand-in resets

The tests of cut-off entries failed now and then beside soaks (18 of 99, 54 of 91, 57 of 86 served): the stand-in took a connection of the cut-off entry for another's, and served it. Traced: it looked up the other end by its own address alone, whose port other connections share, in a table that may lack a row while it changes. The checks and bounds are unchanged.

--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -98,8 +98,8 @@
             let (mut stream, answer) = (stream.unwrap(), answer.clone());
             let processes = cut_off.lock().unwrap().clone();
             thread::spawn(move || {
-                let peer = stream.peer_addr();
-                if !processes.is_empty() && peer.is_ok_and(|peer| owner::is_of(peer, &processes)) {
+                let is_cut_off = |row: owner::Row| row.is_of(&processes);
+                if !processes.is_empty() && owner::Row::of_peer(&stream).is_some_and(is_cut_off) {
                     let resets = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return resets.unwrap();
                 }
--- a/gooseberrylb_testbed/src/proxy.rs
+++ b/gooseberrylb_testbed/src/proxy.rs
@@ -103,8 +103,8 @@
 /// Connection through a link.
 #[derive(Debug)]
 struct Connection {
-    /// Address of the connecting side.
-    peer: Option<SocketAddr>,
+    /// The connecting side in the kernel's table.
+    caller: Option<owner::Row>,
     stop: Sender<Stop>,
     silence: Arc<relay::Silence>,
 }
@@ -211,7 +211,10 @@
     pub fn cut_off(&self, processes: &[u32], open: OpenConnections) {
         let mut state = lock(&self.state);
         state.cut_off = processes.to_vec();
-        let is_theirs = |c: &&Connection| c.peer.is_some_and(|peer| owner::is_of(peer, processes));
+        let is_theirs = |c: &&Connection| {
+            let caller = c.caller.as_ref();
+            caller.is_some_and(|caller| caller.is_of(processes))
+        };
         for connection in state.connections.iter().filter(is_theirs) {
             match open {
                 // Fails only if the connection has already ended.
@@ -263,7 +266,7 @@
         }
         match accepted {
             Ok((caller, _)) if lock(state).faults.refuse => reset_on_drop(&caller),
-            Ok((caller, peer)) => {
+            Ok((caller, _)) => {
                 let (state, link_closed) = (state.clone(), link_closed.clone());
                 let cut_off = lock(&state).cut_off.clone();
                 if cut_off.is_empty() {
@@ -271,9 +274,11 @@
                     continue;
                 }
                 // Others connect meanwhile.
-                thread::spawn(move || match owner::is_of(peer, &cut_off) {
-                    true => reset_on_drop(&caller),
-                    false => track(caller, target, &state, &link_closed),
+                thread::spawn(move || {
+                    match owner::Row::of_peer(&caller).is_some_and(|row| row.is_of(&cut_off)) {
+                        true => reset_on_drop(&caller),
+                        false => track(caller, target, &state, &link_closed),
+                    }
                 });
             }
             Err(error) => log::warn!("accepting a connection failed: {error}"),
@@ -293,7 +298,7 @@
     let mut locked = lock(state);
     locked.connections.retain(|c| !c.stop.is_closed());
     locked.connections.push(Connection {
-        peer: caller.peer_addr().ok(),
+        caller: owner::Row::of_peer(&caller),
         stop,
         silence: silence.clone(),
     });
