Tell a crash of most upstreams from a cut

Cause: three failed connections were taken for a cut, and when most upstreams crash at once three in a row are dead. In a false cut requests go through other entries, and failures are not reported. Besides, a refused connection was reported only after a connection had lasted for 50 ms. Change: connections go first to upstreams that answered last, three rounds of 1, 4 and 4 must all fail, and an established connection is enough to blame an upstream that refused. What lasts for 150 ms counts as working, since a middlebox may take longer to reset.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -190,7 +190,7 @@
             return false;
         }
         let now = self.now();
-        let verdict = self.gateway.verdict(Symptom::Lost, now);
+        let verdict = self.gateway.verdict(Symptom::Unreached, now);
         let verdict = future::timeout(self.time_left(), verdict).await;
         verdict == Ok(Verdict::Cut) && self.gateway.delegates.has_any(&self.gateway.core, now)
     }
@@ -258,7 +258,12 @@
         let connecting = self.gateway.pool.connect(address, now);
         let connected = future::timeout(self.time_left(), connecting).await;
         let (mut connection, is_new) = match connected {
-            Ok(Ok(connected)) => connected,
+            Ok(Ok((connection, is_new))) => {
+                if is_new {
+                    self.gateway.record_established(now);
+                }
+                (connection, is_new)
+            }
             Ok(Err(error)) => {
                 log::info!(
                     id = self.id(), upstream:% = grant.upstream, error:% = error;
@@ -269,7 +274,7 @@
                     std::io::ErrorKind::ConnectionRefused => Outcome::Refused,
                     _ => Outcome::Failed,
                 };
-                self.end_failed(grant, Symptom::Lost, outcome, Ending::Unclear);
+                self.end_failed(grant, Symptom::Unreached, outcome, Ending::Unclear);
                 return Err(Failure::ConnectFailed);
             }
             Err(_) => return Err(Failure::ConnectFailed),
@@ -286,9 +291,9 @@
         self.attempts += 1;
         let response = match self.send(&grant, &mut connection, head).await {
             Ok((response, reply)) => {
-                self.gateway.record_heard();
+                self.gateway.record_heard(&grant.upstream);
                 if is_new {
-                    self.gateway.record_opened(now);
+                    self.gateway.record_worked(now);
                 }
                 if reply.not_run {
                     let outcome = match response.status {
--- a/gooseberrylb/src/gateway/reach.rs
+++ b/gooseberrylb/src/gateway/reach.rs
@@ -1,17 +1,17 @@
 //! Finds out whether failures at upstreams are due to these or to this entry's links, before the
 //! dispatcher is told of them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
 use async_std::{future, task};
-use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::crash::{Cause, Ending};
 use gooseberrylb_policy::dispatch::Outcome;
 use gooseberrylb_policy::reach::{Symptom, Verdict};
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 
 use super::Gateway;
 use super::http::Connection;
@@ -20,15 +20,15 @@
 use crate::metrics::METRICS;
 
 /// Time after which a connection that was opened to find out, and was not ended meanwhile, works.
-const PROBE_TIME: Duration = Duration::from_millis(50);
+const PROBE_TIME: Duration = Duration::from_millis(150);
 
 /// Time for which such a connection is kept for requests.
 const PROBE_KEEP_TIME: Duration = Duration::from_secs(2);
 
-/// Pause between two attempts to find out while nothing is known.
-const PROBE_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two rounds of connections while nothing is known.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Pause between two attempts to reach an upstream during a cut.
+/// Pause between two rounds of connections during a cut.
 const CUT_PROBE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Interval at which a failure whose reason is not known is looked at again.
@@ -78,19 +78,24 @@
         });
     }
 
+    /// Records that a connection to an upstream that was begun at `started` was established.
+    pub(super) fn record_established(&self, started: Instant) {
+        self.reach.borrow_mut().record_established(started);
+    }
+
     /// Records that a connection to an upstream that was begun at `started` has worked.
-    pub(super) fn record_opened(&self, started: Instant) {
+    pub(super) fn record_worked(&self, started: Instant) {
         let now = self.core.clock.now();
-        if let Some(length) = self.reach.borrow_mut().record_opened(started, now) {
+        if let Some(length) = self.reach.borrow_mut().record_worked(started, now) {
             METRICS.cut_off.set(0);
             log::info!(ms = length.as_millis() as u64; "reaches upstreams again");
         }
     }
 
-    /// Records that a response arrived.
-    pub(super) fn record_heard(&self) {
+    /// Records that an upstream answered.
+    pub(super) fn record_heard(&self, upstream: &id::Upstream) {
         let now = self.core.clock.now();
-        self.reach.borrow_mut().record_heard(now);
+        self.reach.borrow_mut().record_heard(upstream, now);
     }
 
     /// Whether this entry is cut off from the upstreams.
@@ -101,8 +106,11 @@
     /// Records a failure, and begins to look for its reason if that is not known.
     fn suspect(self: &Rc<Self>, upstream: &id::Upstream, symptom: Symptom) {
         let now = self.core.clock.now();
-        if symptom == Symptom::Lost {
-            self.reach.borrow_mut().record_failure(upstream, now);
+        match symptom {
+            Symptom::Unreached | Symptom::Lost => {
+                self.reach.borrow_mut().record_failure(upstream, now);
+            }
+            Symptom::Silent => {}
         }
         if self.reach.borrow().verdict(symptom, now) == Verdict::Upstream {
             return;
@@ -124,44 +132,52 @@
         }
     }
 
-    /// Opens a connection to an upstream, rather to one that has not failed, and keeps it for
-    /// requests. Returns whether it worked.
+    /// Opens connections to some upstreams at the same time and keeps them for requests. Returns
+    /// whether one worked.
     async fn probe(&self) -> bool {
         let directory = self.core.published().directory.clone();
-        let listed = || directory.listed.iter().filter(|(_, u)| !u.draining);
-        let sound = listed().filter(|(name, _)| !self.reach.borrow().has_failed(name));
-        let mut rng = rand::rng();
-        let chosen = sound.choose(&mut rng);
-        let Some((name, upstream)) = chosen.or_else(|| listed().choose(&mut rng)) else {
-            return false;
-        };
-        let started = self.core.clock.now();
-        match self.open_probe(upstream).await {
-            Some(connection) => {
-                let until = self.core.clock.now() + PROBE_KEEP_TIME;
-                self.pool.keep(upstream.address, connection, until);
-                self.record_opened(started);
-                true
-            }
-            None => {
-                let now = self.core.clock.now();
-                let mut reach = self.reach.borrow_mut();
-                if reach.record_failed_probe(name, listed().count(), now) {
-                    METRICS.cut_off.set(1);
-                    log::warn!(upstream:% = name; "cut off from the upstreams; other entries forward the requests");
-                }
-                false
-            }
+        let listed = directory.listed.iter().filter(|(_, u)| !u.draining);
+        let mut names: Vec<_> = listed.map(|(name, _)| name.clone()).collect();
+        names.shuffle(&mut rand::rng());
+        let now = self.core.clock.now();
+        let candidates = self.reach.borrow_mut().candidates(names, now);
+        let probes = candidates.iter().filter_map(|name| {
+            let upstream = directory.listed.get(name)?;
+            Some(self.probe_one(name, upstream.address))
+        });
+        let worked = futures::future::join_all(probes).await;
+        if worked.contains(&true) {
+            return true;
         }
+        let now = self.core.clock.now();
+        if self.reach.borrow_mut().record_failed_round(now) {
+            METRICS.cut_off.set(1);
+            log::warn!("cut off from the upstreams; other entries forward the requests");
+        }
+        false
     }
 
-    /// Opens a connection that lasts for [`PROBE_TIME`]; a middlebox may accept and then reset it.
-    async fn open_probe(&self, upstream: &ListedUpstream) -> Option<Connection> {
+    /// Opens a connection to an upstream. It works if it lasts for [`PROBE_TIME`], since something in
+    /// between may accept and then reset it.
+    async fn probe_one(&self, name: &id::Upstream, address: SocketAddr) -> bool {
         METRICS.upstream_connections.inc();
-        let connecting = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address));
-        let connection = Connection::new(connecting.await.ok()?.ok()?);
-        task::sleep(PROBE_TIME).await;
-        connection.is_idle().await.then_some(connection)
+        let started = self.core.clock.now();
+        let connecting = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connected = connecting.await;
+        if let Ok(Ok(stream)) = connected {
+            self.record_established(started);
+            let connection = Connection::new(stream);
+            task::sleep(PROBE_TIME).await;
+            if connection.is_idle().await {
+                let until = self.core.clock.now() + PROBE_KEEP_TIME;
+                self.pool.keep(address, connection, until);
+                self.record_worked(started);
+                return true;
+            }
+        }
+        let now = self.core.clock.now();
+        self.reach.borrow_mut().record_failure(name, now);
+        false
     }
 }
 
@@ -176,11 +192,7 @@
             Verdict::Unknown => {}
         }
         if !gateway.probe().await && !gateway.is_cut() {
-            // Two at once: each may take as long as an unanswered connection attempt.
-            let (first, second) = futures::join!(gateway.probe(), gateway.probe());
-            if !first && !second {
-                task::sleep(PROBE_PAUSE).await;
-            }
+            task::sleep(PROBE_PAUSE).await;
         }
     }
     gateway.suspected_at.set(None);
--- a/gooseberrylb_policy/src/reach.rs
+++ b/gooseberrylb_policy/src/reach.rs
@@ -5,24 +5,29 @@
 //! the entry behind it. After a failed connection the entry opens others, and tells which of the two
 //! it is from these. The time is passed in. See `docs/PLATFORM.md`.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 
-/// Number of different upstreams to which connections must fail for a cut, or all if there are fewer.
-const CUT_UPSTREAMS: usize = 3;
+/// Number of rounds of connections that must all fail for a cut. Many upstreams may crash at once.
+const CUT_ROUNDS: u32 = 3;
 
-/// Number of connections that must fail for a cut among those that were opened to find out.
-const CUT_PROBES: u32 = 2;
+/// Number of connections that are opened in a round after the first, which opens one.
+const ROUND_CONNECTIONS: usize = 4;
 
 /// Time after a response within which a silent upstream is silent by itself.
 const HEARD_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time for which it is kept that an upstream answered or that connections to it failed.
+const RETENTION: Duration = Duration::from_secs(10);
+
 /// What happened to a request whose upstream may not be the reason.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Symptom {
-    /// A connection could not be opened, or ended.
+    /// No connection could be established.
+    Unreached,
+    /// A connection ended.
     Lost,
     /// Nothing arrived in the expected time.
     Silent,
@@ -43,55 +48,57 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     /// Upstreams to which connections have failed since one worked, with the times.
-    failed: BTreeMap<id::Upstream, Instant>,
-    /// Number of failed connections that were opened to find out, since one worked.
-    failed_probes: u32,
-    /// Start of the newest connection that worked.
-    opened: Option<Instant>,
+    failed: HashMap<id::Upstream, Instant>,
+    /// Upstreams that have answered, with the times.
+    heard: HashMap<id::Upstream, Instant>,
     /// Time at which a response arrived last.
-    heard: Option<Instant>,
+    last_heard: Option<Instant>,
+    /// Number of rounds of connections that have failed since one worked.
+    failed_rounds: u32,
+    /// Start of the newest connection that was established.
+    established: Option<Instant>,
+    /// Start of the newest connection that worked.
+    worked: Option<Instant>,
     /// Beginning of the cut, if there is one.
     cut_since: Option<Instant>,
 }
 
 impl Reach {
-    /// Records that a connection to an upstream could not be opened or ended without a response.
+    /// Records that a connection to an upstream could not be established, or ended.
     pub fn record_failure(&mut self, upstream: &id::Upstream, now: Instant) {
         self.failed.insert(upstream.clone(), now);
     }
 
-    /// Records that a connection failed that was opened to find out, with the number of listed
-    /// upstreams. Returns whether this shows that a cut has begun.
-    pub fn record_failed_probe(
-        &mut self,
-        upstream: &id::Upstream,
-        listed: usize,
-        now: Instant,
-    ) -> bool {
-        self.record_failure(upstream, now);
-        self.failed_probes += 1;
-        let is_cut =
-            self.failed.len() >= CUT_UPSTREAMS.min(listed) && self.failed_probes >= CUT_PROBES;
-        let begins = is_cut && self.cut_since.is_none();
+    /// Records that all connections of a round failed. Returns whether a cut begins.
+    pub fn record_failed_round(&mut self, now: Instant) -> bool {
+        self.failed_rounds += 1;
+        let begins = self.failed_rounds >= CUT_ROUNDS && self.cut_since.is_none();
         if begins {
             self.cut_since = Some(now);
         }
         begins
     }
 
+    /// Records that a connection was established that was begun at `started`. It may still be reset,
+    /// by something between the entry and the upstream.
+    pub fn record_established(&mut self, started: Instant) {
+        self.established = self.established.max(Some(started));
+    }
+
     /// Records that a connection worked that was begun at `started`. Returns the length of the cut
     /// that this ends, if there was one.
-    pub fn record_opened(&mut self, started: Instant, now: Instant) -> Option<Duration> {
-        self.opened = self.opened.max(Some(started));
-        self.failed.retain(|_, at| *at > started);
-        self.failed_probes = 0;
+    pub fn record_worked(&mut self, started: Instant, now: Instant) -> Option<Duration> {
+        self.worked = self.worked.max(Some(started));
+        self.failed_rounds = 0;
         let since = self.cut_since.take()?;
         Some(now.saturating_duration_since(since))
     }
 
-    /// Records that a response arrived.
-    pub fn record_heard(&mut self, now: Instant) {
-        self.heard = Some(now);
+    /// Records that an upstream answered.
+    pub fn record_heard(&mut self, upstream: &id::Upstream, now: Instant) {
+        self.last_heard = Some(now);
+        self.failed.remove(upstream);
+        self.heard.insert(upstream.clone(), now);
     }
 
     /// Whether the entry is cut off from the upstreams.
@@ -99,21 +106,40 @@
         self.cut_since.is_some()
     }
 
-    /// Whether a connection to an upstream has failed since one worked.
-    pub fn has_failed(&self, upstream: &id::Upstream) -> bool {
-        self.failed.contains_key(upstream)
+    /// Returns the upstreams to connect to in the next round, of those that `listed` names: those that
+    /// answered last, and those that have not failed, come first.
+    pub fn candidates(
+        &mut self,
+        listed: impl IntoIterator<Item = id::Upstream>,
+        now: Instant,
+    ) -> Vec<id::Upstream> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < RETENTION;
+        self.failed.retain(|_, at| is_recent(at));
+        self.heard.retain(|_, at| is_recent(at));
+        let mut candidates: Vec<_> = listed.into_iter().collect();
+        candidates.sort_by_key(|upstream| {
+            let is_failed = self.failed.contains_key(upstream);
+            (!is_failed, self.heard.get(upstream).copied())
+        });
+        candidates.reverse();
+        candidates.truncate(match self.failed_rounds {
+            0 => 1,
+            _ => ROUND_CONNECTIONS,
+        });
+        candidates
     }
 
     /// Returns the reason of a failure at `at`, as far as it is known.
     pub fn verdict(&self, symptom: Symptom, at: Instant) -> Verdict {
-        let is_later = self.opened.is_some_and(|opened| opened >= at);
-        let is_heard = match symptom {
+        let is_later = |time: Option<Instant>| time.is_some_and(|time| time >= at);
+        let is_upstream = match symptom {
+            Symptom::Unreached => is_later(self.established),
             Symptom::Lost => false,
-            Symptom::Silent => self.heard.is_some_and(|heard| heard + HEARD_PERIOD >= at),
+            Symptom::Silent => is_later(self.last_heard.map(|heard| heard + HEARD_PERIOD)),
         };
         match self.is_cut() {
             true => Verdict::Cut,
-            false if is_later || is_heard => Verdict::Upstream,
+            false if is_upstream || is_later(self.worked) => Verdict::Upstream,
             false => Verdict::Unknown,
         }
     }
