--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -168,14 +168,19 @@
     history.check_known_crashes(|| send_for(KNOWN_CRASH_TIME));
 }
 
-/// Cuts an entry off from the upstreams, and checks that others serve its requests.
+/// Cuts some entries off from the upstreams, but not all, and checks that others serve the requests of
+/// one of them.
 fn check_cut_off(deployment: &Arc<Deployment>, history: &Arc<History>, rng: &mut ChaCha8Rng) {
     let entries = &deployment.entries;
-    let index = rng.random_range(0..entries.len());
     if entries.len() < 2 {
         return;
     }
-    deployment.cut_off(entries[index], faults::random_cut(rng));
+    // The entry before those that are cut off is not.
+    let index = rng.random_range(0..entries.len());
+    let count = rng.random_range(1..entries.len());
+    let cut_off = entries.iter().cycle().skip(index).take(count).copied();
+    let cut_off: Vec<u8> = cut_off.collect();
+    deployment.cut_off(&cut_off, faults::random_cut(rng));
     let call_for = |number: usize, index: usize, time: Duration| {
         let mut caller = Caller::new(deployment, history, u64::MAX, number);
         let end = Instant::now() + time;
@@ -190,7 +195,8 @@
     };
     call_for(2, index, CONTACT_TIME);
     let (cut_off, others) = thread::scope(|scope| {
-        let others = scope.spawn(|| call_for(3, index + 1, KNOWN_CRASH_TIME));
+        let before = index + entries.len() - 1;
+        let others = scope.spawn(move || call_for(3, before, KNOWN_CRASH_TIME));
         let cut_off = call_for(4, index, KNOWN_CRASH_TIME);
         (cut_off, others.join().unwrap_or_default())
     });
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -208,10 +208,10 @@
         self.links.iter().filter(between)
     }
 
-    /// Cuts an entry off from all upstreams.
-    pub fn cut_off(&self, host: u8, open: OpenConnections) {
-        let process = self.process(host);
-        let processes: Vec<u32> = process.child.iter().map(Child::id).collect();
+    /// Cuts entries off from all upstreams, and no others.
+    pub fn cut_off(&self, hosts: &[u8], open: OpenConnections) {
+        let id = |host: &u8| self.process(*host).child.as_ref().map(Child::id);
+        let processes: Vec<u32> = hosts.iter().filter_map(id).collect();
         let upstreams = self.links.iter();
         let upstreams = upstreams.filter(|link| link.name().starts_with(TO_UPSTREAM));
         upstreams.for_each(|link| link.cut_off(&processes, open));
--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -288,7 +288,7 @@
                 Ok(())
             }
             Fault::CutOff(host, open) => {
-                deployment.cut_off(*host, *open);
+                deployment.cut_off(&[*host], *open);
                 thread::sleep(self.duration);
                 deployment.end_cut_off();
                 Ok(())
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -115,10 +115,12 @@
     Truncates,
     /// Is silent for a while and then responds correctly.
     Pauses,
+    /// Responds correctly, and sends the response once more where the next one is expected.
+    Repeats,
 }
 
 /// All behaviours other than [`Behaviour::Normal`].
-pub const FAULTY_BEHAVIOURS: [Behaviour; 7] = [
+pub const FAULTY_BEHAVIOURS: [Behaviour; 8] = [
     Behaviour::DropsResponse,
     Behaviour::Unresponsive,
     Behaviour::ServerError,
@@ -126,6 +128,7 @@
     Behaviour::Malformed,
     Behaviour::Truncates,
     Behaviour::Pauses,
+    Behaviour::Repeats,
 ];
 
 /// State of the list of upstreams.
@@ -417,7 +420,10 @@
         history.record_execution(Execution::new(&request, &attempt));
         let writer = stream.get_mut();
         match behaviour {
-            Behaviour::Normal | Behaviour::Truncates | Behaviour::AtCapacity => {}
+            Behaviour::Normal
+            | Behaviour::Truncates
+            | Behaviour::AtCapacity
+            | Behaviour::Repeats => {}
             Behaviour::Pauses => {
                 history.record_pause(&attempt);
                 thread::sleep(PAUSE_DURATION);
@@ -457,7 +463,10 @@
             head += &format!("{LIMIT_HEADER}: {LIMIT}\r\n");
         }
         let truncate = behaviour == Behaviour::Truncates;
-        write_response(&request, &attempt, head, truncate, writer)?;
+        write_response(&request, &attempt, head.clone(), truncate, writer)?;
+        if behaviour == Behaviour::Repeats {
+            write_response(&request, &attempt, head, false, writer)?;
+        }
         if behaviour == Behaviour::Truncates {
             return Ok(());
         }
