--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -518,7 +518,8 @@
                 .response_metadata(response.status, &response.fields.borrowed());
             let is_ours = reply.attempt.is_none() || reply.attempt == self.metadata.attempt;
             let is_success = (200..300).contains(&response.status);
-            let served = (is_ours && is_success).then_some(sent);
+            let is_own_success = is_success && reply.signed && !reply.encoded;
+            let served = (is_ours && is_own_success).then_some(sent);
             self.record_statement(grant, &reply, served);
             if !is_ours && stale_responses < 2 && response.keep_alive.is_some() {
                 // This is the late response to an earlier request on the connection. The response
@@ -529,7 +530,7 @@
                     continue;
                 }
             }
-            if !is_ours || (is_success && (!reply.signed || reply.encoded)) {
+            if !is_ours || (is_success && !is_own_success) {
                 log::info!(
                     id = self.id(), upstream:% = grant.upstream, status = response.status,
                     signed = reply.signed, own = is_ours;
--- a/gooseberrylb/tests/platform/limits.rs
+++ b/gooseberrylb/tests/platform/limits.rs
@@ -121,3 +121,17 @@
     let count = fleet.requests_to(SPEAKING) - before;
     assert!(count > 2 * allowed(), "{count}");
 }
+
+#[test]
+fn response_without_a_signature_lifts_no_limit() {
+    let mut fleet = Fleet::start(27);
+    let entries = [ENTRY, ENTRY + 1];
+    fleet.start_entry(ENTRY + 1);
+    let from = fleet.hear_limit(entries);
+    let end = from + WINDOW;
+    while Instant::now() < end {
+        fleet.call("/pair/unsigned", KEY);
+    }
+    let most = most_in_window(&fleet.arrivals_at(SPEAKING), from);
+    assert!(most <= allowed(), "{most} of {} allowed", allowed());
+}
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -209,6 +209,9 @@
              Content-Length: 0\r\n\r\n"
         );
     }
+    if target.contains("unsigned") {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno".to_owned();
+    }
     let statement = match target.rsplit('/').next() {
         Some("leaving") => "Server-Leaving: 1\r\n".to_owned(),
         Some("limited") => format!("Server-Limit: {LIMIT}\r\n"),
