Take an upstream that starts beside brittle ones for brittle until it has served a request

Change: while any upstream of the service says that it is brittle, one that has served nothing gets as many requests as that tolerates.

--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -258,6 +258,13 @@
         self.0.get(upstream)?.tolerance.value()
     }
 
+    /// Returns the lowest number of requests that an upstream of a service can turn away in a second, if
+    /// one is brittle. One that falls over comes back under another name, and as brittle.
+    pub fn service_tolerance(&self, service: &id::Service) -> Option<u32> {
+        let records = self.0.values().filter(|record| record.service == *service);
+        records.filter_map(|record| record.tolerance.value()).min()
+    }
+
     /// Whether an upstream has said that it leaves.
     pub fn is_leaving(&self, upstream: &id::Upstream) -> bool {
         self.0.get(upstream).is_some_and(|record| record.leaving)
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -323,7 +323,7 @@
         }
         for (name, service) in &mut self.services {
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
-            service.set_availability(&self.availability, now);
+            service.set_availability(name, &self.availability, now);
         }
     }
 
@@ -341,7 +341,7 @@
                     let is_new = self.availability.adopt(&report, now);
                     let service = self.services.get_mut(&report.service);
                     if let Some(service) = service.filter(|_| is_new) {
-                        service.set_availability(&self.availability, now);
+                        service.set_availability(&report.service, &self.availability, now);
                     }
                     news.extend(is_new.then_some(Announcement::Upstream(report)));
                 }
@@ -382,8 +382,8 @@
             return;
         }
         self.availability.update(listing, now);
-        for service in self.services.values_mut() {
-            service.set_availability(&self.availability, now);
+        for (name, service) in &mut self.services {
+            service.set_availability(name, &self.availability, now);
         }
     }
 
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -404,15 +404,16 @@
     }
 
     /// Takes over what upstreams said of their availability.
-    pub(super) fn set_availability(&mut self, table: &Table, now: Instant) {
+    pub(super) fn set_availability(&mut self, name: &id::Service, table: &Table, now: Instant) {
+        let of_service = table.service_tolerance(name);
         for state in &mut self.upstreams {
             let name = &state.upstream.name;
             state.leaving = table.is_leaving(name);
             let closed_until = table.closed_until(name).filter(|end| *end > now);
             state.closed_until = closed_until.max(state.closed_until);
-            let (limit, tolerance) = (table.limit(name), table.tolerance(name));
+            let (limit, own) = (table.limit(name), table.tolerance(name));
             state.set_limit(limit, now);
-            state.set_tolerance(tolerance);
+            state.set_tolerance(own, of_service);
         }
     }
 
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -141,8 +141,12 @@
     pub(super) closed_until: Option<Instant>,
     /// Requests that the upstream takes by the limit that it names.
     pub(super) limit: Option<Bucket>,
-    /// Room of the upstream, if it says that it is brittle.
+    /// Room of the upstream, if it says that it is brittle, or others do and it has served nothing yet.
     pub(super) room: Option<Room>,
+    /// Whether the upstream has not said so itself.
+    pub(super) is_room_presumed: bool,
+    /// Whether the upstream has served a request.
+    pub(super) served: bool,
 }
 
 impl State {
@@ -161,6 +165,8 @@
             closed_until: None,
             limit: None,
             room: None,
+            is_room_presumed: false,
+            served: false,
         }
     }
 
@@ -188,13 +194,16 @@
         }
     }
 
-    /// Sets the number of requests that the upstream can turn away in a second.
-    pub(super) fn set_tolerance(&mut self, tolerance: Option<u32>) {
+    /// Sets the number of requests that the upstream can turn away in a second. One of which nothing is
+    /// known yet may be as brittle as others of its service.
+    pub(super) fn set_tolerance(&mut self, own: Option<u32>, of_service: Option<u32>) {
         let slots = self.upstream.slots;
-        match (&mut self.room, tolerance) {
+        self.is_room_presumed = own.is_none();
+        match (&mut self.room, own.or(of_service.filter(|_| !self.served))) {
             (room, None) => *room = None,
             (Some(room), Some(tolerance)) => room.tolerance = tolerance,
-            (room, Some(tolerance)) => *room = Some(Room::new(slots, tolerance)),
+            (room, Some(tolerance)) if self.served => *room = Some(Room::new(slots, tolerance)),
+            (room, Some(tolerance)) => *room = Some(Room::with_unknown(slots, tolerance)),
         }
     }
 
@@ -237,6 +246,10 @@
     /// Records that a request was served that was granted at `since`.
     pub(super) fn record_served(&mut self, since: Instant, now: Instant) {
         self.health.record_success();
+        self.served = true;
+        if self.is_room_presumed {
+            self.room = None;
+        }
         if let Some(room) = &mut self.room {
             room.record_served(self.upstream.slots, now);
         }
--- a/gooseberrylb_policy/src/room.rs
+++ b/gooseberrylb_policy/src/room.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Returns the room of an upstream with a number of slots of which nothing else is known. If it has
+    /// less room than slots, it turns away no more than it tolerates.
+    pub fn with_unknown(slots: u32, tolerance: u32) -> Self {
+        let room = Self::new(slots, tolerance);
+        Self {
+            slots: room.slots.min(tolerance.max(1)),
+            ..room
+        }
+    }
+
     /// Records that the upstream turned a request away beside `running` others. Returns the pause
     /// until the next request. `part` is below 1 for an instance that places requests alone.
     pub fn record_full(&mut self, running: u32, part: f64, now: Instant) -> Duration {
@@ -55,7 +65,8 @@
     /// Records that the upstream, which has `slots`, served a request.
     pub fn record_served(&mut self, slots: u32, now: Instant) {
         let limit = slots.saturating_sub(1).max(1);
-        if self.slots < limit && self.grows_at.is_some_and(|at| now >= at) {
+        let grows_at = *self.grows_at.get_or_insert(now + GROWTH_PERIOD);
+        if self.slots < limit && now >= grows_at {
             self.slots += 1;
             self.grows_at = Some(now + GROWTH_PERIOD);
         }
--- a/gooseberrylb_policy/tests/room.rs
+++ b/gooseberrylb_policy/tests/room.rs
@@ -155,6 +155,54 @@
     }
 }
 
+#[test]
+fn upstream_that_starts_beside_brittle_ones_gets_few_requests_at_first() {
+    let now = Instant::now();
+    let upstream = |index| Upstream {
+        name: name(index),
+        service: service(),
+        release: "v1".into(),
+        data_centre: "sfax-a".into(),
+        slots: SLOTS,
+        limit_part: 1.0,
+    };
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_upstreams([upstream(0)], now);
+    let report = Report {
+        service: service(),
+        upstream: name(0),
+        leaving: false,
+        closed_for: None,
+        limit: None,
+        tolerance: Some(Said {
+            value: Some(TOLERANCE),
+            age: Duration::ZERO,
+        }),
+    };
+    dispatcher.announce(vec![Announcement::Upstream(report)], now);
+    // It fell over, and is back under another name.
+    dispatcher.set_upstreams([upstream(1)], now + 10 * MS);
+    let place = |dispatcher: &mut Dispatcher, number, ms| {
+        let decision = dispatcher.place(request(number), now + ms * MS);
+        matches!(decision, Decision::Grant(_))
+    };
+    let granted = (0..10).filter(|number| place(&mut dispatcher, *number, 11));
+    assert_eq!(granted.count(), TOLERANCE as usize);
+    // Once it has served without a word of it, it gets what it has slots for.
+    let served = Outcome::Served {
+        first: MS,
+        rest: Duration::ZERO,
+        events: 0,
+    };
+    let ended = Notice {
+        ended: vec![(request(0).key, served)],
+        ..Notice::default()
+    };
+    dispatcher.apply(ended, now + 20 * MS);
+    let granted = dispatcher.poll(now + 22 * MS).len();
+    assert!(granted > 1, "{granted}");
+}
+
 #[test]
 fn room_grows_again_while_nothing_is_turned_away() {
     let now = Instant::now();
