Do not block a part of prompts that other entries serve, or that one broken response adds to a blocked request

What callers would see: all requests whose prompts share a part are refused for 10 minutes, though the part is sound. Cause, by its logs: a request that crashes upstreams had crashed three, and its crashes counted for its parts too. One response of another request that broke off for another reason made it two requests, so that the shared part was blocked. The entry that reported it was cut off and served nothing; the other two served the part all the time, but had not been told that it was suspected, and so did not say so. Change: a part needs crashes under two requests that are not blocked themselves, and entries are told of crashes too, so that one that serves a suspected cause says so at once. The check of the play of parts is a different one since it was wrong: it blocked a part after one such response. It is as strict, and blocks it after two.

--- a/gooseberrylb/src/control/dispatch/announce.rs
+++ b/gooseberrylb/src/control/dispatch/announce.rs
@@ -67,18 +67,17 @@
         self.announce_to_entries(core, own, &news);
     }
 
-    /// Tells all entries of this dispatcher what binds them too, but for the one that it is from.
+    /// Tells all entries of this dispatcher what is new, but for the one that it is from. They are told
+    /// of crashes too, so that one that serves what is suspected says so.
     fn announce_to_entries(&self, core: &Core, from: &id::Instance, news: &[Announcement]) {
-        let binding = news.iter().filter(|news| binds_entries(news));
-        let binding: Vec<_> = binding.cloned().collect();
-        if binding.is_empty() {
+        if news.is_empty() {
             return;
         }
         let directory = core.feed.borrow().directory().clone();
         let sessions = self.sessions.borrow();
         for (name, answers) in sessions.iter() {
             if is_entry(&directory, name) && name != from {
-                send(name, answers, binding.clone());
+                send(name, answers, news.to_vec());
             }
         }
     }
@@ -100,15 +99,6 @@
     }
 }
 
-/// Whether entries act on an announcement.
-fn binds_entries(announcement: &Announcement) -> bool {
-    match announcement {
-        Announcement::Crash(crash::Report::Blocked { .. } | crash::Report::Served { .. })
-        | Announcement::Upstream(_) => true,
-        Announcement::Crash(crash::Report::Crashed { .. }) => false,
-    }
-}
-
 /// Whether an announcement is of a crash, which is judged later.
 fn is_crash(announcement: &Announcement) -> bool {
     matches!(
--- a/gooseberrylb_policy/src/crash.rs
+++ b/gooseberrylb_policy/src/crash.rs
@@ -22,8 +22,8 @@
 /// that breaks off responses by itself is not enough.
 const MIN_UPSTREAMS: usize = 2;
 
-/// Number of different requests that must have crashed upstreams for a part to be blocked. The
-/// crashes of one request and its repeats are due to the request.
+/// Number of different requests that must have crashed upstreams for a part to be blocked, without
+/// blocked ones. The crashes of one request and its repeats are due to the request.
 const BLOCKING_REQUESTS: usize = 2;
 
 /// Time for which a cause is blocked at first; each further time doubles it.
@@ -191,7 +191,8 @@
     crashes: usize,
     /// Upstreams that crashed.
     upstreams: BTreeSet<&'a id::Upstream>,
-    /// Requests that ended with them; `None` stands for those that are not known.
+    /// Requests that ended with them and are not blocked themselves; `None` stands for those that are
+    /// not known.
     requests: BTreeSet<Option<id::Content>>,
     /// Number of the last of these moments.
     moment: Option<u32>,
@@ -434,7 +435,11 @@
             for (run, position, cause) in crash.suspects(explanation.map(|(cause, _)| cause)) {
                 let suspicion = suspicions.entry(cause).or_default();
                 suspicion.position = position;
-                suspicion.requests.insert(run.request());
+                let is_blocked =
+                    |content: &id::Content| self.blocks.contains_key(&Cause::Request(*content));
+                if !run.request().as_ref().is_some_and(is_blocked) {
+                    suspicion.requests.insert(run.request());
+                }
                 suspicion.count(crash.upstream, moment, cause);
             }
         }
--- a/gooseberrylb_policy/tests/crash.rs
+++ b/gooseberrylb_policy/tests/crash.rs
@@ -396,12 +396,33 @@
     }
     assert!(play.is_cause_blocked(request(1)));
     assert!(!play.is_cause_blocked(part(CRASHING)));
-    // If another request with the part crashes upstreams too, it was the part.
+    // If other requests with the part crash upstreams too, it was the part; one may be by chance.
     play.crash_requests(2000, 3, &[causes(2)]);
+    assert!(!play.is_cause_blocked(part(CRASHING)));
+    play.crash_requests(2500, 4, &[causes(3)]);
     assert!(play.is_cause_blocked(part(CRASHING)));
     assert!(!play.is_cause_blocked(part(SHARED)));
 }
 
+#[test]
+fn part_that_another_entry_serves_is_not_blocked() {
+    let mut play = Play::new();
+    let mut other = Table::default();
+    for number in 0..3 {
+        play.crash_requests(500 * number, number, &[vec![part(SHARED), request(number)]]);
+        // The dispatcher tells the other entry, which serves the part all the time.
+        for report in play.dispatcher.reports(play.now) {
+            other.adopt(report, play.now);
+        }
+        let at = play.now + 50 * MS;
+        let causes = [part(SHARED), request(100 + number)];
+        for report in other.record(&upstream(9), &causes, Ending::Served, at, at) {
+            play.dispatcher.adopt(report, at);
+        }
+        assert!(!play.is_cause_blocked(part(SHARED)));
+    }
+}
+
 #[test]
 fn of_two_requests_that_ended_together_each_time_the_next_crash_decides() {
     let mut play = Play::new();
