--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -147,7 +147,7 @@
     let ticket = match origin {
         Origin::Caller => None,
         Origin::Entry(entry) => match Ticket::take(&mut request) {
-            Some(_) if gateway.reach.borrow().is_cut() => {
+            Some(_) if gateway.is_cut() => {
                 let fault = Fault::new(DECLINED, "this entry is cut off too");
                 return send_fault(gateway, connection, &fault, closes).await;
             }
--- a/gooseberrylb/src/gateway/delegate.rs
+++ b/gooseberrylb/src/gateway/delegate.rs
@@ -11,9 +11,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::future;
-use async_std::net::TcpStream;
 use gooseberrylb_config::id;
-use gooseberrylb_wire::handshake::{self, Greeting};
 use gooseberrylb_wire::plane::Kind;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -21,6 +19,7 @@
 use super::forward::{Delivery, Exchange, Failure, Forwarder, Lease, write_field};
 use super::http::{Connection, Framing, Request, Response};
 use super::pool::{CONNECT_TIMEOUT, Pool};
+use super::session;
 use crate::control::Core;
 use crate::metrics::METRICS;
 
@@ -117,19 +116,10 @@
         if let Some(connection) = self.pool.take_idle(address, now).await {
             return Ok(connection);
         }
-        let opening = async {
-            let mut stream = TcpStream::connect(address).await?;
-            let own = Greeting {
-                instance: core.identity.name.clone(),
-                incarnation: core.identity.incarnation,
-                plane: Kind::Delegate,
-            };
-            let greeted = handshake::connect(&mut stream, &core.identity.key, &own).await;
-            greeted.map_err(io::Error::other)?;
-            Ok(Connection::new(stream))
-        };
+        let opening = session::open(core, address, Kind::Delegate);
         let opened = future::timeout(CONNECT_TIMEOUT, opening).await;
-        opened.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+        let stream = opened.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
+        Ok(Connection::new(stream))
     }
 }
 
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -212,7 +212,7 @@
     state: &State,
     outgoing: Receiver<Question>,
 ) -> io::Result<()> {
-    let opening = future::timeout(CONNECT_TIMEOUT, open(core, address));
+    let opening = future::timeout(CONNECT_TIMEOUT, open(core, address, Kind::Dispatch));
     let stream = opening
         .await
         .unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
@@ -225,14 +225,14 @@
     }
 }
 
-/// Opens a connection to the dispatcher.
-async fn open(core: &Core, address: SocketAddr) -> io::Result<TcpStream> {
+/// Opens a connection of a kind to another instance.
+pub async fn open(core: &Core, address: SocketAddr, plane: Kind) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let own = Greeting {
         instance: core.identity.name.clone(),
         incarnation: core.identity.incarnation,
-        plane: Kind::Dispatch,
+        plane,
     };
     let greeted = handshake::connect(&mut stream, &core.identity.key, &own).await;
     greeted.map_err(io::Error::other)?;
--- a/gooseberrylb_policy/tests/room.rs
+++ b/gooseberrylb_policy/tests/room.rs
@@ -29,6 +29,32 @@
     format!("i-{index}").parse().unwrap()
 }
 
+fn upstream(index: usize) -> Upstream {
+    Upstream {
+        name: name(index),
+        service: service(),
+        release: "v1".into(),
+        data_centre: "sfax-a".into(),
+        slots: SLOTS,
+        limit_part: 1.0,
+    }
+}
+
+/// Returns what an upstream says that can turn [`TOLERANCE`] requests away.
+fn brittle(index: usize) -> Announcement {
+    Announcement::Upstream(Report {
+        service: service(),
+        upstream: name(index),
+        leaving: false,
+        closed_for: None,
+        limit: None,
+        tolerance: Some(Said {
+            value: Some(TOLERANCE),
+            age: Duration::ZERO,
+        }),
+    })
+}
+
 fn request(number: u64) -> Request {
     Request {
         key: Key {
@@ -59,33 +85,14 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let start = Instant::now();
     let mut dispatcher = Dispatcher::new();
-    let upstreams = (0..UPSTREAMS).map(|index| Upstream {
-        name: name(index),
-        service: service(),
-        release: "v1".into(),
-        data_centre: "sfax-a".into(),
-        slots: SLOTS,
-        limit_part: 1.0,
-    });
-    dispatcher.set_upstreams(upstreams, start);
+    dispatcher.set_upstreams((0..UPSTREAMS).map(upstream), start);
     let mut running: Vec<(u32, usize, Key, Outcome)> = Vec::new();
     let mut rejected = vec![Vec::new(); UPSTREAMS];
     let mut served = 0;
     for ms in 0..30_000 {
         let now = start + ms * MS;
         if ms == 1_000 {
-            let report = |index| Report {
-                service: service(),
-                upstream: name(index),
-                leaving: false,
-                closed_for: None,
-                limit: None,
-                tolerance: Some(Said {
-                    value: Some(TOLERANCE),
-                    age: Duration::ZERO,
-                }),
-            };
-            let reports = (0..UPSTREAMS).map(|index| Announcement::Upstream(report(index)));
+            let reports = (0..UPSTREAMS).map(brittle);
             dispatcher.announce(reports.collect(), now);
         }
         let mut decided = dispatcher.poll(now);
@@ -158,28 +165,9 @@
 #[test]
 fn upstream_that_starts_beside_brittle_ones_gets_few_requests_at_first() {
     let now = Instant::now();
-    let upstream = |index| Upstream {
-        name: name(index),
-        service: service(),
-        release: "v1".into(),
-        data_centre: "sfax-a".into(),
-        slots: SLOTS,
-        limit_part: 1.0,
-    };
     let mut dispatcher = Dispatcher::new();
     dispatcher.set_upstreams([upstream(0)], now);
-    let report = Report {
-        service: service(),
-        upstream: name(0),
-        leaving: false,
-        closed_for: None,
-        limit: None,
-        tolerance: Some(Said {
-            value: Some(TOLERANCE),
-            age: Duration::ZERO,
-        }),
-    };
-    dispatcher.announce(vec![Announcement::Upstream(report)], now);
+    dispatcher.announce(vec![brittle(0)], now);
     // It fell over, and is back under another name.
     dispatcher.set_upstreams([upstream(1)], now + 10 * MS);
     let place = |dispatcher: &mut Dispatcher, number, ms| {
