--- a/gooseberryctl/src/cli.rs
+++ b/gooseberryctl/src/cli.rs
@@ -104,6 +104,15 @@
     Upstreams,
     /// Show the last rollout of each service.
     Rollouts,
+    /// Show the data centres, and which of them are evacuated.
+    Evacuations,
+    /// Evacuate a data centre, or end that.
+    Evacuate {
+        /// Name of the data centre.
+        data_centre: id::DataCentre,
+        /// Whether the evacuation begins rather than ends.
+        active: bool,
+    },
     /// Show the addresses that a client account's callers should connect to.
     Addresses {
         /// Name of the client account.
@@ -179,6 +188,7 @@
         .to_options()
         .descr("Show the last rollout of each service")
         .command("rollouts");
+    let evacuation = evacuation_command();
     let addresses = addresses_command();
     let audit = audit_command();
     let report = construct!(Command::Report(report_options()))
@@ -191,6 +201,7 @@
         declaration,
         upstreams,
         rollouts,
+        evacuation,
         addresses,
         audit,
         report
@@ -224,6 +235,33 @@
         .command("note")
 }
 
+/// Returns the parser of `evacuation` and its subcommands.
+fn evacuation_command() -> impl Parser<Command> {
+    let data_centre = || positional::<id::DataCentre>("DATA_CENTRE").help("The data centre's name");
+    let order = |data_centre, active| Command::Evacuate {
+        data_centre,
+        active,
+    };
+    let start = data_centre()
+        .map(move |name| order(name, true))
+        .to_options()
+        .descr("Send nothing more to the upstreams of a data centre; it is safe to repeat")
+        .command("start");
+    let end = data_centre()
+        .map(move |name| order(name, false))
+        .to_options()
+        .descr("Send requests to the upstreams of a data centre again; it is safe to repeat")
+        .command("end");
+    let list = pure(Command::Evacuations)
+        .to_options()
+        .descr("Show the data centres, and which of them are evacuated")
+        .command("list");
+    construct!([start, end, list])
+        .to_options()
+        .descr("Evacuate data centres and show which are evacuated")
+        .command("evacuation")
+}
+
 /// Returns the parser of the number of a note.
 fn number() -> impl Parser<number::Note> {
     positional::<number::Note>("NUMBER").help("The note's number")
--- a/gooseberryctl/src/client.rs
+++ b/gooseberryctl/src/client.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Returns a DELETE request for `path`.
+    pub fn delete(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::Delete,
+            path: path.into(),
+            body: None,
+        }
+    }
+
     /// Returns the HTTP request to the instance at `address`.
     fn request(&self, address: SocketAddr, token: Option<&Secret>) -> http_types::Result<Request> {
         let url = Url::parse(&format!("http://{address}{}", self.path))?;
--- a/gooseberryctl/src/main.rs
+++ b/gooseberryctl/src/main.rs
@@ -12,6 +12,7 @@
 
 mod cli;
 mod client;
+mod evacuations;
 mod failure;
 mod notes;
 mod output;
@@ -54,6 +55,11 @@
         cli::Command::Status => queries::status(&access).await,
         cli::Command::Declaration => queries::declaration(&access).await,
         cli::Command::Rollouts => queries::rollouts(&access).await,
+        cli::Command::Evacuations => evacuations::list(&access).await,
+        cli::Command::Evacuate {
+            data_centre,
+            active,
+        } => evacuations::order(&access, &data_centre, active).await,
         cli::Command::Upstreams => queries::upstreams(&access).await,
         cli::Command::Addresses { account, callers } => {
             queries::addresses(&access, &account, &callers).await
--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -27,6 +27,7 @@
 mod core;
 mod disk;
 pub mod dispatch;
+pub mod evacuation;
 mod feed;
 mod follow;
 mod lead;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -28,6 +28,7 @@
 
 use super::disk::Job;
 use super::dispatch;
+use super::evacuation;
 use super::feed::Feed;
 use super::follow::Followers;
 use super::links::Links;
@@ -105,6 +106,8 @@
     pub move_coordinator: Coordinator,
     /// Dispatcher, active while this instance leads or dispatches a shard.
     pub dispatch: dispatch::Host,
+    /// Progress of evacuations, kept while this instance leads.
+    pub evacuations: evacuation::Progress,
     /// Adapter to the platform's formats, if the instance runs on a platform.
     pub dialect: Option<Arc<dyn Dialect>>,
     /// Last decoded declaration.
@@ -174,6 +177,7 @@
             followers: RefCell::default(),
             move_coordinator: Coordinator::default(),
             dispatch: dispatch::Host::default(),
+            evacuations: evacuation::Progress::default(),
             dialect: parts.dialect,
             tables: table::Cache::default(),
             plan: RefCell::default(),
@@ -486,8 +490,11 @@
         METRICS
             .revision
             .set(i64::try_from(next.directory.revision.0).unwrap_or(i64::MAX));
-        let is_news = next.directory.revision > before.directory.revision
-            || !Arc::ptr_eq(&next.moves, &before.moves);
+        let is_newer = next.directory.revision > before.directory.revision;
+        if is_newer {
+            evacuation::log_changes(&before.directory, &next.directory);
+        }
+        let is_news = is_newer || !Arc::ptr_eq(&next.moves, &before.moves);
         if self.published.publish(next) && is_news {
             self.notify_change_waiters();
         }
--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -141,12 +141,22 @@
             .decisions
             .with_label_values(&[label(&decision)])
             .inc();
+        self.count_cold_grant(core, &decision);
         if decision == Decision::Wait {
             self.offer(core);
         }
         decision
     }
 
+    /// Counts a grant of a cold upstream.
+    fn count_cold_grant(&self, core: &Core, decision: &Decision) {
+        if let Decision::Grant(upstream) = decision
+            && self.dispatcher.borrow().is_cold(upstream, core.clock.now())
+        {
+            METRICS.cold_grants.inc();
+        }
+    }
+
     /// Returns the decision on a request that the dispatcher of another shard offers.
     fn place_offered(&self, core: &Core, request: Request) -> Decision {
         if !self.prepare(core) {
@@ -251,6 +261,7 @@
                 .decisions
                 .with_label_values(&[label(&decision)])
                 .inc();
+            self.count_cold_grant(core, &decision);
             self.send_decision(key, decision);
         }
         self.offer(core);
@@ -454,6 +465,12 @@
     part: &Part,
     now: Instant,
 ) {
+    let table = core.table(directory);
+    if let Some(table) = &table {
+        let services = table.declaration.services.iter();
+        let profiles = services.map(|(name, service)| (name.clone(), service.into()));
+        dispatcher.set_profiles(profiles.collect());
+    }
     let plan = core.plan(directory);
     let usable = directory
         .listed
@@ -493,7 +510,7 @@
         Part::Entry { count, .. } => 1.0 / (*count).max(1) as f64,
         Part::Fleet | Part::Shard(_) => 1.0,
     };
-    let Some(table) = core.table(directory) else {
+    let Some(table) = table else {
         return;
     };
     let window = quota_window(core);
--- a/gooseberrylb/src/control/dispatch/announce.rs
+++ b/gooseberrylb/src/control/dispatch/announce.rs
@@ -55,6 +55,30 @@
         }
     }
 
+    /// Tells the dispatchers of the fleet, and the entries if this instance is one of these, what the
+    /// leader has read from the platform's list.
+    pub fn announce_listed(&self, core: &Rc<Core>, announcements: Vec<Announcement>) {
+        if announcements.is_empty() {
+            return;
+        }
+        let own = &core.identity.name;
+        let mut news = announcements;
+        if self.prepare(core) {
+            let now = core.clock.now();
+            news = self.dispatcher.borrow_mut().announce(news, now);
+            news.iter().for_each(|news| log(own, news));
+            self.announce_to_entries(core, own, &news);
+        }
+        let directory = core.feed.borrow().directory().clone();
+        let plan = core.plan(&directory);
+        let dispatchers = plan.shards().iter().flat_map(|shard| &shard.dispatchers);
+        for name in dispatchers.filter(|name| *name != own) {
+            if let Some(session) = self.peer(core, name) {
+                session.announce(news.clone());
+            }
+        }
+    }
+
     /// Blocks what crashes upstreams, and tells the entries. The dispatchers of
     /// other shards come to the same decision, since they are told of all crashes.
     fn judge_crashes(&self, core: &Core) {
@@ -111,6 +135,12 @@
 pub fn log(from: &id::Instance, announcement: &Announcement) {
     match announcement {
         Announcement::Upstream(report) => log_upstream(from, report),
+        Announcement::Cold(cold) => {
+            log::info!(
+                upstream:% = cold.upstream, service:% = cold.service, left_ms = cold.left.as_millis() as u64, from:% = from;
+                "an upstream is cold"
+            );
+        }
         Announcement::Crash(crash::Report::Crashed {
             upstream,
             causes,
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -49,6 +49,7 @@
     register(core).await?;
     remove_dead(core).await?;
     assign_views(core).await?;
+    super::evacuation::step(core).await?;
     super::repair::step(core).await;
     super::moves::step(core).await?;
     Ok(())
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -13,10 +13,12 @@
 use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::id;
 use gooseberrylb_control::state::Command;
+use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::availability::Listing;
+use gooseberrylb_policy::warm_up::Cold;
 
 use super::core::Core;
-use super::lead;
+use super::{evacuation, lead};
 use crate::gateway::http::Connection;
 
 /// Interval between two reads of the list. Removed upstreams must be noticed within seconds.
@@ -36,6 +38,9 @@
 
 type List = BTreeMap<id::Upstream, Arc<ListedUpstream>>;
 
+/// Upstreams that the list shows as cold.
+type ColdList = Vec<Announcement>;
+
 /// Polls the list while this instance leads; returns at once if it does not run on a platform.
 pub async fn run(core: Rc<Core>) {
     let Some(deployment) = core.settings.deployment.clone() else {
@@ -48,11 +53,17 @@
             continue;
         }
         let pause = match read(&core, deployment.feed).await {
-            Ok(list) => {
+            Ok((list, cold)) => {
                 if !std::mem::replace(&mut readable, true) {
                     log::info!("reading the list of upstreams works again");
                 }
-                propose_changes(&core, mark_leaving(&core, list)).await;
+                let mut list = mark_leaving(&core, list);
+                let evacuated = core.state.borrow().evacuations().clone();
+                let listed = list.values_mut();
+                listed.for_each(|listed| evacuation::mark(&evacuated, listed));
+                // Before the upstreams get requests.
+                core.dispatch.announce_listed(&core, cold);
+                propose_changes(&core, list).await;
                 INTERVAL
             }
             Err(error) => {
@@ -66,8 +77,9 @@
     }
 }
 
-async fn read(core: &Core, address: SocketAddr) -> anyhow::Result<List> {
+async fn read(core: &Core, address: SocketAddr) -> anyhow::Result<(List, ColdList)> {
     let mut list = List::new();
+    let mut cold = ColdList::new();
     let mut next: Option<Arc<str>> = None;
     loop {
         let page = future::timeout(PAGE_TIMEOUT, read_page(core, address, next.as_deref()))
@@ -78,9 +90,19 @@
         }
         let entries = page.entries.into_iter();
         list.extend(entries.map(|(name, listed)| (name, Arc::new(listed))));
+        for (upstream, left) in page.cold {
+            let service = list.get(&upstream).map(|listed| listed.service.clone());
+            cold.extend(service.map(|service| {
+                Announcement::Cold(Cold {
+                    service,
+                    upstream,
+                    left,
+                })
+            }));
+        }
         match page.next {
             Some(page) => next = Some(page),
-            None => return Ok(list),
+            None => return Ok((list, cold)),
         }
     }
 }
@@ -150,7 +172,13 @@
         log::info!(upstream:% = name; "upstream removed from the list");
     }
     let at = core.clock.wall();
-    if let Err(error) = lead::propose(core, &Command::List { set, removed, at }).await {
+    let command = Command::List {
+        set,
+        removed,
+        evacuations: Vec::new(),
+        at,
+    };
+    if let Err(error) = lead::propose(core, &command).await {
         log::warn!(error:% = error; "change of the list of upstreams was not accepted");
     }
 }
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -36,6 +36,8 @@
     Upstreams,
     /// Last rollout of each service.
     Rollouts,
+    /// Data centres, and which of them are evacuated.
+    Evacuations,
 }
 
 /// Answer to a [`Question`], as JSON of the operators' interface.
@@ -80,6 +82,7 @@
         Question::Audit { after, limit } => found(&state.audit(*after, *limit)),
         Question::Status => found(&status(core)),
         Question::Rollouts => found(&state.directory().rollouts),
+        Question::Evacuations => found(&super::evacuation::overview(&state)),
         Question::Upstreams => found(&state.directory().listed),
         Question::Declaration => match &state.directory().declaration {
             Some(text) => Answer::Found(text.source().clone()),
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -197,6 +197,7 @@
         &request.method,
         &request.target,
         account.as_ref().map(|account| &account.name),
+        metadata.prompt.as_deref(),
         &body,
     );
     let mut forwarder = Forwarder {
--- a/gooseberrylb/src/gateway/delegate.rs
+++ b/gooseberrylb/src/gateway/delegate.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::forward::{Delivery, Exchange, Failure, Forwarder, Lease, write_field};
+use super::homes::Homes;
 use super::http::{Connection, Framing, Request, Response};
 use super::pool::{CONNECT_TIMEOUT, Pool};
 use super::session;
@@ -77,12 +78,18 @@
     }
 
     /// Whether there is an entry to delegate to.
-    pub fn has_any(&self, core: &Core, now: Instant) -> bool {
-        self.pick(core, now).is_some()
+    pub fn has_any(&self, core: &Core, homes: Option<&Homes>, now: Instant) -> bool {
+        self.pick(core, homes, now).is_some()
     }
 
-    /// Picks an entry at random, rather one of the same data centre.
-    fn pick(&self, core: &Core, now: Instant) -> Option<(id::Instance, SocketAddr)> {
+    /// Picks an entry at random, rather one of the same data centre. A request that is restricted to
+    /// regions is sent to no machine elsewhere.
+    fn pick(
+        &self,
+        core: &Core,
+        homes: Option<&Homes>,
+        now: Instant,
+    ) -> Option<(id::Instance, SocketAddr)> {
         let published = core.published();
         let declined = self.declined.borrow();
         let is_usable = |name: &id::Instance| declined.get(name).is_none_or(|until| now >= *until);
@@ -90,7 +97,13 @@
             let instances = published.directory.instances.iter();
             instances.filter(|(name, instance)| {
                 let is_other = **name != core.identity.name;
-                is_other && instance.entry && !instance.leaving && is_usable(name)
+                let is_near = instance.region == core.identity.instance.region;
+                let is_home = homes.is_none_or(|homes| homes.contains(instance.region.as_str()));
+                is_other
+                    && (is_near || is_home)
+                    && instance.entry
+                    && !instance.leaving
+                    && is_usable(name)
             })
         };
         let own = &core.identity.instance.data_centre;
@@ -133,7 +146,10 @@
         let gateway = self.gateway.clone();
         for _ in 0..MAX_DELEGATES {
             let now = self.now();
-            let (name, address) = gateway.delegates.pick(&gateway.core, now)?;
+            let (name, address) =
+                gateway
+                    .delegates
+                    .pick(&gateway.core, self.homes().as_ref(), now)?;
             let connecting = gateway.delegates.connect(&gateway.core, address, now);
             let connection = match future::timeout(self.time_left(), connecting).await {
                 Ok(Ok(connection)) => connection,
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -146,6 +146,7 @@
             };
             self.excluded.push(upstream);
             match failure {
+                Failure::Withdrawn => {}
                 Failure::ConnectFailed => {
                     connect_failures += 1;
                     if connect_failures >= MAX_CONNECT_FAILURES && !self.finds_cut().await {
@@ -192,7 +193,11 @@
         let now = self.now();
         let verdict = self.gateway.verdict(Symptom::Unreached, now);
         let verdict = future::timeout(self.time_left(), verdict).await;
-        verdict == Ok(Verdict::Cut) && self.gateway.delegates.has_any(&self.gateway.core, now)
+        verdict == Ok(Verdict::Cut) && {
+            let homes = self.homes();
+            let delegates = &self.gateway.delegates;
+            delegates.has_any(&self.gateway.core, homes.as_ref(), now)
+        }
     }
 
     /// Has other entries forward the request until one responds. Returns `None` if none takes it.
@@ -283,6 +288,12 @@
         if time_left.is_zero() {
             return Err(Failure::ConnectFailed);
         }
+        // It may have been withdrawn while the connection was opened.
+        let listed = &self.gateway.core.published().directory.listed;
+        if listed.get(&grant.upstream).is_none_or(|u| u.draining) {
+            log::info!(id = self.id(), upstream:% = grant.upstream; "the upstream was withdrawn before the request was sent");
+            return Err(Failure::Withdrawn);
+        }
         let head = self.request_head(&grant, time_left, last_event);
         let sent_at = self.now();
         if self.attempts > 0 {
@@ -316,7 +327,10 @@
                     Failure::Silent | Failure::TimedOut => {
                         self.end_failed(grant, Symptom::Silent, outcome, Ending::Unclear);
                     }
-                    Failure::ConnectFailed | Failure::NotRun | Failure::Unknown(_) => {
+                    Failure::ConnectFailed
+                    | Failure::Withdrawn
+                    | Failure::NotRun
+                    | Failure::Unknown(_) => {
                         grant.end(outcome);
                     }
                 }
@@ -554,6 +568,9 @@
             );
         }
         grant.record_statement(reply.statement, served);
+        if let Some(left) = reply.cold_for {
+            grant.record_cold(left);
+        }
     }
 
     /// Records what the end of the run on an upstream told about what may crash upstreams.
--- a/gooseberrylb/src/gateway/forward/exchange.rs
+++ b/gooseberrylb/src/gateway/forward/exchange.rs
@@ -101,6 +101,8 @@
 pub enum Failure {
     /// The upstream could not be reached and received nothing.
     ConnectFailed,
+    /// The upstream was withdrawn before the request was sent, and received nothing.
+    Withdrawn,
     /// The upstream states that the request did not run.
     NotRun,
     /// The request may have run. The text is the message for the caller.
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use gooseberrylb_policy::dispatch::{Rank, Request, objective};
+use gooseberrylb_policy::dispatch::{Rank, Reason, Request, objective};
 
 use super::Forwarder;
 use crate::control::dispatch;
+use crate::gateway::homes::Homes;
 use crate::gateway::place::Placement;
 
 /// Longest time for which a request waits for an upstream, as a fraction of the time after which
@@ -27,6 +28,10 @@
 /// not state one.
 const DEFAULT_OUTPUT_DIVISOR: u64 = 4;
 
+/// `Retry-After` of requests that have no upstream in the regions that they are restricted to; about the
+/// interval at which the list of upstreams is read.
+const NO_HOME_PAUSE: Duration = Duration::from_secs(1);
+
 impl Forwarder {
     /// Asks for an upstream for the next attempt. A request counts once against the quota.
     pub(super) async fn place(&self) -> Placement {
@@ -55,6 +60,14 @@
             }
             _ => (0, 0),
         };
+        let mut excluded = self.excluded.clone();
+        if let Some(homes) = self.homes() {
+            let directory = &gateway.core.published().directory;
+            match homes.excluded(&gateway.core, directory, &service) {
+                Some(outside) => excluded.extend(outside),
+                None => return Placement::Refused(Reason::NoUpstream, NO_HOME_PAUSE),
+            }
+        }
         let quota = self.account.as_ref().and_then(|account| account.quota);
         let units = quota.map(|a| dispatch::units(a.unit, self.metadata.tokens));
         let request = Request {
@@ -71,11 +84,16 @@
             objective,
             hold: self.hold(waited).min(time_left),
             patience: time_left,
-            excluded: self.excluded.clone(),
+            excluded,
         };
         gateway.placer.place(request, &self.causes()).await
     }
 
+    /// Returns the regions to which the request is restricted, if it is.
+    pub(in crate::gateway) fn homes(&self) -> Option<Homes> {
+        Homes::new(&self.route, self.account.as_deref())
+    }
+
     /// Returns the rank of the request. An account without a rank takes that of the route.
     pub fn rank(&self) -> Rank {
         let route = self.route.rank;
--- a/gooseberrylb/src/gateway/interfaces.rs
+++ b/gooseberrylb/src/gateway/interfaces.rs
@@ -11,13 +11,14 @@
 use async_std::{future, task};
 use gooseberrylb_config::declaration::Text;
 use gooseberrylb_config::dialect::{Call, Dialect};
+use gooseberrylb_config::directory::evacuation::Order;
 use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
 use gooseberrylb_control::state::{Command, Reply};
 
 use super::forward::write_field;
 use super::http::{Connection, Error, Request};
-use crate::control::{Answer, Core, Failure, Handle, Question};
+use crate::control::{Answer, Core, Failure, Handle, Question, evacuation};
 
 /// Maximum size in bytes of the body of a request, such as a declaration.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -127,7 +128,12 @@
             Call::ReadDeclaration => self.read_declaration().await,
             Call::RollOut => self.roll_out(body).await,
             Call::ReadRollout { service } => self.read_rollout(&service).await,
-            Call::Entries { data_centre } => self.entries(data_centre.as_deref()),
+            Call::Evacuate(order) => self.evacuate(order).await,
+            Call::Entries {
+                data_centre,
+                region,
+                host,
+            } => self.entries(data_centre.as_deref(), region.as_deref(), host.as_deref()),
             Call::Ready if (self.is_ready)() => Response {
                 status: 200,
                 body: "{}".to_owned(),
@@ -250,6 +256,21 @@
         }
     }
 
+    /// Proposes to evacuate a data centre, or to end that. A repeated order is acknowledged again.
+    async fn evacuate(&self, order: Order) -> Response {
+        let name = order.data_centre.clone();
+        match evacuation::submit(&self.control, order, self.core.clock.wall()).await {
+            Ok(evacuation::Outcome::Accepted) => Response {
+                status: 200,
+                body: "{}".to_owned(),
+            },
+            Ok(evacuation::Outcome::UnknownDataCentre) => {
+                self.fault(404, &format!("there is no data centre {name}"))
+            }
+            Err(failure) => self.unavailable(&failure),
+        }
+    }
+
     /// Returns the error response for a failed proposal or query.
     fn unavailable(&self, failure: &Failure) -> Response {
         self.fault(503, &failure.to_string())
@@ -268,8 +289,14 @@
     }
 
     /// Returns the addresses of the entries that serve callers, restricted to the caller's data
-    /// centre if it has at least [`MIN_LOCAL_ENTRIES`].
-    fn entries(&self, data_centre: Option<&str>) -> Response {
+    /// centre if it has at least [`MIN_LOCAL_ENTRIES`], else to its region or, where the host's routes
+    /// name regions, to these.
+    fn entries(
+        &self,
+        data_centre: Option<&str>,
+        region: Option<&str>,
+        host: Option<&str>,
+    ) -> Response {
         let published = self.core.published();
         if !published.is_fresh(self.core.clock.now()) {
             return self.fault(503, "which entries can serve is not known");
@@ -280,10 +307,28 @@
             .iter()
             .filter(|i| Some(i.data_centre.as_str()) == data_centre);
         let local: Vec<SocketAddr> = local.map(|i| i.callers).collect();
-        let mut addresses: Vec<SocketAddr> = match local.len() >= MIN_LOCAL_ENTRIES {
-            true => local,
-            false => entries.iter().map(|i| i.callers).collect(),
-        };
+        let table = self.core.table(&published.directory);
+        let homes = table
+            .zip(host)
+            .map(|(table, host)| table.homes_of_host(host));
+        let homes = homes.unwrap_or_default();
+        let in_region = entries
+            .iter()
+            .filter(|i| Some(i.region.as_str()) == region)
+            .map(|i| i.callers);
+        let in_homes = entries
+            .iter()
+            .filter(|i| homes.contains(i.region.as_str()))
+            .map(|i| i.callers);
+        let mut choices = [local, in_region.collect(), in_homes.collect()].into_iter();
+        let (is_local_enough, is_any) = (
+            |found: &Vec<_>| found.len() >= MIN_LOCAL_ENTRIES,
+            |found: &Vec<_>| !found.is_empty(),
+        );
+        let chosen = choices.next().filter(is_local_enough);
+        let chosen = chosen.or_else(|| choices.find(is_any));
+        let everywhere = || entries.iter().map(|i| i.callers).collect();
+        let mut addresses: Vec<SocketAddr> = chosen.unwrap_or_else(everywhere);
         addresses.truncate(MAX_ENTRIES);
         if addresses.is_empty() {
             return self.fault(503, "no entry can serve");
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -21,6 +21,7 @@
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
 };
 use gooseberrylb_policy::quota::Usage;
+use gooseberrylb_policy::warm_up;
 
 use crate::control::Core;
 use crate::control::dispatch;
@@ -100,6 +101,12 @@
             .record_statement(service, &self.upstream, statement, served);
     }
 
+    /// Takes over for how long the upstream says that it stays cold.
+    pub fn record_cold(&self, left: Duration) {
+        let service = &self.listed.service;
+        self.placer.record_cold(service, &self.upstream, left);
+    }
+
     /// Records what the end of a run at a time told about what may crash upstreams.
     pub fn record_ending(&self, causes: &[Cause], ending: Ending, at: Instant) {
         self.placer
@@ -168,6 +175,8 @@
     availability_revision: Cell<Option<number::Revision>>,
     /// What crashes upstreams, and the crashes that this entry saw.
     crashes: RefCell<crash::Table>,
+    /// Cold upstreams.
+    warm_up: RefCell<warm_up::Table>,
 }
 
 impl Placer {
@@ -192,6 +201,7 @@
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
             crashes: RefCell::default(),
+            warm_up: RefCell::default(),
         })
     }
 
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -1,12 +1,13 @@
 //! What an entry knows of upstreams and of what crashes them: what it heard itself and tells its
 //! dispatcher, and what the dispatcher tells it. Both bind its requests, also while it places them alone.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::id;
 use gooseberrylb_policy::announcement::{self, Announcement};
 use gooseberrylb_policy::crash::{Cause, Ending};
+use gooseberrylb_policy::warm_up::Cold;
 
 use super::Placer;
 use crate::control::dispatch::{self, announce};
@@ -75,6 +76,28 @@
         self.announce(announcements);
     }
 
+    /// Takes over for how long an upstream says that it stays cold, and tells the dispatcher.
+    pub(super) fn record_cold(
+        &self,
+        service: &id::Service,
+        upstream: &id::Upstream,
+        left: Duration,
+    ) {
+        let now = self.core.clock.now();
+        let cold = Cold {
+            service: service.clone(),
+            upstream: upstream.clone(),
+            left,
+        };
+        if self.warm_up.borrow_mut().record(&cold, now) {
+            let news = vec![Announcement::Cold(cold)];
+            news.iter()
+                .for_each(|news| announce::log(&self.core.identity.name, news));
+            self.fallback.borrow_mut().announce(news.clone(), now);
+            self.announce(news);
+        }
+    }
+
     /// Records what the end of a run at a time told about what may crash upstreams, and tells the
     /// dispatcher.
     pub(super) fn record_ending(
@@ -114,6 +137,15 @@
                         announce::log(dispatcher, &Announcement::Crash(news));
                     });
                 }
+                Announcement::Cold(cold) => {
+                    let is_new = self.warm_up.borrow_mut().record(&cold, now);
+                    let announcement = Announcement::Cold(cold);
+                    if is_new {
+                        announce::log(dispatcher, &announcement);
+                    }
+                    let mut fallback = self.fallback.borrow_mut();
+                    fallback.announce(vec![announcement], now);
+                }
                 Announcement::Upstream(report) => {
                     let is_new = self.availability.borrow_mut().adopt(&report, now);
                     let announcement = Announcement::Upstream(report);
@@ -131,6 +163,7 @@
     pub(super) fn announcements(&self) -> Vec<Announcement> {
         let now = self.core.clock.now();
         let upstreams = self.availability.borrow().reports(now);
-        announcement::join(upstreams, self.crashes.borrow().reports(now))
+        let cold = self.warm_up.borrow().reports(now);
+        announcement::join(upstreams, self.crashes.borrow().reports(now), cold)
     }
 }
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -62,6 +62,10 @@
     pub delegated: IntCounterVec,
     /// 1 while this entry is cut off from the upstreams, else 0.
     pub cut_off: IntGauge,
+    /// Evacuated data centres, as the leader knows.
+    pub evacuations: IntGauge,
+    /// Requests that this instance's dispatcher granted to cold upstreams.
+    pub cold_grants: IntCounter,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -228,6 +232,12 @@
                 "cut_off",
                 "Whether this entry is cut off from the upstreams.",
             ),
+            evacuations: gauge(&r, "evacuations", "Evacuated data centres."),
+            cold_grants: counter(
+                &r,
+                "cold_grants_total",
+                "Requests granted to upstreams that were cold.",
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
--- a/gooseberrylb/src/operators.rs
+++ b/gooseberrylb/src/operators.rs
@@ -6,6 +6,7 @@
 
 use gooseberrylb_config::answer::Accepted;
 use gooseberrylb_config::clock::Clock;
+use gooseberrylb_config::directory::evacuation::Order;
 use gooseberrylb_config::note::Note;
 use gooseberrylb_config::number;
 use gooseberrylb_config::settings::secret::Secret;
@@ -13,7 +14,7 @@
 use http_types::{Response, StatusCode, mime};
 
 use crate::answer::{Error, json};
-use crate::control::{self, Answer, Failure, Identity, Question};
+use crate::control::{self, Answer, Failure, Identity, Question, evacuation};
 use crate::metrics::METRICS;
 
 mod query;
@@ -50,6 +51,10 @@
     app.at("/v1/declaration").get(declaration);
     app.at("/v1/upstreams").get(upstreams);
     app.at("/v1/rollouts").get(rollouts);
+    app.at("/v1/evacuations").get(evacuations);
+    app.at("/v1/evacuations/:data_centre")
+        .post(evacuate)
+        .delete(end_evacuation);
     app.at("/v1/report").get(report);
     app.at("/v1/audit").get(audit);
     app.at("/").all(not_found);
@@ -241,6 +246,44 @@
     Ok(answer_query(&request, Question::Rollouts, "there are no rollouts").await)
 }
 
+async fn evacuations(request: Request) -> tide::Result {
+    let missing = "there are no evacuations";
+    Ok(answer_query(&request, Question::Evacuations, missing).await)
+}
+
+async fn evacuate(request: Request) -> tide::Result {
+    Ok(submit_evacuation(&request, true).await)
+}
+
+async fn end_evacuation(request: Request) -> tide::Result {
+    Ok(submit_evacuation(&request, false).await)
+}
+
+/// Submits an order to evacuate a data centre, or to end that.
+async fn submit_evacuation(request: &Request, active: bool) -> tide::Response {
+    if let Err(error) = check_token(request) {
+        return answer(error);
+    }
+    let name = request.param("data_centre").unwrap_or_default();
+    let order = Order {
+        data_centre: name.into(),
+        active,
+    };
+    let operators = request.state();
+    match evacuation::submit(&operators.control, order, operators.clock.wall()).await {
+        Ok(evacuation::Outcome::Accepted) => {
+            let body = serde_json::json!({ "data_centre": name, "evacuated": active });
+            answer(json(StatusCode::Ok, &body))
+        }
+        Ok(evacuation::Outcome::UnknownDataCentre) => {
+            let message = format!("there is no data centre {name}");
+            let code = "unknown_data_centre";
+            answer(Error::new(StatusCode::NotFound, code, message))
+        }
+        Err(failure) => answer(failure_error(&failure)),
+    }
+}
+
 async fn status(request: Request) -> tide::Result {
     Ok(answer_query(&request, Question::Status, "there is no status").await)
 }
--- a/gooseberrylb/tests/platform/crashes.rs
+++ b/gooseberrylb/tests/platform/crashes.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{ENTRY, Fleet, KEY};
-use crate::standin::CRASHING;
+use crate::standin::{CRASHING, CRASHING_PART};
 
 /// Time within which the whole fleet has to know what one entry has learned.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -118,3 +118,29 @@
     }
     assert_eq!(fleet.crashing_arrivals(), known);
 }
+
+/// Guards against refusing all requests to a target because one prompt crashes upstreams: requests
+/// with different prompts are different requests.
+#[test]
+fn sound_prompts_of_a_target_are_served_while_another_one_is_blocked() {
+    let mut fleet = Fleet::start(29);
+    fleet.start_entry(ENTRY + 1);
+    let entries = [ENTRY, ENTRY + 1];
+    let fields = |own: &str| format!("{KEY}X-Gooseberrylb-Prompt-Prefix: f0:60,{own}:50\r\n");
+    let crashing = fields(CRASHING_PART);
+    let is_blocked = |answer: &str| answer.contains("the request crashes upstreams");
+    fleet.wait(|fleet| {
+        let answers = entries.map(|host| fleet.call_at(host, "/crowd/x", &crashing));
+        answers.iter().all(|answer| is_blocked(answer))
+    });
+    for number in 0..20 {
+        let host = entries[number % 2];
+        let sound = fields(&format!("{:x}", 0x10_000 + number));
+        fleet.wait(|fleet| {
+            let answer = fleet.call_at(host, "/crowd/x", &sound);
+            assert!(!is_blocked(&answer), "{answer}");
+            answer.starts_with("HTTP/1.1 20")
+        });
+        assert!(is_blocked(&fleet.call_at(host, "/crowd/x", &crashing)));
+    }
+}
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod cuts;
 mod declarations;
+mod evacuations;
 mod fleet;
 mod limits;
 #[path = "../../../gooseberrylb_testbed/src/proxy/owner.rs"]
--- a/gooseberrylb_config/src/declaration.rs
+++ b/gooseberrylb_config/src/declaration.rs
@@ -63,15 +63,30 @@
     pub max_attempts: u32,
     /// Whether requests without an API key are accepted.
     pub anonymous: bool,
+    /// Regions in which the requests may run; all if there are none.
+    pub homes: Vec<Arc<str>>,
 }
 
 /// Declared properties of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Maximum number of connections to one upstream from all instances together.
     pub max_connections: u32,
     /// Number of tokens per stream event, for engines.
     pub stride: Option<u32>,
+    /// Number of tokens that one engine holds for its requests, if stated.
+    pub memory: Option<u64>,
+    /// How upstreams start, if they tolerate fewer requests then.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Start of an upstream, during which it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Requests per second that a cold upstream tolerates from all instances together.
+    pub per_second: f64,
+    /// Time for which an upstream is cold after it started.
+    pub duration: Duration,
 }
 
 /// Rate limit of a client account.
@@ -108,6 +123,8 @@
     pub rank: Option<u8>,
     /// Rate limit of the account; unlimited if not set.
     pub quota: Option<Quota>,
+    /// Regions in which the account's requests may run; all if there are none.
+    pub homes: Vec<Arc<str>>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -230,6 +247,18 @@
             .next()
     }
 
+    /// Returns the regions in which some request to a host may run; none if a route of the host names
+    /// no regions.
+    pub fn homes_of_host(&self, host: &str) -> BTreeSet<Arc<str>> {
+        let prefixes = self.routes_by_host.get(host.to_ascii_lowercase().as_str());
+        let routes: Vec<_> = prefixes.into_iter().flat_map(HashMap::values).collect();
+        if routes.iter().any(|route| route.homes.is_empty()) {
+            return BTreeSet::new();
+        }
+        let homes = routes.iter().flat_map(|route| route.homes.iter().cloned());
+        homes.collect()
+    }
+
     /// Returns the client account of an API key.
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
         self.accounts_by_key.get(key)
--- a/gooseberrylb_config/src/dialect.rs
+++ b/gooseberrylb_config/src/dialect.rs
@@ -10,6 +10,7 @@
 
 use crate::declaration::Declaration;
 use crate::directory::ListedUpstream;
+use crate::directory::evacuation::Order;
 use crate::directory::rollout::Rollout;
 use crate::finding::{Finding, Findings};
 use crate::id;
@@ -33,6 +34,8 @@
     pub expected_output: Option<u64>,
     /// Number of the last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Prompt as the caller describes it, whole.
+    pub prompt: Option<Arc<str>>,
     /// Parts of the prompt that other requests may share, in order. What belongs to the request or
     /// its session alone is left out.
     pub parts: Vec<id::Part>,
@@ -52,6 +55,8 @@
     pub encoded: bool,
     /// What the upstream says of its own availability.
     pub statement: Statement,
+    /// Time for which the upstream says that it stays cold.
+    pub cold_for: Option<Duration>,
     /// Value of a header field about the availability that cannot be read and is ignored.
     pub unreadable: Option<Arc<str>>,
 }
@@ -95,6 +100,10 @@
     Entries {
         /// Data centre of the caller.
         data_centre: Option<Arc<str>>,
+        /// Region of the caller.
+        region: Option<Arc<str>>,
+        /// Host that the caller wants to send requests to.
+        host: Option<Arc<str>>,
     },
     /// An operator orders a rollout.
     RollOut,
@@ -103,6 +112,8 @@
         /// Name of the service, not validated.
         service: Arc<str>,
     },
+    /// An operator orders the evacuation of a data centre, or withdraws that order.
+    Evacuate(Order),
     /// The platform asks whether this entry is ready to serve.
     Ready,
     /// Any other method and target.
@@ -125,6 +136,8 @@
 pub struct Page {
     /// Valid upstreams.
     pub entries: Vec<(id::Upstream, ListedUpstream)>,
+    /// Upstreams that are cold, with the times for which they stay so.
+    pub cold: Vec<(id::Upstream, Duration)>,
     /// Errors of the entries that were skipped as invalid.
     pub unusable: Vec<Finding>,
     /// Token of the next page, if there is one.
--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -13,6 +13,7 @@
 use crate::note;
 use crate::number;
 
+pub mod evacuation;
 pub mod rollout;
 
 mod check;
--- a/gooseberrylb_config/src/id.rs
+++ b/gooseberrylb_config/src/id.rs
@@ -134,11 +134,18 @@
 pub struct Content(u128);
 
 impl Content {
-    /// Returns the identity of requests of an account with a method, a target and a body.
-    pub fn new(method: &str, target: &str, account: Option<&Account>, body: &[u8]) -> Self {
+    /// Returns the identity of requests of an account with a method, a target, a prompt and a body.
+    pub fn new(
+        method: &str,
+        target: &str,
+        account: Option<&Account>,
+        prompt: Option<&str>,
+        body: &[u8],
+    ) -> Self {
         let account = account.map_or("", Account::as_str);
         let mut hasher = blake3::Hasher::new();
-        for field in [method, target, account] {
+        // Without a prompt, the identity is that of releases that did not know prompts.
+        for field in [method, target, account].into_iter().chain(prompt) {
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
         }
--- a/gooseberrylb_config/src/lib.rs
+++ b/gooseberrylb_config/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod number;
 mod reader;
 pub mod settings;
+pub mod trailing;
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -127,6 +127,17 @@
     /// Maximum share of a service's requests that a release gets during the trial stage of a
     /// rollout.
     pub trial_share: f64,
+    /// Regions of data centres, also of those without instances.
+    pub data_centres: Vec<Location>,
+}
+
+/// Region of a data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Location {
+    /// Name of the data centre.
+    pub data_centre: id::DataCentre,
+    /// Region that it is in.
+    pub region: id::Region,
 }
 
 /// Settings of one instance.
@@ -180,6 +191,11 @@
     retry_window_s,
     quota_window_s,
     trial_share = DEFAULT_TRIAL_SHARE,
+    data_centres = Vec::new(),
+});
+read_object!(Location {
+    data_centre,
+    region
 });
 read_object!(Peer { name, address, voter = false });
 read_object!(Log {
--- a/gooseberrylb_control/src/state.rs
+++ b/gooseberrylb_control/src/state.rs
@@ -8,6 +8,7 @@
 
 use gooseberrylb_config::declaration;
 use gooseberrylb_config::directory;
+use gooseberrylb_config::directory::evacuation;
 use gooseberrylb_config::directory::rollout;
 use gooseberrylb_config::finding::Findings;
 use gooseberrylb_config::id;
@@ -24,6 +25,7 @@
 pub mod audit;
 mod codec;
 mod declared;
+mod evacuations;
 pub mod instances;
 pub mod notes;
 mod query;
@@ -117,6 +119,10 @@
         set: Vec<(id::Upstream, Arc<directory::ListedUpstream>)>,
         /// Upstreams that are no longer listed.
         removed: Vec<id::Upstream>,
+        /// Orders to evacuate data centres, or to end that. Release 0.1 of 3630e69 ignores the field, and
+        /// would not know a command of its own.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        evacuations: Vec<evacuation::Order>,
         /// Time at which the leader read the list.
         #[serde(with = "note::time")]
         at: SystemTime,
@@ -288,6 +294,9 @@
     audit: audit::Trail,
     /// Outcome counts and share changes for reports.
     reports: report::Reports,
+    /// Evacuated data centres, by name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    evacuations: BTreeMap<Arc<str>, evacuation::Evacuation>,
 }
 
 impl State {
@@ -347,7 +356,15 @@
             Command::Step(step) => self.step_move(step),
             Command::Lead { leader, term, at } => self.record_leader(leader, *term, *at),
             Command::Declare { text, at } => self.set_declaration(text, *at),
-            Command::List { set, removed, .. } => self.update_upstreams(set, removed),
+            Command::List {
+                set,
+                removed,
+                evacuations,
+                at,
+            } => {
+                self.apply_evacuations(evacuations, *at);
+                self.update_upstreams(set, removed)
+            }
             Command::RollOut {
                 service,
                 release,
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -7,20 +7,21 @@
 //! the caller passes in the time and what happened.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::fmt;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
-use serde::{Deserialize, Serialize};
 
 use crate::announcement::{self, Announcement};
 use crate::availability::{Listing, Table};
 use crate::crash;
 use crate::quota::{Usage, Window};
 use crate::rollout::Observation;
+use crate::warm_up;
 
+pub use message::{
+    Charge, Decision, Key, Notice, Outcome, Quota, Rank, Reason, Request, Running, Upstream,
+};
 pub use peers::Summary;
 pub use rates::Rates;
 pub use upstream::{Exclusion, Failure, Health};
@@ -31,238 +32,18 @@
 pub mod share;
 
 mod fairness;
+mod message;
 mod peers;
+pub mod profile;
 mod rates;
 mod release;
 mod service;
 mod upstream;
 
 use peers::Peers;
+use profile::Profile;
 use service::Service;
 
-/// Identifies a request, or one attempt of it, across all entries.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Key {
-    /// Entry that holds the request.
-    pub entry: id::Instance,
-    /// Start time of the entry's process, in milliseconds since 1970.
-    pub incarnation: u64,
-    /// Number of the attempt at that entry; each retry has its own.
-    pub number: u64,
-}
-
-/// Scheduling priority, lowest value first: the account's rank decides, and between equal accounts
-/// the route's.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Rank {
-    /// Rank of the account, or of the route if the account has none.
-    pub account: u8,
-    /// Rank of the route.
-    pub route: u8,
-}
-
-impl From<u8> for Rank {
-    fn from(rank: u8) -> Self {
-        Self {
-            account: rank,
-            route: rank,
-        }
-    }
-}
-
-impl fmt::Display for Rank {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.account, self.route)
-    }
-}
-
-/// A request that needs an upstream.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Request {
-    /// Key of the attempt.
-    pub key: Key,
-    /// Service that the request is for.
-    pub service: id::Service,
-    /// Route that the request came by.
-    pub route: Arc<str>,
-    /// Account that is charged, if it has a quota.
-    pub account: Option<id::Account>,
-    /// Units charged to the quota; 0 for a retry.
-    pub units: f64,
-    /// Weight of the account in fair queueing, such as its quota per second; 1 without an account.
-    pub weight: f64,
-    /// Priority of the request; the lowest rank is served first.
-    pub rank: Rank,
-    /// Data centre of the entry.
-    pub data_centre: Arc<str>,
-    /// Length of the prompt, in tokens; 0 for plain calls.
-    pub prompt: u64,
-    /// Expected number of events in the response; 0 for plain calls.
-    pub events: u64,
-    /// Time left in which the response, or its first event, is on time.
-    pub objective: Duration,
-    /// Longest time for which it is worth queueing the request for an upstream.
-    pub hold: Duration,
-    /// Time left until the caller stops waiting for the response.
-    pub patience: Duration,
-    /// Upstreams that the request must not go to.
-    pub excluded: Vec<id::Upstream>,
-}
-
-/// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reason {
-    /// The account has used up its quota.
-    Quota,
-    /// The upstreams cannot run the request in time.
-    Busy,
-    /// The service has no usable upstream.
-    NoUpstream,
-    /// A part of the prompt crashes upstreams. Entries decide this themselves.
-    Prompt,
-    /// The request crashes upstreams. Entries decide this themselves.
-    Crashing,
-}
-
-/// The dispatcher's decision on a request.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Decision {
-    /// The request goes to this upstream, which has a free slot for it.
-    Grant(id::Upstream),
-    /// The request is queued; [`Dispatcher::poll`] returns the final decision.
-    Wait,
-    /// The request is refused, and the caller may retry after this time.
-    Refuse(Reason, Duration),
-    /// The dispatcher does not know the request, so the entry decides itself.
-    Unknown,
-}
-
-/// How a granted request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The response was complete.
-    Served {
-        /// Time to the first byte of the response body.
-        first: Duration,
-        /// Time from the first byte to the end.
-        rest: Duration,
-        /// Number of events received.
-        events: u64,
-    },
-    /// The upstream reported that it had no room.
-    Full,
-    /// The upstream failed, or could not be reached.
-    Failed,
-    /// The caller left, or the grant was not used.
-    Dropped,
-    /// The upstream's host refused the connection: nothing listens there.
-    Refused,
-}
-
-/// A request that an entry has in flight at an upstream.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Running {
-    /// Key of the attempt.
-    pub key: Key,
-    /// Service that the request is for.
-    pub service: id::Service,
-    /// Upstream that runs it.
-    pub upstream: id::Upstream,
-    /// Length of the prompt, in tokens.
-    pub prompt: u64,
-    /// Longest time that the request may still take.
-    pub patience: Duration,
-}
-
-/// Units charged to an account's quota by a request that an entry placed without the dispatcher.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Charge {
-    /// Key of the attempt; an entry reports its charges in the order of their numbers.
-    pub key: Key,
-    /// Account that is charged.
-    pub account: id::Account,
-    /// Units charged.
-    pub units: f64,
-    /// Time since the request was placed.
-    pub age: Duration,
-}
-
-/// What an entry reports to the dispatcher, apart from its requests for a placement.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
-    /// All requests that the entry has in flight, sent to a dispatcher that is new to the entry.
-    pub running: Option<(id::Instance, Vec<Running>)>,
-    /// Requests in flight that the entry placed without the dispatcher, in addition to those that
-    /// the dispatcher knows.
-    pub started: Vec<Running>,
-    /// Charges of requests that the entry placed without the dispatcher; resent until
-    /// acknowledged.
-    pub charges: Vec<Charge>,
-    /// Requests that ended, with their outcomes.
-    pub ended: Vec<(Key, Outcome)>,
-    /// Requests whose upstream has been silent for longer than expected.
-    pub silent: Vec<Key>,
-    /// Upstream rates that the entry measured, sent to a dispatcher that is new to the entry.
-    pub rates: Vec<(id::Service, id::Upstream, Rates)>,
-    /// Use of quotas by requests of this entry, sent to a dispatcher that is new to the entry,
-    /// once the entry has run for a whole window.
-    pub spent: Option<(id::Instance, Vec<(id::Account, Usage)>)>,
-}
-
-impl Notice {
-    /// Whether the notice reports nothing.
-    pub fn is_empty(&self) -> bool {
-        let Self {
-            running,
-            started,
-            charges,
-            ended,
-            silent,
-            rates,
-            spent,
-        } = self;
-        running.is_none()
-            && started.is_empty()
-            && charges.is_empty()
-            && ended.is_empty()
-            && silent.is_empty()
-            && rates.is_empty()
-            && spent.is_none()
-    }
-}
-
-/// An upstream as configured in the dispatcher.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Upstream {
-    /// Name of the upstream.
-    pub name: id::Upstream,
-    /// Service that it belongs to.
-    pub service: id::Service,
-    /// Version of its software.
-    pub release: Arc<str>,
-    /// Data centre in which it runs.
-    pub data_centre: Arc<str>,
-    /// Number of requests that it runs at once.
-    pub slots: u32,
-    /// Part of the limit that the upstream may name which this dispatcher uses, from 0 to 1.
-    pub limit_part: f64,
-}
-
-/// Quota of an account.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Quota {
-    /// Account that the quota belongs to.
-    pub account: id::Account,
-    /// Sustained rate, in units per second.
-    pub per_second: f64,
-    /// Units that may be used in a window on top of the rate.
-    pub burst: f64,
-    /// Length of the sliding window in which use is counted.
-    pub window: Duration,
-}
-
 /// A queued or running request, with what was charged to its account's quota.
 #[derive(Debug)]
 struct Tracked {
@@ -300,6 +81,10 @@
     availability: Table,
     /// What crashes upstreams.
     crashes: crash::Table,
+    /// Cold upstreams.
+    warm_up: warm_up::Table,
+    /// Declared properties of services.
+    profiles: BTreeMap<id::Service, Profile>,
     /// Notices for dispatchers of other shards, about requests that they granted.
     relayed: BTreeMap<id::Instance, Notice>,
 }
@@ -322,11 +107,24 @@
             self.services.entry(name.clone()).or_default();
         }
         for (name, service) in &mut self.services {
+            let profile = self.profiles.get(name).copied().unwrap_or_default();
+            service.set_profile(profile);
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
             service.set_availability(name, &self.availability, now);
         }
     }
 
+    /// Replaces the declared properties of services, for the upstreams that are set after this.
+    pub fn set_profiles(&mut self, profiles: BTreeMap<id::Service, Profile>) {
+        self.profiles = profiles;
+    }
+
+    /// Whether an upstream is cold.
+    pub fn is_cold(&self, upstream: &id::Upstream, now: Instant) -> bool {
+        let mut services = self.services.values();
+        services.any(|service| service.is_cold(upstream, now))
+    }
+
     /// Takes over what another instance tells, and returns what is new of it.
     /// Upstreams that want no request get none accordingly, whatever the list says.
     pub fn announce(
@@ -345,6 +143,14 @@
                     }
                     news.extend(is_new.then_some(Announcement::Upstream(report)));
                 }
+                Announcement::Cold(cold) => {
+                    let is_new = self.warm_up.record(&cold, now);
+                    let service = self.services.get_mut(&cold.service);
+                    if let Some(service) = service.filter(|_| is_new) {
+                        service.set_cold(&cold.upstream, now + cold.left, now);
+                    }
+                    news.extend(is_new.then_some(Announcement::Cold(cold)));
+                }
                 Announcement::Crash(report) => {
                     let reports = self.crashes.adopt(report, now);
                     news.extend(reports.into_iter().map(Announcement::Crash));
@@ -356,7 +162,14 @@
 
     /// Returns what another dispatcher needs to know of upstreams and crashes.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
-        announcement::join(self.availability.reports(now), self.crashes.reports(now))
+        let crashes = self.crashes.reports(now);
+        self.join(crashes, now)
+    }
+
+    /// Returns what is known of upstreams, and of crashes, as announcements.
+    fn join(&self, crashes: Vec<crash::Report>, now: Instant) -> Vec<Announcement> {
+        let upstreams = self.availability.reports(now);
+        announcement::join(upstreams, crashes, self.warm_up.reports(now))
     }
 
     /// Blocks the causes that the known crashes point to, and returns them. A crash counts
@@ -368,7 +181,7 @@
 
     /// Returns what entries need to know of upstreams and crashes to place requests alone.
     pub fn announcements_for_entries(&self, now: Instant) -> Vec<Announcement> {
-        announcement::join(self.availability.reports(now), self.crashes.blocks(now))
+        self.join(self.crashes.blocks(now), now)
     }
 
     /// Whether an upstream has said that it leaves.
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -2,37 +2,28 @@
 //! on which upstream they run.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
 
-use super::fairness::{Clock, VirtualTime};
+use super::fairness::Clock;
 use super::peers::Capacity;
-use super::rates::{NEWEST_WEIGHT, POOLED_NEWEST_WEIGHT, Rates, update_average};
-use super::release::{Completion, Release};
-use super::upstream::{Exclusion, Failure, State};
-use super::{Decision, Key, Outcome, Rank, Reason, Request, Running, Upstream};
+use super::profile::Profile;
+use super::rates::Rates;
+use super::release::Release;
+use super::upstream::{Exclusion, State};
+use super::{Decision, Key, Reason, Request, Running, Upstream};
 use crate::availability::Table;
-use crate::occupancy::Occupancy;
-use crate::rollout::Observation;
+use queue::{Arrivals, InFlight, Position, Priority, Queued};
+
+mod choice;
+mod outcome;
+mod queue;
 
 /// Pause before callers retry at a service without upstreams; about the interval at which the list
 /// of upstreams is read.
 pub(super) const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time by which a response from another data centre must be expected sooner for the request to go
-/// there: bytes between data centres cost, and a round trip takes a few milliseconds.
-const CROSS_DATA_CENTRE_COST: Duration = Duration::from_millis(30);
-
-/// Time added to the cost of an upstream that runs as many requests as it has slots, and in
-/// proportion otherwise: prefill of one prompt delays the tokens of other requests.
-const CONTENTION_COST: Duration = Duration::from_millis(40);
-
-/// Time added to the cost of an upstream on which the first event would be late.
-const LATE_COST: Duration = Duration::from_secs(60);
-
 /// Share of the objective within which the first event must be expected for a request to count as
 /// in time, since estimates err.
 const USABLE_OBJECTIVE_SHARE: f64 = 0.85;
@@ -43,9 +34,6 @@
 /// Time that a request is expected to hold its slot before any measurement, in seconds.
 const DEFAULT_SLOT_SECONDS: f64 = 0.3;
 
-/// Time constant of the moving arrival rate; bursts last for seconds.
-const ARRIVAL_DECAY: Duration = Duration::from_secs(1);
-
 /// Share of the capacity that is assumed to be left for a rank when higher ranks take all of it.
 const MIN_CAPACITY_SHARE: f64 = 0.05;
 
@@ -63,95 +51,6 @@
 /// Largest part added to a retry pause as jitter, so that refused callers do not retry together.
 const RETRY_JITTER: f64 = 0.5;
 
-/// A request that runs on an upstream.
-#[derive(Debug)]
-struct InFlight {
-    /// Upstream that runs the request.
-    upstream: id::Upstream,
-    /// Time of the grant.
-    since: Instant,
-    /// Length of the prompt, in tokens.
-    prompt: u64,
-    /// Route of the request, if this dispatcher granted it.
-    route: Option<Arc<str>>,
-    /// Prefill time of the prompts ahead of it when it was granted.
-    prefill_wait: Duration,
-    /// Whether the upstream was reported silent on this request.
-    silent: bool,
-    /// Time after which nobody waits for the request, so that its slot is freed even if its end is
-    /// never reported.
-    expires: Instant,
-}
-
-/// A queued request.
-#[derive(Debug)]
-struct Queued {
-    /// Request that waits.
-    request: Request,
-    /// Time at which it was queued.
-    since: Instant,
-    /// Whether it is offered to the dispatcher of another shard.
-    offered: bool,
-}
-
-/// Position in the queue: by priority, then by fair queueing among accounts, then by arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Position {
-    priority: Priority,
-    start: VirtualTime,
-    number: u64,
-}
-
-/// Order of precedence: the account's rank, then the route's. A late request has already lost most
-/// of its value, so it ranks one lower, behind those of that rank that can still be in time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Priority {
-    /// Rank of the account.
-    account: u8,
-    /// Rank of the route, plus 1 for a late request.
-    route: u8,
-    /// Whether the request can no longer be in time.
-    late: bool,
-}
-
-impl Priority {
-    fn new(rank: Rank, late: bool) -> Self {
-        Self {
-            account: rank.account,
-            route: rank.route.saturating_add(u8::from(late)),
-            late,
-        }
-    }
-}
-
-/// Exponentially decaying count of arrivals.
-#[derive(Debug, Default)]
-struct Arrivals {
-    /// Decayed count at the time of the last arrival.
-    count: f64,
-    /// Time of the last arrival.
-    at: Option<Instant>,
-}
-
-impl Arrivals {
-    fn decayed(&self, now: Instant) -> f64 {
-        let passed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.count * (-passed.as_secs_f64() / ARRIVAL_DECAY.as_secs_f64()).exp()
-    }
-
-    fn count(&mut self, now: Instant) {
-        self.count = self.decayed(now) + 1.0;
-        self.at = Some(now);
-    }
-
-    /// Returns the arrival rate, in requests per second.
-    fn rate(&self, now: Instant) -> f64 {
-        self.decayed(now) / ARRIVAL_DECAY.as_secs_f64()
-    }
-}
-
 /// State of one service.
 #[derive(Debug, Default)]
 pub(super) struct Service {
@@ -179,6 +78,8 @@
     elsewhere: Capacity,
     /// Decisions to grant upstreams nothing for a while, until they are taken.
     exclusions: Vec<Exclusion>,
+    /// Declared properties.
+    profile: Profile,
 }
 
 impl Service {
@@ -187,10 +88,19 @@
             .into_iter()
             .map(|state| (state.upstream.name.clone(), state))
             .collect();
+        // Upstreams that are there when a dispatcher begins may have started long before.
+        let has_begun = !known.is_empty();
         for upstream in upstreams {
             let state = match known.remove(&upstream.name) {
                 Some(state) => State { upstream, ..state },
-                None => State::new(upstream, now),
+                None => {
+                    let mut state = State::new(upstream, now);
+                    state.profile = self.profile;
+                    if has_begun {
+                        state.presume_cold(now);
+                    }
+                    state
+                }
             };
             self.upstreams.push(state);
         }
@@ -200,60 +110,6 @@
         }
     }
 
-    pub(super) fn set_rollout(
-        &mut self,
-        name: &id::Service,
-        rollout: Option<&Rollout>,
-        share: f64,
-        now: Instant,
-    ) {
-        match (&mut self.release, rollout) {
-            (release, None) => {
-                *release = None;
-                let states = self.upstreams.iter_mut();
-                states.for_each(|state| state.occupancy = Occupancy::default());
-            }
-            (Some(release), Some(rollout)) if release.matches(rollout) => {
-                release.update(name, rollout, share);
-            }
-            (release, Some(rollout)) => {
-                let release = release.insert(Release::new(name, rollout, share, now));
-                release.set_upstreams(self.upstreams.iter().map(|state| &state.upstream));
-            }
-        }
-    }
-
-    /// Returns what was observed of the rollout, if there is one.
-    pub(super) fn observation(&self, now: Instant) -> Option<Observation> {
-        let release = self.release.as_ref()?;
-        let at_release = self.running_at(release) as usize;
-        let upstreams = self.upstreams.iter().map(|state| &state.upstream);
-        // Requests that run at upstreams no longer listed are elsewhere as well.
-        Some(release.observation(upstreams, self.running.len() - at_release, now))
-    }
-
-    /// Returns the number of requests that run on upstreams of the release.
-    fn running_at(&self, release: &Release) -> u32 {
-        let at = self.upstreams.iter();
-        let at = at.filter(|state| release.is_release(&state.upstream));
-        at.map(|state| state.running).sum()
-    }
-
-    /// Returns a predicate for the upstreams that requests may go to: all, or those that the
-    /// rollout's stage allows.
-    fn eligible(&self) -> impl Fn(&State) -> bool {
-        let rule = self.release.as_ref().map(|release| {
-            let wanted = release.allows(self.running_at(release)).is_none();
-            // If only other upstreams exist, serving takes precedence over the rollout.
-            let of_stage = |state: &State| is_eligible(release, wanted, state);
-            (release, wanted, self.upstreams.iter().any(of_stage))
-        });
-        move |state| match rule {
-            Some((release, wanted, true)) => is_eligible(release, wanted, state),
-            Some((_, _, false)) | None => true,
-        }
-    }
-
     /// Grants the request an upstream, queues it, or refuses it.
     pub(super) fn place(&mut self, request: Request, now: Instant) -> Decision {
         if self.queue.is_empty()
@@ -417,6 +273,26 @@
         }
     }
 
+    /// Replaces the declared properties.
+    pub(super) fn set_profile(&mut self, profile: Profile) {
+        self.profile = profile;
+        let states = self.upstreams.iter_mut();
+        states.for_each(|state| state.profile = profile);
+    }
+
+    /// Limits the requests to an upstream that is cold until a time.
+    pub(super) fn set_cold(&mut self, upstream: &id::Upstream, until: Instant, now: Instant) {
+        if let Some(state) = self.state(upstream) {
+            state.set_cold(until, now);
+        }
+    }
+
+    /// Whether an upstream is cold.
+    pub(super) fn is_cold(&self, upstream: &id::Upstream, now: Instant) -> bool {
+        let mut states = self.upstreams.iter();
+        states.any(|state| state.upstream.name == *upstream && state.is_cold(now))
+    }
+
     /// Counts a request that an entry placed alone against the limit of its upstream.
     pub(super) fn count_against_limit(&mut self, upstream: &id::Upstream, now: Instant) {
         if let Some(state) = self.state(upstream) {
@@ -426,14 +302,16 @@
 
     /// Returns the number of requests per second that the usable upstreams serve. Those whose hosts
     /// refuse connections count only if all do, since some will be back.
-    fn capacity(&self) -> f64 {
+    fn capacity(&self, now: Instant) -> f64 {
         let slot_seconds = self.slot_seconds.unwrap_or(DEFAULT_SLOT_SECONDS);
         let eligible = self.eligible();
         let usable = self.upstreams.iter().filter(|state| eligible(state));
         let usable: Vec<_> = usable.filter(|state| !state.leaving).collect();
         let none_listens = usable.iter().all(|state| state.refusals > 0);
         let listening = usable.iter().filter(|s| none_listens || s.refusals == 0);
-        listening.map(|state| state.capacity(slot_seconds)).sum()
+        listening
+            .map(|state| state.capacity(slot_seconds, now))
+            .sum()
     }
 
     /// Returns the number of slots on upstreams that requests may go to, now or once the upstreams
@@ -456,7 +334,7 @@
     /// Returns the expected time between two grants to requests of a priority, in seconds:
     /// arrivals of higher priority take their part of the capacity first.
     fn grant_interval(&self, priority: Priority, now: Instant) -> f64 {
-        let all = self.capacity().max(MIN_CAPACITY);
+        let all = self.capacity(now).max(MIN_CAPACITY);
         let higher = self.arrivals.range(..priority);
         let higher_rate: f64 = higher.map(|(_, arrivals)| arrivals.rate(now)).sum();
         1.0 / (all - higher_rate).max(all * MIN_CAPACITY_SHARE)
@@ -528,110 +406,6 @@
         }
     }
 
-    /// Counts a running request as a failure of its upstream, as that has been silent for too long.
-    pub(super) fn mark_silent(&mut self, key: &Key, now: Instant) {
-        let Some(run) = self.running.get_mut(key).filter(|run| !run.silent) else {
-            return;
-        };
-        run.silent = true;
-        let name = run.upstream.clone();
-        let ejection = self
-            .state(&name)
-            .and_then(|state| state.health.record_failure(now));
-        self.record_exclusion(&name, key, Failure::Silent, ejection);
-        self.record_outcome(key, None, now);
-    }
-
-    /// Reports the outcome of a request to the rollout; `None` means that it is silent for too
-    /// long.
-    fn record_outcome(&mut self, key: &Key, outcome: Option<&Outcome>, now: Instant) {
-        let (Some(release), Some(run)) = (&mut self.release, self.running.get(key)) else {
-            return;
-        };
-        let rest = match outcome {
-            Some(Outcome::Served { rest, .. }) => *rest,
-            Some(Outcome::Full | Outcome::Failed | Outcome::Dropped | Outcome::Refused) | None => {
-                Duration::ZERO
-            }
-        };
-        // A silent request was recorded when it became silent.
-        if run.silent && outcome.is_some() {
-            return;
-        }
-        let mut states = self.upstreams.iter();
-        if let Some(state) = states.find(|state| state.upstream.name == run.upstream) {
-            let completion = Completion {
-                upstream: &state.upstream,
-                route: run.route.as_deref(),
-                prompt: run.prompt,
-                running: now
-                    .checked_sub(rest)
-                    .and_then(|first| state.occupancy.peak(run.since, first)),
-            };
-            release.record_outcome(&completion, outcome, now);
-        }
-    }
-
-    /// Removes a queued or running request that ended, and learns from its outcome.
-    pub(super) fn finish(&mut self, key: &Key, outcome: Outcome, now: Instant) {
-        self.withdraw(key);
-        self.record_outcome(key, Some(&outcome), now);
-        let Some(run) = self.running.remove(key) else {
-            return;
-        };
-        let mut pooled = self.pooled;
-        let in_rollout = self.release.is_some();
-        let mut exclusion = (Failure::Failed, None);
-        if let Some(state) = self.state(&run.upstream) {
-            state.set_running(state.running.saturating_sub(1), in_rollout, now);
-            match outcome {
-                Outcome::Served { .. } => {
-                    state.record_served(run.since, now);
-                    let (prompt, prefill_wait) = (run.prompt, run.prefill_wait);
-                    state
-                        .rates
-                        .update(prompt, prefill_wait, &outcome, NEWEST_WEIGHT);
-                    pooled.update(prompt, prefill_wait, &outcome, POOLED_NEWEST_WEIGHT);
-                }
-                Outcome::Full => state.record_full(now),
-                Outcome::Failed => exclusion.1 = state.health.record_failure(now),
-                Outcome::Refused => {
-                    let ejection = state.health.record_failure(now);
-                    exclusion = (Failure::Refused, ejection.max(state.record_refused(now)));
-                }
-                Outcome::Dropped => {}
-            }
-        }
-        let (failure, time) = exclusion;
-        self.record_exclusion(&run.upstream, key, failure, time);
-        self.pooled = pooled;
-        if let Outcome::Served { .. } = outcome {
-            let slot_seconds = now.saturating_duration_since(run.since).as_secs_f64();
-            update_average(&mut self.slot_seconds, slot_seconds, POOLED_NEWEST_WEIGHT);
-        }
-    }
-
-    /// Records that an upstream gets no requests for a time, if there is one.
-    fn record_exclusion(
-        &mut self,
-        upstream: &id::Upstream,
-        key: &Key,
-        failure: Failure,
-        time: Option<Duration>,
-    ) {
-        self.exclusions.extend(time.map(|time| Exclusion {
-            upstream: upstream.clone(),
-            entry: key.entry.clone(),
-            failure,
-            time,
-        }));
-    }
-
-    /// Returns the decisions to grant upstreams nothing for a while since the last call.
-    pub(super) fn take_exclusions(&mut self) -> Vec<Exclusion> {
-        std::mem::take(&mut self.exclusions)
-    }
-
     /// Records a request that an entry has in flight.
     pub(super) fn track_running(&mut self, running: Running, now: Instant) {
         let run = InFlight {
@@ -711,76 +485,6 @@
         states.find(|state| state.upstream.name == *name)
     }
 
-    /// Returns the index of the upstream with room on which the request costs least: the expected
-    /// end of the response, with the additions for lateness, contention and distance.
-    fn choose(&self, request: &Request, objective: Duration, now: Instant) -> Option<usize> {
-        let healthy = |state: &State| state.health.limit(state.upstream.slots, now) > 0;
-        // If most upstreams fail, ejecting them all would leave none to serve, unless other shards
-        // have some.
-        let check_health = self.elsewhere.free > 0
-            || self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
-        let best = |eligible: &dyn Fn(&State) -> bool| {
-            let candidates = self.upstreams.iter().enumerate();
-            candidates
-                .filter(|(_, state)| eligible(state) && state.has_room(check_health, now))
-                .filter(|(_, state)| !request.excluded.contains(&state.upstream.name))
-                .min_by_key(|(_, state)| self.cost(request, objective, state, now))
-                .map(|(i, _)| i)
-        };
-        let on_trial = self.release.as_ref().and_then(|release| {
-            let may_use_release = release.allows(self.running_at(release)) == Some(true);
-            let of_release = |state: &State| release.is_release(&state.upstream);
-            may_use_release.then(|| best(&of_release)).flatten()
-        });
-        on_trial.or_else(|| best(&self.eligible()))
-    }
-
-    /// Returns the cost of running a request on an upstream, as a time.
-    fn cost(
-        &self,
-        request: &Request,
-        objective: Duration,
-        state: &State,
-        now: Instant,
-    ) -> Duration {
-        let (first, end) = state.expected_times(request, &self.pooled, now);
-        let mut cost = end + CONTENTION_COST * state.running / state.upstream.slots.max(1);
-        if first > objective {
-            cost += LATE_COST + first;
-        }
-        if state.upstream.data_centre != request.data_centre {
-            cost += CROSS_DATA_CENTRE_COST;
-        }
-        cost
-    }
-
-    /// Records a request as running on the upstream of an index, and returns the upstream's name.
-    fn grant(&mut self, request: &Request, upstream: usize, now: Instant) -> id::Upstream {
-        let pooled = self.pooled;
-        let state = &mut self.upstreams[upstream];
-        let prefill_wait = state.prefill_until.saturating_duration_since(now);
-        if request.prompt > 0 {
-            state.prefill_until =
-                state.prefill_until.max(now) + state.rates.expected_first(request, &pooled);
-        }
-        state.set_running(state.running + 1, self.release.is_some(), now);
-        state.count_against_limit(now);
-        if let Some(release) = &mut self.release {
-            release.record_grant(&state.upstream);
-        }
-        let run = InFlight {
-            upstream: state.upstream.name.clone(),
-            since: now,
-            prompt: request.prompt,
-            route: Some(request.route.clone()),
-            prefill_wait,
-            silent: false,
-            expires: now + request.patience + NO_UPSTREAM_PAUSE,
-        };
-        self.running.insert(request.key.clone(), run);
-        self.upstreams[upstream].upstream.name.clone()
-    }
-
     /// Returns a pause lengthened by a jitter that differs from one refusal to the next, limited
     /// to what a caller with `left` of its time waits.
     fn jitter(&mut self, pause: Duration, left: Duration) -> Duration {
@@ -792,9 +496,3 @@
             .min(left / MAX_PAUSE_DIVISOR)
     }
 }
-
-/// Whether an upstream runs the release, if `wanted`, or else one that is neither the release nor
-/// rolled back.
-fn is_eligible(release: &Release, wanted: bool, state: &State) -> bool {
-    release.is_release(&state.upstream) == wanted && !release.is_rolled_back(&state.upstream)
-}
--- /dev/null
+++ b/gooseberrylb_policy/src/dispatch/service/outcome.rs
@@ -0,0 +1,117 @@
+//! What a service learns from how its requests end.
+
+use std::time::{Duration, Instant};
+
+use gooseberrylb_config::id;
+
+use super::Service;
+use crate::dispatch::rates::{NEWEST_WEIGHT, POOLED_NEWEST_WEIGHT, update_average};
+use crate::dispatch::release::Completion;
+use crate::dispatch::upstream::{Exclusion, Failure};
+use crate::dispatch::{Key, Outcome};
+
+impl Service {
+    /// Counts a running request as a failure of its upstream, as that has been silent for too long.
+    pub(in crate::dispatch) fn mark_silent(&mut self, key: &Key, now: Instant) {
+        let Some(run) = self.running.get_mut(key).filter(|run| !run.silent) else {
+            return;
+        };
+        run.silent = true;
+        let name = run.upstream.clone();
+        let ejection = self
+            .state(&name)
+            .and_then(|state| state.health.record_failure(now));
+        self.record_exclusion(&name, key, Failure::Silent, ejection);
+        self.record_outcome(key, None, now);
+    }
+
+    /// Reports the outcome of a request to the rollout; `None` means that it is silent for too
+    /// long.
+    fn record_outcome(&mut self, key: &Key, outcome: Option<&Outcome>, now: Instant) {
+        let (Some(release), Some(run)) = (&mut self.release, self.running.get(key)) else {
+            return;
+        };
+        let rest = match outcome {
+            Some(Outcome::Served { rest, .. }) => *rest,
+            Some(Outcome::Full | Outcome::Failed | Outcome::Dropped | Outcome::Refused) | None => {
+                Duration::ZERO
+            }
+        };
+        // A silent request was recorded when it became silent.
+        if run.silent && outcome.is_some() {
+            return;
+        }
+        let mut states = self.upstreams.iter();
+        if let Some(state) = states.find(|state| state.upstream.name == run.upstream) {
+            let completion = Completion {
+                upstream: &state.upstream,
+                route: run.route.as_deref(),
+                prompt: run.prompt,
+                running: now
+                    .checked_sub(rest)
+                    .and_then(|first| state.occupancy.peak(run.since, first)),
+            };
+            release.record_outcome(&completion, outcome, now);
+        }
+    }
+
+    /// Removes a queued or running request that ended, and learns from its outcome.
+    pub(in crate::dispatch) fn finish(&mut self, key: &Key, outcome: Outcome, now: Instant) {
+        self.withdraw(key);
+        self.record_outcome(key, Some(&outcome), now);
+        let Some(run) = self.running.remove(key) else {
+            return;
+        };
+        let mut pooled = self.pooled;
+        let in_rollout = self.release.is_some();
+        let mut exclusion = (Failure::Failed, None);
+        if let Some(state) = self.state(&run.upstream) {
+            state.set_running(state.running.saturating_sub(1), in_rollout, now);
+            match outcome {
+                Outcome::Served { .. } => {
+                    state.record_served(run.since, now);
+                    let (prompt, prefill_wait) = (run.prompt, run.prefill_wait);
+                    state
+                        .rates
+                        .update(prompt, prefill_wait, &outcome, NEWEST_WEIGHT);
+                    pooled.update(prompt, prefill_wait, &outcome, POOLED_NEWEST_WEIGHT);
+                }
+                Outcome::Full => state.record_full(now),
+                Outcome::Failed => exclusion.1 = state.health.record_failure(now),
+                Outcome::Refused => {
+                    let ejection = state.health.record_failure(now);
+                    exclusion = (Failure::Refused, ejection.max(state.record_refused(now)));
+                }
+                Outcome::Dropped => {}
+            }
+        }
+        let (failure, time) = exclusion;
+        self.record_exclusion(&run.upstream, key, failure, time);
+        self.pooled = pooled;
+        if let Outcome::Served { .. } = outcome {
+            let slot_seconds = now.saturating_duration_since(run.since).as_secs_f64();
+            update_average(&mut self.slot_seconds, slot_seconds, POOLED_NEWEST_WEIGHT);
+        }
+    }
+
+    /// Records that an upstream gets no requests for a time, if there is one.
+    fn record_exclusion(
+        &mut self,
+        upstream: &id::Upstream,
+        key: &Key,
+        failure: Failure,
+        time: Option<Duration>,
+    ) {
+        self.exclusions.extend(time.map(|time| Exclusion {
+            upstream: upstream.clone(),
+            entry: key.entry.clone(),
+            failure,
+            time,
+        }));
+    }
+
+    /// Returns the decisions to grant upstreams nothing for a while since the last call.
+    pub(in crate::dispatch) fn take_exclusions(&mut self) -> Vec<Exclusion> {
+        std::mem::take(&mut self.exclusions)
+    }
+}
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -5,11 +5,13 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Rate;
 
+use super::profile::Profile;
 use super::rates::Rates;
 use super::{Request, Upstream};
 use crate::limit::Bucket;
 use crate::occupancy::Occupancy;
 use crate::room::Room;
+use crate::warm_up::Allowance;
 
 /// Ejection time of an upstream after its first failures; each further failure doubles it.
 const BASE_EJECTION: Duration = Duration::from_millis(500);
@@ -147,6 +149,10 @@
     pub(super) is_room_presumed: bool,
     /// Whether the upstream has served a request.
     pub(super) served: bool,
+    /// Declared properties of the service.
+    pub(super) profile: Profile,
+    /// Allowance of the upstream while it is cold.
+    pub(super) cold: Option<Allowance>,
 }
 
 impl State {
@@ -167,9 +173,36 @@
             room: None,
             is_room_presumed: false,
             served: false,
+            profile: Profile::default(),
+            cold: None,
         }
     }
 
+    /// Limits the requests until a time up to which the upstream is cold, if its service declares what a
+    /// cold one tolerates.
+    pub(super) fn set_cold(&mut self, until: Instant, now: Instant) {
+        let Some(warm_up) = self.profile.warm_up.filter(|_| now < until) else {
+            return;
+        };
+        let part = self.upstream.limit_part;
+        match self.cold.as_mut().filter(|cold| cold.is_cold(now)) {
+            Some(cold) => cold.extend(until),
+            None => self.cold = Some(Allowance::new(warm_up, part, until, now)),
+        }
+    }
+
+    /// Takes an upstream that has probably just started for cold, since the list shows that later.
+    pub(super) fn presume_cold(&mut self, now: Instant) {
+        if let Some(warm_up) = self.profile.warm_up {
+            self.set_cold(now + warm_up.duration, now);
+        }
+    }
+
+    /// Whether the upstream is cold.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.cold.as_ref().is_some_and(|cold| cold.is_cold(now))
+    }
+
     /// Returns the time from which on the upstream takes requests again, by its own word or since its
     /// host may listen again; `None` if it leaves or is left to others.
     pub(super) fn opens_at(&self, now: Instant) -> Option<Instant> {
@@ -178,6 +211,8 @@
         }
         let opens = self.closed_until.map_or(now, |end| end.max(now));
         let opens = opens.max(self.refused_until);
+        let cold = self.cold.as_ref().map(|cold| cold.opens_at(now));
+        let opens = opens.max(cold.unwrap_or(now));
         match &self.limit {
             Some(limit) => Some(opens.max(limit.opens_at(now)?)),
             None => Some(opens),
@@ -207,25 +242,32 @@
         }
     }
 
-    /// Counts a request against the limit.
+    /// Counts a request against the limit, and against what the upstream tolerates while it is cold.
     pub(super) fn count_against_limit(&mut self, now: Instant) {
         if let Some(limit) = &mut self.limit {
             limit.take(now);
         }
+        if let Some(cold) = &mut self.cold {
+            cold.take(now);
+        }
     }
 
     /// Returns the number of requests per second that the upstream serves, if each holds a slot for
     /// `slot_seconds`.
-    pub(super) fn capacity(&self, slot_seconds: f64) -> f64 {
+    pub(super) fn capacity(&self, slot_seconds: f64, now: Instant) -> f64 {
         let by_slots = f64::from(self.upstream.slots) / slot_seconds;
         let limit = self.limit.as_ref().map(Bucket::rate);
-        limit.map_or(by_slots, |limit| limit.min(by_slots))
+        let cold = self.cold.as_ref().and_then(|cold| cold.rate(now));
+        let limits = [limit, cold].into_iter().flatten();
+        limits.fold(by_slots, f64::min)
     }
 
-    /// Returns the number of requests that the limit allows now.
+    /// Returns the number of requests that the limit, and the warm-up, allow now.
     fn allowed(&self, now: Instant) -> u32 {
         let limit = self.limit.as_ref();
-        limit.map_or(u32::MAX, |limit| limit.available(now))
+        let limit = limit.map_or(u32::MAX, |limit| limit.available(now));
+        let cold = self.cold.as_ref();
+        limit.min(cold.map_or(u32::MAX, |cold| cold.available(now)))
     }
 
     /// Returns how many requests the upstream wants at most by its own word. After a time in which
@@ -253,7 +295,9 @@
         if let Some(room) = &mut self.room {
             room.record_served(self.upstream.slots, now);
         }
-        self.refusals = 0;
+        if std::mem::take(&mut self.refusals) > 0 {
+            self.presume_cold(now);
+        }
         if self.closed_until.is_some_and(|end| since >= end) {
             self.closed_until = None;
         }
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod rollout;
 pub mod room;
 pub mod scheduler;
+pub mod warm_up;
--- a/gooseberrylb_policy/src/limit.rs
+++ b/gooseberrylb_policy/src/limit.rs
@@ -19,6 +19,8 @@
     /// Number of requests that may be sent at once, as of `at`. Negative after requests that were
     /// sent without asking.
     tokens: f64,
+    /// Number of requests that an unused rate is kept for; that of [`BURST`] and one request if not set.
+    capacity: Option<f64>,
     at: Instant,
 }
 
@@ -28,6 +30,18 @@
         Self {
             rate: usable_rate(rate, part),
             tokens: 0.0,
+            capacity: None,
+            at: now,
+        }
+    }
+
+    /// Returns the empty bucket of an instance that may use `part` of a rate, which keeps an unused
+    /// rate for `capacity` requests.
+    pub fn with_capacity(per_second: f64, part: f64, capacity: f64, now: Instant) -> Self {
+        Self {
+            rate: per_second.max(MIN_RATE) * part,
+            tokens: 0.0,
+            capacity: Some(capacity),
             at: now,
         }
     }
@@ -64,7 +78,8 @@
 
     fn level(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        let limit = 1.0 + self.rate * BURST.as_secs_f64();
+        let burst = || 1.0 + self.rate * BURST.as_secs_f64();
+        let limit = self.capacity.unwrap_or_else(burst);
         (self.tokens + self.rate * passed).min(limit)
     }
 }
--- a/gooseberrylb_policy/tests/crash.rs
+++ b/gooseberrylb_policy/tests/crash.rs
@@ -345,7 +345,7 @@
 
 fn request(number: u32) -> Cause {
     let target = format!("/{number}");
-    Cause::Request(id::Content::new("GET", &target, None, b""))
+    Cause::Request(id::Content::new("GET", &target, None, None, b""))
 }
 
 impl Play {
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -8,7 +8,7 @@
 use std::io;
 
 use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use gooseberrylb_policy::announcement::Announcement;
+use gooseberrylb_policy::announcement::{self, Announcement};
 use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -41,7 +41,7 @@
     /// Reports the free slots and the use of quotas in another shard. It is not answered.
     Summarize(Summary),
     /// Tells what the sender knows of upstreams and crashes. It is not answered.
-    Announce(Vec<Announcement>),
+    Announce(#[serde(with = "announcement")] Vec<Announcement>),
 }
 
 /// Message from a dispatcher.
@@ -52,7 +52,7 @@
     /// Acknowledges the notice of this number, which carried charges, and all earlier ones.
     Taken(u64),
     /// Tells an entry what the dispatcher knows of upstreams and crashes.
-    Announced(Vec<Announcement>),
+    Announced(#[serde(with = "announcement")] Vec<Announcement>),
 }
 
 /// Appends the length prefix and encoding of a message to `bytes`.
