Wait for scarce room by deadline and in balance, refuse what cannot be served soon, and place alone by known use

Change: an entry alone checks its part of a quota by its own use, and lends itself as many slots again; a voter that grants a pre-vote yields for 100 ms; requests of one account are granted by deadline; a queued one is refused when those ahead take longer than it may be held; a route that is served less takes places of one that is served better.

--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -12,7 +12,7 @@
 
 use async_std::{future, task};
 use gooseberrylb_config::dialect::Statement;
-use gooseberrylb_config::directory::{Directory, ListedUpstream};
+use gooseberrylb_config::directory::ListedUpstream;
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::availability::Table;
 use gooseberrylb_policy::crash::{self, Cause, Ending};
@@ -26,8 +26,8 @@
 use crate::control::Core;
 use crate::control::dispatch;
 use crate::gateway::session::{self, Session};
-use crate::metrics::METRICS;
 
+mod alone;
 mod knowledge;
 
 /// Time limit for the dispatcher's first answer on a request. A working dispatcher answers within a
@@ -196,7 +196,7 @@
             pending_charges: RefCell::default(),
             alone_until: Cell::new(None),
             failover_until: Cell::new(None),
-            fallback: RefCell::default(),
+            fallback: RefCell::new(Dispatcher::alone()),
             fallback_revision: Cell::new(None),
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
@@ -309,24 +309,6 @@
         }
     }
 
-    /// Switches to placement without the dispatcher for [`ALONE_PERIOD`].
-    fn suspect_dispatcher(&self, session: &Session, address: SocketAddr, now: Instant) {
-        if self.alone_until.replace(Some(now + ALONE_PERIOD)).is_none() {
-            log::warn!(dispatcher:% = address; "the dispatcher does not answer; placing requests without it");
-        }
-        METRICS.dispatcher_lost.inc();
-        // A dispatcher that is only late is asked again in the same session, and one whose connection
-        // broke in a new one.
-        let is_silent = session.silence(now) > SESSION_SILENCE_LIMIT;
-        if is_silent {
-            session.close();
-        }
-        if is_silent || (!session.is_alive() && !session.has_answered()) {
-            self.failover_until.set(Some(now + FAILOVER_PERIOD));
-        }
-        self.core.suspect(address);
-    }
-
     /// Returns the dispatcher of this entry's shard, or of the whole fleet, and its address; `None`
     /// if it is not known.
     fn dispatcher(&self) -> Option<(SocketAddr, session::Dispatcher)> {
@@ -479,93 +461,6 @@
         })
     }
 
-    /// Places a request without the dispatcher, based on this entry's own requests and its part of
-    /// the upstreams and quotas.
-    fn place_alone(self: &Rc<Self>, request: Request) -> Placement {
-        let now = self.core.clock.now();
-        let published = self.core.published();
-        METRICS.placed_alone.inc();
-        let mut fallback = self.fallback.borrow_mut();
-        if self.fallback_revision.get() != Some(published.directory.revision) {
-            self.fallback_revision
-                .set(Some(published.directory.revision));
-            let part = self.own_part(&published.directory);
-            dispatch::refresh(&self.core, &published.directory, &mut fallback, &part, now);
-            fallback.update_listing(|name| dispatch::listing(&published.directory, name), now);
-            fallback.apply(self.snapshot_notice(&published.directory), now);
-        }
-        let decision = fallback.place(request.clone(), now);
-        let dropped = Notice {
-            ended: vec![(request.key.clone(), Outcome::Dropped)],
-            ..Notice::default()
-        };
-        match decision {
-            Decision::Grant(upstream) => match self.grant(&request, &upstream, true) {
-                Some(grant) => {
-                    self.report_alone(request);
-                    Placement::Granted(grant)
-                }
-                None => Placement::Refused(Reason::NoUpstream, ALONE_PERIOD),
-            },
-            Decision::Refuse(reason, pause) => Placement::Refused(reason, pause),
-            Decision::Wait | Decision::Unknown => {
-                fallback.apply(dropped, now);
-                Placement::Refused(Reason::Busy, ALONE_PERIOD)
-            }
-        }
-    }
-
-    /// Queues a notice to the dispatcher of a request that was placed without it.
-    fn report_alone(self: &Rc<Self>, request: Request) {
-        let mut outbox = self.outbox.borrow_mut();
-        let running = self.running.borrow();
-        outbox.started.extend(running.get(&request.key).cloned());
-        if let Some(account) = request.account {
-            let mut pending_charges = self.pending_charges.borrow_mut();
-            pending_charges.push_back(PendingCharge {
-                charge: Charge {
-                    key: request.key,
-                    account,
-                    units: request.units,
-                    age: Duration::ZERO,
-                },
-                at: self.core.clock.now(),
-                notice: None,
-            });
-            if pending_charges.len() > MAX_PENDING_CHARGES {
-                pending_charges.pop_front();
-            }
-        }
-        drop(outbox);
-        self.flush_soon();
-    }
-
-    /// Returns this entry's position among the entries that are not leaving.
-    fn own_part(&self, directory: &Directory) -> dispatch::Part {
-        let instances = directory.instances.iter();
-        let entries: Vec<_> = instances.filter(|(_, i)| i.entry && !i.leaving).collect();
-        let is_own = |(name, _): &(&id::Instance, _)| **name == self.core.identity.name;
-        dispatch::Part::Entry {
-            index: entries.iter().position(is_own).unwrap_or_default(),
-            count: entries.len(),
-        }
-    }
-
-    /// Returns a notice of all running requests and measured rates, for a new dispatcher.
-    fn snapshot_notice(&self, directory: &Directory) -> Notice {
-        let running = self.running.borrow().values().cloned().collect();
-        let mut rates = self.rates.borrow_mut();
-        rates.retain(|upstream, _| directory.listed.contains_key(upstream));
-        let rates = rates
-            .iter()
-            .map(|(upstream, (service, rates))| (service.clone(), upstream.clone(), *rates));
-        Notice {
-            running: Some((self.core.identity.name.clone(), running)),
-            rates: rates.collect(),
-            ..Notice::default()
-        }
-    }
-
     /// Records the end of a request and queues it for the dispatcher.
     fn end(self: &Rc<Self>, key: &Key, outcome: Outcome) {
         if let Some(run) = self.running.borrow_mut().remove(key) {
--- a/gooseberrylb_control/src/consensus/election.rs
+++ b/gooseberrylb_control/src/consensus/election.rs
@@ -108,6 +108,9 @@
             && !self.must_honour_lease()
             && last >= self.log.last()
             && self.may_vote_for_folder(from, folder, last);
+        if granted {
+            self.yield_election();
+        }
         let answer_term = if granted { term } else { self.term };
         self.send_in(answer_term, from, Body::PreVoteAnswer { granted });
     }
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -21,6 +21,9 @@
 use crate::entry::{Payload, Snapshot};
 use crate::membership::{Cluster, Folder, Membership};
 
+/// Time that a node gives another one to win an election: some round trips and syncs.
+const YIELD_PERIOD: Duration = Duration::from_millis(100);
+
 /// Delay before the journal is tried again after it refused a batch for lack of space.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -213,6 +216,12 @@
         self.election_deadline = self.now + timeout;
     }
 
+    /// Postpones an election of its own for a while in favour of a node that has just begun one, so
+    /// that votes do not split. It is too short to keep this node from leading if the other one cannot.
+    pub(super) fn yield_election(&mut self) {
+        self.election_deadline = self.election_deadline.max(self.now + YIELD_PERIOD);
+    }
+
     /// Enters `term` if it is later than the current one, and becomes a follower of `leader`.
     pub(super) fn become_follower(&mut self, term: Term, leader: Option<id::Instance>) {
         if term > self.term {
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -84,6 +84,8 @@
     crashes: crash::Table,
     /// Cold upstreams.
     warm_up: warm_up::Table,
+    /// Whether upstreams may get more requests than their slots here.
+    borrows: bool,
     /// Declared properties of services.
     profiles: BTreeMap<id::Service, Profile>,
     /// Notices for dispatchers of other shards, about requests that they granted.
@@ -96,6 +98,16 @@
         Self::default()
     }
 
+    /// Returns a dispatcher for an entry that places alone, and knows only its own requests. It lends
+    /// itself slots of the others, since some entries have more requests than their part at any moment
+    /// while all together do not.
+    pub fn alone() -> Self {
+        Self {
+            borrows: true,
+            ..Self::default()
+        }
+    }
+
     /// Replaces the usable upstreams. Requests that run at removed upstreams are forgotten when
     /// they end.
     pub fn set_upstreams(&mut self, upstreams: impl IntoIterator<Item = Upstream>, now: Instant) {
@@ -109,7 +121,7 @@
         }
         for (name, service) in &mut self.services {
             let profile = self.profiles.get(name).copied().unwrap_or_default();
-            service.set_profile(profile);
+            service.set_profile(profile, self.borrows);
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
             service.set_availability(name, &self.availability, now);
         }
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -15,10 +15,13 @@
 use super::upstream::{Exclusion, State};
 use super::{Decision, Key, Reason, Request, Running, Upstream};
 use crate::availability::Table;
+use balance::Shares;
 use queue::{Arrivals, InFlight, Position, Priority, Queued};
 
+mod balance;
 mod choice;
 mod outcome;
+mod poll;
 mod queue;
 
 /// Pause before callers retry at a service without upstreams; about the interval at which the list
@@ -83,6 +86,12 @@
     profile: Profile,
     /// Failures by route and upstream.
     failures: Failures,
+    /// Whether upstreams may get more requests than their slots here.
+    borrows: bool,
+    /// Time at which queued requests were last looked at that may not be granted in time.
+    reviewed: Option<Instant>,
+    /// Shares of the requests in time, by rank and route.
+    shares: Shares,
 }
 
 impl Service {
@@ -99,6 +108,7 @@
                 None => {
                     let mut state = State::new(upstream, now);
                     state.profile = self.profile;
+                    state.borrows = self.borrows;
                     if has_begun {
                         state.presume_cold(now);
                     }
@@ -126,6 +136,7 @@
             self.clock.advance(start);
             let priority = Priority::new(request.rank, false);
             self.arrivals.entry(priority).or_default().count(now);
+            self.shares.record(request.rank, &request.route, true);
             return Decision::Grant(self.grant(&request, upstream, now));
         }
         let slots = self.usable_slots();
@@ -160,6 +171,16 @@
         let is_in_time =
             wait(false) + first <= request.objective.as_secs_f64() * USABLE_OBJECTIVE_SHARE;
         let late_wait = wait(true);
+        if !is_in_time {
+            let (first, closed) = (
+                Duration::from_secs_f64(first),
+                Duration::from_secs_f64(closed),
+            );
+            if let Some(decision) = self.displace(&request, first, closed, now) {
+                return decision;
+            }
+        }
+        self.shares.record(request.rank, &request.route, is_in_time);
         if !is_in_time && late_wait > request.hold.as_secs_f64() * USABLE_HOLD_SHARE {
             let pause = Duration::from_secs_f64(late_wait).min(request.patience);
             let pause = self.jitter(pause.max(MIN_RETRY_PAUSE), request.patience);
@@ -280,10 +301,13 @@
     }
 
     /// Replaces the declared properties.
-    pub(super) fn set_profile(&mut self, profile: Profile) {
+    pub(super) fn set_profile(&mut self, profile: Profile, borrows: bool) {
         self.profile = profile;
-        let states = self.upstreams.iter_mut();
-        states.for_each(|state| state.profile = profile);
+        self.borrows = borrows;
+        for state in &mut self.upstreams {
+            state.profile = profile;
+            state.borrows = borrows;
+        }
     }
 
     /// Limits the requests to an upstream that is cold until a time.
@@ -346,72 +370,6 @@
         1.0 / (all - higher_rate).max(all * MIN_CAPACITY_SHARE)
     }
 
-    /// Grants queued requests that have room now, and refuses those that have waited for too long.
-    pub(super) fn poll(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
-        self.drop_expired(now);
-        self.refuse_and_demote(now, decided);
-        while !self.queue.is_empty() {
-            let mut granted = None;
-            for (position, queued) in &self.queue {
-                let waited = now.saturating_duration_since(queued.since);
-                let objective = queued.request.objective.saturating_sub(waited);
-                if let Some(upstream) = self.choose(&queued.request, objective, now) {
-                    granted = Some((*position, upstream));
-                    break;
-                }
-                if queued.request.excluded.is_empty() {
-                    // A request that may go to any upstream found no room, so no other will
-                    // either.
-                    return;
-                }
-            }
-            let Some((position, upstream)) = granted else {
-                return;
-            };
-            let Some(queued) = self.queue.remove(&position) else {
-                return;
-            };
-            self.positions.remove(&queued.request.key);
-            self.clock.advance(position.start);
-            let upstream = self.grant(&queued.request, upstream, now);
-            decided.push((queued.request.key, Decision::Grant(upstream)));
-        }
-    }
-
-    /// Refuses queued requests whose hold time is over, and demotes those that can no longer be in
-    /// time.
-    fn refuse_and_demote(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
-        let over = |w: &Queued| now >= w.since + w.request.hold;
-        let late =
-            |p: &Position, w: &Queued| !p.priority.late && now >= w.since + w.request.objective;
-        let affected: Vec<Position> = self
-            .queue
-            .iter()
-            .filter(|(position, queued)| over(queued) || late(position, queued))
-            .map(|(position, _)| *position)
-            .collect();
-        for position in affected {
-            let Some(queued) = self.queue.remove(&position) else {
-                continue;
-            };
-            if over(&queued) {
-                self.positions.remove(&queued.request.key);
-                let waited = now.saturating_duration_since(queued.since);
-                let left = queued.request.patience.saturating_sub(waited);
-                // If the hold time was too short, an immediate retry is unlikely to succeed.
-                let pause = self.jitter(queued.request.hold.max(NO_UPSTREAM_PAUSE), left);
-                decided.push((queued.request.key, Decision::Refuse(Reason::Busy, pause)));
-            } else {
-                let position = Position {
-                    priority: Priority::new(queued.request.rank, true),
-                    ..position
-                };
-                self.positions.insert(queued.request.key.clone(), position);
-                self.queue.insert(position, queued);
-            }
-        }
-    }
-
     /// Records a request that an entry has in flight.
     pub(super) fn track_running(&mut self, running: Running, now: Instant) {
         let run = InFlight {
--- a/gooseberrylb_policy/src/dispatch/service/queue.rs
+++ b/gooseberrylb_policy/src/dispatch/service/queue.rs
@@ -42,6 +42,14 @@
     pub(super) offered: bool,
 }
 
+impl Queued {
+    /// Returns the time at which the request is late, or is not held any longer if it is late already.
+    pub(super) fn deadline(&self) -> Instant {
+        let on_time = self.since + self.request.objective;
+        on_time.min(self.since + self.request.hold)
+    }
+}
+
 /// Position in the queue: by priority, then by fair queueing among accounts, then by arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -47,6 +47,10 @@
 /// Limit of that time, so that an upstream that listens again is found soon.
 const MAX_REFUSED_PAUSE: Duration = Duration::from_secs(1);
 
+/// Number of times its part of an upstream's slots that an entry uses while it places alone. Upstreams
+/// queue what comes together.
+const BORROWING_FACTOR: u32 = 2;
+
 /// Decision to grant an upstream no requests for a while.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Exclusion {
@@ -187,6 +191,8 @@
     pub(super) served: bool,
     /// Declared properties of the service.
     pub(super) profile: Profile,
+    /// Whether the upstream may get more requests than its slots here.
+    pub(super) borrows: bool,
     /// Allowance of the upstream while it is cold.
     pub(super) cold: Option<Allowance>,
 }
@@ -210,6 +216,7 @@
             is_room_presumed: false,
             served: false,
             profile: Profile::default(),
+            borrows: false,
             cold: None,
         }
     }
@@ -310,13 +317,13 @@
     /// it wanted none, or in which its host refused connections, it gets one at first.
     fn wanted(&self, now: Instant) -> u32 {
         let room = self.room.as_ref();
-        let room = room.map_or(self.upstream.slots, |room| room.slots);
+        let room = room.map_or(self.slots(), |room| room.slots);
         let wanted = match self.closed_until {
             _ if self.leaving => 0,
             Some(end) if now < end => 0,
             Some(_) => self.upstream.slots.min(1),
             None if self.refusals > 0 => self.upstream.slots.min(1),
-            None => self.upstream.slots,
+            None => self.slots(),
         };
         wanted.min(room)
     }
@@ -371,10 +378,19 @@
         self.full_until = self.full_until.max(now + pause);
     }
 
+    /// Returns the number of requests that the upstream gets at once at most, if nothing else limits it.
+    fn slots(&self) -> u32 {
+        let is_limited = self.room.is_some() || self.limit.is_some() || self.cold.is_some();
+        match self.borrows && !is_limited {
+            true => self.upstream.slots * BORROWING_FACTOR,
+            false => self.upstream.slots,
+        }
+    }
+
     /// Whether the upstream can run one more request. With `check_health`, an upstream that failed
     /// lately has less room.
     pub(super) fn has_room(&self, check_health: bool, now: Instant) -> bool {
-        let slots = self.upstream.slots;
+        let slots = self.slots();
         let limit = if check_health {
             self.health.limit(slots, now)
         } else {
@@ -390,7 +406,7 @@
         if now < self.full_until.max(self.refused_until) {
             return 0;
         }
-        let limit = self.health.limit(self.upstream.slots, now);
+        let limit = self.health.limit(self.slots(), now);
         let free = limit.min(self.wanted(now)).saturating_sub(self.running);
         free.min(self.allowed(now))
     }
--- a/gooseberrylb_policy/src/quota.rs
+++ b/gooseberrylb_policy/src/quota.rs
@@ -73,6 +73,39 @@
 /// Use that one of several instances counted: the age and units of each part.
 pub type Usage = Vec<(Duration, f64)>;
 
+/// Fraction of its part of a quota that an entry uses while it places alone. Entries differ in what they
+/// have used before, and those that have used more than their part cannot give it back.
+const ALONE_FRACTION: f64 = 0.8;
+
+/// Part of an account's quota that belongs to one of several entries, which counts only its own use.
+#[derive(Debug, Clone, Copy)]
+pub struct Part {
+    /// Units that the entry may use in a window, if all do so.
+    pub limit: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Time for which the entry has counted its use. Before that, it may have used all of its part.
+    pub counted: Duration,
+}
+
+impl Part {
+    /// Returns how long until `units` fit beside the entry's use, which is given by ages, or `None` if
+    /// they fit now. One request that is up to twice as large as the part fits into an unused window.
+    pub fn wait_time(&self, used: &[(Duration, f64)], units: f64) -> Option<Duration> {
+        let window = self.window.as_secs_f64();
+        let uncounted = 1.0 - (self.counted.as_secs_f64() / window).min(1.0);
+        let recent = || used.iter().filter(|(age, _)| *age < self.window);
+        let total: f64 = recent().map(|(_, units)| units).sum();
+        let limit = self.limit * ALONE_FRACTION;
+        let total = total + self.limit * uncounted;
+        if total + units <= limit || (total == 0.0 && units <= 2.0 * self.limit) {
+            return None;
+        }
+        let oldest = recent().map(|(age, _)| *age).max().unwrap_or_default();
+        Some(self.window.saturating_sub(oldest).max(MIN_PAUSE))
+    }
+}
+
 impl Window {
     /// Returns the window of an account whose use is counted since `since`. The time before counts
     /// as used at the full rate: a new counter does not know the use before it, and must not let
