--- a/gooseberrylb_policy/src/dispatch/service/poll.rs
+++ b/gooseberrylb_policy/src/dispatch/service/poll.rs
@@ -9,6 +9,9 @@
 /// Interval at which queued requests are looked at that may not be granted in time.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Hold time from which on a request may outlast the burst that makes its queue long, and is kept.
+const BURST_TIME: Duration = Duration::from_millis(1_800);
+
 impl Service {
     /// Grants queued requests that have room now, and refuses those that have waited for too long.
     pub(in crate::dispatch) fn poll(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
@@ -85,7 +88,8 @@
     /// their callers are told at once.
     fn refuse_hopeless(&mut self, now: Instant, decided: &mut Vec<(Key, Decision)>) {
         let is_due = self.reviewed.is_none_or(|at| now >= at + REVIEW_INTERVAL);
-        if !is_due || self.elsewhere.free > 0 {
+        // Other shards may grant what this one cannot.
+        if !is_due || self.elsewhere.free > 0 || self.usable_slots() == 0 {
             return;
         }
         self.reviewed = Some(now);
@@ -104,7 +108,8 @@
             let waited = now.saturating_duration_since(queued.since);
             let left = queued.request.hold.saturating_sub(waited);
             let wait = kept * per_grant;
-            if waited >= REVIEW_INTERVAL && wait > left.as_secs_f64() {
+            let is_short = queued.request.hold < BURST_TIME && !queued.offered;
+            if is_short && waited >= REVIEW_INTERVAL && wait > left.as_secs_f64() {
                 hopeless.push((*position, wait));
             } else {
                 kept += 1.0;
