Fix late copies of responses, overlong times in messages, panics that end a process, and stalled callers

Measured: platform reuse fails without its change (body of request 0 for request 1); wire decoders found the overflow in its first cases; platform decoders, guard, backpressure and stops pass; the stop's test passed without its change too.

--- a/gooseberrylb/src/control/peers.rs
+++ b/gooseberrylb/src/control/peers.rs
@@ -12,6 +12,7 @@
 
 use super::core::Core;
 use super::dispatch;
+use crate::guard;
 
 /// Maximum number of concurrent handshakes, so that unauthenticated peers cannot exhaust the
 /// control thread. Further connections are dropped.
@@ -48,7 +49,7 @@
             let accepted = perform_handshake(&core, stream).await;
             in_progress.set(in_progress.get() - 1);
             if let Some(accepted) = accepted {
-                route(core, accepted).await;
+                guard::run("another instance", route(core, accepted)).await;
             }
         });
     }
--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::published::Published;
 use crate::signal::{Action, Receiver};
 use crate::tally::{Accumulator, Shipper};
-use crate::{callers, cli, gateway, logging, traffic};
+use crate::{callers, cli, gateway, guard, logging, traffic};
 
 /// Exit code for settings that are invalid or name something unusable.
 const EXIT_USAGE: u8 = 2;
@@ -92,6 +92,10 @@
     let default_hook = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         default_hook(panic);
+        if guard::is_guarded() {
+            log::error!("{panic}");
+            return;
+        }
         let thread = std::thread::current();
         if matches!(thread.name(), Some("control" | "traffic" | "journal")) {
             log::error!("{panic}; stopping the process");
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -27,6 +27,7 @@
 use rand::Rng;
 
 use crate::control::{Core, Handle};
+use crate::guard;
 use crate::metrics::METRICS;
 use caller::Origin;
 use delegate::Delegates;
@@ -34,6 +35,7 @@
 use place::Placer;
 use pool::Pool;
 
+mod backpressure;
 pub mod caller;
 mod delegate;
 pub mod events;
@@ -96,10 +98,14 @@
     budget_revision: Cell<Option<Revision>>,
     /// Number of requests received but not answered yet.
     open_requests: Cell<usize>,
+    /// Bytes of responses that wait for callers.
+    pub held: backpressure::Held,
     /// Number of callers' connections.
     connections: Cell<usize>,
     /// Planned stop in progress, if any.
     drain: Cell<Option<Drain>>,
+    /// Whether the process is about to exit and takes no more requests.
+    exiting: Cell<bool>,
     /// Requests that wait for a fresh configuration.
     fresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Channel that is closed when idle connections are to be closed. It carries no messages.
@@ -123,8 +129,10 @@
             budget: RefCell::new(budget),
             budget_revision: Cell::new(None),
             open_requests: Cell::new(0),
+            held: backpressure::Held::default(),
             connections: Cell::new(0),
             drain: Cell::new(None),
+            exiting: Cell::new(false),
             fresh_waiters: RefCell::default(),
             close_idle: async_channel::bounded(1),
         })
@@ -165,6 +173,9 @@
     /// Whether a request that takes at most `limit` is taken now: always, except late in a planned
     /// stop.
     pub fn admits(&self, limit: Duration) -> bool {
+        if self.exiting.get() {
+            return false;
+        }
         let now = self.core.clock.now();
         self.drain
             .get()
@@ -228,18 +239,23 @@
         self.close_idle.1.recv().await.ok();
     }
 
-    /// Counts a request that was received.
-    fn begin_request(&self) {
+    /// Counts a request that was received, until the returned value is dropped.
+    fn begin_request(self: &Rc<Self>) -> OpenRequest {
         self.open_requests.set(self.open_requests.get() + 1);
         METRICS.in_flight.inc();
         let open_requests = u32::try_from(self.open_requests.get()).unwrap_or(u32::MAX);
         let load = &self.core.shared.load;
         load.store(open_requests, std::sync::atomic::Ordering::Relaxed);
+        OpenRequest(self.clone())
     }
+}
+
+/// A request that was received and has not ended.
+struct OpenRequest(Rc<Gateway>);
 
-    /// Counts a request that has ended.
-    fn finish_request(&self) {
-        self.open_requests.set(self.open_requests.get() - 1);
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
         METRICS.in_flight.dec();
     }
 }
@@ -332,7 +348,9 @@
         gateway.connections.set(gateway.connections.get() + 1);
         let gateway = gateway.clone();
         task::spawn_local(async move {
-            caller::serve(gateway.clone(), Connection::new(stream), Origin::Caller).await;
+            let connection = Connection::new(stream);
+            let serving = caller::serve(gateway.clone(), connection, Origin::Caller);
+            guard::run("a caller", serving).await;
             gateway.connections.set(gateway.connections.get() - 1);
         });
     }
@@ -343,7 +361,8 @@
     while let Ok(accepted) = gateway.core.delegated.1.recv().await {
         let origin = Origin::Entry(accepted.greeting.instance);
         let connection = Connection::new(accepted.stream);
-        task::spawn_local(caller::serve(gateway.clone(), connection, origin));
+        let serving = caller::serve(gateway.clone(), connection, origin);
+        task::spawn_local(guard::run("another entry", serving));
     }
 }
 
@@ -388,7 +407,9 @@
         let now = gateway.core.clock.now();
         let elapsed = drain.elapsed(now);
         let done = gateway.open_requests.get() == 0 && elapsed >= MIN_DRAIN;
-        if done || drain.is_over(now) {
+        // A request that arrives from now on is refused, and not cut off by the exit.
+        let was_exiting = gateway.exiting.replace(done || gateway.exiting.get());
+        if (done && was_exiting) || drain.is_over(now) {
             let open_requests = gateway.open_requests.get();
             log::info!(open = open_requests, ms = elapsed.as_millis() as u64; "stopped serving callers");
             return;
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -66,9 +66,9 @@
                 return;
             }
         };
-        gateway.begin_request();
+        let open = gateway.begin_request();
         let persistence = handle(&gateway, &mut connection, request, &origin, &limits).await;
-        gateway.finish_request();
+        drop(open);
         if persistence == Persistence::Close {
             return;
         }
@@ -421,7 +421,7 @@
     };
     let mut bytes = response_head(response, framing, closes);
     bytes.extend_from_slice(body);
-    match connection.write(&bytes).await.is_ok() && !closes {
+    match gateway.held.write(connection, &bytes).await.is_ok() && !closes {
         true => Persistence::Keep,
         false => Persistence::Close,
     }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -37,6 +37,9 @@
 /// Minimum time to wait for the head of a response before the upstream counts as silent.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of late responses to earlier requests that are skipped on a connection.
+const MAX_STALE_RESPONSES: u32 = 2;
+
 /// `Retry-After` of refusals that have no more specific value.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -300,7 +303,7 @@
             self.gateway.budget.borrow_mut().withdraw(sent_at);
         }
         self.attempts += 1;
-        let response = match self.send(&grant, &mut connection, head).await {
+        let response = match self.send(&grant, &mut connection, is_new, head).await {
             Ok((response, reply)) => {
                 self.gateway.record_heard(&grant.upstream);
                 if is_new {
@@ -473,6 +476,7 @@
         &self,
         grant: &Grant,
         connection: &mut Connection,
+        is_new: bool,
         head: Vec<u8>,
     ) -> std::result::Result<(Response, ResponseMetadata), Failure> {
         let sent = self.now();
@@ -530,12 +534,17 @@
                 .gateway
                 .dialect
                 .response_metadata(response.status, &response.fields.borrowed());
-            let is_ours = reply.attempt.is_none() || reply.attempt == self.metadata.attempt;
+            // On a connection that was used before, a response without an id may be a late copy of
+            // the one to the request before.
+            let is_ours = match &reply.attempt {
+                Some(_) => reply.attempt == self.metadata.attempt,
+                None => is_new,
+            };
             let is_success = (200..300).contains(&response.status);
             let is_own_success = is_success && reply.signed && !reply.encoded;
             let served = (is_ours && is_own_success).then_some(sent);
             self.record_statement(grant, &reply, served);
-            if !is_ours && stale_responses < 2 && response.keep_alive.is_some() {
+            if !is_ours && stale_responses < MAX_STALE_RESPONSES && response.keep_alive.is_some() {
                 // This is the late response to an earlier request on the connection. The response
                 // to this request follows it.
                 stale_responses += 1;
--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -404,6 +404,11 @@
         (&self.stream).write_all(bytes).await
     }
 
+    /// Writes some of `bytes` and returns their number.
+    pub async fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        (&self.stream).write(bytes).await
+    }
+
     /// Sets whether closing the connection resets it, so that the peer does not take its end for
     /// the end of a response.
     pub fn reset_on_close(&self, resets: bool) {
--- a/gooseberrylb/src/gateway/interfaces.rs
+++ b/gooseberrylb/src/gateway/interfaces.rs
@@ -19,6 +19,7 @@
 use super::forward::write_field;
 use super::http::{Connection, Error, Request};
 use crate::control::{Answer, Core, Failure, Handle, Question, evacuation};
+use crate::guard;
 
 /// Maximum size in bytes of the body of a request, such as a declaration.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -68,10 +69,13 @@
             Ok((stream, _)) => {
                 let interfaces = interfaces.clone();
                 task::spawn_local(async move {
-                    let connection = Connection::new(stream);
-                    if let Err(error) = serve_connection(&interfaces, connection).await {
-                        log::debug!(error:% = error; "a connection to the platform interfaces failed");
-                    }
+                    let serving = async {
+                        let connection = Connection::new(stream);
+                        if let Err(error) = serve_connection(&interfaces, connection).await {
+                            log::debug!(error:% = error; "a connection to the platform interfaces failed");
+                        }
+                    };
+                    guard::run("the platform interfaces", serving).await;
                 });
             }
             Err(error) => {
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use gooseberrylb_policy::dispatch::Outcome;
 use gooseberrylb_policy::reach::Symptom;
 
+use super::backpressure::SLOW_WRITE;
 use super::caller::response_head;
 use super::events::Scanner;
 use super::forward::{Exchange, Forwarder, Lease};
@@ -148,6 +149,7 @@
     let mut first = None;
     let mut last = exchange.sent_at;
     let mut events_before = 0;
+    let mut is_caller_slow = false;
     loop {
         let mut data = Vec::new();
         let decoded = body.decode(exchange.connection.unread(), &mut data);
@@ -183,9 +185,12 @@
             write_end(&mut out, framing, resumable.then_some(&events));
         }
         if !out.is_empty() {
-            if caller.write(&out).await.is_err() {
+            let clock = &forwarder.gateway.core.clock;
+            let began = clock.now();
+            if forwarder.gateway.held.write(caller, &out).await.is_err() {
                 return transfer.finish(End::CallerGone, &events);
             }
+            is_caller_slow |= clock.now() >= began + SLOW_WRITE;
             out.clear();
         }
         if is_whole {
@@ -205,7 +210,7 @@
             Step::Bytes => {}
             Step::End if body.ends_at_close() && has_event && !is_truncated => {
                 write_end(&mut out, framing, resumable.then_some(&events));
-                if caller.write(&out).await.is_err() {
+                if forwarder.gateway.held.write(caller, &out).await.is_err() {
                     return transfer.finish(End::CallerGone, &events);
                 }
                 let outcome =
@@ -229,6 +234,8 @@
                 );
                 let is_malformed = broken || is_over;
                 match exchange.lease {
+                    // Upstreams cut off a response that is not read.
+                    Lease::Grant(grant) if is_caller_slow => grant.end(Outcome::Dropped),
                     Lease::Grant(grant) if is_malformed => grant.end(Outcome::Failed),
                     Lease::Grant(grant) => {
                         let ending = Ending::of_broken(wrote);
--- a/gooseberrylb/src/lib.rs
+++ b/gooseberrylb/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod gateway;
+mod guard;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -62,6 +62,12 @@
     pub delegated: IntCounterVec,
     /// 1 while this entry is cut off from the upstreams, else 0.
     pub cut_off: IntGauge,
+    /// Panics that ended a connection and not the process.
+    pub panics: IntCounter,
+    /// Bytes of responses that are being written to callers.
+    pub held_bytes: IntGauge,
+    /// Callers that were cut off since they did not read their responses.
+    pub stalled_callers: IntCounter,
     /// Evacuated data centres, as the leader knows.
     pub evacuations: IntGauge,
     /// Requests that this instance's dispatcher granted to cold upstreams.
@@ -232,6 +238,21 @@
                 "cut_off",
                 "Whether this entry is cut off from the upstreams.",
             ),
+            panics: counter(
+                &r,
+                "panics_total",
+                "Panics that ended a connection and not the process.",
+            ),
+            held_bytes: gauge(
+                &r,
+                "held_response_bytes",
+                "Bytes of responses that callers have not read yet.",
+            ),
+            stalled_callers: counter(
+                &r,
+                "stalled_callers_total",
+                "Callers cut off since they did not read their responses.",
+            ),
             evacuations: gauge(&r, "evacuations", "Evacuated data centres."),
             cold_grants: counter(
                 &r,
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod owner;
 mod prompts;
 mod requests;
+mod reuse;
 mod rollouts;
 mod standin;
 mod stops;
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -44,6 +44,8 @@
     Reset,
     /// Repeats a text until the peer closes the connection.
     Endless(&'static str),
+    /// Keeps the connection, and sends a text before the response to the next request.
+    Late(String),
 }
 
 /// Response of a stand-in.
@@ -65,7 +67,7 @@
     fn send(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         stream.write_all(self.text.as_bytes())?;
         match self.end {
-            End::Close => Ok(()),
+            End::Close | End::Late(_) => Ok(()),
             End::Reset => {
                 thread::sleep(Duration::from_millis(100));
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
@@ -103,12 +105,16 @@
                     let resets = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return resets.unwrap();
                 }
-                if let Some(request) = read_message(&mut stream) {
+                let mut late = String::new();
+                while let Some(request) = read_message(&mut stream) {
                     let answer: Answer = answer(&request).into();
                     // The caller may have closed its connection.
+                    stream.write_all(late.as_bytes()).ok();
                     answer.send(&mut stream).ok();
-                    if let End::Reset = answer.end {
-                        return;
+                    match answer.end {
+                        End::Reset => return,
+                        End::Late(text) => late = text,
+                        End::Close | End::Endless(_) => break,
                     }
                 }
                 stream.shutdown(Shutdown::Both).ok();
@@ -154,6 +160,9 @@
         // Keeps its slots busy, so that there is use for those of the limited upstream.
         thread::sleep(BUSY_TIME);
     }
+    if target.contains("late-copy") {
+        return repeated_response(request, target);
+    }
     if target.ends_with(CRASHING) {
         return Answer {
             text: String::new(),
@@ -169,6 +178,27 @@
     framed_response(request, target).into()
 }
 
+/// Returns a response with the target as its body, whose copy arrives before the next response on the
+/// connection. The copy names no request if the target says so.
+fn repeated_response(request: &str, target: &str) -> Answer {
+    let length = target.len();
+    let rest = format!("Content-Length: {length}\r\n\r\n{target}");
+    let text = signed_response(request, "200 OK", &rest).replace("Connection: close\r\n", "");
+    let is_id = |line: &&str| line.starts_with("X-Gooseberrylb-Attempt-Id");
+    let unnamed = || {
+        let lines = text.split_inclusive("\r\n");
+        lines.filter(|line| !is_id(line)).collect()
+    };
+    let copy = match target.contains("unnamed") {
+        true => unnamed(),
+        false => text.clone(),
+    };
+    Answer {
+        text,
+        end: End::Late(copy),
+    }
+}
+
 /// Returns a response that ends with its connection.
 fn unframed_response(request: &str, target: &str) -> Answer {
     let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -1,9 +1,12 @@
 //! Planned stops and signals.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
 use crate::fleet::{CALLERS, ENTRY, Fleet, KEY, field};
+use crate::standin::read_message;
 
 #[test]
 fn hangup_signal_cuts_nothing_and_planned_stop_serves_received_requests() {
@@ -71,3 +74,47 @@
     let (_, entry) = processes.find(|(host, _)| *host == ENTRY).unwrap();
     assert!(entry.wait().unwrap().success());
 }
+
+/// Guards against requests that arrive as the process exits and are cut off: callers go on sending on open
+/// connections until the process is gone, and each request that has reached an upstream gets an answer.
+#[test]
+fn request_that_arrives_as_the_entry_exits_is_answered_or_not_sent_on() {
+    let fleet = Fleet::start_with_grace(13, 8);
+    let address = fleet.network.address(ENTRY, CALLERS);
+    let unanswered: Vec<String> = thread::scope(|scope| {
+        let call = |caller: usize| {
+            let (mut unanswered, mut number) = (Vec::new(), 0);
+            while let Ok(mut stream) = TcpStream::connect(address) {
+                let timeout = Duration::from_secs(10);
+                stream.set_read_timeout(Some(timeout)).unwrap();
+                loop {
+                    number += 1;
+                    let id = format!("id-{caller}-{number}");
+                    let request = format!(
+                        "POST /plain/x HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: {id}\r\n\
+                         X-Gooseberrylb-Deadline-Ms: 600\r\nContent-Length: 0\r\n{KEY}\r\n"
+                    );
+                    let written = stream.write_all(request.as_bytes());
+                    if written.is_err() || read_message(&mut stream).is_none() {
+                        unanswered.push(id);
+                        break;
+                    }
+                }
+            }
+            unanswered
+        };
+        let callers: Vec<_> = (0..8)
+            .map(|caller| scope.spawn(move || call(caller)))
+            .collect();
+        thread::sleep(Duration::from_millis(300));
+        fleet.signal(ENTRY, "-TERM");
+        let unanswered = callers.into_iter().map(|caller| caller.join().unwrap());
+        unanswered.flatten().collect()
+    });
+    let received = fleet.received();
+    let sent_on = received
+        .iter()
+        .filter_map(|request| field(request, "x-gooseberrylb-attempt-id"));
+    let cut: Vec<_> = sent_on.filter(|id| unanswered.contains(id)).collect();
+    assert!(cut.is_empty(), "{cut:?}\n{}", fleet.output());
+}
--- a/gooseberrylb_config/src/directory/rollout.rs
+++ b/gooseberrylb_config/src/directory/rollout.rs
@@ -74,6 +74,9 @@
 /// within seconds.
 const MAX_REFUSED_RELEASES: usize = 16;
 
+/// Longest duration of a rollout. A later end could not be stored, and every voter would stop at it.
+const MAX_WINDOW: Duration = Duration::from_secs(10 * 366 * 24 * 60 * 60);
+
 /// Time after acceptance in which an identical order counts as a resend; operators stop retrying
 /// sooner.
 const RESEND_WINDOW: Duration = Duration::from_secs(10);
@@ -84,7 +87,7 @@
         Self {
             release,
             accepted,
-            finish_by: accepted + window,
+            finish_by: accepted + window.min(MAX_WINDOW),
             stage: Stage::Waiting,
             steps: 0,
             since: accepted,
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -20,6 +20,9 @@
 /// in part.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Longest time that an upstream may be closed for, whatever another instance tells.
+const MAX_CLOSED: Duration = Duration::from_secs(3600);
+
 /// What one instance tells another of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -242,7 +245,8 @@
         let record = self.0.entry(report.upstream.clone());
         let record = record.or_insert_with(|| Record::new(&report.service, now));
         record.heard = now;
-        let closed_until = report.closed_for.map(|time| now + time);
+        let closed_for = report.closed_for.map(|time| time.min(MAX_CLOSED));
+        let closed_until = closed_for.map(|time| now + time);
         let limit = report.limit.map(|said| said.at(now));
         let tolerance = report.tolerance.map(|said| said.at(now));
         record.update(report.leaving, closed_until, limit, tolerance)
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -160,7 +160,8 @@
                     let is_new = self.warm_up.record(&cold, now);
                     let service = self.services.get_mut(&cold.service);
                     if let Some(service) = service.filter(|_| is_new) {
-                        service.set_cold(&cold.upstream, now + cold.left, now);
+                        let until = self.warm_up.until(&cold.upstream).unwrap_or(now);
+                        service.set_cold(&cold.upstream, until, now);
                     }
                     news.extend(is_new.then_some(Announcement::Cold(cold)));
                 }
@@ -265,6 +266,7 @@
 
     /// Grants the request an upstream, queues it, or refuses it.
     pub fn place(&mut self, request: Request, now: Instant) -> Decision {
+        let request = request.bounded();
         if let Some(wait) = self.quota_wait(&request, now) {
             return Decision::Refuse(Reason::Quota, wait);
         }
@@ -306,6 +308,7 @@
     /// Grants a request that another shard's dispatcher offers an upstream with a free slot, or
     /// refuses it. The other dispatcher keeps it queued and charges its account.
     pub fn place_offered(&mut self, request: Request, now: Instant) -> Decision {
+        let request = request.bounded();
         let (key, name) = (request.key.clone(), request.service.clone());
         let service = self.services.get_mut(&name);
         let decision = service.and_then(|service| service.place_offered(request, now));
@@ -411,6 +414,7 @@
 
     /// Applies what an entry reports.
     pub fn apply(&mut self, notice: Notice, now: Instant) {
+        let notice = notice.bounded();
         if let Some((entry, running)) = notice.running {
             self.replace_running(&entry, running, now);
         }
--- a/gooseberrylb_policy/src/dispatch/message.rs
+++ b/gooseberrylb_policy/src/dispatch/message.rs
@@ -232,3 +232,51 @@
     /// Length of the sliding window in which use is counted.
     pub window: Duration,
 }
+
+/// Longest time that a message may state. Clocks have a range, and a time beyond it in a message of
+/// another instance must not end the process.
+const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
+impl Request {
+    /// Returns the request with its times within what clocks can count.
+    pub(super) fn bounded(self) -> Self {
+        Self {
+            objective: self.objective.min(MAX_TIME),
+            hold: self.hold.min(MAX_TIME),
+            patience: self.patience.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
+impl Outcome {
+    /// Returns the outcome with its times within what clocks can count.
+    fn bounded(self) -> Self {
+        match self {
+            Self::Served {
+                first,
+                rest,
+                events,
+            } => Self::Served {
+                first: first.min(MAX_TIME),
+                rest: rest.min(MAX_TIME),
+                events,
+            },
+            Self::Full | Self::Failed | Self::Dropped | Self::Refused => self,
+        }
+    }
+}
+
+impl Notice {
+    /// Returns the notice with its times within what clocks can count.
+    pub(super) fn bounded(mut self) -> Self {
+        let running = self.running.iter_mut().flat_map(|(_, running)| running);
+        for run in running.chain(&mut self.started) {
+            run.patience = run.patience.min(MAX_TIME);
+        }
+        for (_, outcome) in &mut self.ended {
+            *outcome = outcome.bounded();
+        }
+        self
+    }
+}
--- a/gooseberrylb_policy/src/warm_up.rs
+++ b/gooseberrylb_policy/src/warm_up.rs
@@ -18,6 +18,9 @@
 /// list lags by varying times.
 const SAME_END: Duration = Duration::from_millis(300);
 
+/// Longest time for which an upstream is taken to be cold, whatever another instance tells.
+const MAX_WARM_UP: Duration = Duration::from_secs(3600);
+
 /// What one instance tells another of a cold upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cold {
@@ -37,7 +40,7 @@
     /// Takes over a report; returns whether it is new.
     pub fn record(&mut self, cold: &Cold, now: Instant) -> bool {
         self.0.retain(|_, (_, until)| now < *until);
-        let until = now + cold.left;
+        let until = now + cold.left.min(MAX_WARM_UP);
         let known = self.0.get(&cold.upstream);
         let is_new = known.is_none_or(|(_, known)| until > *known + SAME_END);
         if is_new {
