Take an upstream that serves others for slow with one request, not for failed

Cause: a response later than the objective counted as a failure when it was reported silent, and once more when its attempt ended, so that one slow call left its upstream out for 0.5 s, and the next for up to 4 s. Change: a silent request counts once; if its upstream has served others since it got the request, it counts for the failure rate only, beside an expected 5 in 100.

--- a/gooseberrylb_policy/src/dispatch/service/outcome.rs
+++ b/gooseberrylb_policy/src/dispatch/service/outcome.rs
@@ -12,16 +12,27 @@
 use crate::dispatch::{Key, Outcome};
 
 impl Service {
-    /// Counts a running request as a failure of its upstream, as that has been silent for too long.
+    /// Records that the upstream of a running request has been silent for longer than expected. One that
+    /// has served others since it got the request is slow with this one, and counts as failed only
+    /// if it is with many; otherwise it may serve nobody.
     pub(in crate::dispatch) fn mark_silent(&mut self, key: &Key, now: Instant) {
         let Some(run) = self.running.get_mut(key).filter(|run| !run.silent) else {
             return;
         };
         run.silent = true;
-        let name = run.upstream.clone();
-        let ejection = self
-            .state(&name)
-            .and_then(|state| state.health.record_failure(0.0, now));
+        let (name, since, route) = (run.upstream.clone(), run.since, run.route.clone());
+        let expected = route.map_or(0.0, |route| {
+            let expected = self.failures.expected(&route, &name, now);
+            self.failures.record(&route, &name, true, now);
+            expected
+        });
+        let ejection = self.state(&name).and_then(|state| {
+            let serves_others = state.last_served.is_some_and(|at| at > since);
+            match serves_others {
+                true => state.health.record_slow(expected, now),
+                false => state.health.record_failure(0.0, now),
+            }
+        });
         self.record_exclusion(&name, key, Failure::Silent, ejection);
         self.record_outcome(key, None, now);
     }
@@ -79,6 +90,8 @@
                     pooled.update(prompt, prefill_wait, &outcome, POOLED_NEWEST_WEIGHT);
                 }
                 Outcome::Full => state.record_full(now),
+                // A silent request was counted when it became silent.
+                Outcome::Failed if run.silent => {}
                 Outcome::Failed => exclusion.1 = state.health.record_failure(expected, now),
                 Outcome::Refused => {
                     let ejection = state.health.record_failure(0.0, now);
@@ -102,6 +115,9 @@
         let (Some(route), Some(failed)) = (&run.route, is_failure(outcome)) else {
             return 0.0;
         };
+        if run.silent {
+            return 0.0;
+        }
         let expected = self.failures.expected(route, &run.upstream, now);
         self.failures.record(route, &run.upstream, failed, now);
         expected
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -30,6 +30,9 @@
 /// answered.
 const EJECTION_FAILURE_RATE: f64 = 0.3;
 
+/// Share of slow requests that is expected of a sound upstream.
+const SLOW_SHARE: f64 = 0.05;
+
 /// Largest weight of the newest request in the moving average of the failure rate.
 const NEWEST_WEIGHT: f64 = 0.2;
 
@@ -133,6 +136,18 @@
         Some(ejection)
     }
 
+    /// Records a request that takes longer than expected at an upstream that serves others meanwhile.
+    /// Returns the time for which the upstream is ejected, if it is slow with too many.
+    pub fn record_slow(&mut self, expected: f64, now: Instant) -> Option<Duration> {
+        self.average(1.0, expected.max(SLOW_SHARE));
+        if self.failure_rate < EJECTION_FAILURE_RATE {
+            return None;
+        }
+        self.ejected_until = Some(now + BASE_EJECTION);
+        self.probing = true;
+        Some(BASE_EJECTION)
+    }
+
     /// Adds the newest request to the failure rate: 1 for a failure, 0 for a success, less what is
     /// expected. The more is expected, the more requests are averaged, so that the average of a sound
     /// upstream stays within a few of its deviations of the bound.
@@ -189,6 +204,8 @@
     pub(super) is_room_presumed: bool,
     /// Whether the upstream has served a request.
     pub(super) served: bool,
+    /// Time at which it served one last.
+    pub(super) last_served: Option<Instant>,
     /// Declared properties of the service.
     pub(super) profile: Profile,
     /// Whether the upstream may get more requests than its slots here.
@@ -215,6 +232,7 @@
             room: None,
             is_room_presumed: false,
             served: false,
+            last_served: None,
             profile: Profile::default(),
             borrows: false,
             cold: None,
@@ -332,6 +350,7 @@
     pub(super) fn record_served(&mut self, expected_failures: f64, since: Instant, now: Instant) {
         self.health.record_success(expected_failures);
         self.served = true;
+        self.last_served = Some(now);
         if self.is_room_presumed {
             self.room = None;
         }
