Bound the tokens that are granted to an engine by its memory

Cause: nothing knew an engine's memory, and an engine crashes if the requests that it holds exceed it. Change: a service's declared memory bounds prompts and expected output of what runs on each engine, over all entries; a request that fits no engine is refused at once; a smaller one behind one that does not fit is granted. Reading taken: tokens, as engines declare them; plain upstreams declare none.

--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -128,6 +128,14 @@
 
     /// Grants the request an upstream, queues it, or refuses it.
     pub(super) fn place(&mut self, request: Request, now: Instant) -> Decision {
+        if self
+            .profile
+            .memory
+            .is_some_and(|m| self.profile.tokens(&request) > m)
+        {
+            // No engine of the service can run it, also when it is idle.
+            return Decision::Refuse(Reason::NoUpstream, request.patience / MAX_PAUSE_DIVISOR);
+        }
         if self.queue.is_empty()
             && let Some(upstream) = self.choose(&request, request.objective, now)
         {
@@ -376,6 +384,8 @@
             upstream: running.upstream,
             since: now,
             prompt: running.prompt,
+            // Its output is known to the dispatcher that granted it only.
+            tokens: running.prompt,
             route: None,
             prefill_wait: Duration::ZERO,
             silent: false,
@@ -384,6 +394,7 @@
         let in_rollout = self.release.is_some();
         if let Some(state) = self.state(&run.upstream) {
             state.set_running(state.running + 1, in_rollout, now);
+            state.tokens = state.tokens.saturating_add(run.tokens);
         }
         self.running.insert(running.key, run);
     }
@@ -434,13 +445,17 @@
 
     /// Counts the running requests of each upstream anew.
     fn recount(&mut self, now: Instant) {
-        let mut counts: HashMap<&id::Upstream, u32> = HashMap::new();
+        let mut counts: HashMap<&id::Upstream, (u32, u64)> = HashMap::new();
         for run in self.running.values() {
-            *counts.entry(&run.upstream).or_default() += 1;
+            let (running, tokens) = counts.entry(&run.upstream).or_default();
+            *running += 1;
+            *tokens = tokens.saturating_add(run.tokens);
         }
         for state in &mut self.upstreams {
-            let running = counts.get(&state.upstream.name).copied().unwrap_or(0);
+            let count = counts.get(&state.upstream.name).copied();
+            let (running, tokens) = count.unwrap_or_default();
             state.set_running(running, self.release.is_some(), now);
+            state.tokens = tokens;
         }
     }
 
--- a/gooseberrylb_policy/src/dispatch/service/choice.rs
+++ b/gooseberrylb_policy/src/dispatch/service/choice.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Whether any upstream has a slot for one more request, whatever its size.
+    pub(super) fn has_room(&self, now: Instant) -> bool {
+        let eligible = self.eligible();
+        let mut usable = self.upstreams.iter().filter(|state| eligible(state));
+        usable.any(|state| state.has_room(false, now))
+    }
+
     /// Returns the index of the upstream with room on which the request costs least: the expected
     /// end of the response, with the additions for lateness, contention and distance.
     pub(super) fn choose(
@@ -92,10 +99,12 @@
         // have some.
         let check_health = self.elsewhere.free > 0
             || self.upstreams.iter().filter(|s| healthy(s)).count() * 2 >= self.upstreams.len();
+        let tokens = self.profile.tokens(request);
         let best = |eligible: &dyn Fn(&State) -> bool| {
             let candidates = self.upstreams.iter().enumerate();
             candidates
                 .filter(|(_, state)| eligible(state) && state.has_room(check_health, now))
+                .filter(|(_, state)| state.holds(tokens))
                 .filter(|(_, state)| !request.excluded.contains(&state.upstream.name))
                 .min_by_key(|(_, state)| self.cost(request, objective, state, now))
                 .map(|(i, _)| i)
@@ -142,6 +151,8 @@
                 state.prefill_until.max(now) + state.rates.expected_first(request, &pooled);
         }
         state.set_running(state.running + 1, self.release.is_some(), now);
+        let tokens = self.profile.tokens(request);
+        state.tokens = state.tokens.saturating_add(tokens);
         state.count_against_limit(now);
         if let Some(release) = &mut self.release {
             release.record_grant(&state.upstream);
@@ -150,6 +161,7 @@
             upstream: state.upstream.name.clone(),
             since: now,
             prompt: request.prompt,
+            tokens,
             route: Some(request.route.clone()),
             prefill_wait,
             silent: false,
--- a/gooseberrylb_policy/src/dispatch/service/outcome.rs
+++ b/gooseberrylb_policy/src/dispatch/service/outcome.rs
@@ -80,6 +80,7 @@
         let mut exclusion = (Failure::Failed, None);
         if let Some(state) = self.state(&run.upstream) {
             state.set_running(state.running.saturating_sub(1), in_rollout, now);
+            state.tokens = state.tokens.saturating_sub(run.tokens);
             match outcome {
                 Outcome::Served { .. } => {
                     state.record_served(expected, run.since, now);
--- a/gooseberrylb_policy/src/dispatch/service/poll.rs
+++ b/gooseberrylb_policy/src/dispatch/service/poll.rs
@@ -27,9 +27,9 @@
                     granted = Some(*position);
                     break;
                 }
-                if queued.request.excluded.is_empty() {
-                    // A request that may go to any upstream found no room, so no other will
-                    // either.
+                if queued.request.excluded.is_empty() && !self.has_room(now) {
+                    // A request that may go to any upstream found no slot, so no other will
+                    // either. Where slots are free, a smaller one may fit the memory.
                     return;
                 }
             }
--- a/gooseberrylb_policy/src/dispatch/service/queue.rs
+++ b/gooseberrylb_policy/src/dispatch/service/queue.rs
@@ -20,6 +20,8 @@
     pub(super) since: Instant,
     /// Length of the prompt, in tokens.
     pub(super) prompt: u64,
+    /// Tokens that the request is expected to hold.
+    pub(super) tokens: u64,
     /// Route of the request, if this dispatcher granted it.
     pub(super) route: Option<Arc<str>>,
     /// Prefill time of the prompts ahead of it when it was granted.
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -206,6 +206,8 @@
     pub(super) served: bool,
     /// Time at which it served one last.
     pub(super) last_served: Option<Instant>,
+    /// Tokens that its running requests are expected to hold.
+    pub(super) tokens: u64,
     /// Declared properties of the service.
     pub(super) profile: Profile,
     /// Whether the upstream may get more requests than its slots here.
@@ -233,6 +235,7 @@
             is_room_presumed: false,
             served: false,
             last_served: None,
+            tokens: 0,
             profile: Profile::default(),
             borrows: false,
             cold: None,
@@ -259,6 +262,12 @@
         }
     }
 
+    /// Whether the upstream's memory holds a request of a number of tokens beside those that run.
+    pub(super) fn holds(&self, tokens: u64) -> bool {
+        let memory = self.profile.memory.unwrap_or(u64::MAX);
+        self.tokens.saturating_add(tokens) <= memory
+    }
+
     /// Whether the upstream is cold.
     pub(super) fn is_cold(&self, now: Instant) -> bool {
         self.cold.as_ref().is_some_and(|cold| cold.is_cold(now))
--- a/gooseberrylb_policy/tests/warm_up.rs
+++ b/gooseberrylb_policy/tests/warm_up.rs
@@ -63,7 +63,7 @@
     };
     let profile = Profile {
         warm_up: Some(warm_up),
-        memory: None,
+        ..Profile::default()
     };
     let mut dispatcher = Dispatcher::new();
     dispatcher.set_profiles(BTreeMap::from([(service(), profile)]));
