Send second copies of slow requests within a share that operators set

Cause: a few slow answers spoil the figures of routes whose requests may be repeated. Change: with copy_share above 0 (it is 0 unless the settings say so), the dispatcher tells with a grant when a copy is due, by the 95th percentile of the upstream's own times on that route, later under load; an entry then asks for one, and the dispatcher grants it a sound upstream with most slots free, while nothing waits, within the share of the service's requests and the retry budget. The first good response wins, the other request is cancelled.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -148,6 +148,24 @@
         decision
     }
 
+    /// Returns the decision on a second copy of a request.
+    fn place_copy(&self, core: &Core, request: Request) -> Decision {
+        if !self.prepare(core) {
+            return Decision::Unknown;
+        }
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.place_copy(request, core.clock.now())
+    }
+
+    /// Returns the answer with a decision.
+    fn answer(&self, key: Key, decision: Decision) -> Answer {
+        let due = match &decision {
+            Decision::Grant(_) => self.dispatcher.borrow().copy_due(&key),
+            Decision::Wait | Decision::Refuse(..) | Decision::Unknown => None,
+        };
+        Answer::Decided(key, decision, due)
+    }
+
     /// Counts a grant of a cold upstream.
     fn count_cold_grant(&self, core: &Core, decision: &Decision) {
         if let Decision::Grant(upstream) = decision
@@ -272,7 +290,7 @@
         let sessions = self.sessions.borrow();
         let session = sessions.get(&key.entry);
         let sent = session.is_some_and(|session| {
-            let answer = Answer::Decided(key.clone(), decision);
+            let answer = self.answer(key.clone(), decision);
             session.len() < session::MAX_ANSWERS && session.try_send(answer).is_ok()
         });
         if !sent {
@@ -318,6 +336,7 @@
                 let answer = future::timeout(OFFER_TIMEOUT, answers.recv()).await;
                 session.forget(&key);
                 let decision = answer.ok().and_then(Result::ok);
+                let decision = decision.map(|verdict| verdict.decision);
                 core.dispatch.settle_offer(&session, key, decision);
             });
         }
@@ -505,6 +524,7 @@
         Part::Entry { .. } | Part::Shard(_) => 0.0,
         Part::Fleet => deployment.map_or(0.0, |d| d.trial_share * TRIAL_FRACTION),
     };
+    dispatcher.set_copy_share(deployment.map_or(0.0, |d| d.copy_share));
     dispatcher.set_rollouts(&directory.rollouts, trial_share, now);
     let fraction = match part {
         Part::Entry { count, .. } => 1.0 / (*count).max(1) as f64,
--- a/gooseberrylb/src/control/dispatch/session.rs
+++ b/gooseberrylb/src/control/dispatch/session.rs
@@ -4,6 +4,7 @@
 
 use async_std::task;
 use futures::AsyncReadExt;
+use gooseberrylb_policy::dispatch::Purpose;
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, write_all};
 
 use crate::control::{Accepted, Core};
@@ -39,10 +40,13 @@
             break;
         }
         let answer = match question {
-            Question::Ask(request) => {
+            Question::Ask(request, purpose) => {
                 let key = request.key.clone();
-                let decision = core.dispatch.place(&core, request);
-                Some(Answer::Decided(key, decision))
+                let decision = match purpose {
+                    Purpose::Attempt => core.dispatch.place(&core, request),
+                    Purpose::Copy => core.dispatch.place_copy(&core, request),
+                };
+                Some(core.dispatch.answer(key, decision))
             }
             Question::Tell { number, notice } => {
                 // Entries resend only charges, so that no other notice needs an answer.
@@ -53,7 +57,7 @@
             Question::Offer(request) => {
                 let key = request.key.clone();
                 let decision = core.dispatch.place_offered(&core, request);
-                Some(Answer::Decided(key, decision))
+                Some(core.dispatch.answer(key, decision))
             }
             Question::Summarize(summary) => {
                 core.dispatch.adopt_summary(&core, &entry, summary);
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -23,6 +23,7 @@
 
 pub use exchange::{Delivery, Exchange, Failure, Fault, Lease};
 
+mod copy;
 mod exchange;
 mod placement;
 
@@ -143,7 +144,7 @@
             let upstream = grant.upstream.clone();
             self.last_upstream = Some(upstream.clone());
             self.alone = grant.alone;
-            let failure = match self.attempt(grant, None).await {
+            let failure = match self.attempt_with_copy(grant).await {
                 Ok(result) => return result,
                 Err(failure) => failure,
             };
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -33,8 +33,17 @@
 const NO_HOME_PAUSE: Duration = Duration::from_secs(1);
 
 impl Forwarder {
-    /// Asks for an upstream for the next attempt. A request counts once against the quota.
+    /// Asks for an upstream for the next attempt.
     pub(super) async fn place(&self) -> Placement {
+        match self.placement_request() {
+            Some(request) => self.gateway.placer.place(request, &self.causes()).await,
+            None => Placement::Refused(Reason::NoUpstream, NO_HOME_PAUSE),
+        }
+    }
+
+    /// Returns the question for an upstream for the next attempt, or `None` if no upstream is in the
+    /// regions that the request is restricted to. A request counts once against the quota.
+    pub(super) fn placement_request(&self) -> Option<Request> {
         let gateway = &self.gateway;
         let (now, time_left) = (self.now(), self.time_left());
         let table = gateway.table();
@@ -63,14 +72,11 @@
         let mut excluded = self.excluded.clone();
         if let Some(homes) = self.homes() {
             let directory = &gateway.core.published().directory;
-            match homes.excluded(&gateway.core, directory, &service) {
-                Some(outside) => excluded.extend(outside),
-                None => return Placement::Refused(Reason::NoUpstream, NO_HOME_PAUSE),
-            }
+            excluded.extend(homes.excluded(&gateway.core, directory, &service)?);
         }
         let quota = self.account.as_ref().and_then(|account| account.quota);
         let units = quota.map(|a| dispatch::units(a.unit, self.metadata.tokens));
-        let request = Request {
+        Some(Request {
             key: gateway.placer.key(),
             service,
             route: self.route.name.clone(),
@@ -85,8 +91,7 @@
             hold: self.hold(waited).min(time_left),
             patience: time_left,
             excluded,
-        };
-        gateway.placer.place(request, &self.causes()).await
+        })
     }
 
     /// Returns the regions to which the request is restricted, if it is.
--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -18,7 +18,7 @@
 use gooseberrylb_policy::crash::{self, Cause, Ending};
 use gooseberrylb_policy::dispatch::refusals::Refusals;
 use gooseberrylb_policy::dispatch::{
-    Charge, Decision, Dispatcher, Key, Notice, Outcome, Rates, Reason, Request, Running,
+    Charge, Decision, Dispatcher, Key, Notice, Outcome, Purpose, Rates, Reason, Request, Running,
 };
 use gooseberrylb_policy::quota::Usage;
 use gooseberrylb_policy::warm_up;
@@ -81,6 +81,8 @@
     pub listed: std::sync::Arc<ListedUpstream>,
     /// Whether the entry placed the request alone, without the dispatcher.
     pub alone: bool,
+    /// Time after which a second copy is due, if one may be sent.
+    pub copy_due: Option<Duration>,
     placer: Rc<Placer>,
     key: Key,
     ended: bool,
@@ -249,6 +251,44 @@
         }
     }
 
+    /// Asks the dispatcher for an upstream for a second copy of a request. There is none without a
+    /// dispatcher that answers.
+    pub async fn place_copy(self: &Rc<Self>, request: Request) -> Option<Grant> {
+        let now = self.core.clock.now();
+        if self.alone_until.get().is_some_and(|end| now < end) {
+            return None;
+        }
+        let session = self.session.borrow().clone();
+        let session = session.filter(|session| session.is_alive())?;
+        let guard = WithdrawGuard {
+            placer: self,
+            session: &session,
+            key: request.key.clone(),
+            decided: Cell::new(false),
+        };
+        let answers = session.ask(request.clone(), Purpose::Copy, now);
+        let answer = future::timeout(FIRST_ANSWER_TIMEOUT, answers.recv()).await;
+        match answer.ok()?.ok()?.decision {
+            Decision::Grant(upstream) => {
+                let grant = self.grant(&request, &upstream, false)?;
+                guard.decided.set(true);
+                Some(grant)
+            }
+            Decision::Refuse(..) => {
+                guard.decided.set(true);
+                None
+            }
+            Decision::Wait | Decision::Unknown => None,
+        }
+    }
+
+    /// Whether the upstream of a grant has not said that it wants no request.
+    pub fn is_available(&self, grant: &Grant) -> bool {
+        let now = self.core.clock.now();
+        let availability = self.availability.borrow();
+        !availability.is_unavailable(&grant.upstream, now)
+    }
+
     /// Finds an upstream for a request, or refuses it.
     async fn place_once(self: &Rc<Self>, request: Request) -> Placement {
         let now = self.core.clock.now();
@@ -267,25 +307,34 @@
             key: request.key.clone(),
             decided: Cell::new(false),
         };
-        let answers = session.ask(request.clone(), now);
+        let answers = session.ask(request.clone(), Purpose::Attempt, now);
         let first = future::timeout(FIRST_ANSWER_TIMEOUT, answers.recv()).await;
-        let mut decision = first.ok().and_then(Result::ok);
-        if decision == Some(Decision::Wait) {
+        let mut verdict = first.ok().and_then(Result::ok);
+        if verdict
+            .as_ref()
+            .is_some_and(|v| v.decision == Decision::Wait)
+        {
             let limit = request.hold + DECISION_SLACK;
-            decision = match future::timeout(limit, answers.recv()).await {
+            verdict = match future::timeout(limit, answers.recv()).await {
                 Ok(decided) => decided.ok(),
                 // The request has waited for as long as it may, even if the dispatcher has failed.
-                Err(_) => Some(Decision::Refuse(Reason::Busy, ALONE_PERIOD)),
+                Err(_) => Some(session::Verdict {
+                    decision: Decision::Refuse(Reason::Busy, ALONE_PERIOD),
+                    copy_due: None,
+                }),
             };
         }
+        let copy_due = verdict.as_ref().and_then(|verdict| verdict.copy_due);
+        let decision = verdict.map(|verdict| verdict.decision);
         let is_decided = !matches!(decision, None | Some(Decision::Unknown));
         if is_decided && self.alone_until.take().is_some() {
             log::info!(dispatcher:% = address; "the dispatcher answers again");
         }
         match decision {
             Some(Decision::Grant(upstream)) => match self.grant(&request, &upstream, false) {
-                Some(grant) => {
+                Some(mut grant) => {
                     guard.decided.set(true);
+                    grant.copy_due = copy_due;
                     Placement::Granted(grant)
                 }
                 // The upstream has left the list meanwhile. The dispatcher will notice it soon.
@@ -455,6 +504,7 @@
             upstream: upstream.clone(),
             listed,
             alone,
+            copy_due: None,
             placer: self.clone(),
             key: request.key.clone(),
             ended: false,
--- a/gooseberrylb/src/gateway/session.rs
+++ b/gooseberrylb/src/gateway/session.rs
@@ -16,7 +16,7 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
 use gooseberrylb_policy::announcement::Announcement;
-use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
+use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Purpose, Request, Summary};
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, write_all};
 use gooseberrylb_wire::handshake::{self, Greeting};
 use gooseberrylb_wire::plane::Kind;
@@ -43,6 +43,15 @@
     pub term: Option<Term>,
 }
 
+/// Answer to a question.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verdict {
+    /// Decision on the request.
+    pub decision: Decision,
+    /// Time after which a second copy of the request is due, if one may be sent.
+    pub copy_due: Option<Duration>,
+}
+
 /// A session with one dispatcher. It cannot be used again after its connection has ended.
 pub struct Session {
     /// Dispatcher at the other end.
@@ -66,7 +75,7 @@
     /// Number of the last notice that the dispatcher acknowledged.
     acknowledged: Cell<u64>,
     /// Where to send the decisions on pending requests.
-    pending: RefCell<HashMap<Key, Sender<Decision>>>,
+    pending: RefCell<HashMap<Key, Sender<Verdict>>>,
     /// Called with what the dispatcher announces.
     on_announced: Box<dyn Fn(Vec<Announcement>)>,
 }
@@ -137,15 +146,15 @@
 
     /// Asks for an upstream and returns the channel of the answers. The channel is closed if no
     /// answer will arrive.
-    pub fn ask(&self, request: Request, now: Instant) -> Receiver<Decision> {
+    pub fn ask(&self, request: Request, purpose: Purpose, now: Instant) -> Receiver<Verdict> {
         let answers = self.expect_answer(&request.key, now);
-        self.send(Question::Ask(request));
+        self.send(Question::Ask(request, purpose));
         answers
     }
 
     /// Offers a request of another shard and returns the channel of the answer, like
     /// [`Session::ask`].
-    pub fn offer(&self, request: Request, now: Instant) -> Receiver<Decision> {
+    pub fn offer(&self, request: Request, now: Instant) -> Receiver<Verdict> {
         let answers = self.expect_answer(&request.key, now);
         self.send(Question::Offer(request));
         answers
@@ -164,7 +173,7 @@
     }
 
     /// Returns the channel of the answers on a request that is about to be sent.
-    fn expect_answer(&self, key: &Key, now: Instant) -> Receiver<Decision> {
+    fn expect_answer(&self, key: &Key, now: Instant) -> Receiver<Verdict> {
         let since = self.state.unanswered_since.get();
         self.state.unanswered_since.set(since.or(Some(now)));
         let (pending, answers) = async_channel::bounded(ANSWERS_PER_REQUEST);
@@ -250,12 +259,12 @@
         match answer {
             Answer::Taken(number) => state.acknowledged.set(number),
             Answer::Announced(announcements) => (state.on_announced)(announcements),
-            Answer::Decided(key, decision) => {
+            Answer::Decided(key, decision, copy_due) => {
                 let mut pending = state.pending.borrow_mut();
                 let is_last = decision != Decision::Wait;
                 if let Some(answers) = pending.get(&key) {
                     // A receiver that is gone has withdrawn its request.
-                    answers.try_send(decision).ok();
+                    answers.try_send(Verdict { decision, copy_due }).ok();
                 }
                 if is_last {
                     pending.remove(&key);
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -62,6 +62,8 @@
     pub delegated: IntCounterVec,
     /// 1 while this entry is cut off from the upstreams, else 0.
     pub cut_off: IntGauge,
+    /// Second copies of slow requests, by event.
+    pub copies: IntCounterVec,
     /// Panics that ended a connection and not the process.
     pub panics: IntCounter,
     /// Bytes of responses that are being written to callers.
@@ -238,6 +240,12 @@
                 "cut_off",
                 "Whether this entry is cut off from the upstreams.",
             ),
+            copies: counters(
+                &r,
+                "copies_total",
+                "Second copies of slow requests that won, lost or were refused.",
+                &["event"],
+            ),
             panics: counter(
                 &r,
                 "panics_total",
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -31,7 +31,7 @@
 pub const STAND_INS: u8 = 9;
 
 /// Maximum number of fleets, whose tests may run at the same time.
-const MAX_FLEETS: u8 = 30;
+const MAX_FLEETS: u8 = 36;
 
 /// Loopback network of one test, derived from the process id so that its ports are free.
 #[derive(Clone, Copy)]
@@ -45,7 +45,7 @@
         let pid = std::process::id();
         Self {
             second: 10 + u8::try_from(pid % 200).unwrap(),
-            third: u8::try_from(pid / 200 % 8).unwrap() * MAX_FLEETS + number,
+            third: u8::try_from(pid / 200 % 7).unwrap() * MAX_FLEETS + number,
         }
     }
 
@@ -101,6 +101,8 @@
     cut_off: CutOff,
     /// Grace period of planned stops, in seconds.
     grace_s: u64,
+    /// Share of the requests of which a second copy may be sent.
+    copy_share: f64,
     _listeners: Vec<TcpListener>,
 }
 
@@ -114,7 +116,13 @@
 }
 
 /// Returns the settings of an instance: keepers have data folders, and entries have none.
-pub fn settings(network: Network, host: u8, folder: &Path, grace_s: u64) -> String {
+pub fn settings(
+    network: Network,
+    host: u8,
+    folder: &Path,
+    grace_s: u64,
+    copy_share: f64,
+) -> String {
     let at = |port| network.address(host, port);
     let seeds = (1..=3).map(|host| format!("\"{}\"", network.address(host, CONTROL)));
     let seeds: Vec<String> = seeds.collect();
@@ -132,7 +140,7 @@
             "cluster_key_file": "../key", "operator_token_file": "../key",
             "deployment": {{ "seeds": [{}], "first_start": true, {role} "feed": "{}",
                 "grace_s": {grace_s}, "retry_share": 0.2, "retry_slack": 50, "retry_window_s": 10,
-                "quota_window_s": 8 }} }}"#,
+                "quota_window_s": 8, "copy_share": {copy_share:?} }} }}"#,
         at(0).ip(),
         at(CALLERS),
         at(OPERATORS),
@@ -150,6 +158,15 @@
 
     /// Like [`Fleet::start`], with a grace period for planned stops in seconds.
     pub fn start_with_grace(number: u8, grace_s: u64) -> Self {
+        Self::start_with(number, grace_s, 0.0)
+    }
+
+    /// Like [`Fleet::start`], with a share of requests of which a second copy may be sent.
+    pub fn start_with_copies(number: u8, copy_share: f64) -> Self {
+        Self::start_with(number, 20, copy_share)
+    }
+
+    fn start_with(number: u8, grace_s: u64, copy_share: f64) -> Self {
         let network = Network::new(number);
         let received = RequestLog::default();
         let log = received.clone();
@@ -186,6 +203,7 @@
             releases,
             cut_off,
             grace_s,
+            copy_share,
             _listeners: listeners,
         };
         for host in 1..=ENTRY {
@@ -209,7 +227,11 @@
         let data = folder.join("data");
         std::fs::create_dir_all(&data).unwrap();
         let file = folder.join("settings.json");
-        std::fs::write(&file, settings(self.network, host, &data, self.grace_s)).unwrap();
+        std::fs::write(
+            &file,
+            settings(self.network, host, &data, self.grace_s, self.copy_share),
+        )
+        .unwrap();
         let output = std::fs::File::create(folder.join("output")).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_gooseberrylb"))
             .arg("--settings")
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod availability;
 mod brittle;
+mod copies;
 mod crashes;
 mod cuts;
 mod declarations;
--- a/gooseberrylb/tests/platform/reuse.rs
+++ b/gooseberrylb/tests/platform/reuse.rs
@@ -17,7 +17,7 @@
 /// copy does not say whose it is.
 #[test]
 fn late_copy_of_a_response_reaches_no_other_caller() {
-    let fleet = Fleet::start(12);
+    let fleet = Fleet::start(32);
     for kind in ["named", "unnamed"] {
         for number in 0..10 {
             let target = format!("/lookup/late-copy-{kind}-{number}");
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -160,6 +160,10 @@
         // Keeps its slots busy, so that there is use for those of the limited upstream.
         thread::sleep(BUSY_TIME);
     }
+    if target.contains("stalls") && instance.as_deref() == Some(STALLING) {
+        // Less than the objective, after which the request would be sent again without a copy.
+        thread::sleep(STALL_TIME);
+    }
     if target.contains("late-copy") {
         return repeated_response(request, target);
     }
@@ -178,6 +182,12 @@
     framed_response(request, target).into()
 }
 
+/// Upstream that takes long for requests whose target asks for it.
+pub const STALLING: &str = "i-crowd-0";
+
+/// Time that it takes.
+const STALL_TIME: Duration = Duration::from_millis(1_500);
+
 /// Returns a response with the target as its body, whose copy arrives before the next response on the
 /// connection. The copy names no request if the target says so.
 fn repeated_response(request: &str, target: &str) -> Answer {
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -79,7 +79,7 @@
 /// connections until the process is gone, and each request that has reached an upstream gets an answer.
 #[test]
 fn request_that_arrives_as_the_entry_exits_is_answered_or_not_sent_on() {
-    let fleet = Fleet::start_with_grace(13, 8);
+    let fleet = Fleet::start_with_grace(33, 8);
     let address = fleet.network.address(ENTRY, CALLERS);
     let unanswered: Vec<String> = thread::scope(|scope| {
         let call = |caller: usize| {
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -127,6 +127,9 @@
     /// Maximum share of a service's requests that a release gets during the trial stage of a
     /// rollout.
     pub trial_share: f64,
+    /// Share of a service's requests of which a second copy may be sent when the first is slow. They
+    /// count as retries too.
+    pub copy_share: f64,
     /// Regions of data centres, also of those without instances.
     pub data_centres: Vec<Location>,
 }
@@ -191,6 +194,7 @@
     retry_window_s,
     quota_window_s,
     trial_share = DEFAULT_TRIAL_SHARE,
+    copy_share = 0.0,
     data_centres = Vec::new(),
 });
 read_object!(Location {
@@ -381,6 +385,9 @@
                 findings.add(format!("deployment.{name}"), "this must be above zero");
             }
         }
+        if !(0.0..=1.0).contains(&deployment.copy_share) {
+            findings.add("deployment.copy_share", "this must be between 0 and 1");
+        }
         if !(0.0..=1.0).contains(&deployment.trial_share) {
             findings.add("deployment.trial_share", "this must be between 0 and 1");
         }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -20,7 +20,8 @@
 use crate::warm_up;
 
 pub use message::{
-    Charge, Decision, Key, Notice, Outcome, Quota, Rank, Reason, Request, Running, Upstream,
+    Charge, Decision, Key, Notice, Outcome, Purpose, Quota, Rank, Reason, Request, Running,
+    Upstream,
 };
 pub use peers::Summary;
 pub use rates::Rates;
@@ -84,6 +85,8 @@
     crashes: crash::Table,
     /// Cold upstreams.
     warm_up: warm_up::Table,
+    /// Share of each service's requests of which a second copy may be sent.
+    copy_share: f64,
     /// Whether upstreams may get more requests than their slots here.
     borrows: bool,
     /// Declared properties of services.
@@ -122,6 +125,7 @@
         for (name, service) in &mut self.services {
             let profile = self.profiles.get(name).copied().unwrap_or_default();
             service.set_profile(profile, self.borrows);
+            service.copies.set_share(self.copy_share);
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
             service.set_availability(name, &self.availability, now);
         }
@@ -324,6 +328,38 @@
         decision
     }
 
+    /// Sets the share of each service's requests of which a second copy may be sent.
+    pub fn set_copy_share(&mut self, share: f64) {
+        self.copy_share = share;
+        for service in self.services.values_mut() {
+            service.copies.set_share(share);
+        }
+    }
+
+    /// Grants a copy of a request another upstream that has time for it, or refuses it. Its account is not
+    /// charged again.
+    pub fn place_copy(&mut self, request: Request, now: Instant) -> Decision {
+        let request = request.bounded();
+        let (key, name) = (request.key.clone(), request.service.clone());
+        let service = self.services.get_mut(&name);
+        let Some(upstream) = service.and_then(|service| service.place_copy(&request, now)) else {
+            return Decision::Refuse(Reason::Busy, Duration::ZERO);
+        };
+        let tracked = Tracked {
+            service: name,
+            charge: None,
+            granted_by: None,
+        };
+        self.tracked.insert(key, tracked);
+        Decision::Grant(upstream)
+    }
+
+    /// Returns the time after which a copy of a request that runs is due, if one may be sent.
+    pub fn copy_due(&self, key: &Key) -> Option<Duration> {
+        let tracked = self.tracked.get(key)?;
+        self.services.get(&tracked.service)?.copy_due(key)
+    }
+
     /// Returns what the dispatchers of other shards need to know.
     pub fn summary(&mut self, now: Instant) -> Summary {
         let services = self.services.iter();
--- a/gooseberrylb_policy/src/dispatch/message.rs
+++ b/gooseberrylb_policy/src/dispatch/message.rs
@@ -81,6 +81,16 @@
     pub excluded: Vec<id::Upstream>,
 }
 
+/// What an upstream is asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// An attempt of the request.
+    #[default]
+    Attempt,
+    /// A copy of a request whose response is slow. It is granted at once or not at all.
+    Copy,
+}
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -15,6 +15,7 @@
 use super::upstream::{Exclusion, State};
 use super::{Decision, Key, Reason, Request, Running, Upstream};
 use crate::availability::Table;
+use crate::copies::Copies;
 use balance::Shares;
 use queue::{Arrivals, InFlight, Position, Priority, Queued};
 
@@ -92,6 +93,8 @@
     reviewed: Option<Instant>,
     /// Shares of the requests in time, by rank and route.
     shares: Shares,
+    /// Second copies of slow requests.
+    pub(super) copies: Copies,
 }
 
 impl Service {
@@ -118,6 +121,8 @@
             self.upstreams.push(state);
         }
         let upstreams = &self.upstreams;
+        self.copies
+            .retain(|name| upstreams.iter().any(|state| state.upstream.name == *name));
         self.failures
             .retain(|name| upstreams.iter().any(|state| state.upstream.name == *name));
         self.recount(now);
@@ -128,6 +133,7 @@
 
     /// Grants the request an upstream, queues it, or refuses it.
     pub(super) fn place(&mut self, request: Request, now: Instant) -> Decision {
+        self.copies.count_request(now);
         if self
             .profile
             .memory
--- a/gooseberrylb_policy/src/dispatch/service/choice.rs
+++ b/gooseberrylb_policy/src/dispatch/service/choice.rs
@@ -7,9 +7,9 @@
 
 use super::queue::InFlight;
 use super::{NO_UPSTREAM_PAUSE, Service};
-use crate::dispatch::Request;
 use crate::dispatch::release::Release;
 use crate::dispatch::upstream::State;
+use crate::dispatch::{Key, Request};
 use crate::occupancy::Occupancy;
 use crate::rollout::Observation;
 
@@ -136,6 +136,44 @@
         cost
     }
 
+    /// Grants a copy of a request an upstream that has time for it: a sound one with most of its slots
+    /// free that nothing limits, while no request waits and copies are within their share.
+    pub(in crate::dispatch) fn place_copy(
+        &mut self,
+        request: &Request,
+        now: Instant,
+    ) -> Option<id::Upstream> {
+        if !self.queue.is_empty() || self.release.is_some() || !self.copies.allows(now) {
+            return None;
+        }
+        let tokens = self.profile.tokens(request);
+        let states = self.upstreams.iter().enumerate();
+        let idle = states.filter(|(_, state)| {
+            state.has_time(now)
+                && state.holds(tokens)
+                && !request.excluded.contains(&state.upstream.name)
+        });
+        let best = idle.min_by_key(|(_, s)| self.cost(request, request.objective, s, now));
+        let upstream = best.map(|(index, _)| index)?;
+        self.copies.count_copy(now);
+        Some(self.grant(request, upstream, now))
+    }
+
+    /// Returns the time after which a copy of a running request is due, if one may be sent. Only
+    /// requests without a prompt are copied: what an engine has read would be read again.
+    pub(in crate::dispatch) fn copy_due(&self, key: &Key) -> Option<Duration> {
+        let run = self.running.get(key).filter(|run| run.prompt == 0)?;
+        let (route, upstream) = (run.route.as_ref()?, &run.upstream);
+        let slots: u32 = self
+            .upstreams
+            .iter()
+            .map(|state| state.upstream.slots)
+            .sum();
+        let running: u32 = self.upstreams.iter().map(|state| state.running).sum();
+        let load = f64::from(running) / f64::from(slots.max(1));
+        self.copies.due_after(route, upstream, load)
+    }
+
     /// Records a request as running on the upstream of an index, and returns the upstream's name.
     pub(super) fn grant(
         &mut self,
--- a/gooseberrylb_policy/src/dispatch/service/outcome.rs
+++ b/gooseberrylb_policy/src/dispatch/service/outcome.rs
@@ -104,6 +104,12 @@
         let (failure, time) = exclusion;
         self.record_exclusion(&run.upstream, key, failure, time);
         self.pooled = pooled;
+        if let Outcome::Served { first, rest, .. } = outcome
+            && run.prompt == 0
+            && let Some(route) = &run.route
+        {
+            self.copies.record(route, &run.upstream, first + rest);
+        }
         if let Outcome::Served { .. } = outcome {
             let slot_seconds = now.saturating_duration_since(run.since).as_secs_f64();
             update_average(&mut self.slot_seconds, slot_seconds, POOLED_NEWEST_WEIGHT);
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -161,6 +161,11 @@
         self.failure_rate = rate.max(0.0);
     }
 
+    /// Whether nothing is held against the upstream now.
+    pub fn is_sound(&self, now: Instant) -> bool {
+        !self.probing && self.ejected_until.is_none_or(|end| now >= end)
+    }
+
     /// Returns how many requests the upstream should run at most now, out of `slots`.
     pub fn limit(&self, slots: u32, now: Instant) -> u32 {
         match self.ejected_until {
@@ -429,6 +434,14 @@
             && now >= self.full_until.max(self.refused_until)
     }
 
+    /// Whether the upstream is sound, limited by nothing, and has most of its slots free.
+    pub(super) fn has_time(&self, now: Instant) -> bool {
+        let is_limited = self.room.is_some() || self.limit.is_some() || self.is_cold(now);
+        let is_sound = self.health.is_sound(now) && self.refusals == 0;
+        let is_idle = 2 * (self.running + 1) <= self.upstream.slots;
+        !is_limited && is_sound && is_idle && self.has_room(true, now)
+    }
+
     /// Returns the number of requests that the upstream can still run, given its health.
     pub(super) fn free_slots(&self, now: Instant) -> u32 {
         if now < self.full_until.max(self.refused_until) {
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod announcement;
 pub mod availability;
+pub mod copies;
 pub mod crash;
 pub mod dispatch;
 pub mod drain;
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -6,10 +6,12 @@
 //! `docs/PLATFORM.md` describes the exchange.
 
 use std::io;
+use std::time::Duration;
 
 use futures::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use gooseberrylb_config::trailing;
 use gooseberrylb_policy::announcement::{self, Announcement};
-use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Request, Summary};
+use gooseberrylb_policy::dispatch::{Decision, Key, Notice, Purpose, Request, Summary};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -27,7 +29,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// Requests an upstream. The first answer is sent at once, also if the request has to wait.
-    Ask(Request),
+    Ask(
+        Request,
+        #[serde(deserialize_with = "trailing::or_default")] Purpose,
+    ),
     /// Notifies the dispatcher of events at the entry.
     Tell {
         /// Number of the notice on this stream.
@@ -47,8 +52,13 @@
 /// Message from a dispatcher.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
-    /// Decision on a request.
-    Decided(Key, Decision),
+    /// Decision on a request, and the time after which a second copy of one that is granted is due, if
+    /// one may be sent.
+    Decided(
+        Key,
+        Decision,
+        #[serde(deserialize_with = "trailing::or_default")] Option<Duration>,
+    ),
     /// Acknowledges the notice of this number, which carried charges, and all earlier ones.
     Taken(u64),
     /// Tells an entry what the dispatcher knows of upstreams and crashes.
--- a/gooseberrylb_wire/tests/compatibility.rs
+++ b/gooseberrylb_wire/tests/compatibility.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::availability::Report;
+use gooseberrylb_policy::dispatch::{Decision, Key};
 use gooseberrylb_policy::warm_up::Cold;
 use gooseberrylb_wire::dispatch::{Answer, Reader, append};
 use serde::{Deserialize, Serialize};
@@ -19,7 +20,7 @@
 /// Answers as that release knows them, with the same positions.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 enum EarlierAnswer {
-    Decided,
+    Decided(Key, Decision),
     Taken(u64),
     Announced(Vec<EarlierAnnouncement>),
 }
@@ -79,6 +80,33 @@
     assert_eq!(received, [Answer::Announced(announced), Answer::Taken(7)]);
 }
 
+/// Guards against decisions that one of the releases cannot read, and against a copy that is sent on the
+/// word of a dispatcher that does not know copies.
+#[test]
+fn decisions_of_both_releases_are_read() {
+    let key = Key {
+        entry: "entry-1".parse().unwrap(),
+        incarnation: 1,
+        number: 2,
+    };
+    let granted = Decision::Grant("i-1".parse().unwrap());
+    let due = Some(Duration::from_millis(90));
+    let sent = [
+        Answer::Decided(key.clone(), granted.clone(), due),
+        Answer::Taken(7),
+    ];
+    let earlier = [
+        EarlierAnswer::Decided(key.clone(), granted.clone()),
+        EarlierAnswer::Taken(7),
+    ];
+    assert_eq!(read::<_, EarlierAnswer>(&sent), earlier);
+    let received: Vec<Answer> = read(&earlier);
+    assert_eq!(
+        received,
+        [Answer::Decided(key, granted, None), Answer::Taken(7)]
+    );
+}
+
 #[test]
 fn announcements_of_this_release_are_read_whole() {
     let announced = vec![Announcement::Upstream(report()), cold()];
--- a/gooseberrylb_wire/tests/decoders.rs
+++ b/gooseberrylb_wire/tests/decoders.rs
@@ -6,7 +6,9 @@
 use async_std::task;
 use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::availability::{Report, Said};
-use gooseberrylb_policy::dispatch::{Dispatcher, Key, Notice, Outcome, Request, Running, Upstream};
+use gooseberrylb_policy::dispatch::{
+    Dispatcher, Key, Notice, Outcome, Purpose, Request, Running, Upstream,
+};
 use gooseberrylb_policy::warm_up::Cold;
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::dispatch::{Answer, Question, Reader, append};
@@ -66,7 +68,7 @@
 
 fn question() -> impl Strategy<Value = Question> {
     let ask = (any::<u64>(), [time(), time(), time()])
-        .prop_map(|(number, times)| Question::Ask(request(number, times)));
+        .prop_map(|(number, times)| Question::Ask(request(number, times), Purpose::Attempt));
     let tell = (any::<u64>(), time(), any::<u64>()).prop_map(|(number, time, prompt)| {
         let run = Running {
             key: key(number),
@@ -146,9 +148,12 @@
         for (step, question) in decode::<Question>(&bytes).into_iter().enumerate() {
             let now = now + step as u32 * 100 * MS;
             match question {
-                Question::Ask(request) => {
+                Question::Ask(request, Purpose::Attempt) => {
                     dispatcher.place(request, now);
                 }
+                Question::Ask(request, Purpose::Copy) => {
+                    dispatcher.place_copy(request, now);
+                }
                 Question::Offer(request) => {
                     dispatcher.place_offered(request, now);
                 }
--- a/gooseberrylb_wire/tests/dispatch.rs
+++ b/gooseberrylb_wire/tests/dispatch.rs
@@ -59,8 +59,12 @@
     (0..count)
         .flat_map(|number| {
             [
-                Answer::Decided(key(number), Decision::Wait),
-                Answer::Decided(key(number), Decision::Refuse(Reason::Busy, retry_after)),
+                Answer::Decided(key(number), Decision::Wait, None),
+                Answer::Decided(
+                    key(number),
+                    Decision::Refuse(Reason::Busy, retry_after),
+                    None,
+                ),
                 Answer::Taken(number),
             ]
         })
