--- a/gooseberrylb/src/gateway/forward/copy.rs
+++ b/gooseberrylb/src/gateway/forward/copy.rs
@@ -30,15 +30,15 @@
             match futures::future::select(first, second).await {
                 // The copy may still bring what the first attempt did not.
                 Either::Left((result, second)) if !is_good(&result) && was_sent.get() => {
-                    match second.await.filter(is_good) {
-                        Some(good) => (good, true),
-                        None => (result, false),
+                    match second.await {
+                        Some(good) if is_good(&good) => (good, true),
+                        other => (join(result, other.as_ref()), false),
                     }
                 }
                 Either::Left((result, _cancelled)) => (result, false),
                 Either::Right((Some(good), _cancelled)) if is_good(&good) => (good, true),
                 // No copy was sent, or it was no better.
-                Either::Right((Some(_) | None, first)) => (first.await, false),
+                Either::Right((other, first)) => (join(first.await, other.as_ref()), false),
             }
         };
         if was_sent.get() {
@@ -114,6 +114,22 @@
     }
 }
 
+/// Returns the result of the first attempt, beside a copy that was no better. If the copy may have run, the
+/// first must not say that the request has not.
+fn join(first: Attempt, copy: Option<&Attempt>) -> Attempt {
+    let copy_may_have_run = match copy {
+        None => false,
+        Some(Err(Failure::NotRun | Failure::ConnectFailed | Failure::Withdrawn)) => false,
+        Some(Ok(_) | Err(_)) => true,
+    };
+    match first {
+        Err(Failure::NotRun | Failure::ConnectFailed | Failure::Withdrawn) if copy_may_have_run => {
+            Err(Failure::Unknown("the upstream failed"))
+        }
+        other => other,
+    }
+}
+
 /// Whether an attempt brought a response that no other is waited for.
 fn is_good(result: &Attempt) -> bool {
     match result {
@@ -122,3 +138,6 @@
         Ok(Delivery::Fault(_)) | Err(_) => false,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod deployment;
+mod evacuation;
 mod faults;
 mod history;
 mod operator;
@@ -105,6 +106,12 @@
             task(&deployment, &history, &stop, seed);
         }));
     }
+    let stop_evacuations = Arc::new(AtomicBool::new(false));
+    let evacuations = {
+        let (deployment, history) = (deployment.clone(), history.clone());
+        let stop = stop_evacuations.clone();
+        thread::spawn(move || evacuation::repeat(&deployment, &history, &stop, seed))
+    };
     let injected = faults::inject_random(
         &deployment,
         &mut rng,
@@ -115,6 +122,11 @@
             "not every entry serves {SERVE_TIMEOUT:?} after the last fault"
         ));
     }
+    stop_evacuations.store(true, Ordering::SeqCst);
+    if evacuations.join().is_err() {
+        bail!("the thread that evacuates panicked");
+    }
+    evacuation::check(&deployment, &history, seed);
     check_crashes(&deployment, &history);
     check_cut_off(&deployment, &history, &mut rng);
     check_brittle(options, &deployment, &history);
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -74,6 +74,9 @@
 /// Header with which it says so.
 const BRITTLE_HEADER: &str = "Server-Brittle";
 
+/// Upstream that is alone in its data centre, which is evacuated now and then.
+pub const EVACUATED_UPSTREAM: usize = 1;
+
 /// Header with the parts of a prompt.
 const PROMPT_HEADER: &str = "X-Gooseberrylb-Prompt-Prefix";
 /// Part of a prompt under which every upstream crashes as it begins a response.
@@ -93,6 +96,10 @@
 pub const RESOLVE: &str = "GET /api/resolve?name=a.example&region=padana&zone=lodi";
 /// Request line to send a declaration to a keeper.
 pub const DECLARE: &str = "PUT /api/configuration";
+/// Request line to evacuate the data centre of [`EVACUATED_UPSTREAM`].
+pub const EVACUATE: &str = "POST /api/evacuation/mantova";
+/// Request line to end that.
+pub const END_EVACUATION: &str = "DELETE /api/evacuation/mantova";
 /// Request line to read the declaration in force from a keeper.
 pub const READ_BACK: &str = "GET /api/configuration";
 
@@ -153,6 +160,8 @@
     /// Number of the start in which the upstream leaves; 0 if it has not left yet.
     leaving_start: AtomicU64,
     behaviour: Mutex<Behaviour>,
+    /// Number of requests that have arrived.
+    arrivals: AtomicUsize,
     /// Number of requests that run.
     running: AtomicUsize,
     /// Times at which a brittle upstream turned requests away since it started.
@@ -171,6 +180,7 @@
 impl Upstream {
     /// Counts a request as running; `None` if the upstream is brittle and has no room for it.
     fn begin(&self) -> Option<Run<'_>> {
+        self.arrivals.fetch_add(1, Ordering::SeqCst);
         let before = self.running.fetch_add(1, Ordering::SeqCst);
         let run = Run(self);
         let is_full = self.number == BRITTLE_UPSTREAM && before >= BRITTLE_ROOM;
@@ -269,6 +279,7 @@
                 start_count: AtomicU64::new(1),
                 leaving_start: AtomicU64::new(0),
                 behaviour: Mutex::new(Behaviour::Normal),
+                arrivals: AtomicUsize::new(0),
                 running: AtomicUsize::new(0),
                 turned_away: Mutex::default(),
             })
@@ -294,6 +305,11 @@
         *lock(&self.upstreams[number].behaviour) = behaviour;
     }
 
+    /// Returns the number of requests that have arrived at an upstream.
+    pub fn arrivals(&self, number: usize) -> usize {
+        self.upstreams[number].arrivals.load(Ordering::SeqCst)
+    }
+
     /// Simulates a restart of an upstream, which then has another name at the same address.
     pub fn restart(&self, number: usize) {
         self.upstreams[number].crash();
@@ -328,7 +344,8 @@
         let readable = self.upstreams.iter().map(|upstream| {
             serde_json::json!({
                 "id": upstream.name(), "service": "desk", "address": upstream.advertised,
-                "zone": "lodi", "version": "v1", "slots": 8, "state": "ready",
+                "zone": if upstream.number == EVACUATED_UPSTREAM { "mantova" } else { "lodi" },
+                "version": "v1", "slots": 8, "state": "ready",
             })
         });
         // The list also contains an entry that cannot be decoded, which must not affect the others.
