--- a/gooseberryctl/src/cli.rs
+++ b/gooseberryctl/src/cli.rs
@@ -76,6 +76,21 @@
     pub format: Format,
 }
 
+/// Options of the `explain placement` command.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    /// Name of the route.
+    pub route: String,
+    /// Client account, if the request has one.
+    pub account: Option<id::Account>,
+    /// Data centre of the entry that takes the request.
+    pub data_centre: Option<id::DataCentre>,
+    /// Length of the prompt, in tokens.
+    pub prompt: u64,
+    /// Expected output, in tokens.
+    pub output: u64,
+}
+
 /// Command to run.
 #[derive(Debug, Clone)]
 pub enum Command {
@@ -106,6 +121,8 @@
     Rollouts,
     /// Show the data centres, and which of them are evacuated.
     Evacuations,
+    /// Explain where a request would go now, without sending it.
+    Placement(Placement),
     /// Evacuate a data centre, or end that.
     Evacuate {
         /// Name of the data centre.
@@ -189,6 +206,7 @@
         .descr("Show the last rollout of each service")
         .command("rollouts");
     let evacuation = evacuation_command();
+    let explain = explain_command();
     let addresses = addresses_command();
     let audit = audit_command();
     let report = construct!(Command::Report(report_options()))
@@ -202,6 +220,7 @@
         upstreams,
         rollouts,
         evacuation,
+        explain,
         addresses,
         audit,
         report
@@ -235,6 +254,43 @@
         .command("note")
 }
 
+/// Returns the parser of `explain` and its subcommands.
+fn explain_command() -> impl Parser<Command> {
+    let route = long("route")
+        .help("The route of the declaration")
+        .argument::<String>("ROUTE");
+    let account = long("account")
+        .help("The client account")
+        .argument::<id::Account>("ACCOUNT")
+        .optional();
+    let data_centre = long("data-centre")
+        .help("The data centre of the entry that takes the request")
+        .argument::<id::DataCentre>("DATA_CENTRE")
+        .optional();
+    let prompt = long("prompt")
+        .help("The length of the prompt, in tokens")
+        .argument::<u64>("N")
+        .fallback(0);
+    let output = long("output")
+        .help("The expected output, in tokens")
+        .argument::<u64>("N")
+        .fallback(0);
+    let options = construct!(Placement {
+        route,
+        account,
+        data_centre,
+        prompt,
+        output
+    });
+    construct!(Command::Placement(options))
+        .to_options()
+        .descr("Show where a request would go now and why, without sending or reserving anything")
+        .command("placement")
+        .to_options()
+        .descr("Explain decisions")
+        .command("explain")
+}
+
 /// Returns the parser of `evacuation` and its subcommands.
 fn evacuation_command() -> impl Parser<Command> {
     let data_centre = || positional::<id::DataCentre>("DATA_CENTRE").help("The data centre's name");
--- a/gooseberryctl/src/main.rs
+++ b/gooseberryctl/src/main.rs
@@ -16,6 +16,7 @@
 mod failure;
 mod notes;
 mod output;
+mod placement;
 mod queries;
 mod table;
 
@@ -55,6 +56,7 @@
         cli::Command::Status => queries::status(&access).await,
         cli::Command::Declaration => queries::declaration(&access).await,
         cli::Command::Rollouts => queries::rollouts(&access).await,
+        cli::Command::Placement(question) => placement::explain(&access, &question).await,
         cli::Command::Evacuations => evacuations::list(&access).await,
         cli::Command::Evacuate {
             data_centre,
--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::metrics::METRICS;
 
 pub mod announce;
+pub mod placement;
 pub mod session;
 
 /// Interval between two polls of the dispatcher while requests wait.
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::core::Core;
+use super::dispatch::placement;
 use super::lead;
 
 /// Query of an operator.
@@ -38,6 +39,8 @@
     Rollouts,
     /// Data centres, and which of them are evacuated.
     Evacuations,
+    /// Where a request would go now.
+    Placement(placement::Question),
 }
 
 /// Answer to a [`Question`], as JSON of the operators' interface.
@@ -82,6 +85,10 @@
         Question::Audit { after, limit } => found(&state.audit(*after, *limit)),
         Question::Status => found(&status(core)),
         Question::Rollouts => found(&state.directory().rollouts),
+        Question::Placement(question) => {
+            drop(state);
+            found(&core.dispatch.explain(core, question))
+        }
         Question::Evacuations => found(&super::evacuation::overview(&state)),
         Question::Upstreams => found(&state.directory().listed),
         Question::Declaration => match &state.directory().declaration {
--- a/gooseberrylb/src/operators.rs
+++ b/gooseberrylb/src/operators.rs
@@ -51,6 +51,7 @@
     app.at("/v1/declaration").get(declaration);
     app.at("/v1/upstreams").get(upstreams);
     app.at("/v1/rollouts").get(rollouts);
+    app.at("/v1/placement").get(placement);
     app.at("/v1/evacuations").get(evacuations);
     app.at("/v1/evacuations/:data_centre")
         .post(evacuate)
@@ -246,6 +247,13 @@
     Ok(answer_query(&request, Question::Rollouts, "there are no rollouts").await)
 }
 
+async fn placement(request: Request) -> tide::Result {
+    match query::placement(&request) {
+        Ok(question) => Ok(answer_query(&request, question, "there is no such route").await),
+        Err(error) => Ok(answer(error)),
+    }
+}
+
 async fn evacuations(request: Request) -> tide::Result {
     let missing = "there are no evacuations";
     Ok(answer_query(&request, Question::Evacuations, missing).await)
--- a/gooseberrylb/src/operators/query.rs
+++ b/gooseberrylb/src/operators/query.rs
@@ -10,6 +10,7 @@
 use super::{Request, default_report_start};
 use crate::answer::Error;
 use crate::control::Question;
+use crate::control::dispatch::placement;
 
 /// Number of audit entries returned if the query has no limit.
 const DEFAULT_ENTRIES: usize = 1_000;
@@ -119,6 +120,24 @@
     })
 }
 
+/// Parses a question for where a request would go.
+pub fn placement(request: &Request) -> Result<Question, Error> {
+    let mut pairs = Pairs::new(request);
+    let route: Option<String> = pairs.parse("route");
+    let question = placement::Question {
+        route: route.unwrap_or_default().into(),
+        account: pairs.parse("account"),
+        data_centre: pairs.parse::<String>("data_centre").map(Into::into),
+        prompt: pairs.parse("prompt").unwrap_or(0),
+        output: pairs.parse("output").unwrap_or(0),
+    };
+    if question.route.is_empty() {
+        pairs.findings.add("route", "a route is required");
+    }
+    pairs.finish()?;
+    Ok(Question::Placement(question))
+}
+
 /// Parses a query for a report; without a `to` parameter, the report ends at `now`.
 pub fn report(request: &Request, now: SystemTime) -> Result<Parameters, Error> {
     let mut pairs = Pairs::new(request);
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 #[path = "../../../gooseberrylb_testbed/src/proxy/owner.rs"]
 mod owner;
+mod placement;
 mod prompts;
 mod requests;
 mod reuse;
--- a/gooseberrylb_config/src/answer.rs
+++ b/gooseberrylb_config/src/answer.rs
@@ -12,6 +12,7 @@
 use crate::{id, note, number};
 
 pub mod audit;
+pub mod placement;
 pub mod report;
 pub mod status;
 
--- a/gooseberrylb_policy/src/availability.rs
+++ b/gooseberrylb_policy/src/availability.rs
@@ -188,7 +188,7 @@
 }
 
 /// Statements of upstreams by their names. An upstream that starts anew mostly has a new name.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Table(HashMap<id::Upstream, Record>);
 
 impl Table {
--- a/gooseberrylb_policy/src/copies.rs
+++ b/gooseberrylb_policy/src/copies.rs
@@ -27,7 +27,7 @@
 const UNITS_PER_SECOND: f64 = 10_000.0;
 
 /// Times of one upstream on one route, in two generations.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Times {
     current: Histogram<u32>,
     previous: Histogram<u32>,
@@ -86,7 +86,7 @@
 }
 
 /// Second copies of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Copies {
     /// Share of the requests of which a copy may be sent; none if 0.
     share: f64,
--- a/gooseberrylb_policy/src/crash.rs
+++ b/gooseberrylb_policy/src/crash.rs
@@ -183,7 +183,7 @@
 }
 
 /// Crashes that point to a cause.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Suspicion<'a> {
     /// Position of the cause in its run.
     position: usize,
@@ -199,7 +199,7 @@
 }
 
 /// What an instance knows of causes of crashes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Table {
     /// Runs of this instance in the current period, by cause.
     tallies: HashMap<Cause, Tally>,
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -27,6 +27,7 @@
 pub use rates::Rates;
 pub use upstream::{Exclusion, Failure, Health};
 
+pub mod explain;
 pub mod objective;
 pub mod refusals;
 pub mod shard;
@@ -47,7 +48,7 @@
 use service::Service;
 
 /// A queued or running request, with what was charged to its account's quota.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Tracked {
     /// Service that the request is for.
     service: id::Service,
@@ -61,7 +62,7 @@
 const REPORTED_QUOTA_PART: f64 = 0.05;
 
 /// Decides on the placement of all requests of the fleet.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Dispatcher {
     /// Queues and upstreams, by service.
     services: BTreeMap<id::Service, Service>,
--- a/gooseberrylb_policy/src/dispatch/fairness.rs
+++ b/gooseberrylb_policy/src/dispatch/fairness.rs
@@ -26,7 +26,7 @@
 pub(super) struct VirtualTime(u64);
 
 /// Virtual clock of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Clock {
     /// Current virtual time: the start of the last request that was granted.
     now: VirtualTime,
--- a/gooseberrylb_policy/src/dispatch/message.rs
+++ b/gooseberrylb_policy/src/dispatch/message.rs
@@ -111,7 +111,7 @@
 pub enum Decision {
     /// The request goes to this upstream, which has a free slot for it.
     Grant(id::Upstream),
-    /// The request is queued; [`Dispatcher::poll`] returns the final decision.
+    /// The request is queued; [`Dispatcher::poll`](super::Dispatcher::poll) returns the final decision.
     Wait,
     /// The request is refused, and the caller may retry after this time.
     Refuse(Reason, Duration),
--- a/gooseberrylb_policy/src/dispatch/outlier.rs
+++ b/gooseberrylb_policy/src/dispatch/outlier.rs
@@ -45,14 +45,14 @@
 }
 
 /// Counts of one route.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Route {
     all: Counts,
     by_upstream: HashMap<id::Upstream, Counts>,
 }
 
 /// Failures of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Failures(HashMap<Arc<str>, Route>);
 
 impl Failures {
--- a/gooseberrylb_policy/src/dispatch/peers.rs
+++ b/gooseberrylb_policy/src/dispatch/peers.rs
@@ -36,7 +36,7 @@
 }
 
 /// Latest summary of another dispatcher.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Peer {
     /// Time at which the summary was received.
     at: Instant,
@@ -47,7 +47,7 @@
 }
 
 /// Latest summaries of all other dispatchers.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Peers(BTreeMap<id::Instance, Peer>);
 
 impl Peers {
--- a/gooseberrylb_policy/src/dispatch/release.rs
+++ b/gooseberrylb_policy/src/dispatch/release.rs
@@ -51,7 +51,7 @@
 }
 
 /// State of one rollout in the dispatcher.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Release {
     /// Rollout in its latest stage.
     rollout: Rollout,
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -21,6 +21,7 @@
 
 mod balance;
 mod choice;
+mod explain;
 mod outcome;
 mod poll;
 mod queue;
@@ -57,7 +58,7 @@
 const RETRY_JITTER: f64 = 0.5;
 
 /// State of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Service {
     /// Usable upstreams.
     upstreams: Vec<State>,
--- a/gooseberrylb_policy/src/dispatch/service/balance.rs
+++ b/gooseberrylb_policy/src/dispatch/service/balance.rs
@@ -20,7 +20,7 @@
 const MIN_DIFFERENCE: f64 = 0.05;
 
 /// Shares of the requests that were granted or queued in time, by rank and route.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Shares(HashMap<Rank, HashMap<Arc<str>, f64>>);
 
 impl Shares {
--- a/gooseberrylb_policy/src/dispatch/service/queue.rs
+++ b/gooseberrylb_policy/src/dispatch/service/queue.rs
@@ -12,7 +12,7 @@
 const ARRIVAL_DECAY: Duration = Duration::from_secs(1);
 
 /// A request that runs on an upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct InFlight {
     /// Upstream that runs the request.
     pub(super) upstream: id::Upstream,
@@ -34,7 +34,7 @@
 }
 
 /// A queued request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Queued {
     /// Request that waits.
     pub(super) request: Request,
@@ -83,7 +83,7 @@
 }
 
 /// Exponentially decaying count of arrivals.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Arrivals {
     /// Decayed count at the time of the last arrival.
     pub(super) count: f64,
--- a/gooseberrylb_policy/src/dispatch/upstream.rs
+++ b/gooseberrylb_policy/src/dispatch/upstream.rs
@@ -177,7 +177,7 @@
 }
 
 /// State of one upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct State {
     /// Configuration of the upstream.
     pub(super) upstream: Upstream,
--- a/gooseberrylb_policy/src/warm_up.rs
+++ b/gooseberrylb_policy/src/warm_up.rs
@@ -33,7 +33,7 @@
 }
 
 /// Cold upstreams that an instance knows of.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Table(HashMap<id::Upstream, (id::Service, Instant)>);
 
 impl Table {
