--- a/gooseberryctl/src/placement.rs
+++ b/gooseberryctl/src/placement.rs
@@ -1,6 +1,7 @@
 //! Shows where a request would go now, and why.
 
 use gooseberrylb_config::answer::placement::{Candidate, Obstacle, Placement, Verdict};
+use http_types::Url;
 
 use crate::cli::{self, Access};
 use crate::client::{self, Call};
@@ -15,7 +16,7 @@
         return Ok(());
     };
     let Some(service) = &placement.service else {
-        print_line!("there is no route {}", question.route);
+        print_line!("there is no such route or account");
         return Ok(());
     };
     match &placement.decided_by {
@@ -49,17 +50,20 @@
 
 /// Returns the path of the query.
 fn path(question: &cli::Placement) -> String {
-    let mut path = format!(
-        "/v1/placement?route={}&prompt={}&output={}",
-        question.route, question.prompt, question.output
-    );
+    // Names of routes may have characters that a query must not.
+    let mut url = Url::parse("http://instance/v1/placement").expect("the address is valid");
+    let mut query = url.query_pairs_mut();
+    query.append_pair("route", &question.route);
+    query.append_pair("prompt", &question.prompt.to_string());
+    query.append_pair("output", &question.output.to_string());
     if let Some(account) = &question.account {
-        path.push_str(&format!("&account={account}"));
+        query.append_pair("account", account.as_str());
     }
     if let Some(data_centre) = &question.data_centre {
-        path.push_str(&format!("&data_centre={data_centre}"));
+        query.append_pair("data_centre", data_centre.as_str());
     }
-    path
+    drop(query);
+    format!("{}?{}", url.path(), url.query().unwrap_or_default())
 }
 
 fn describe(verdict: &Verdict) -> String {
--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -30,6 +30,7 @@
 pub mod evacuation;
 mod feed;
 mod follow;
+pub mod homes;
 mod lead;
 mod links;
 mod list;
--- a/gooseberrylb/src/control/dispatch/placement.rs
+++ b/gooseberrylb/src/control/dispatch/placement.rs
@@ -2,14 +2,16 @@
 
 use std::sync::Arc;
 
-use gooseberrylb_config::answer::placement::Placement;
+use gooseberrylb_config::answer::placement::{Explanation, Placement, Verdict};
+use gooseberrylb_config::declaration::{Account, Route};
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
-use gooseberrylb_policy::dispatch::{Key, Rank, Request};
+use gooseberrylb_policy::dispatch::{Key, Rank, Reason, Request};
 use serde::{Deserialize, Serialize};
 
 use super::{Host, units};
 use crate::control::Core;
+use crate::control::homes::{Homes, NO_UPSTREAM_PAUSE};
 
 /// Request that is asked about.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,11 +45,23 @@
         };
         let request = request(core, &directory, question, data_centre);
         let can_answer = self.prepare(core);
-        let service = request.as_ref().map(|request| request.service.clone());
-        let explanation = request.filter(|_| can_answer).map(|request| {
-            let dispatcher = self.dispatcher.borrow();
-            dispatcher.explain(request, core.clock.now())
-        });
+        let service = request.as_ref().map(|(service, _)| service.clone());
+        let explanation = request
+            .filter(|_| can_answer)
+            .map(|(_, request)| match request {
+                Some(request) => {
+                    let dispatcher = self.dispatcher.borrow();
+                    dispatcher.explain(request, core.clock.now())
+                }
+                None => Explanation {
+                    verdict: Verdict::Refused {
+                        reason: format!("{:?}", Reason::NoUpstream).into(),
+                        retry_after_ms: NO_UPSTREAM_PAUSE.as_millis() as u64,
+                    },
+                    waiting: 0,
+                    candidates: Vec::new(),
+                },
+            });
         Placement {
             answered_by: own,
             decided_by,
@@ -57,31 +71,34 @@
     }
 }
 
-/// Returns the first attempt of a request as an entry would ask for it; `None` if the route is not known.
+/// Returns the service of a request, and its first attempt as an entry would ask for it unless no upstream
+/// is in the regions that the request is restricted to; `None` if the route or the account is not known.
 fn request(
     core: &Core,
     directory: &Directory,
     question: &Question,
     data_centre: Arc<str>,
-) -> Option<Request> {
+) -> Option<(id::Service, Option<Request>)> {
     let table = core.table(directory)?;
     let declaration = &table.declaration;
-    let route = declaration
-        .routes
-        .iter()
-        .find(|r| r.name == question.route)?;
+    let mut routes = declaration.routes.iter();
+    let route: &Route = routes.find(|route| route.name == question.route)?;
     let service = route.targets.iter().max_by_key(|target| target.weight)?;
-    let accounts = declaration.accounts.iter();
-    let account = question
-        .account
-        .as_ref()
-        .and_then(|name| accounts.clone().find(|known| known.name == *name));
+    let mut accounts = declaration.accounts.iter();
+    let account: Option<&Account> = match &question.account {
+        Some(name) => Some(accounts.find(|known| known.name == *name)?),
+        None => None,
+    };
+    let excluded = match Homes::new(route, account) {
+        Some(homes) => homes.excluded(core, directory, &service.service),
+        None => Some(Vec::new()),
+    };
     let quota = account.and_then(|account| account.quota);
     let tokens = (question.prompt, question.output);
     let declared = declaration.services.get(&service.service);
     let stride = declared.and_then(|service| service.stride);
     let rank = account.and_then(|account| account.rank);
-    Some(Request {
+    let request = |excluded| Request {
         key: Key {
             entry: core.identity.name.clone(),
             incarnation: 0,
@@ -102,6 +119,7 @@
         objective: route.objective,
         hold: route.time_limit.mul_f64(0.6),
         patience: route.time_limit,
-        excluded: Vec::new(),
-    })
+        excluded,
+    };
+    Some((service.service.clone(), excluded.map(request)))
 }
--- a/gooseberrylb/src/gateway/homes.rs
+++ b/gooseberrylb/src/control/homes.rs
@@ -1,13 +1,19 @@
 //! Regions in which requests may run, where routes and accounts name them. See
 //! `docs/design/homes.md`.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gooseberrylb_config::declaration::{Account, Route};
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 
-use crate::control::Core;
+use super::Core;
+
+/// `Retry-After` of requests that have no upstream in the regions that they are restricted to; about the
+/// interval at which the list of upstreams is read.
+pub const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(1);
 
 /// Regions to which a request is restricted.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,7 +23,12 @@
     /// Returns the regions that both the route and the account allow; `None` if neither names any.
     pub fn new(route: &Route, account: Option<&Account>) -> Option<Self> {
         let of_account = account.map_or(&[][..], |account| &account.homes);
-        match (&route.homes[..], of_account) {
+        Self::common(&route.homes, of_account)
+    }
+
+    /// Returns the regions in both lists, of which an empty one allows all.
+    fn common(of_route: &[Arc<str>], of_account: &[Arc<str>]) -> Option<Self> {
+        match (of_route, of_account) {
             ([], []) => None,
             (only, []) | ([], only) => Some(Self(only.to_vec())),
             (route, account) => {
@@ -42,9 +53,13 @@
     ) -> Option<Vec<id::Upstream>> {
         let listed = directory.listed.iter();
         let listed = listed.filter(|(_, upstream)| upstream.service == *service);
-        let is_home = |data_centre: &str| {
-            let region = region_of(core, directory, data_centre);
-            region.is_some_and(|region| self.contains(region.as_str()))
+        // A service has far more upstreams than data centres.
+        let mut known: HashMap<&str, bool> = HashMap::new();
+        let mut is_home = |data_centre| {
+            *known.entry(data_centre).or_insert_with(|| {
+                let region = region_of(core, directory, data_centre);
+                region.is_some_and(|region| self.contains(region.as_str()))
+            })
         };
         let (inside, outside): (Vec<_>, Vec<_>) =
             listed.partition(|(_, upstream)| is_home(&upstream.data_centre));
@@ -54,7 +69,7 @@
 }
 
 /// Returns the region of a data centre, from the settings or the instances there.
-pub fn region_of(core: &Core, directory: &Directory, data_centre: &str) -> Option<id::Region> {
+fn region_of(core: &Core, directory: &Directory, data_centre: &str) -> Option<id::Region> {
     let deployment = core.settings.deployment.as_ref();
     let mut locations = deployment
         .into_iter()
@@ -69,3 +84,6 @@
         .map(|location| location.region.clone())
         .or_else(by_instances)
 }
+
+#[cfg(test)]
+mod tests;
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -40,7 +40,6 @@
 mod delegate;
 pub mod events;
 pub mod forward;
-mod homes;
 pub mod http;
 pub mod interfaces;
 mod place;
--- a/gooseberrylb/src/gateway/delegate.rs
+++ b/gooseberrylb/src/gateway/delegate.rs
@@ -17,11 +17,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::forward::{Delivery, Exchange, Failure, Forwarder, Lease, write_field};
-use super::homes::Homes;
 use super::http::{Connection, Framing, Request, Response};
 use super::pool::{CONNECT_TIMEOUT, Pool};
 use super::session;
 use crate::control::Core;
+use crate::control::homes::Homes;
 use crate::metrics::METRICS;
 
 /// Status code with which an entry declines a request that it has not sent to any upstream.
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -7,7 +7,7 @@
 
 use super::Forwarder;
 use crate::control::dispatch;
-use crate::gateway::homes::Homes;
+use crate::control::homes::{Homes, NO_UPSTREAM_PAUSE};
 use crate::gateway::place::Placement;
 
 /// Longest time for which a request waits for an upstream, as a fraction of the time after which
@@ -28,16 +28,12 @@
 /// not state one.
 const DEFAULT_OUTPUT_DIVISOR: u64 = 4;
 
-/// `Retry-After` of requests that have no upstream in the regions that they are restricted to; about the
-/// interval at which the list of upstreams is read.
-const NO_HOME_PAUSE: Duration = Duration::from_secs(1);
-
 impl Forwarder {
     /// Asks for an upstream for the next attempt.
     pub(super) async fn place(&self) -> Placement {
         match self.placement_request() {
             Some(request) => self.gateway.placer.place(request, &self.causes()).await,
-            None => Placement::Refused(Reason::NoUpstream, NO_HOME_PAUSE),
+            None => Placement::Refused(Reason::NoUpstream, NO_UPSTREAM_PAUSE),
         }
     }
 
--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -274,6 +274,10 @@
 /// prevents a request from being sent while the upstream closes the connection.
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 
+/// Longest keep-alive timeout that is used, whatever an upstream states: the time at which it ends must
+/// be one that the clock can hold.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
+
 impl Response {
     /// Parses a head. Returns it with its length in bytes, or `None` if it is incomplete.
     fn parse(bytes: &[u8], for_head_request: bool) -> Result<Option<(Self, usize)>, Error> {
@@ -321,7 +325,7 @@
     let stated = parts.find_map(|part| part.trim().strip_prefix("timeout="));
     let seconds = stated.and_then(|text| text.trim().parse().ok());
     let stated = seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
-    stated.mul_f64(KEEP_ALIVE_FRACTION)
+    stated.min(MAX_KEEP_ALIVE).mul_f64(KEEP_ALIVE_FRACTION)
 }
 
 /// A connection with its read buffer.
@@ -529,3 +533,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/gooseberrylb_config/src/answer/placement.rs
+++ b/gooseberrylb_config/src/answer/placement.rs
@@ -95,7 +95,7 @@
     /// Dispatcher that would decide, if known. The explanation is not the decision if it is another
     /// instance than the one that answers.
     pub decided_by: Option<id::Instance>,
-    /// Service that the request is for, if the route is known.
+    /// Service that the request is for, if the route and the account are known.
     pub service: Option<id::Service>,
     /// Where the request would go, if the answering instance dispatches.
     pub explanation: Option<Explanation>,
