--- a/gooseberrylb_policy/src/copies.rs
+++ b/gooseberrylb_policy/src/copies.rs
@@ -17,6 +17,10 @@
 /// Number of responses after which the older half of a distribution is forgotten.
 const GENERATION: u64 = 500;
 
+/// Number of responses after which the quantile is computed anew. It is asked for at each grant, and computing
+/// it reads the whole distribution.
+const REFRESH: u64 = 20;
+
 /// Time constant with which requests and copies are counted.
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -31,6 +35,10 @@
 struct Times {
     current: Histogram<u32>,
     previous: Histogram<u32>,
+    /// Time after which a response is slow, if enough were seen.
+    slow_after: Option<Duration>,
+    /// Number of responses since that was computed.
+    unseen: u64,
 }
 
 impl Times {
@@ -39,6 +47,8 @@
         Self {
             current: empty(),
             previous: empty(),
+            slow_after: None,
+            unseen: 0,
         }
     }
 
@@ -49,10 +59,15 @@
         }
         let units = (time.as_secs_f64() * UNITS_PER_SECOND) as u64;
         self.current.saturating_record(units.min(MAX_UNITS));
+        self.unseen += 1;
+        if self.unseen >= REFRESH {
+            self.unseen = 0;
+            self.slow_after = self.quantile();
+        }
     }
 
-    /// Returns the time after which a response is slow, if enough were seen.
-    fn slow_after(&self) -> Option<Duration> {
+    /// Returns the time that [`SLOW_QUANTILE`] of the responses took at most, if enough were seen.
+    fn quantile(&self) -> Option<Duration> {
         let total = self.current.len() + self.previous.len();
         if total < MIN_RESPONSES {
             return None;
@@ -140,7 +155,7 @@
             return None;
         }
         let times = self.times.get(&(route.clone(), upstream.clone()))?;
-        Some(times.slow_after()?.mul_f64(1.0 + load.clamp(0.0, 1.0)))
+        Some(times.slow_after?.mul_f64(1.0 + load.clamp(0.0, 1.0)))
     }
 
     /// Whether one more copy stays within the share.
