Write the exponentially decaying count once

Cause: outliers and second copies each had a decaying count of their own beside that of arrivals, with the same code. Change: decay::Count, whose time constant is a part of its type, serves all three. The values are the same but for rounding. Measured: all tests of policy pass, unchanged.

--- a/gooseberrylb_policy/src/copies.rs
+++ b/gooseberrylb_policy/src/copies.rs
@@ -8,6 +8,8 @@
 use gooseberrylb_config::id;
 use hdrhistogram::Histogram;
 
+use crate::decay;
+
 /// Quantile of an upstream's times on a route after which a response counts as slow.
 const SLOW_QUANTILE: f64 = 0.95;
 
@@ -21,8 +23,8 @@
 /// it reads the whole distribution.
 const REFRESH: u64 = 20;
 
-/// Time constant with which requests and copies are counted.
-const WINDOW: Duration = Duration::from_secs(10);
+/// Requests or copies of about the last ten seconds.
+type Count = decay::Count<10_000>;
 
 /// Longest time that a distribution holds, in units of 100 µs.
 const MAX_UNITS: u64 = 600_000;
@@ -79,27 +81,6 @@
     }
 }
 
-/// Decaying count.
-#[derive(Debug, Default, Clone, Copy)]
-struct Count {
-    value: f64,
-    at: Option<Instant>,
-}
-
-impl Count {
-    fn value(&self, now: Instant) -> f64 {
-        let passed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.value * (-passed.as_secs_f64() / WINDOW.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.value = self.value(now) + 1.0;
-        self.at = Some(now);
-    }
-}
-
 /// Second copies of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Copies {
--- a/gooseberrylb_policy/src/dispatch/outlier.rs
+++ b/gooseberrylb_policy/src/dispatch/outlier.rs
@@ -3,12 +3,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use gooseberrylb_config::id;
 
-/// Time constant with which ends of requests are forgotten.
-const DECAY: Duration = Duration::from_secs(10);
+use crate::decay;
 
 /// Number of requests at other upstreams from which on their failures tell what to expect.
 const MIN_REQUESTS: f64 = 20.0;
@@ -19,28 +18,19 @@
 /// Highest share of failures that is expected.
 const MAX_EXPECTED: f64 = 0.9;
 
-/// Decaying counts of ended requests.
+/// Ended requests of about the last ten seconds.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
-    failed: f64,
-    total: f64,
-    at: Option<Instant>,
+    failed: decay::Count<10_000>,
+    total: decay::Count<10_000>,
 }
 
 impl Counts {
-    fn decayed(&self, now: Instant) -> (f64, f64) {
-        let passed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let factor = (-passed.as_secs_f64() / DECAY.as_secs_f64()).exp();
-        (self.failed * factor, self.total * factor)
-    }
-
     fn add(&mut self, failed: bool, now: Instant) {
-        let (failures, total) = self.decayed(now);
-        self.failed = failures + f64::from(u8::from(failed));
-        self.total = total + 1.0;
-        self.at = Some(now);
+        if failed {
+            self.failed.add(now);
+        }
+        self.total.add(now);
     }
 }
 
@@ -62,14 +52,13 @@
         let Some(route) = self.0.get(route) else {
             return 0.0;
         };
-        let (failed, total) = route.all.decayed(now);
         let own = route.by_upstream.get(upstream);
-        let (own_failed, own_total) = own.map_or((0.0, 0.0), |own| own.decayed(now));
-        let others = total - own_total;
+        let own = own.copied().unwrap_or_default();
+        let others = route.all.total.value(now) - own.total.value(now);
         if others < MIN_REQUESTS {
             return 0.0;
         }
-        let share = (failed - own_failed) / others;
+        let share = (route.all.failed.value(now) - own.failed.value(now)) / others;
         match share < MIN_EXPECTED {
             true => 0.0,
             false => share.min(MAX_EXPECTED),
@@ -84,19 +73,10 @@
         failed: bool,
         now: Instant,
     ) {
-        let route = match self.0.get_mut(route) {
-            Some(known) => known,
-            None => self.0.entry(route.clone()).or_default(),
-        };
+        let route = self.0.entry(route.clone()).or_default();
         route.all.add(failed, now);
-        match route.by_upstream.get_mut(upstream) {
-            Some(own) => own.add(failed, now),
-            None => route
-                .by_upstream
-                .entry(upstream.clone())
-                .or_default()
-                .add(failed, now),
-        }
+        let own = route.by_upstream.entry(upstream.clone()).or_default();
+        own.add(failed, now);
     }
 
     /// Forgets the upstreams for which `is_usable` is false.
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -150,7 +150,7 @@
             self.clock.assign(&request, start);
             self.clock.advance(start);
             let priority = Priority::new(request.rank, false);
-            self.arrivals.entry(priority).or_default().count(now);
+            self.arrivals.entry(priority).or_default().add(now);
             self.shares.record(request.rank, &request.route, true);
             return Decision::Grant(self.grant(&request, upstream, now));
         }
@@ -213,10 +213,7 @@
             start,
             number: self.sequence,
         };
-        self.arrivals
-            .entry(position.priority)
-            .or_default()
-            .count(now);
+        self.arrivals.entry(position.priority).or_default().add(now);
         self.clock.assign(&request, start);
         self.positions.insert(request.key.clone(), position);
         let queued = Queued {
--- a/gooseberrylb_policy/src/dispatch/service/balance.rs
+++ b/gooseberrylb_policy/src/dispatch/service/balance.rs
@@ -98,7 +98,7 @@
             offered,
         };
         self.queue.insert(tail, displaced);
-        self.arrivals.entry(victim.priority).or_default().count(now);
+        self.arrivals.entry(victim.priority).or_default().add(now);
         self.positions.insert(request.key.clone(), victim);
         let queued = Queued {
             request: request.clone(),
--- a/gooseberrylb_policy/src/dispatch/service/queue.rs
+++ b/gooseberrylb_policy/src/dispatch/service/queue.rs
@@ -5,11 +5,12 @@
 
 use gooseberrylb_config::id;
 
+use crate::decay;
 use crate::dispatch::fairness::VirtualTime;
 use crate::dispatch::{Rank, Request};
 
-/// Time constant of the moving arrival rate; bursts last for seconds.
-const ARRIVAL_DECAY: Duration = Duration::from_secs(1);
+/// Arrivals of requests, for their moving rate; bursts last for seconds.
+pub(super) type Arrivals = decay::Count<1_000>;
 
 /// A request that runs on an upstream.
 #[derive(Debug, Clone)]
@@ -81,31 +82,3 @@
         }
     }
 }
-
-/// Exponentially decaying count of arrivals.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Arrivals {
-    /// Decayed count at the time of the last arrival.
-    pub(super) count: f64,
-    /// Time of the last arrival.
-    pub(super) at: Option<Instant>,
-}
-
-impl Arrivals {
-    pub(super) fn decayed(&self, now: Instant) -> f64 {
-        let passed = self
-            .at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.count * (-passed.as_secs_f64() / ARRIVAL_DECAY.as_secs_f64()).exp()
-    }
-
-    pub(super) fn count(&mut self, now: Instant) {
-        self.count = self.decayed(now) + 1.0;
-        self.at = Some(now);
-    }
-
-    /// Returns the arrival rate, in requests per second.
-    pub(super) fn rate(&self, now: Instant) -> f64 {
-        self.decayed(now) / ARRIVAL_DECAY.as_secs_f64()
-    }
-}
--- a/gooseberrylb_policy/src/lib.rs
+++ b/gooseberrylb_policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod availability;
 pub mod copies;
 pub mod crash;
+mod decay;
 pub mod dispatch;
 pub mod drain;
 pub mod limit;
