Take work that nobody asked for off the path of each grant

Cause: for each grant the dispatcher searched all upstreams of all services to tell whether a cold one was granted, and added up a service's slots for the time of a second copy, also where neither is declared or set. Each change of the list compared every name in the records of failures and of copies with every upstream. Change: a service counts its grants of cold upstreams as it makes them; without a share no copy is looked for; the names are looked up in a set. cold_grants_total now also counts requests that other shards offered. Measured: tests of policy's copies, warm_up and dispatch pass, unchanged; not timed.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -142,7 +142,7 @@
             .decisions
             .with_label_values(&[label(&decision)])
             .inc();
-        self.count_cold_grant(core, &decision);
+        self.count_cold_grants();
         if decision == Decision::Wait {
             self.offer(core);
         }
@@ -167,13 +167,10 @@
         Answer::Decided(key, decision, due)
     }
 
-    /// Counts a grant of a cold upstream.
-    fn count_cold_grant(&self, core: &Core, decision: &Decision) {
-        if let Decision::Grant(upstream) = decision
-            && self.dispatcher.borrow().is_cold(upstream, core.clock.now())
-        {
-            METRICS.cold_grants.inc();
-        }
+    /// Counts the grants of cold upstreams since the last call.
+    fn count_cold_grants(&self) {
+        let count = self.dispatcher.borrow_mut().take_cold_grants();
+        METRICS.cold_grants.inc_by(count);
     }
 
     /// Returns the decision on a request that the dispatcher of another shard offers.
@@ -280,9 +277,9 @@
                 .decisions
                 .with_label_values(&[label(&decision)])
                 .inc();
-            self.count_cold_grant(core, &decision);
             self.send_decision(key, decision);
         }
+        self.count_cold_grants();
         self.offer(core);
     }
 
--- a/gooseberrylb_policy/src/copies.rs
+++ b/gooseberrylb_policy/src/copies.rs
@@ -95,21 +95,26 @@
     /// Sets the share of the requests of which a copy may be sent.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
-        if share <= 0.0 {
+        if !self.are_sent() {
             self.times.clear();
         }
     }
 
+    /// Whether any copies may be sent. Nothing is learned otherwise.
+    pub fn are_sent(&self) -> bool {
+        self.share > 0.0
+    }
+
     /// Counts a request.
     pub fn count_request(&mut self, now: Instant) {
-        if self.share > 0.0 {
+        if self.are_sent() {
             self.requests.add(now);
         }
     }
 
     /// Records how long an upstream took for a response.
     pub fn record(&mut self, route: &Arc<str>, upstream: &id::Upstream, time: Duration) {
-        if self.share > 0.0 {
+        if self.are_sent() {
             let key = (route.clone(), upstream.clone());
             self.times
                 .entry(key)
@@ -132,7 +137,7 @@
         upstream: &id::Upstream,
         load: f64,
     ) -> Option<Duration> {
-        if self.share <= 0.0 {
+        if !self.are_sent() {
             return None;
         }
         let times = self.times.get(&(route.clone(), upstream.clone()))?;
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -137,10 +137,10 @@
         self.profiles = profiles;
     }
 
-    /// Whether an upstream is cold.
-    pub fn is_cold(&self, upstream: &id::Upstream, now: Instant) -> bool {
-        let mut services = self.services.values();
-        services.any(|service| service.is_cold(upstream, now))
+    /// Returns the number of grants of cold upstreams since the last call.
+    pub fn take_cold_grants(&mut self) -> u64 {
+        let services = self.services.values_mut();
+        services.map(Service::take_cold_grants).sum()
     }
 
     /// Takes over what another instance tells, and returns what is new of it.
--- a/gooseberrylb_policy/src/dispatch/service.rs
+++ b/gooseberrylb_policy/src/dispatch/service.rs
@@ -1,7 +1,7 @@
 //! Queue and placement of one service: which requests wait, in which order they are granted, and
 //! on which upstream they run.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
@@ -96,6 +96,8 @@
     shares: Shares,
     /// Second copies of slow requests.
     pub(super) copies: Copies,
+    /// Grants of cold upstreams that were not asked for yet.
+    cold_grants: u64,
 }
 
 impl Service {
@@ -121,11 +123,10 @@
             };
             self.upstreams.push(state);
         }
-        let upstreams = &self.upstreams;
-        self.copies
-            .retain(|name| upstreams.iter().any(|state| state.upstream.name == *name));
-        self.failures
-            .retain(|name| upstreams.iter().any(|state| state.upstream.name == *name));
+        let names = self.upstreams.iter().map(|state| &state.upstream.name);
+        let names: HashSet<_> = names.collect();
+        self.copies.retain(|name| names.contains(name));
+        self.failures.retain(|name| names.contains(name));
         self.recount(now);
         if let Some(release) = &mut self.release {
             release.set_upstreams(self.upstreams.iter().map(|state| &state.upstream));
@@ -329,10 +330,9 @@
         }
     }
 
-    /// Whether an upstream is cold.
-    pub(super) fn is_cold(&self, upstream: &id::Upstream, now: Instant) -> bool {
-        let mut states = self.upstreams.iter();
-        states.any(|state| state.upstream.name == *upstream && state.is_cold(now))
+    /// Returns the number of grants of cold upstreams since the last call.
+    pub(super) fn take_cold_grants(&mut self) -> u64 {
+        std::mem::take(&mut self.cold_grants)
     }
 
     /// Counts a request that an entry placed alone against the limit of its upstream.
--- a/gooseberrylb_policy/src/dispatch/service/choice.rs
+++ b/gooseberrylb_policy/src/dispatch/service/choice.rs
@@ -162,6 +162,9 @@
     /// Returns the time after which a copy of a running request is due, if one may be sent. Only
     /// requests without a prompt are copied: what an engine has read would be read again.
     pub(in crate::dispatch) fn copy_due(&self, key: &Key) -> Option<Duration> {
+        if !self.copies.are_sent() {
+            return None;
+        }
         let run = self.running.get(key).filter(|run| run.prompt == 0)?;
         let (route, upstream) = (run.route.as_ref()?, &run.upstream);
         let slots: u32 = self
@@ -192,6 +195,7 @@
         let tokens = self.profile.tokens(request);
         state.tokens = state.tokens.saturating_add(tokens);
         state.count_against_limit(now);
+        self.cold_grants += u64::from(state.is_cold(now));
         if let Some(release) = &mut self.release {
             release.record_grant(&state.upstream);
         }
