Limit upstreams that were announced as cold before they were listed

Cause: an upstream's warm-up took effect only if the upstream was known when it was announced. The entry kept the same records in a second table. Change: the dispatcher applies what it knows of cold upstreams whenever the list is set, as it does with their availability, and the entry's own table is gone. A check of availability in Placer::place calls the method that copies use. Measured: upstream_that_is_listed_after_it_was_announced_as_cold_is_limited fails before and passes; the other tests of warm_up pass.

--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -21,7 +21,6 @@
     Charge, Decision, Dispatcher, Key, Notice, Outcome, Purpose, Rates, Reason, Request, Running,
 };
 use gooseberrylb_policy::quota::Usage;
-use gooseberrylb_policy::warm_up;
 
 use crate::control::Core;
 use crate::control::dispatch;
@@ -177,8 +176,6 @@
     availability_revision: Cell<Option<number::Revision>>,
     /// What crashes upstreams, and the crashes that this entry saw.
     crashes: RefCell<crash::Table>,
-    /// Cold upstreams.
-    warm_up: RefCell<warm_up::Table>,
 }
 
 impl Placer {
@@ -203,7 +200,6 @@
             availability: RefCell::default(),
             availability_revision: Cell::new(None),
             crashes: RefCell::default(),
-            warm_up: RefCell::default(),
         })
     }
 
@@ -236,13 +232,9 @@
             request.excluded.extend(unavailable);
             let placement = self.place_once(request.clone()).await;
             let now = self.core.clock.now();
-            let is_unavailable = |grant: &Grant| {
-                let availability = self.availability.borrow();
-                availability.is_unavailable(&grant.upstream, now)
-            };
             let is_blocked = self.crashes.borrow().blocked(causes, now).is_some();
             match &placement {
-                Placement::Granted(grant) if is_blocked || is_unavailable(grant) => {}
+                Placement::Granted(grant) if is_blocked || !self.is_available(grant) => {}
                 Placement::Granted(_) | Placement::Refused(..) => return placement,
             }
             // It became known while the request waited. Its account is charged already.
--- a/gooseberrylb/src/gateway/place/knowledge.rs
+++ b/gooseberrylb/src/gateway/place/knowledge.rs
@@ -89,13 +89,11 @@
             upstream: upstream.clone(),
             left,
         };
-        if self.warm_up.borrow_mut().record(&cold, now) {
-            let news = vec![Announcement::Cold(cold)];
-            news.iter()
-                .for_each(|news| announce::log(&self.core.identity.name, news));
-            self.fallback.borrow_mut().announce(news.clone(), now);
-            self.announce(news);
-        }
+        let announcements = vec![Announcement::Cold(cold)];
+        let news = self.fallback.borrow_mut().announce(announcements, now);
+        let own = &self.core.identity.name;
+        news.iter().for_each(|news| announce::log(own, news));
+        self.announce(news);
     }
 
     /// Records what the end of a run at a time told about what may crash upstreams, and tells the
@@ -137,14 +135,10 @@
                         announce::log(dispatcher, &Announcement::Crash(news));
                     });
                 }
-                Announcement::Cold(cold) => {
-                    let is_new = self.warm_up.borrow_mut().record(&cold, now);
-                    let announcement = Announcement::Cold(cold);
-                    if is_new {
-                        announce::log(dispatcher, &announcement);
-                    }
+                Announcement::Cold(_) => {
                     let mut fallback = self.fallback.borrow_mut();
-                    fallback.announce(vec![announcement], now);
+                    let news = fallback.announce(vec![announcement], now);
+                    news.iter().for_each(|news| announce::log(dispatcher, news));
                 }
                 Announcement::Upstream(report) => {
                     let is_new = self.availability.borrow_mut().adopt(&report, now);
@@ -163,7 +157,7 @@
     pub(super) fn announcements(&self) -> Vec<Announcement> {
         let now = self.core.clock.now();
         let upstreams = self.availability.borrow().reports(now);
-        let cold = self.warm_up.borrow().reports(now);
+        let cold = self.fallback.borrow().cold_reports(now);
         announcement::join(upstreams, self.crashes.borrow().reports(now), cold)
     }
 }
--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -130,6 +130,11 @@
             service.set_upstreams(by_service.remove(name).unwrap_or_default(), now);
             service.set_availability(name, &self.availability, now);
         }
+        for (upstream, service, until) in self.warm_up.iter() {
+            if let Some(service) = self.services.get_mut(service) {
+                service.set_cold(upstream, until, now);
+            }
+        }
     }
 
     /// Replaces the declared properties of services, for the upstreams that are set after this.
@@ -179,6 +184,11 @@
         news
     }
 
+    /// Returns what is known of cold upstreams.
+    pub fn cold_reports(&self, now: Instant) -> Vec<warm_up::Cold> {
+        self.warm_up.reports(now)
+    }
+
     /// Returns what another dispatcher needs to know of upstreams and crashes.
     pub fn announcements(&self, now: Instant) -> Vec<Announcement> {
         let crashes = self.crashes.reports(now);
--- a/gooseberrylb_policy/src/warm_up.rs
+++ b/gooseberrylb_policy/src/warm_up.rs
@@ -55,6 +55,13 @@
         self.0.get(upstream).map(|(_, until)| *until)
     }
 
+    /// Returns the known upstreams with their services and the times until which they are cold, also those
+    /// that are over.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::Upstream, &id::Service, Instant)> {
+        let known = self.0.iter();
+        known.map(|(upstream, (service, until))| (upstream, service, *until))
+    }
+
     /// Returns what other instances need to know now.
     pub fn reports(&self, now: Instant) -> Vec<Cold> {
         let cold = self.0.iter().filter(|(_, (_, until))| now < *until);
--- a/gooseberrylb_policy/tests/warm_up.rs
+++ b/gooseberrylb_policy/tests/warm_up.rs
@@ -283,6 +283,21 @@
     play.assert_within(0, served, warm);
 }
 
+/// Guards against an entry that begins to place alone and sends at the full rate to an upstream of which it
+/// was told before that it is cold.
+#[test]
+fn upstream_that_is_listed_after_it_was_announced_as_cold_is_limited() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(Vec::new(), now);
+    dispatcher.announce(vec![cold(0, WARM_UP)], now);
+    dispatcher.set_upstreams(upstreams(1), now);
+    let mut play = Play::new([dispatcher], now);
+    while play.now < now + WARM_UP {
+        play.step(10);
+    }
+    play.assert_within(0, now, now + WARM_UP);
+}
+
 /// Guards against an announcement at each read of a list that lags by varying times.
 #[test]
 fn report_of_the_same_warm_up_is_not_new() {
