Derive explanations, holds, ranks and entries from one piece of code each

Cause: an explanation of placement built its request beside the one of an entry, and held streams by another rule (six tenths of the time limit); ranks, refusals and the list of serving entries were written two to four times; upstreams of evacuated data centres were marked in two ways, one of which compared every listed upstream with a marked copy. Change: objective::hold, Rank::new, explain::refused and Directory::entries serve all; the leader marks upstreams in one pass; the look-up of entries tries its four choices by one closure. Explanations of streams now hold as entries do; nothing else changes.

--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -543,8 +543,7 @@
         })
     });
     let quotas: Vec<_> = quotas.collect();
-    let instances = directory.instances.values();
-    let entries: Vec<_> = instances.filter(|i| i.entry && !i.leaving).collect();
+    let entries: Vec<_> = directory.entries().map(|(_, entry)| entry).collect();
     match part {
         Part::Fleet | Part::Entry { .. } => dispatcher.set_quotas(&quotas, entries.len(), now),
         Part::Shard(shard) => {
--- a/gooseberrylb/src/control/dispatch/placement.rs
+++ b/gooseberrylb/src/control/dispatch/placement.rs
@@ -1,12 +1,13 @@
 //! Answers where a request would go now.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use gooseberrylb_config::answer::placement::{Explanation, Placement, Verdict};
+use gooseberrylb_config::answer::placement::{Explanation, Placement};
 use gooseberrylb_config::declaration::{Account, Route};
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
-use gooseberrylb_policy::dispatch::{Key, Rank, Reason, Request};
+use gooseberrylb_policy::dispatch::{Key, Rank, Reason, Request, explain, objective};
 use serde::{Deserialize, Serialize};
 
 use super::{Host, units};
@@ -54,10 +55,7 @@
                     dispatcher.explain(request, core.clock.now())
                 }
                 None => Explanation {
-                    verdict: Verdict::Refused {
-                        reason: format!("{:?}", Reason::NoUpstream).into(),
-                        retry_after_ms: NO_UPSTREAM_PAUSE.as_millis() as u64,
-                    },
+                    verdict: explain::refused(Reason::NoUpstream, NO_UPSTREAM_PAUSE),
                     waiting: 0,
                     candidates: Vec::new(),
                 },
@@ -97,7 +95,6 @@
     let tokens = (question.prompt, question.output);
     let declared = declaration.services.get(&service.service);
     let stride = declared.and_then(|service| service.stride);
-    let rank = account.and_then(|account| account.rank);
     let request = |excluded| Request {
         key: Key {
             entry: core.identity.name.clone(),
@@ -109,15 +106,12 @@
         account: quota.and(question.account.clone()),
         units: quota.map_or(0.0, |quota| units(quota.unit, Some(tokens))),
         weight: quota.map_or(1.0, |quota| quota.per_second),
-        rank: Rank {
-            account: rank.unwrap_or(route.rank),
-            route: route.rank,
-        },
+        rank: Rank::new(account.and_then(|account| account.rank), route.rank),
         data_centre,
         prompt: stride.map_or(0, |_| question.prompt),
         events: stride.map_or(0, |stride| question.output / u64::from(stride)),
         objective: route.objective,
-        hold: route.time_limit.mul_f64(0.6),
+        hold: objective::hold(route, Duration::ZERO).min(route.time_limit),
         patience: route.time_limit,
         excluded,
     };
--- a/gooseberrylb/src/control/evacuation.rs
+++ b/gooseberrylb/src/control/evacuation.rs
@@ -85,9 +85,9 @@
     }
 }
 
-/// Shows an upstream as draining if its data centre is evacuated.
-pub fn mark(evacuated: &BTreeMap<Arc<str>, Evacuation>, listed: &mut Arc<ListedUpstream>) {
-    if !listed.draining && evacuated.contains_key(&listed.data_centre) {
+/// Shows an upstream as draining.
+pub fn drain(listed: &mut Arc<ListedUpstream>) {
+    if !listed.draining {
         Arc::make_mut(listed).draining = true;
     }
 }
@@ -98,17 +98,17 @@
     let (set, evacuated) = {
         let state = core.state.borrow();
         METRICS.evacuations.set(state.evacuations().len() as i64);
+        let evacuated = state.evacuations().clone();
         let listed = state.directory().listed.iter();
-        let marked = listed.filter_map(|(name, listed)| {
-            let mut marked = listed.clone();
-            mark(state.evacuations(), &mut marked);
-            (marked != *listed).then(|| (name.clone(), marked))
+        let withdrawn = listed
+            .filter(|(_, listed)| !listed.draining && evacuated.contains_key(&listed.data_centre));
+        let set = withdrawn.map(|(name, listed)| {
+            let mut listed = listed.clone();
+            drain(&mut listed);
+            (name.clone(), listed)
         });
-        let set: Vec<(id::Upstream, _)> = match state.evacuations().is_empty() {
-            true => Vec::new(),
-            false => marked.collect(),
-        };
-        (set, state.evacuations().clone())
+        let set: Vec<(id::Upstream, _)> = set.collect();
+        (set, evacuated)
     };
     if !set.is_empty() {
         let command = Command::List {
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -57,10 +57,7 @@
                 if !std::mem::replace(&mut readable, true) {
                     log::info!("reading the list of upstreams works again");
                 }
-                let mut list = mark_leaving(&core, list);
-                let evacuated = core.state.borrow().evacuations().clone();
-                let listed = list.values_mut();
-                listed.for_each(|listed| evacuation::mark(&evacuated, listed));
+                let list = mark_draining(&core, list);
                 // Before the upstreams get requests.
                 core.dispatch.announce_listed(&core, cold);
                 propose_changes(&core, list).await;
@@ -133,13 +130,16 @@
         .map_err(|finding| anyhow::anyhow!("{finding}"))
 }
 
-/// Marks upstreams as draining that have said that they leave, which the list shows only later.
-fn mark_leaving(core: &Core, mut list: List) -> List {
+/// Marks upstreams as draining that have said that they leave, which the list shows only later, and those of
+/// evacuated data centres.
+fn mark_draining(core: &Core, mut list: List) -> List {
     let listing = |name: &id::Upstream| Listing::new(list.get(name).map(|listed| &**listed));
     core.dispatch.update_listing(listing, core.clock.now());
+    let state = core.state.borrow();
     for (name, listed) in &mut list {
-        if !listed.draining && core.dispatch.is_leaving(name) {
-            Arc::make_mut(listed).draining = true;
+        let is_evacuated = state.evacuations().contains_key(&listed.data_centre);
+        if is_evacuated || core.dispatch.is_leaving(name) {
+            evacuation::drain(listed);
         }
     }
     list
--- a/gooseberrylb/src/gateway/forward/placement.rs
+++ b/gooseberrylb/src/gateway/forward/placement.rs
@@ -1,8 +1,6 @@
 //! Builds the placement request for a forwarded request: its rank, cost, objective and the longest
 //! time for which it may wait for an upstream.
 
-use std::time::Duration;
-
 use gooseberrylb_policy::dispatch::{Rank, Reason, Request, objective};
 
 use super::Forwarder;
@@ -10,20 +8,6 @@
 use crate::control::homes::{Homes, NO_UPSTREAM_PAUSE};
 use crate::gateway::place::Placement;
 
-/// Longest time for which a request waits for an upstream, as a fraction of the time after which
-/// its caller is expected to give up.
-const HOLD_FRACTION: f64 = 0.6;
-
-/// Minimum time after which a caller is expected to give up a stream that has not begun.
-const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Time for which a caller waits for a stream to begin, as a multiple of the route's objective.
-const PATIENCE_OBJECTIVES: u32 = 4;
-
-/// Time for which a caller waits for a stream to begin, as a multiple of the longest gap that the
-/// route allows between two events.
-const PATIENCE_GAPS: u32 = 8;
-
 /// Divisor of the maximum output that gives the expected output, in tokens, where the caller does
 /// not state one.
 const DEFAULT_OUTPUT_DIVISOR: u64 = 4;
@@ -84,7 +68,7 @@
             prompt,
             events: output / u64::from(stride.unwrap_or(1)),
             objective,
-            hold: self.hold(waited).min(time_left),
+            hold: objective::hold(&self.route, waited).min(time_left),
             patience: time_left,
             excluded,
         })
@@ -95,24 +79,9 @@
         Homes::new(&self.route, self.account.as_deref())
     }
 
-    /// Returns the rank of the request. An account without a rank takes that of the route.
+    /// Returns the rank of the request.
     pub fn rank(&self) -> Rank {
-        let route = self.route.rank;
         let account = self.account.as_ref().and_then(|account| account.rank);
-        Rank {
-            account: account.unwrap_or(route),
-            route,
-        }
-    }
-
-    /// Returns the time for which the request may still wait for an upstream.
-    fn hold(&self, waited: Duration) -> Duration {
-        let patience = match self.route.streams {
-            true => MIN_STREAM_PATIENCE
-                .max(self.route.objective * PATIENCE_OBJECTIVES)
-                .max(self.route.gap * PATIENCE_GAPS),
-            false => self.route.time_limit,
-        };
-        patience.mul_f64(HOLD_FRACTION).saturating_sub(waited)
+        Rank::new(account, self.route.rank)
     }
 }
--- a/gooseberrylb/src/gateway/interfaces.rs
+++ b/gooseberrylb/src/gateway/interfaces.rs
@@ -11,6 +11,7 @@
 use async_std::{future, task};
 use gooseberrylb_config::declaration::Text;
 use gooseberrylb_config::dialect::{Call, Dialect};
+use gooseberrylb_config::directory::Instance;
 use gooseberrylb_config::directory::evacuation::Order;
 use gooseberrylb_config::directory::rollout::Rollout;
 use gooseberrylb_config::id;
@@ -305,34 +306,25 @@
         if !published.is_fresh(self.core.clock.now()) {
             return self.fault(503, "which entries can serve is not known");
         }
-        let instances = published.directory.instances.values();
-        let entries: Vec<_> = instances.filter(|i| i.entry && !i.leaving).collect();
-        let local = entries
-            .iter()
-            .filter(|i| Some(i.data_centre.as_str()) == data_centre);
-        let local: Vec<SocketAddr> = local.map(|i| i.callers).collect();
         let table = self.core.table(&published.directory);
         let homes = table
             .zip(host)
-            .map(|(table, host)| table.homes_of_host(host));
-        let homes = homes.unwrap_or_default();
-        let in_region = entries
-            .iter()
-            .filter(|i| Some(i.region.as_str()) == region)
-            .map(|i| i.callers);
-        let in_homes = entries
-            .iter()
-            .filter(|i| homes.contains(i.region.as_str()))
-            .map(|i| i.callers);
-        let mut choices = [local, in_region.collect(), in_homes.collect()].into_iter();
-        let (is_local_enough, is_any) = (
-            |found: &Vec<_>| found.len() >= MIN_LOCAL_ENTRIES,
-            |found: &Vec<_>| !found.is_empty(),
-        );
-        let chosen = choices.next().filter(is_local_enough);
-        let chosen = chosen.or_else(|| choices.find(is_any));
-        let everywhere = || entries.iter().map(|i| i.callers).collect();
-        let mut addresses: Vec<SocketAddr> = chosen.unwrap_or_else(everywhere);
+            .map(|(table, host)| table.homes_of_host(host))
+            .unwrap_or_default();
+        let within = |least: usize, is_near: &dyn Fn(&Instance) -> bool| {
+            let entries = published.directory.entries().map(|(_, entry)| entry);
+            let near = entries.filter(|entry| is_near(entry));
+            let addresses: Vec<SocketAddr> = near.map(|entry| entry.callers).collect();
+            (addresses.len() >= least).then_some(addresses)
+        };
+        let is_local = |entry: &Instance| Some(entry.data_centre.as_str()) == data_centre;
+        let is_regional = |entry: &Instance| Some(entry.region.as_str()) == region;
+        let is_home = |entry: &Instance| homes.contains(entry.region.as_str());
+        let mut addresses = within(MIN_LOCAL_ENTRIES, &is_local)
+            .or_else(|| within(1, &is_regional))
+            .or_else(|| within(1, &is_home))
+            .or_else(|| within(1, &|_| true))
+            .unwrap_or_default();
         addresses.truncate(MAX_ENTRIES);
         if addresses.is_empty() {
             return self.fault(503, "no entry can serve");
--- a/gooseberrylb/src/gateway/place/alone.rs
+++ b/gooseberrylb/src/gateway/place/alone.rs
@@ -106,12 +106,10 @@
 
     /// Returns this entry's position among the entries that are not leaving.
     fn own_part(&self, directory: &Directory) -> dispatch::Part {
-        let instances = directory.instances.iter();
-        let entries: Vec<_> = instances.filter(|(_, i)| i.entry && !i.leaving).collect();
-        let is_own = |(name, _): &(&id::Instance, _)| **name == self.core.identity.name;
+        let is_own = |(name, _): (&id::Instance, _)| *name == self.core.identity.name;
         dispatch::Part::Entry {
-            index: entries.iter().position(is_own).unwrap_or_default(),
-            count: entries.len(),
+            index: directory.entries().position(is_own).unwrap_or_default(),
+            count: directory.entries().count(),
         }
     }
 
@@ -138,8 +136,7 @@
         let table = self.core.table(&published.directory)?;
         let mut accounts = table.declaration.accounts.iter();
         let quota = accounts.find(|known| known.name == *account)?.quota?;
-        let instances = published.directory.instances.values();
-        let entries = instances.filter(|i| i.entry && !i.leaving).count();
+        let entries = published.directory.entries().count();
         let window = self.quota_window();
         let part = quota::Part {
             limit: (quota.per_second * window.as_secs_f64() + quota.burst) / entries.max(1) as f64,
--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -147,6 +147,14 @@
     pub rollouts: BTreeMap<id::Service, rollout::Rollout>,
 }
 
+impl Directory {
+    /// Returns the instances that take requests from callers and are not leaving.
+    pub fn entries(&self) -> impl Iterator<Item = (&id::Instance, &Instance)> {
+        let instances = self.instances.iter();
+        instances.filter(|(_, instance)| instance.entry && !instance.leaving)
+    }
+}
+
 /// Upstream as listed by the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
--- a/gooseberrylb_policy/src/dispatch/explain.rs
+++ b/gooseberrylb_policy/src/dispatch/explain.rs
@@ -6,7 +6,7 @@
 use gooseberrylb_config::answer::placement::{Explanation, Verdict};
 
 use super::service::Service;
-use super::{Decision, Dispatcher, Request};
+use super::{Decision, Dispatcher, Reason, Request};
 
 impl Dispatcher {
     /// Returns where a request would go now.
@@ -25,10 +25,7 @@
                 let ahead = service.map_or(0, |service| service.ahead_of(&key));
                 Verdict::Waits { ahead }
             }
-            Decision::Refuse(reason, pause) => Verdict::Refused {
-                reason: format!("{reason:?}").into(),
-                retry_after_ms: millis(pause),
-            },
+            Decision::Refuse(reason, pause) => refused(reason, pause),
             Decision::Unknown => Verdict::Unknown,
         };
         Explanation {
@@ -39,6 +36,14 @@
     }
 }
 
+/// Returns the verdict on a request that is refused.
+pub fn refused(reason: Reason, pause: Duration) -> Verdict {
+    Verdict::Refused {
+        reason: format!("{reason:?}").into(),
+        retry_after_ms: millis(pause),
+    }
+}
+
 /// Returns a time in milliseconds.
 pub(super) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/gooseberrylb_policy/src/dispatch/message.rs
+++ b/gooseberrylb_policy/src/dispatch/message.rs
@@ -33,15 +33,23 @@
     pub route: u8,
 }
 
-impl From<u8> for Rank {
-    fn from(rank: u8) -> Self {
+impl Rank {
+    /// Returns the rank of requests of an account by a route. An account without a rank takes that of the
+    /// route.
+    pub fn new(account: Option<u8>, route: u8) -> Self {
         Self {
-            account: rank,
-            route: rank,
+            account: account.unwrap_or(route),
+            route,
         }
     }
 }
 
+impl From<u8> for Rank {
+    fn from(rank: u8) -> Self {
+        Self::new(None, rank)
+    }
+}
+
 impl fmt::Display for Rank {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.account, self.route)
