Give the dispatcher's tests one request and one upstream to start from

Cause: seven test files built the same request and upstream, field by field. Change: tests/fixture/dispatch.rs has both, and each file names only what differs. Assertions, seeds and bounds are as they were; names of services and data centres that no check reads are those of the fixture. Measured: all seven pass.

--- a/gooseberrylb_policy/tests/copies.rs
+++ b/gooseberrylb_policy/tests/copies.rs
@@ -7,41 +7,15 @@
 use gooseberrylb_policy::announcement::Announcement;
 use gooseberrylb_policy::copies::Copies;
 use gooseberrylb_policy::dispatch::profile::Profile;
-use gooseberrylb_policy::dispatch::{
-    Decision, Dispatcher, Key, Notice, Outcome, Request, Upstream,
-};
+use gooseberrylb_policy::dispatch::{Decision, Dispatcher, Notice, Outcome, Request};
 use gooseberrylb_policy::warm_up::Cold;
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::{MS, key, request, upstream};
 
-const SHARE: f64 = 0.02;
-
-fn key(number: u64) -> Key {
-    Key {
-        entry: "entry-1".parse().unwrap(),
-        incarnation: 1,
-        number,
-    }
-}
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
-fn request(number: u64) -> Request {
-    Request {
-        key: key(number),
-        service: "desk".parse().unwrap(),
-        route: "read".into(),
-        account: None,
-        units: 0.0,
-        weight: 1.0,
-        rank: 0.into(),
-        data_centre: "lodi".into(),
-        prompt: 0,
-        events: 0,
-        objective: 300 * MS,
-        hold: 900 * MS,
-        patience: 1_500 * MS,
-        excluded: Vec::new(),
-    }
-}
+const SHARE: f64 = 0.02;
 
 fn dispatcher(now: Instant) -> Dispatcher {
     let warm_up = WarmUp {
@@ -55,15 +29,7 @@
     let mut dispatcher = Dispatcher::new();
     dispatcher.set_copy_share(SHARE);
     dispatcher.set_profiles(BTreeMap::from([("desk".parse().unwrap(), profile)]));
-    let upstream = |name: &str| Upstream {
-        name: name.parse().unwrap(),
-        service: "desk".parse().unwrap(),
-        release: "v1".into(),
-        data_centre: "lodi".into(),
-        slots: 4,
-        limit_part: 1.0,
-    };
-    dispatcher.set_upstreams([upstream("i-1"), upstream("i-2")], now);
+    dispatcher.set_upstreams([upstream(1), upstream(2)], now);
     dispatcher
 }
 
--- a/gooseberrylb_policy/tests/explain.rs
+++ b/gooseberrylb_policy/tests/explain.rs
@@ -10,44 +10,24 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::MS;
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 fn upstream(index: usize) -> Upstream {
+    let data_centres = ["lodi", "mantova"];
     Upstream {
-        name: format!("i-{index}").parse().unwrap(),
-        service: "desk".parse().unwrap(),
-        release: "v1".into(),
-        data_centre: if index.is_multiple_of(2) {
-            "lodi"
-        } else {
-            "mantova"
-        }
-        .into(),
+        data_centre: data_centres[index % 2].into(),
         slots: 2,
-        limit_part: 1.0,
+        ..fixture::upstream(index)
     }
 }
 
 fn request(number: u64, rank: u8) -> Request {
     Request {
-        key: Key {
-            entry: "entry-1".parse().unwrap(),
-            incarnation: 1,
-            number,
-        },
-        service: "desk".parse().unwrap(),
-        route: "read".into(),
-        account: None,
-        units: 0.0,
-        weight: 1.0,
         rank: rank.into(),
-        data_centre: "lodi".into(),
-        prompt: 0,
-        events: 0,
-        objective: 300 * MS,
-        hold: 900 * MS,
-        patience: 1_500 * MS,
-        excluded: Vec::new(),
+        ..fixture::request(number)
     }
 }
 
--- a/gooseberrylb_policy/tests/memory.rs
+++ b/gooseberrylb_policy/tests/memory.rs
@@ -1,18 +1,29 @@
 //! Engines whose memory holds fewer tokens than their slots could ask for.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use gooseberrylb_policy::dispatch::profile::Profile;
 use gooseberrylb_policy::dispatch::{
-    Decision, Dispatcher, Key, Notice, Outcome, Reason, Request, Running, Upstream,
+    Decision, Dispatcher, Notice, Outcome, Reason, Request, Running, Upstream,
 };
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::{MS, key};
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 /// Tokens that an engine holds.
 const MEMORY: u64 = 10_000;
 
+fn upstream(index: usize) -> Upstream {
+    Upstream {
+        service: "llm".parse().unwrap(),
+        slots: 5,
+        ..fixture::upstream(index)
+    }
+}
+
 fn dispatcher(now: Instant) -> Dispatcher {
     let profile = Profile {
         memory: Some(MEMORY),
@@ -21,43 +32,20 @@
     };
     let mut dispatcher = Dispatcher::new();
     dispatcher.set_profiles(BTreeMap::from([("llm".parse().unwrap(), profile)]));
-    let upstream = |name: &str| Upstream {
-        name: name.parse().unwrap(),
-        service: "llm".parse().unwrap(),
-        release: "v1".into(),
-        data_centre: "hcm-a".into(),
-        slots: 5,
-        limit_part: 1.0,
-    };
-    dispatcher.set_upstreams([upstream("i-1"), upstream("i-2")], now);
+    dispatcher.set_upstreams([1, 2].map(upstream), now);
     dispatcher
 }
 
-fn key(number: u64) -> Key {
-    Key {
-        entry: "entry-1".parse().unwrap(),
-        incarnation: 1,
-        number,
-    }
-}
-
 /// Returns a request for a prompt and 200 events of 5 tokens.
 fn request(number: u64, prompt: u64) -> Request {
     Request {
-        key: key(number),
         service: "llm".parse().unwrap(),
-        route: "scan".into(),
-        account: None,
-        units: 0.0,
-        weight: 1.0,
-        rank: 0.into(),
-        data_centre: "hcm-a".into(),
         prompt,
         events: 200,
         objective: 8_000 * MS,
         hold: 5_000 * MS,
         patience: 10_000 * MS,
-        excluded: Vec::new(),
+        ..fixture::request(number)
     }
 }
 
--- a/gooseberrylb_policy/tests/outliers.rs
+++ b/gooseberrylb_policy/tests/outliers.rs
@@ -9,7 +9,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::MS;
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 const UPSTREAMS: usize = 4;
 
@@ -19,35 +22,17 @@
 
 fn upstream(index: usize) -> Upstream {
     Upstream {
-        name: name(index),
-        service: "registry".parse().unwrap(),
-        release: "v1".into(),
-        data_centre: "dhok".into(),
         slots: 6,
-        limit_part: 1.0,
+        ..fixture::upstream(index)
     }
 }
 
 fn request(number: u64) -> Request {
     Request {
-        key: Key {
-            entry: "entry-1".parse().unwrap(),
-            incarnation: 1,
-            number,
-        },
-        service: "registry".parse().unwrap(),
-        route: "status".into(),
-        account: None,
-        units: 0.0,
-        weight: 1.0,
-        rank: 0.into(),
-        data_centre: "dhok".into(),
-        prompt: 0,
-        events: 0,
         objective: 150 * MS,
         hold: 1_500 * MS,
         patience: 2_500 * MS,
-        excluded: Vec::new(),
+        ..fixture::request(number)
     }
 }
 
--- a/gooseberrylb_policy/tests/queueing.rs
+++ b/gooseberrylb_policy/tests/queueing.rs
@@ -10,7 +10,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::MS;
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 /// Time that a call takes on the mean, in milliseconds.
 const WORK_MS: u64 = 60;
@@ -43,13 +46,9 @@
 ];
 
 fn upstreams() -> Vec<Upstream> {
-    let upstream = |index: usize| Upstream {
-        name: format!("i-{index}").parse().unwrap(),
-        service: "registry".parse().unwrap(),
-        release: "v1".into(),
-        data_centre: "dhok".into(),
+    let upstream = |index| Upstream {
         slots: 6,
-        limit_part: 1.0,
+        ..fixture::upstream(index)
     };
     (0..3).map(upstream).collect()
 }
@@ -93,28 +92,17 @@
         self.number += 1;
         let kind = CLASSES[class];
         self.tallies[class].asked += 1;
-        let key = Key {
-            entry: "entry-1".parse().unwrap(),
-            incarnation: 1,
-            number: self.number,
-        };
+        let key = fixture::key(self.number);
         self.calls.insert(key.clone(), (class, self.now));
         let account = format!("account-{}", self.number % 4);
         Request {
-            key,
-            service: "registry".parse().unwrap(),
             route: kind.name.into(),
             account: Some(account.parse().unwrap()),
-            units: 0.0,
-            weight: 1.0,
             rank: 2.into(),
-            data_centre: "dhok".into(),
-            prompt: 0,
-            events: 0,
             objective: kind.objective,
             hold: kind.limit.mul_f64(0.6),
             patience: kind.limit,
-            excluded: Vec::new(),
+            ..fixture::request(self.number)
         }
     }
 
--- a/gooseberrylb_policy/tests/room.rs
+++ b/gooseberrylb_policy/tests/room.rs
@@ -12,7 +12,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::MS;
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 const UPSTREAMS: usize = 3;
 
@@ -31,12 +34,8 @@
 
 fn upstream(index: usize) -> Upstream {
     Upstream {
-        name: name(index),
-        service: service(),
-        release: "v1".into(),
-        data_centre: "sfax-a".into(),
         slots: SLOTS,
-        limit_part: 1.0,
+        ..fixture::upstream(index)
     }
 }
 
@@ -57,24 +56,11 @@
 
 fn request(number: u64) -> Request {
     Request {
-        key: Key {
-            entry: "entry-1".parse().unwrap(),
-            incarnation: 1,
-            number,
-        },
-        service: service(),
-        route: "lookup".into(),
-        account: None,
-        units: 0.0,
-        weight: 1.0,
         rank: 1.into(),
-        data_centre: "sfax-a".into(),
-        prompt: 0,
-        events: 0,
         objective: 100 * MS,
         hold: 400 * MS,
         patience: 600 * MS,
-        excluded: Vec::new(),
+        ..fixture::request(number)
     }
 }
 
--- a/gooseberrylb_policy/tests/warm_up.rs
+++ b/gooseberrylb_policy/tests/warm_up.rs
@@ -12,7 +12,10 @@
 };
 use gooseberrylb_policy::warm_up::{Cold, Table};
 
-const MS: Duration = Duration::from_millis(1);
+use fixture::MS;
+
+#[path = "fixture/dispatch.rs"]
+mod fixture;
 
 /// Requests per second that a cold upstream tolerates.
 const RATE: f64 = 7.6;
@@ -38,12 +41,10 @@
 
 fn upstreams(count: usize) -> Vec<Upstream> {
     let upstream = |index| Upstream {
-        name: name(index),
         service: service(),
-        release: "v1".into(),
         data_centre: if index < UPSTREAMS { "lodi" } else { "cremona" }.into(),
         slots: 40,
-        limit_part: 1.0,
+        ..fixture::upstream(index)
     };
     (0..count).map(upstream).collect()
 }
@@ -94,24 +95,12 @@
     fn request(&mut self) -> Request {
         self.number += 1;
         Request {
-            key: Key {
-                entry: "entry-1".parse().unwrap(),
-                incarnation: 1,
-                number: self.number,
-            },
             service: service(),
-            route: "plan".into(),
-            account: None,
-            units: 0.0,
-            weight: 1.0,
-            rank: 0.into(),
             data_centre: "cremona".into(),
-            prompt: 0,
-            events: 0,
             objective: 800 * MS,
             hold: 1_500 * MS,
             patience: 10_000 * MS,
-            excluded: Vec::new(),
+            ..fixture::request(self.number)
         }
     }
 
