--- a/gooseberrylb_policy/src/dispatch.rs
+++ b/gooseberrylb_policy/src/dispatch.rs
@@ -58,6 +58,17 @@
     granted_by: Option<id::Instance>,
 }
 
+impl Tracked {
+    /// Returns a request that is charged to nobody here.
+    fn new(service: id::Service) -> Self {
+        Self {
+            service,
+            charge: None,
+            granted_by: None,
+        }
+    }
+}
+
 /// Least part of an account's quota whose use is reported to the dispatchers of other shards.
 const REPORTED_QUOTA_PART: f64 = 0.05;
 
@@ -303,9 +314,8 @@
             }
             let charge = account.map(|account| (account, units));
             let tracked = Tracked {
-                service: name,
                 charge,
-                granted_by: None,
+                ..Tracked::new(name)
             };
             self.tracked.insert(key, tracked);
         }
@@ -330,12 +340,7 @@
         let Some(decision) = decision else {
             return Decision::Refuse(Reason::Busy, Duration::ZERO);
         };
-        let tracked = Tracked {
-            service: name,
-            charge: None,
-            granted_by: None,
-        };
-        self.tracked.insert(key, tracked);
+        self.tracked.insert(key, Tracked::new(name));
         decision
     }
 
@@ -356,12 +361,7 @@
         let Some(upstream) = service.and_then(|service| service.place_copy(&request, now)) else {
             return Decision::Refuse(Reason::Busy, Duration::ZERO);
         };
-        let tracked = Tracked {
-            service: name,
-            charge: None,
-            granted_by: None,
-        };
-        self.tracked.insert(key, tracked);
+        self.tracked.insert(key, Tracked::new(name));
         Decision::Grant(upstream)
     }
 
@@ -542,11 +542,7 @@
 
     /// Records a request that an entry has in flight, unless it is known already.
     fn track_running(&mut self, run: Running, now: Instant) {
-        let tracked = Tracked {
-            service: run.service.clone(),
-            charge: None,
-            granted_by: None,
-        };
+        let tracked = Tracked::new(run.service.clone());
         if self.tracked.insert(run.key.clone(), tracked).is_none() {
             let service = self.services.entry(run.service.clone()).or_default();
             service.track_running(run, now);
