Choose the upstream of a queued request once

Cause: the dispatcher chose an upstream to find the request that is granted next, and again for the grant, also where no request with a sooner deadline took its place; each choice looks at all upstreams of the service. Change: it is chosen again only after an exchange. Measured: all tests of policy pass, unchanged; not timed.

--- a/gooseberrylb_policy/src/dispatch/service/poll.rs
+++ b/gooseberrylb_policy/src/dispatch/service/poll.rs
@@ -21,10 +21,8 @@
         while !self.queue.is_empty() {
             let mut granted = None;
             for (position, queued) in &self.queue {
-                let waited = now.saturating_duration_since(queued.since);
-                let objective = queued.request.objective.saturating_sub(waited);
-                if self.choose(&queued.request, objective, now).is_some() {
-                    granted = Some(*position);
+                if let Some(upstream) = self.choose_for_queued(queued, now) {
+                    granted = Some((*position, upstream));
                     break;
                 }
                 if queued.request.excluded.is_empty() && !self.has_room(now) {
@@ -33,18 +31,17 @@
                     return;
                 }
             }
-            let Some(position) = granted else {
-                return;
-            };
-            self.promote_soonest(position);
-            let Some(queued) = self.queue.get(&position) else {
-                return;
-            };
-            let waited = now.saturating_duration_since(queued.since);
-            let objective = queued.request.objective.saturating_sub(waited);
-            let Some(upstream) = self.choose(&queued.request, objective, now) else {
+            let Some((position, mut upstream)) = granted else {
                 return;
             };
+            if self.promote_soonest(position) {
+                let queued = self.queue.get(&position);
+                let chosen = queued.and_then(|queued| self.choose_for_queued(queued, now));
+                let Some(chosen) = chosen else {
+                    return;
+                };
+                upstream = chosen;
+            }
             let Some(queued) = self.queue.remove(&position) else {
                 return;
             };
@@ -55,11 +52,18 @@
         }
     }
 
+    /// Returns the index of the upstream for a request that has waited.
+    fn choose_for_queued(&self, queued: &Queued, now: Instant) -> Option<usize> {
+        let waited = now.saturating_duration_since(queued.since);
+        let objective = queued.request.objective.saturating_sub(waited);
+        self.choose(&queued.request, objective, now)
+    }
+
     /// Exchanges the request at a position with the one of the same account and priority whose
-    /// deadline comes first, if that may go to as many upstreams.
-    fn promote_soonest(&mut self, position: Position) {
+    /// deadline comes first, if that may go to as many upstreams. Returns whether there is such a one.
+    fn promote_soonest(&mut self, position: Position) -> bool {
         let Some(first) = self.queue.get(&position) else {
-            return;
+            return false;
         };
         let is_alike = |other: &Position, queued: &Queued| {
             other.priority == position.priority
@@ -71,7 +75,7 @@
         let alike = alike.filter(|(other, queued)| is_alike(other, queued));
         let soonest = alike.min_by_key(|(other, queued)| (queued.deadline(), **other));
         let Some((soonest, _)) = soonest.filter(|(other, _)| **other != position) else {
-            return;
+            return false;
         };
         let soonest = *soonest;
         if let (Some(first), Some(second)) =
@@ -82,6 +86,7 @@
             self.queue.insert(soonest, first);
             self.queue.insert(position, second);
         }
+        true
     }
 
     /// Refuses queued requests that are not expected to be granted while they may be held, so that
