--- a/gooseberrylb/tests/platform/copies.rs
+++ b/gooseberrylb/tests/platform/copies.rs
@@ -1,5 +1,7 @@
 //! One of several upstreams takes long for some requests.
 
+use std::thread;
+
 use crate::fleet::{Fleet, KEY};
 use crate::standin::STALLING;
 
@@ -9,6 +11,10 @@
 /// Number of slow requests that have to be copied.
 const COPIED: usize = 5;
 
+/// Number of callers at the same time, one for each upstream of the service. A single one is always sent
+/// to the upstream that was measured as the fastest, which need not be the stalling one.
+const CALLERS: usize = 8;
+
 impl Fleet {
     /// Returns the number of requests with a target that upstreams have received.
     fn arrivals_with(&self, target: &str) -> usize {
@@ -16,6 +22,19 @@
         received.iter().filter(|r| r.contains(target)).count()
     }
 
+    /// Sends a request of each caller, all of which have to be served. Returns their number.
+    fn call_together(&self, target: &str) -> usize {
+        thread::scope(|scope| {
+            for _ in 0..CALLERS {
+                scope.spawn(|| {
+                    let answer = self.call(target, KEY);
+                    assert!(answer.starts_with("HTTP/1.1 201"), "{answer}");
+                });
+            }
+        });
+        CALLERS
+    }
+
     /// Sends requests until the stalling upstream has served enough to be known.
     fn learn(&self) {
         let mut number = 0;
@@ -38,9 +57,7 @@
     fleet.learn();
     let (mut calls, before) = (0, fleet.requests_to(STALLING));
     fleet.wait(|fleet| {
-        calls += 1;
-        let answer = fleet.call("/lookup/stalls", KEY);
-        assert!(answer.starts_with("HTTP/1.1 201"), "{answer}");
+        calls += fleet.call_together("/lookup/stalls");
         fleet.arrivals_with("/lookup/stalls") >= calls + COPIED
     });
     assert!(fleet.requests_to(STALLING) > before);
@@ -55,8 +72,7 @@
     let before = fleet.requests_to(STALLING);
     let mut calls = 0;
     fleet.wait(|fleet| {
-        calls += 1;
-        fleet.call("/lookup/stalls", KEY);
+        calls += fleet.call_together("/lookup/stalls");
         fleet.requests_to(STALLING) > before
     });
     assert_eq!(fleet.arrivals_with("/lookup/stalls"), calls);
