Log what makes changes late: the control thread, the list, confirmations and removals

Cause: logs and metrics could not tell whether a late change was held up by the leader's thread, by the platform's list or on its way to the entries. Change: control_lag_seconds and list_read_seconds; lines for a late thread, a late list, an accepted change of the list, a removed instance and a lapsed lease; confirmed_ms at each request. No change of behaviour.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -29,7 +29,7 @@
 pub mod dispatch;
 pub mod evacuation;
 mod feed;
-mod follow;
+pub mod follow;
 pub mod homes;
 mod lead;
 mod links;
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -30,9 +30,14 @@
 /// Runs the leader's tasks while this instance leads.
 pub async fn run(core: Rc<Core>) {
     let mut recorded = Term(0);
+    let mut leads = false;
     loop {
         task::sleep(INTERVAL).await;
-        if !core.is_leading() {
+        let led = std::mem::replace(&mut leads, core.is_leading());
+        if led && !leads && core.leader_since.get().is_some() {
+            log::warn!("the leader's lease has lapsed; it asks the other voters");
+        }
+        if !leads {
             core.move_coordinator.end_term();
             continue;
         }
@@ -189,6 +194,11 @@
             continue;
         }
         let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
+        let has_reported = core.followers.borrow().get(&name).is_some();
+        log::info!(
+            instance:% = name, silent_ms = (now - last_contact).as_millis() as u64, has_reported = has_reported;
+            "removing an instance that has not reported"
+        );
         let cause = format!("not heard of for {} ms", (now - last_contact).as_millis()).into();
         let at = core.clock.wall();
         commands.push(Command::Leave {
--- a/gooseberrylb/src/control/list.rs
+++ b/gooseberrylb/src/control/list.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
 use async_std::net::TcpStream;
@@ -20,6 +20,7 @@
 use super::core::Core;
 use super::{evacuation, lead};
 use crate::gateway::http::Connection;
+use crate::metrics::METRICS;
 
 /// Interval between two reads of the list. Removed upstreams must be noticed within seconds.
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -33,6 +34,9 @@
 /// Maximum size of a page, in bytes.
 const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time between two complete reads of the list from which on the later one is logged.
+const REPORTED_AGE: Duration = Duration::from_millis(1500);
+
 /// Maximum number of unusable entries logged per page.
 const MAX_LOGGED_ENTRIES: usize = 3;
 
@@ -47,13 +51,18 @@
         return;
     };
     let mut readable = true;
+    let mut last_read: Option<Instant> = None;
     loop {
         if !core.is_leading() {
+            last_read = None;
             task::sleep(RETRY_PAUSE).await;
             continue;
         }
+        let began = core.clock.now();
         let pause = match read(&core, deployment.feed).await {
             Ok((list, cold)) => {
+                let now = core.clock.now();
+                log_read(began, last_read.replace(now), now);
                 if !std::mem::replace(&mut readable, true) {
                     log::info!("reading the list of upstreams works again");
                 }
@@ -74,6 +83,19 @@
     }
 }
 
+/// Records how long a read took, and logs one that comes long after the one before.
+fn log_read(began: Instant, previous: Option<Instant>, now: Instant) {
+    let took = now.saturating_duration_since(began);
+    METRICS.list_read.observe(took.as_secs_f64());
+    let age = previous.map(|previous| now.saturating_duration_since(previous));
+    if let Some(age) = age.filter(|age| *age >= REPORTED_AGE) {
+        log::warn!(
+            age_ms = age.as_millis() as u64, read_ms = took.as_millis() as u64;
+            "the list of upstreams was read late"
+        );
+    }
+}
+
 async fn read(core: &Core, address: SocketAddr) -> anyhow::Result<(List, ColdList)> {
     let mut list = List::new();
     let mut cold = ColdList::new();
@@ -178,7 +200,18 @@
         evacuations: Vec::new(),
         at,
     };
-    if let Err(error) = lead::propose(core, &command).await {
-        log::warn!(error:% = error; "change of the list of upstreams was not accepted");
+    let proposed = core.clock.now();
+    let result = lead::propose(core, &command).await;
+    let took = core.clock.now().saturating_duration_since(proposed);
+    match result {
+        Ok(_) => {
+            log::info!(
+                revision = core.feed.borrow().directory().revision.0, ms = took.as_millis() as u64;
+                "change of the list of upstreams was accepted"
+            );
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "change of the list of upstreams was not accepted");
+        }
     }
 }
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -23,10 +23,14 @@
     Answer, Failure, Question, Request, Start, dispatch, follow, lead, list, peers, query, rollout,
 };
 use crate::gateway;
+use crate::metrics::METRICS;
 
 /// Interval between two ticks of the consensus node.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Lateness of a tick from which on it is logged: a follower waits little longer for an answer.
+const REPORTED_LAG: Duration = Duration::from_millis(250);
+
 /// Time for which a query or command is retried before it fails with [`Failure::Unreachable`].
 const CALL_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -117,7 +121,13 @@
 async fn run_ticks(core: Rc<Core>) {
     loop {
         core.step(Input::Tick);
+        let due = core.clock.now() + TICK;
         task::sleep(TICK).await;
+        let lag = core.clock.now().saturating_duration_since(due);
+        METRICS.control_lag.observe(lag.as_secs_f64());
+        if lag >= REPORTED_LAG {
+            log::warn!(late_ms = lag.as_millis() as u64; "the control thread is late");
+        }
     }
 }
 
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -26,7 +26,7 @@
 use gooseberrylb_policy::retry::Budget;
 use rand::Rng;
 
-use crate::control::{Core, Handle};
+use crate::control::{Core, Handle, follow};
 use crate::guard;
 use crate::metrics::METRICS;
 use caller::Origin;
@@ -147,6 +147,13 @@
         self.core.published().is_fresh(self.core.clock.now())
     }
 
+    /// Returns the time since the leader confirmed that the configuration was the latest.
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        let left = self.core.published().fresh_until?;
+        let left = left.saturating_duration_since(now);
+        Some(follow::LEASE_DURATION.saturating_sub(left))
+    }
+
     /// Waits until the configuration is fresh and has a declaration, but no longer than `limit`.
     pub async fn wait_until_fresh(self: &Rc<Self>, limit: Duration) {
         if self.is_fresh() && self.table().is_some() {
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -218,6 +218,7 @@
         last_upstream: None,
         placement_wait: Duration::ZERO,
         alone: false,
+        confirmed: None,
     };
     // The entry that took a delegated request from its caller has counted it.
     if ticket.is_none() {
@@ -286,6 +287,7 @@
     };
     let ms = |time: Duration| time.as_millis().to_string();
     let patience = forwarder.metadata.patience.map(ms);
+    let confirmed = forwarder.confirmed.map(ms);
     let first = stream.and_then(|stream| stream.first);
     let first = first.map(|first| ms(first.saturating_duration_since(forwarder.arrived)));
     let gap = stream.map(|stream| ms(stream.longest_gap));
@@ -301,6 +303,7 @@
         attempts = forwarder.attempts, rank:% = forwarder.rank(), objective_ms = forwarder.route.objective.as_millis() as u64, revision = forwarder.gateway.core.published().directory.revision.0,
         patience_ms = patience.as_deref().unwrap_or("-"),
         waited_ms = forwarder.placement_wait.as_millis() as u64, alone = forwarder.alone,
+        confirmed_ms = confirmed.as_deref().unwrap_or("-"),
         first_ms = first.as_deref().unwrap_or("-"), gap_ms = gap.as_deref().unwrap_or("-"),
         framing = framing.as_deref().unwrap_or("-"), partial_bytes = stream.map_or(0, |stream| stream.partial_bytes),
         parts = forwarder.parts(), content:% = forwarder.content, ms = elapsed.as_millis() as u64, outcome = outcome;
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -63,6 +63,8 @@
     pub placement_wait: Duration,
     /// Whether the entry made the latest placement alone, without the dispatcher.
     pub alone: bool,
+    /// Age of the configuration's confirmation by the leader when the request was last sent on.
+    pub confirmed: Option<Duration>,
     /// Whether the account has been charged.
     pub charged: bool,
     /// Whether another entry has delegated the request.
--- a/gooseberrylb/src/gateway/forward/copy.rs
+++ b/gooseberrylb/src/gateway/forward/copy.rs
@@ -86,6 +86,7 @@
             last_upstream: None,
             placement_wait: self.placement_wait,
             alone: false,
+            confirmed: None,
             charged: true,
             delegated: self.delegated,
             delegate: None,
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -74,6 +74,10 @@
     pub evacuations: IntGauge,
     /// Requests that this instance's dispatcher granted to cold upstreams.
     pub cold_grants: IntCounter,
+    /// Time by which timers of the control thread fire late, in seconds.
+    pub control_lag: Histogram,
+    /// Time that a read of the platform's list of upstreams takes, in seconds.
+    pub list_read: Histogram,
     /// Gateway requests, by response status or other outcome.
     pub gateway_requests: IntCounterVec,
     /// Time from the head of a gateway request to its end, in seconds.
@@ -267,6 +271,16 @@
                 "cold_grants_total",
                 "Requests granted to upstreams that were cold.",
             ),
+            control_lag: histogram(
+                &r,
+                "control_lag_seconds",
+                "Time by which timers of the control thread fire late.",
+            ),
+            list_read: histogram(
+                &r,
+                "list_read_seconds",
+                "Time that a read of the list of upstreams takes.",
+            ),
             gateway_requests: counters(
                 &r,
                 "gateway_requests_total",
