Keep the reports that a leader has when its lease lapses for a moment

What callers saw: entries that ran and reported were removed from the configuration, all at once, and with them their addresses; a leader removed itself from the voters. Cause: a leader without its lease took itself for a relay in its own report and handed all reports that it had to its parent, which is itself. All instances then counted as silent since the election. Besides, time in which the leader heard nobody counted as their silence. Change: a leader is one by its role in its own report, and silence counts only while it listens (control/listening.rs), for instances, voters and schedulers. Measured: leader_whose_lease_lapses_for_a_moment_does_not_forget_who_has_reported failed on the code before and passes; the tests of control pass.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -34,6 +34,7 @@
 mod lead;
 mod links;
 mod list;
+mod listening;
 mod moves;
 mod peers;
 mod query;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -32,6 +32,7 @@
 use super::feed::Feed;
 use super::follow::Followers;
 use super::links::Links;
+use super::listening::Listening;
 use super::moves::{self, Coordinator};
 use super::peers::Accepted;
 use super::query::{Answer, Question};
@@ -114,6 +115,8 @@
     tables: table::Cache,
     /// Plan of the fleet's shards and the revision that it was made for.
     plan: RefCell<(Revision, Rc<Plan>)>,
+    /// Since when this instance has listened to its followers, while it leads.
+    pub listening: Listening,
     /// When this instance became leader, while it is one.
     pub leader_since: Cell<Option<Instant>>,
     /// Consensus node, if this instance has a disk.
@@ -181,6 +184,7 @@
             dialect: parts.dialect,
             tables: table::Cache::default(),
             plan: RefCell::default(),
+            listening: Listening::default(),
             leader_since: Cell::new(None),
             node,
             jobs,
@@ -404,6 +408,7 @@
         METRICS.term.set(i64::try_from(term.0).unwrap_or(i64::MAX));
         if leads != self.leader_since.get().is_some() {
             self.followers.borrow_mut().clear();
+            self.listening.reset();
             self.leader_since.set(leads.then(|| self.clock.now()));
             self.publish_state();
         }
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -412,10 +412,10 @@
 fn own_report(core: &Core) -> Report {
     let mut instance = core.identity.instance.clone();
     instance.leaving = core.shared.leaving.load(Ordering::SeqCst);
-    let children = if core.is_leading() {
-        Vec::new()
-    } else {
-        core.followers.borrow_mut().take_reports()
+    // A leader whose lease has lapsed for a moment is still the one that its followers report to.
+    let children = match core.leader_since.get() {
+        Some(_) => Vec::new(),
+        None => core.followers.borrow_mut().take_reports(),
     };
     Report {
         name: core.identity.name.clone(),
@@ -515,3 +515,6 @@
         self.named = known.get(self.next_peer).copied();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -190,7 +190,8 @@
             .borrow()
             .get(&name)
             .map_or(since, |f| f.last_contact);
-        if name == core.identity.name || now < last_contact + INSTANCE_TIMEOUT {
+        let silent_since = core.listening.silent_since(last_contact);
+        if name == core.identity.name || now < silent_since + INSTANCE_TIMEOUT {
             continue;
         }
         let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
@@ -257,10 +258,10 @@
 /// others dead. Before that, a healthy scheduler that had no time to report would be replaced.
 fn knows_live_instances(core: &Core) -> bool {
     let now = core.clock.now();
-    let waited = core
-        .leader_since
-        .get()
-        .is_some_and(|since| now >= since + INSTANCE_TIMEOUT);
+    let waited = core.leader_since.get().is_some_and(|since| {
+        let since = core.listening.silent_since(since);
+        now >= since + INSTANCE_TIMEOUT
+    });
     waited || have_all_reported(core)
 }
 
@@ -286,9 +287,10 @@
     let known = directory.instances.iter();
     known
         .filter_map(|(name, instance)| {
-            let follower = followers
-                .get(name)
-                .filter(|f| now < f.last_contact + INSTANCE_TIMEOUT)?;
+            let follower = followers.get(name).filter(|follower| {
+                let silent_since = core.listening.silent_since(follower.last_contact);
+                now < silent_since + INSTANCE_TIMEOUT
+            })?;
             let holds = follower
                 .report
                 .holds
--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -66,7 +66,9 @@
         for (name, folder) in voters {
             let silent = Disk {
                 folder: *folder,
-                liveness: Liveness::Silent { since },
+                liveness: Liveness::Silent {
+                    since: core.listening.silent_since(since),
+                },
             };
             disks.entry(name.clone()).or_insert(silent);
         }
@@ -75,13 +77,14 @@
 }
 
 fn liveness(core: &Core, follower: &Follower) -> Liveness {
-    if core.clock.now() < follower.last_contact + INSTANCE_TIMEOUT {
+    let silent_since = core.listening.silent_since(follower.last_contact);
+    if core.clock.now() < silent_since + INSTANCE_TIMEOUT {
         Liveness::Alive {
             since: follower.alive_since,
         }
     } else {
         Liveness::Silent {
-            since: follower.last_contact,
+            since: silent_since,
         }
     }
 }
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -121,6 +121,9 @@
 async fn run_ticks(core: Rc<Core>) {
     loop {
         core.step(Input::Tick);
+        if core.is_leading() {
+            core.listening.observe(core.clock.now());
+        }
         let due = core.clock.now() + TICK;
         task::sleep(TICK).await;
         let lag = core.clock.now().saturating_duration_since(due);
