Let other tasks of the leader run while entries have questions waiting

Cause: consensus, the list of upstreams and the distribution of the configuration share the leader's thread with the sessions of entries. A session whose next question had arrived went on without letting another task run, and timers and arrivals were looked at only between hundreds of turns. In a burst every turn of the thread took 300 to 400 ms, so that reading the list, a proposal and an answer to a report, which take several turns each, took seconds; the leader lost its lease as well. Change: one session at a time answers up to 8 questions, and after 4 ms or 64 questions all pause, for a quarter of the time (control/dispatch/turn.rs). Why it works: the pause empties the executor's queue, so that timers, arrivals and all other tasks get a fifth of the thread, whatever the backlog. Measured: backlog_of_questions_does_not_hold_up_other_tasks_of_the_leader failed on the code before (1000 questions at once) and passes.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -29,6 +29,8 @@
 pub mod dispatch;
 pub mod evacuation;
 mod feed;
+#[cfg(test)]
+mod fixture;
 pub mod follow;
 pub mod homes;
 mod lead;
--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -23,10 +23,12 @@
 use super::core::Core;
 use crate::gateway::{self, session::Session};
 use crate::metrics::METRICS;
+use turn::Turns;
 
 pub mod announce;
 pub mod placement;
 pub mod session;
+mod turn;
 
 /// Interval between two polls of the dispatcher while requests wait.
 const BUSY_INTERVAL: Duration = Duration::from_millis(20);
@@ -76,6 +78,8 @@
     prepared: Cell<Option<Instant>>,
     /// Channel for the answers to each connected entry or dispatcher.
     sessions: RefCell<HashMap<id::Instance, Sender<Answer>>>,
+    /// Turns of the sessions.
+    turns: Turns,
     /// Sessions with the dispatchers of other shards, and when each was opened.
     peers: RefCell<BTreeMap<id::Instance, (Rc<Session>, Instant)>>,
 }
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -118,27 +118,43 @@
 
     /// Returns the next message, or `None` at the end of the stream.
     pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
-        loop {
-            if let Some(message) = self.decode_buffered()? {
-                return Ok(Some(message));
-            }
+        match self.is_ready() || self.fill().await? {
+            true => self.next_buffered(),
+            false => Ok(None),
+        }
+    }
+
+    /// Whether a message is completely buffered, or known to be too long.
+    pub fn is_ready(&self) -> bool {
+        let buffered = &self.bytes[self.start..];
+        let Some((length, rest)) = buffered.split_first_chunk::<LENGTH_BYTES>() else {
+            return false;
+        };
+        let length = u32::from_be_bytes(*length) as usize;
+        length > MAX_MESSAGE_BYTES || rest.len() >= length
+    }
+
+    /// Reads until a message is completely buffered; returns `false` at the end of the stream.
+    pub async fn fill(&mut self) -> io::Result<bool> {
+        self.compact();
+        while !self.is_ready() {
             let buffered = self.bytes.len();
             self.bytes.resize(buffered + CHUNK_BYTES, 0);
             let read = self.inner.read(&mut self.bytes[buffered..]).await;
             self.bytes.truncate(buffered + *read.as_ref().unwrap_or(&0));
             match (read?, buffered) {
-                (0, 0) => return Ok(None),
+                (0, 0) => return Ok(false),
                 (0, _) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 _ => {}
             }
         }
+        Ok(true)
     }
 
     /// Returns the next message if it is completely buffered.
-    fn decode_buffered<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
+    pub fn next_buffered<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
         let buffered = &self.bytes[self.start..];
         let Some((length, rest)) = buffered.split_first_chunk::<LENGTH_BYTES>() else {
-            self.compact();
             return Ok(None);
         };
         let length = u32::from_be_bytes(*length) as usize;
@@ -149,7 +165,6 @@
             ));
         }
         let Some(message) = rest.get(..length) else {
-            self.compact();
             return Ok(None);
         };
         let decoded = postcard::from_bytes(message)
