End the lease of an instance before a change that it misses must be in force

What callers saw (CONFIG): a route that had been added and confirmed more than 2.5 s before was answered with 404; also DRAIN, since the list of upstreams is part of the configuration. Cause: an instance acts on its configuration for the duration of its lease after the leader's last confirmation. That was 3 s, where changes are promised to be in force in 2 or 2.5 s, so the lease protected nothing: an entry that the leader does not answer in time was allowed to be out of date for longer than promised. Why it works: a change is confirmed after its acceptance, and no lease that began before that lasts for longer than the limit. A follower caps the lease of an older leader. Without the settings nothing changes.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -31,9 +31,10 @@
 mod feed;
 #[cfg(test)]
 mod fixture;
-pub mod follow;
+mod follow;
 pub mod homes;
 mod lead;
+mod lease;
 mod links;
 mod list;
 mod listening;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -37,7 +37,7 @@
 use super::peers::Accepted;
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
-use super::{Failure, Identity, Shared, relay};
+use super::{Failure, Identity, Shared, lease, relay};
 use crate::gateway::table;
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
@@ -207,6 +207,12 @@
         }
     }
 
+    /// Returns the time for which an instance may act on its configuration after the leader confirmed
+    /// that it is the latest.
+    pub fn lease_duration(&self) -> Duration {
+        lease::duration(self.settings.deployment.as_ref())
+    }
+
     /// Returns the decoded and indexed declaration of a configuration, on a platform.
     pub fn table(&self, directory: &Directory) -> Option<Rc<Table>> {
         self.tables.read(directory, self.dialect.as_deref()?)
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -22,13 +22,10 @@
 use gooseberrylb_wire::message::{CatchUp, Report, Update};
 
 use super::core::{Core, Source};
+use super::lease;
 use super::relay::{self, relay};
 use crate::metrics::METRICS;
 
-/// Time for which an instance may act on its configuration after the leader confirmed that it is
-/// the latest.
-pub const LEASE_DURATION: Duration = Duration::from_secs(3);
-
 /// Maximum time for which an answer without changes is held back.
 const MAX_HOLD: Duration = Duration::from_millis(500);
 
@@ -76,11 +73,11 @@
         for child in std::mem::take(&mut report.children) {
             self.record(child, now);
         }
-        let lease_until = now + LEASE_DURATION;
+        let lease_until = now + lease::MAX_DURATION;
         let known = self
             .0
             .get(&report.name)
-            .filter(|known| now < known.last_contact + LEASE_DURATION);
+            .filter(|known| now < known.last_contact + lease::MAX_DURATION);
         let alive_since = known.map_or(now, |known| known.alive_since);
         let follower = Follower {
             alive_since,
@@ -188,7 +185,7 @@
         cluster,
         leader: core.identity.name.clone(),
         term: core.status().map_or(Term(0), |status| status.term),
-        lease: LEASE_DURATION,
+        lease: core.lease_duration(),
         news: core.feed.borrow().catch_up(held_revision),
         moves: core.feed.borrow().moves_unless(moves),
         loads: reported_loads(core),
@@ -298,6 +295,7 @@
                     cluster,
                     loads: loads.into_iter().collect(),
                 };
+                let lease = lease.min(core.lease_duration());
                 let fresh = apply_update(&core, source, news, started + lease);
                 if !fresh {
                     task::sleep(RETRY_PAUSE).await;
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -15,13 +15,14 @@
 
 use super::Failure;
 use super::core::Core;
-use super::follow::{Follower, LEASE_DURATION};
+use super::follow::Follower;
+use super::lease;
 
 /// Interval between two rounds of the leader's tasks.
 const INTERVAL: Duration = Duration::from_millis(150);
 
 /// Time without a report after which an instance counts as dead. It is longer than
-/// [`LEASE_DURATION`], so that the lease of a dead instance has expired.
+/// [`lease::MAX_DURATION`], so that the lease of a dead instance has expired.
 pub const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Maximum number of proposals that wait to be accepted at the same time.
@@ -317,7 +318,7 @@
     };
     let followers = core.followers.borrow();
     // Instances that have not reported to this leader may hold a lease of its predecessor.
-    if now < since + LEASE_DURATION && !have_all_reported(core) {
+    if now < since + lease::MAX_DURATION && !have_all_reported(core) {
         return false;
     }
     followers.iter().all(|(_, follower)| {
@@ -339,7 +340,7 @@
 fn lease_has_expired(core: &Core, follower: &Follower, now: Instant) -> bool {
     let uses_relays = core.feed.borrow().directory().instances.len() > core.max_direct_followers();
     let relay_margin = if uses_relays {
-        LEASE_DURATION
+        lease::MAX_DURATION
     } else {
         Duration::ZERO
     };
--- a/gooseberrylb/src/control/moves.rs
+++ b/gooseberrylb/src/control/moves.rs
@@ -19,7 +19,7 @@
 
 use super::Failure;
 use super::core::Core;
-use super::follow::LEASE_DURATION;
+use super::lease;
 use crate::metrics::METRICS;
 use crate::upstream::order;
 
@@ -73,7 +73,10 @@
     fn start_term(&self, term: Term, since: Instant) {
         let mut tracker = self.tracker.borrow_mut();
         if tracker.as_ref().is_none_or(|(current, _)| *current != term) {
-            *tracker = Some((term, Tracker::new(Fencing(term.0), since + LEASE_DURATION)));
+            *tracker = Some((
+                term,
+                Tracker::new(Fencing(term.0), since + lease::MAX_DURATION),
+            ));
         }
     }
 }
--- a/gooseberrylb/src/control/rollout.rs
+++ b/gooseberrylb/src/control/rollout.rs
@@ -9,7 +9,7 @@
 use gooseberrylb_policy::rollout;
 
 use super::core::Core;
-use super::{follow, lead};
+use super::{lead, lease};
 
 /// Interval between two checks of the rollouts. It does not delay the protection against a bad
 /// release, which the dispatcher already sends no requests by then.
@@ -37,7 +37,7 @@
     let (now, wall) = (core.clock.now(), core.clock.wall());
     open.filter_map(|(service, rollout)| {
         let observation = core.dispatch.rollout_observation(core, service, now)?;
-        rollout::decide(service, rollout, &observation, follow::LEASE_DURATION, wall)
+        rollout::decide(service, rollout, &observation, lease::MAX_DURATION, wall)
     })
     .collect()
 }
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -26,7 +26,7 @@
 use gooseberrylb_policy::retry::Budget;
 use rand::Rng;
 
-use crate::control::{Core, Handle, follow};
+use crate::control::{Core, Handle};
 use crate::guard;
 use crate::metrics::METRICS;
 use caller::Origin;
@@ -151,7 +151,7 @@
     pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
         let left = self.core.published().fresh_until?;
         let left = left.saturating_duration_since(now);
-        Some(follow::LEASE_DURATION.saturating_sub(left))
+        Some(self.core.lease_duration().saturating_sub(left))
     }
 
     /// Waits until the configuration is fresh and has a declaration, but no longer than `limit`.
--- a/gooseberrylb/tests/platform/declarations.rs
+++ b/gooseberrylb/tests/platform/declarations.rs
@@ -1,5 +1,7 @@
 //! Declarations, as operators submit and read them back.
 
+use std::time::{Duration, Instant};
+
 use crate::fleet::{ENTRY, Fleet, KEY, OPERATORS, declaration, extra_route};
 
 #[test]
@@ -51,3 +53,22 @@
     let other = fleet.call("/plain/x", "Authorization: Token key-2\r\n");
     assert!(other.starts_with("HTTP/1.1 201"), "{other}");
 }
+
+#[test]
+fn entry_without_a_leader_serves_no_longer_than_a_change_may_take() {
+    let limit = Duration::from_millis(1_500);
+    let fleet = Fleet::start_with_change_limit(35, limit);
+    fleet.wait(|fleet| fleet.status("/plain/x") == "201");
+    (1..ENTRY).for_each(|host| fleet.signal(host, "-STOP"));
+    // A change that another leader accepts from now on does not reach the entry.
+    let stopped = Instant::now();
+    let (mut served, mut refused) = (Duration::ZERO, false);
+    while stopped.elapsed() < limit * 3 {
+        let sent = stopped.elapsed();
+        match fleet.status("/plain/x").as_str() {
+            "201" => served = sent,
+            _ => refused = true,
+        }
+    }
+    assert!(refused && served < limit, "{served:?}\n{}", fleet.output());
+}
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -101,8 +101,8 @@
     cut_off: CutOff,
     /// Grace period of planned stops, in seconds.
     grace_s: u64,
-    /// Share of the requests of which a second copy may be sent.
-    copy_share: f64,
+    /// Further settings of the deployment, each with a comma before it.
+    deployment: String,
     _listeners: Vec<TcpListener>,
 }
 
@@ -121,7 +121,7 @@
     host: u8,
     folder: &Path,
     grace_s: u64,
-    copy_share: f64,
+    deployment: &str,
 ) -> String {
     let at = |port| network.address(host, port);
     let seeds = (1..=3).map(|host| format!("\"{}\"", network.address(host, CONTROL)));
@@ -140,7 +140,7 @@
             "cluster_key_file": "../key", "operator_token_file": "../key",
             "deployment": {{ "seeds": [{}], "first_start": true, {role} "feed": "{}",
                 "grace_s": {grace_s}, "retry_share": 0.2, "retry_slack": 50, "retry_window_s": 10,
-                "quota_window_s": 8, "copy_share": {copy_share:?} }} }}"#,
+                "quota_window_s": 8 {deployment} }} }}"#,
         at(0).ip(),
         at(CALLERS),
         at(OPERATORS),
@@ -158,15 +158,21 @@
 
     /// Like [`Fleet::start`], with a grace period for planned stops in seconds.
     pub fn start_with_grace(number: u8, grace_s: u64) -> Self {
-        Self::start_with(number, grace_s, 0.0)
+        Self::start_with(number, grace_s, String::new())
     }
 
     /// Like [`Fleet::start`], with a share of requests of which a second copy may be sent.
     pub fn start_with_copies(number: u8, copy_share: f64) -> Self {
-        Self::start_with(number, 20, copy_share)
+        Self::start_with(number, 20, format!(r#", "copy_share": {copy_share:?}"#))
     }
 
-    fn start_with(number: u8, grace_s: u64, copy_share: f64) -> Self {
+    /// Like [`Fleet::start`], with a time in which a change must be in force.
+    pub fn start_with_change_limit(number: u8, limit: Duration) -> Self {
+        let limit = limit.as_millis();
+        Self::start_with(number, 20, format!(r#", "change_limit_ms": {limit}"#))
+    }
+
+    fn start_with(number: u8, grace_s: u64, deployment: String) -> Self {
         let network = Network::new(number);
         let received = RequestLog::default();
         let log = received.clone();
@@ -203,7 +209,7 @@
             releases,
             cut_off,
             grace_s,
-            copy_share,
+            deployment,
             _listeners: listeners,
         };
         for host in 1..=ENTRY {
@@ -229,7 +235,7 @@
         let file = folder.join("settings.json");
         std::fs::write(
             &file,
-            settings(self.network, host, &data, self.grace_s, self.copy_share),
+            settings(self.network, host, &data, self.grace_s, &self.deployment),
         )
         .unwrap();
         let output = std::fs::File::create(folder.join("output")).unwrap();
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -124,6 +124,11 @@
     pub retry_window_s: f64,
     /// Length of the window in which the use of quotas is counted, in seconds.
     pub quota_window_s: f64,
+    /// Time in which an accepted change must be in force on all instances, in milliseconds.
+    pub change_limit_ms: Option<u64>,
+    /// Time after which an upstream that the list shows as draining must get no requests, in
+    /// milliseconds.
+    pub drain_limit_ms: Option<u64>,
     /// Maximum share of a service's requests that a release gets during the trial stage of a
     /// rollout.
     pub trial_share: f64,
@@ -193,6 +198,8 @@
     retry_slack,
     retry_window_s,
     quota_window_s,
+    change_limit_ms = None,
+    drain_limit_ms = None,
     trial_share = DEFAULT_TRIAL_SHARE,
     copy_share = 0.0,
     data_centres = Vec::new(),
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -369,7 +369,7 @@
             "seeds": seeds, "first_start": first_start,
             "feed": self.address(FIRST_STAND_IN_HOST, FEED_PORT),
             "grace_s": SHUTDOWN_GRACE_S, "retry_share": 0.2, "retry_slack": 50,
-            "retry_window_s": 10, "quota_window_s": 8,
+            "retry_window_s": 10, "quota_window_s": 8, "change_limit_ms": 2500, "drain_limit_ms": 4000,
         });
         match is_keeper {
             true => {
