Resume streams with streams only, and deliver large errors as they came

What callers can see: the text of an error in the middle of a stream that broke off, or a response that begins as an error and goes on with the events of another upstream. Cause: a response of over 256 KiB is relayed while it arrives, whatever its status, and where a stream is resumed, or may be, any such response was taken for a stream. Errors that are read in full were never affected. Framing was changed as well: a large error of a streaming route lost its length, and counted as truncated where no event ended. Change: only a response with status 200 of a streaming route is a stream, for its framing, its resumption and what resumes it.

--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -275,10 +275,7 @@
             && !self.delegated
             && let Some(result) = self.delegate(Some(last_event)).await
         {
-            return match result {
-                Ok(Delivery::Streamed(exchange)) => Some(exchange),
-                Ok(Delivery::Buffered(..) | Delivery::Fault(_)) | Err(_) => None,
-            };
+            return self.resumed(result);
         }
         let Placement::Granted(grant) = self.place().await else {
             return None;
@@ -286,8 +283,22 @@
         let upstream = grant.upstream.clone();
         let result = self.attempt(grant, Some(last_event)).await;
         self.last_upstream = Some(upstream);
+        self.resumed(result)
+    }
+
+    /// Returns the exchange that goes on with a stream, if the attempt to resume it brought one.
+    fn resumed(&self, result: std::result::Result<Delivery, Failure>) -> Option<Box<Exchange>> {
         match result {
-            Ok(Delivery::Streamed(exchange)) => Some(exchange),
+            Ok(Delivery::Streamed(exchange)) if self.is_event_stream(&exchange.response) => {
+                Some(exchange)
+            }
+            Ok(Delivery::Streamed(exchange)) => {
+                log::info!(
+                    id = self.id(), upstream:% = exchange.lease, status = exchange.response.status;
+                    "the stream is not resumed; the next upstream answered with an error"
+                );
+                None
+            }
             Ok(Delivery::Buffered(..) | Delivery::Fault(_)) | Err(_) => None,
         }
     }
--- a/gooseberrylb/src/gateway/forward/attempt.rs
+++ b/gooseberrylb/src/gateway/forward/attempt.rs
@@ -128,7 +128,13 @@
     /// Whether the body of a response is relayed while it arrives.
     pub(in crate::gateway) fn is_streamed(&self, response: &Response) -> bool {
         let is_large = matches!(response.framing, Framing::Length(n) if n > MAX_BUFFERED_BYTES);
-        (self.route.streams && response.status == 200) || is_large
+        self.is_event_stream(response) || is_large
+    }
+
+    /// Whether a response is a stream of events. What an upstream answers instead, such as an error, is
+    /// neither resumed nor a part of a stream.
+    pub(in crate::gateway) fn is_event_stream(&self, response: &Response) -> bool {
+        self.route.streams && response.status == 200
     }
 
     /// Reads and drops the body of a response that is not sent to the caller, so that the
--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 use super::caller::response_head;
 use super::events::Scanner;
 use super::forward::{Exchange, Forwarder, Lease};
-use super::http::{Body, Connection, Framing, Progress};
+use super::http::{Body, Connection, Framing, Progress, Response};
 
 /// How the relay of a response ended. The names of the variants appear in log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,7 +102,7 @@
     caller: &mut Connection,
     closes: bool,
 ) -> Transfer {
-    let framing = caller_framing(forwarder, exchange.response.framing);
+    let framing = caller_framing(forwarder, &exchange.response);
     let ends_at_close = framing == Framing::UntilClose;
     if ends_at_close {
         // Holds for the end of this process as well.
@@ -116,11 +116,11 @@
 }
 
 /// Returns the framing of the response to the caller, given that of the upstream.
-fn caller_framing(forwarder: &Forwarder, upstream: Framing) -> Framing {
+fn caller_framing(forwarder: &Forwarder, response: &Response) -> Framing {
     let chunked = forwarder.request.accepts_chunked;
-    match upstream {
+    match response.framing {
         // A length would have to be kept even if the stream turns out to be truncated.
-        Framing::Length(_) if forwarder.route.streams && chunked => Framing::Chunked,
+        Framing::Length(_) if forwarder.is_event_stream(response) && chunked => Framing::Chunked,
         Framing::Length(length) => Framing::Length(length),
         Framing::Empty => Framing::Empty,
         Framing::Chunked | Framing::UntilClose if chunked => Framing::Chunked,
@@ -140,7 +140,7 @@
     framing: Framing,
     closes: bool,
 ) -> Transfer {
-    let streams = forwarder.route.streams;
+    let streams = forwarder.is_event_stream(&exchange.response);
     let resumable = streams && forwarder.route.retry == Retry::Resume;
     let mut events = Scanner::default();
     let mut out = response_head(&exchange.response, framing, closes);
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -353,7 +353,19 @@
 /// gets only the beginning of the next event.
 fn resumable_response(request: &str, earlier: usize) -> Answer {
     let last = field(request, "last-event-id").map_or(0, |id| id.parse().unwrap());
+    let target = request.split(' ').nth(1).unwrap();
+    let fails = earlier > 0 || target.contains("first-error");
+    if let Some((_, size)) = target.split_once("error-").filter(|_| fails) {
+        let length = match size.starts_with("large") {
+            true => LARGE_ERROR_BYTES,
+            false => ERROR_TEXT.len(),
+        };
+        let body = ERROR_TEXT.repeat(length / ERROR_TEXT.len());
+        let rest = format!("Content-Length: {length}\r\n\r\n{body}");
+        return signed_response(request, "500 Oops", &rest).into();
+    }
     let body = match earlier {
+        0 if target.contains("error-") => "id: 1\ndata: x\n\nid: 2\nda".to_owned(),
         0 => format!("id: {}\nda", last + 1),
         _ => (last + 1..=RESUMABLE_EVENTS)
             .map(|id| format!("id: {id}\ndata: x\n\n"))
@@ -363,6 +375,12 @@
     signed_response(request, "200 OK", &rest).into()
 }
 
+/// Text of the error with which an upstream answers a resumed stream.
+pub const ERROR_TEXT: &str = "oops\n\n";
+
+/// Length of a large error, which is not read in full before it is passed on.
+pub const LARGE_ERROR_BYTES: usize = 600 * 1024;
+
 /// Returns a response with a length or in chunks.
 fn framed_response(request: &str, target: &str) -> String {
     if field(request, "x-gooseberrylb-expect-instance").as_deref() == Some(BAD) {
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::fleet::{Fleet, KEY};
+use crate::standin::{ERROR_TEXT, LARGE_ERROR_BYTES};
 
 /// Time in which the retry budget earns more than one retry.
 const RETRY_REFILL: Duration = Duration::from_secs(1);
@@ -57,6 +58,40 @@
     assert!(looks_complete(&resumed), "{resumed}");
 }
 
+#[test]
+fn error_of_the_next_upstream_is_not_relayed_as_a_part_of_a_stream_that_broke_off() {
+    let fleet = Fleet::start(30);
+    for size in ["small", "large"] {
+        // The retry budget of an entry is empty at its start.
+        let mut attempt = 0;
+        fleet.wait(|fleet| {
+            attempt += 1;
+            let target = format!("/resumable/error-{size}-{attempt}/");
+            let answer = fleet.call(&target, KEY);
+            assert_eq!(event_ids(&answer), [1], "{target}: {answer:.400}");
+            assert!(!answer.contains(ERROR_TEXT), "{target}: {answer:.400}");
+            assert!(!looks_complete(&answer), "{target}: {answer:.400}");
+            let received = fleet.received();
+            let resumed = received.iter().filter(|request| request.contains(&target));
+            resumed.count() == 2
+        });
+    }
+}
+
+#[test]
+fn large_error_of_a_stream_is_delivered_as_it_came_and_not_resumed() {
+    let fleet = Fleet::start(33);
+    for attempt in 0..3 {
+        let answer = fleet.call(&format!("/resumable/first-error-large-{attempt}/"), KEY);
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert!(head.starts_with("HTTP/1.1 500 Oops"), "{head}");
+        assert_eq!(body.len(), LARGE_ERROR_BYTES, "{head}");
+        assert!(body.ends_with(ERROR_TEXT) && event_ids(body).is_empty());
+        // The second request comes once the retry budget allows to resume a stream.
+        thread::sleep(RETRY_REFILL);
+    }
+}
+
 #[test]
 fn caller_without_chunks_sees_a_reset_where_a_stream_is_truncated() {
     let fleet = Fleet::start(8);
