Show that a late copy of a refusal refuses no other request

Other operators saw callers told that a request had not run, since a faulty upstream wrote an earlier refusal once more on a kept connection. That cannot happen here: a response is only taken for the one to this request if it carries its id, or no id on a new connection; others are skipped, twice at most, and then the outcome is unknown (502, or another upstream where that is allowed). An attempt excludes the upstream that has refused it, so that its own refusal cannot come back to it either.

--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -167,6 +167,9 @@
     if target.contains("late-copy") {
         return repeated_response(request, target);
     }
+    if target.contains("late-refusal") {
+        return refusal_response(request, target);
+    }
     if target.ends_with(CRASHING) {
         return Answer {
             text: String::new(),
@@ -209,6 +212,32 @@
     }
 }
 
+/// Refuses a request that asks for it, and serves another one. The refusal arrives once more before the
+/// next response on the connection, and names no request if the target says so.
+fn refusal_response(request: &str, target: &str) -> Answer {
+    if !target.contains("refused") {
+        let rest = format!("Content-Length: {}\r\n\r\n{target}", target.len());
+        let text = signed_response(request, "201 Made", &rest);
+        return Answer {
+            text: text.replace("Connection: close\r\n", ""),
+            end: End::Late(String::new()),
+        };
+    }
+    let id = field(request, "x-gooseberrylb-attempt-id").unwrap_or_default();
+    let refusal = |id: &str| {
+        format!(
+            "HTTP/1.1 503 Full\r\nX-Gooseberrylb-Not-Executed: 1\r\nKeep-Alive: timeout=60\r\n{id}\
+             Content-Length: 0\r\n\r\n"
+        )
+    };
+    let text = refusal(&format!("X-Gooseberrylb-Attempt-Id: {id}\r\n"));
+    let end = match target.contains("unnamed") {
+        true => End::Late(refusal("")),
+        false => End::Late(text.clone()),
+    };
+    Answer { text, end }
+}
+
 /// Returns a response that ends with its connection.
 fn unframed_response(request: &str, target: &str) -> Answer {
     let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
