--- a/gooseberrylb/src/control/dispatch.rs
+++ b/gooseberrylb/src/control/dispatch.rs
@@ -509,7 +509,8 @@
         service: listed.service.clone(),
         release: listed.release.clone(),
         data_centre: listed.data_centre.clone(),
-        slots: listed.slots,
+        // An earlier release may have accepted more.
+        slots: listed.slots.min(directory::MAX_SLOTS),
         limit_part: 1.0,
     });
     match part {
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -485,9 +485,11 @@
     let crowd: String = (0..CROWD)
         .map(|number| format!(r#"{{{crowd},"state":"ready","id":"i-crowd-{number}"}},"#))
         .collect();
+    let nested = format!("{}{}", "[".repeat(1_000), "]".repeat(1_000));
     let body = format!(
         r#"{{"instances":[{others}{pair}{crowd}{{{instance},"state":"ready","id":"i-1"}},
             {{"service":"desk","address":7,"state":"ready","id":"i-2"}},
+            {{"id":"i-4","slots":1e999,"models":{nested}}},
             {{{instance},"state":"resting","id":"i-3"}}],"next":null}}"#
     );
     let length = body.len();
--- a/gooseberrylb_config/src/directory.rs
+++ b/gooseberrylb_config/src/directory.rs
@@ -155,6 +155,10 @@
     }
 }
 
+/// Maximum number of slots of an upstream. A list that names more has a mistake, and sums of slots must not
+/// overflow.
+pub const MAX_SLOTS: u32 = 4_096;
+
 /// Upstream as listed by the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
--- a/gooseberrylb_policy/src/dispatch/share.rs
+++ b/gooseberrylb_policy/src/dispatch/share.rs
@@ -33,6 +33,8 @@
 fn partition(mut upstreams: Vec<Upstream>, index: usize, count: usize) -> Vec<Upstream> {
     upstreams.sort_by(|a, b| a.name.cmp(&b.name));
     let (count, mut first) = (count.max(1), 0);
+    // Number of slots before one that belong to this entry.
+    let own_before = |slot: usize| (slot + count - 1).saturating_sub(index) / count;
     for upstream in &mut upstreams {
         let slots = first..first + upstream.slots as usize;
         first = slots.end;
@@ -40,7 +42,7 @@
             true => ALONE_LIMIT_PART,
             false => 0.0,
         };
-        let own = slots.filter(|slot| slot % count == index).count();
+        let own = own_before(slots.end) - own_before(slots.start);
         upstream.slots = u32::try_from(own).unwrap_or(u32::MAX);
     }
     if upstreams.iter().all(|upstream| upstream.slots == 0) && !upstreams.is_empty() {
--- a/gooseberrylb_policy/tests/dispatch_share.rs
+++ b/gooseberrylb_policy/tests/dispatch_share.rs
@@ -35,3 +35,14 @@
         assert!(own.iter().map(|part| part.slots).sum::<u32>() >= 1);
     }
 }
+
+/// Guards against an entry that counts slots for minutes because an upstream is listed with too many.
+#[test]
+fn any_number_of_slots_is_divided_at_once() {
+    let all = upstreams("agronomo", 3, u32::MAX);
+    for count in [1, 7, 23] {
+        let parts = (0..count).map(|index| share::for_entry(all.clone(), index, count));
+        let slots = parts.flatten().map(|part| u64::from(part.slots));
+        assert_eq!(slots.sum::<u64>(), 3 * u64::from(u32::MAX));
+    }
+}
