--- a/gooseberrylb/tests/platform/reuse.rs
+++ b/gooseberrylb/tests/platform/reuse.rs
@@ -40,7 +40,7 @@
 /// Guards against a caller being told that its request has not run, or another upstream running it too.
 #[test]
 fn late_copy_of_a_refusal_refuses_no_other_request() {
-    let fleet = Fleet::start(26);
+    let fleet = Fleet::start(36);
     for kind in ["named", "unnamed"] {
         let before = counter(&fleet, "upstream_connections_total");
         for number in 0..4 {
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -60,7 +60,7 @@
 
 #[test]
 fn error_of_the_next_upstream_is_not_relayed_as_a_part_of_a_stream_that_broke_off() {
-    let fleet = Fleet::start(30);
+    let fleet = Fleet::start(37);
     for size in ["small", "large"] {
         // The retry budget of an entry is empty at its start.
         let mut attempt = 0;
@@ -80,7 +80,7 @@
 
 #[test]
 fn large_error_of_a_stream_is_delivered_as_it_came_and_not_resumed() {
-    let fleet = Fleet::start(33);
+    let fleet = Fleet::start(38);
     for attempt in 0..3 {
         let answer = fleet.call(&format!("/resumable/first-error-large-{attempt}/"), KEY);
         let (head, body) = answer.split_once("\r\n\r\n").unwrap();
