Read questions, judge silence and keep test connections in one place each

Cause: a last reading of the change found the same things written twice: the length prefix of a message was parsed by two functions, and whether one was buffered was asked before and within each fill; a session logged its failure in two places and answered in a loop within a loop; four places compared silence with the time after which an instance counts as dead. Change: Reader::split_length, a fill that returns at once if a message is buffered, answer_all with one error path, counts_as_dead, and kept_response in the stand-in. No change of what is decided; a session that ends within a turn no longer waits for the pause that is due.

--- a/gooseberrylb/src/control/dispatch/session.rs
+++ b/gooseberrylb/src/control/dispatch/session.rs
@@ -1,5 +1,6 @@
 //! The dispatcher's end of a session with an entry, an instance that takes requests from callers.
 
+use std::io;
 use std::rc::Rc;
 
 use async_channel::Sender;
@@ -28,55 +29,43 @@
     let mut reader = Reader::new(reader);
     let writing = task::spawn_local(write_all(outgoing, writer));
     // The host drops its sender when the session is replaced, and this task has to end then too.
-    loop {
-        // A session without a question must not hold the turn of the others.
-        if !reader.is_ready() && !wait_for_questions(&mut reader, &entry).await {
-            break;
-        }
-        let now = || core.clock.now();
-        let mut turn = core.dispatch.turns.next(now).await;
-        let is_open = loop {
-            let question = match reader.next_buffered() {
-                Ok(Some(question)) => question,
-                Ok(None) => break true,
-                Err(error) => {
-                    log::info!(entry:% = entry, error:% = error; "session with an entry failed");
-                    break false;
-                }
-            };
-            // Questions left on a replaced session have been withdrawn already.
-            if !core.dispatch.is_connected(&entry, &answers) {
-                break false;
-            }
-            if !answer(&core, &entry, &answers, question) {
-                log::warn!(entry:% = entry; "closing the session of an entry that does not read its answers");
-                break false;
-            }
-            if turn.count(now()) {
-                break true;
-            }
-        };
-        turn.end(now()).await;
-        if !is_open {
-            break;
-        }
+    if let Err(error) = answer_all(&core, &entry, &answers, &mut reader).await {
+        log::info!(entry:% = entry, error:% = error; "session with an entry failed");
     }
     core.dispatch.disconnect(&entry, &answers);
     writing.cancel().await;
 }
 
-/// Waits until a question is buffered; returns whether the session goes on.
-async fn wait_for_questions<R>(reader: &mut Reader<R>, entry: &id::Instance) -> bool
+/// Answers questions, a few in each turn, until the session ends.
+async fn answer_all<R>(
+    core: &Rc<Core>,
+    entry: &id::Instance,
+    answers: &Sender<Answer>,
+    reader: &mut Reader<R>,
+) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
 {
-    match reader.fill().await {
-        Ok(is_open) => is_open,
-        Err(error) => {
-            log::info!(entry:% = entry, error:% = error; "session with an entry failed");
-            false
+    let now = || core.clock.now();
+    // A session without a question does not hold the turn of the others.
+    while reader.fill().await? {
+        let mut turn = core.dispatch.turns.next(now).await;
+        while let Some(question) = reader.next_buffered()? {
+            // Questions left on a replaced session have been withdrawn already.
+            if !core.dispatch.is_connected(entry, answers) {
+                return Ok(());
+            }
+            if !answer(core, entry, answers, question) {
+                log::warn!(entry:% = entry; "closing the session of an entry that does not read its answers");
+                return Ok(());
+            }
+            if turn.count(now()) {
+                break;
+            }
         }
+        turn.end(now()).await;
     }
+    Ok(())
 }
 
 /// Answers a question; returns whether the entry reads its answers.
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -23,7 +23,7 @@
 
 /// Time without a report after which an instance counts as dead. It is longer than
 /// [`lease::MAX_DURATION`], so that the lease of a dead instance has expired.
-pub const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3_500);
+const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Maximum number of proposals that wait to be accepted at the same time.
 const MAX_CONCURRENT_PROPOSALS: usize = 64;
@@ -186,19 +186,14 @@
         .collect();
     let mut commands = Vec::new();
     for name in names {
-        let last_contact = core
-            .followers
-            .borrow()
-            .get(&name)
-            .map_or(since, |f| f.last_contact);
-        let silent_since = core.listening.silent_since(last_contact);
-        if name == core.identity.name || now < silent_since + INSTANCE_TIMEOUT {
+        let reported = core.followers.borrow().get(&name).map(|f| f.last_contact);
+        let last_contact = reported.unwrap_or(since);
+        if name == core.identity.name || !counts_as_dead(core, last_contact) {
             continue;
         }
         let incarnation = core.state.borrow().incarnation(&name).unwrap_or_default();
-        let has_reported = core.followers.borrow().get(&name).is_some();
         log::info!(
-            instance:% = name, silent_ms = (now - last_contact).as_millis() as u64, has_reported = has_reported;
+            instance:% = name, silent_ms = (now - last_contact).as_millis() as u64, has_reported = reported.is_some();
             "removing an instance that has not reported"
         );
         let cause = format!("not heard of for {} ms", (now - last_contact).as_millis()).into();
@@ -258,12 +253,8 @@
 /// Whether all instances have reported to this leader, or it has led long enough to consider the
 /// others dead. Before that, a healthy scheduler that had no time to report would be replaced.
 fn knows_live_instances(core: &Core) -> bool {
-    let now = core.clock.now();
-    let waited = core.leader_since.get().is_some_and(|since| {
-        let since = core.listening.silent_since(since);
-        now >= since + INSTANCE_TIMEOUT
-    });
-    waited || have_all_reported(core)
+    let since = core.leader_since.get();
+    since.is_some_and(|since| counts_as_dead(core, since)) || have_all_reported(core)
 }
 
 /// Returns all combinations of a service and a region with instances.
@@ -284,14 +275,11 @@
 /// Returns the live instances that may become scheduler or backup of `cell`.
 fn candidates(core: &Core, directory: &Directory, cell: &Cell) -> Candidates {
     let followers = core.followers.borrow();
-    let now = core.clock.now();
     let known = directory.instances.iter();
     known
         .filter_map(|(name, instance)| {
-            let follower = followers.get(name).filter(|follower| {
-                let silent_since = core.listening.silent_since(follower.last_contact);
-                now < silent_since + INSTANCE_TIMEOUT
-            })?;
+            let follower = followers.get(name);
+            let follower = follower.filter(|f| !counts_as_dead(core, f.last_contact))?;
             let holds = follower
                 .report
                 .holds
@@ -310,6 +298,12 @@
         .collect()
 }
 
+/// Whether an instance that was last heard of at a time, or never since the election at that time, counts as
+/// dead now.
+pub fn counts_as_dead(core: &Core, last_contact: Instant) -> bool {
+    core.clock.now() >= core.listening.silent_since(last_contact) + INSTANCE_TIMEOUT
+}
+
 /// Whether every instance that may still act on its configuration has at least `revision`.
 pub fn is_in_force(core: &Core, revision: Revision) -> bool {
     let now = core.clock.now();
--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -10,7 +10,7 @@
 
 use super::core::Core;
 use super::follow::Follower;
-use super::lead::INSTANCE_TIMEOUT;
+use super::lead;
 
 /// Proposes the next membership change, if one is due.
 pub async fn step(core: &Rc<Core>) {
@@ -77,14 +77,12 @@
 }
 
 fn liveness(core: &Core, follower: &Follower) -> Liveness {
-    let silent_since = core.listening.silent_since(follower.last_contact);
-    if core.clock.now() < silent_since + INSTANCE_TIMEOUT {
-        Liveness::Alive {
+    match lead::counts_as_dead(core, follower.last_contact) {
+        false => Liveness::Alive {
             since: follower.alive_since,
-        }
-    } else {
-        Liveness::Silent {
-            since: silent_since,
-        }
+        },
+        true => Liveness::Silent {
+            since: core.listening.silent_since(follower.last_contact),
+        },
     }
 }
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -133,6 +133,11 @@
     )
 }
 
+/// Like [`signed_response`], on a connection that stays open.
+fn kept_response(request: &str, status: &str, rest: &str) -> String {
+    signed_response(request, status, rest).replace("Connection: close\r\n", "")
+}
+
 /// Returns the response of the upstream stand-in, which depends on words in the request's target.
 /// `earlier` is the number of requests with this target before this one.
 pub fn upstream_response(request: &str, earlier: usize) -> Answer {
@@ -196,7 +201,7 @@
 fn repeated_response(request: &str, target: &str) -> Answer {
     let length = target.len();
     let rest = format!("Content-Length: {length}\r\n\r\n{target}");
-    let text = signed_response(request, "200 OK", &rest).replace("Connection: close\r\n", "");
+    let text = kept_response(request, "200 OK", &rest);
     let is_id = |line: &&str| line.starts_with("X-Gooseberrylb-Attempt-Id");
     let unnamed = || {
         let lines = text.split_inclusive("\r\n");
@@ -217,9 +222,8 @@
 fn refusal_response(request: &str, target: &str) -> Answer {
     if !target.contains("refused") {
         let rest = format!("Content-Length: {}\r\n\r\n{target}", target.len());
-        let text = signed_response(request, "201 Made", &rest);
         return Answer {
-            text: text.replace("Connection: close\r\n", ""),
+            text: kept_response(request, "201 Made", &rest),
             end: End::Late(String::new()),
         };
     }
--- a/gooseberrylb_wire/src/dispatch.rs
+++ b/gooseberrylb_wire/src/dispatch.rs
@@ -118,24 +118,18 @@
 
     /// Returns the next message, or `None` at the end of the stream.
     pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
-        match self.is_ready() || self.fill().await? {
+        match self.fill().await? {
             true => self.next_buffered(),
             false => Ok(None),
         }
     }
 
-    /// Whether a message is completely buffered, or known to be too long.
-    pub fn is_ready(&self) -> bool {
-        let buffered = &self.bytes[self.start..];
-        let Some((length, rest)) = buffered.split_first_chunk::<LENGTH_BYTES>() else {
-            return false;
-        };
-        let length = u32::from_be_bytes(*length) as usize;
-        length > MAX_MESSAGE_BYTES || rest.len() >= length
-    }
-
-    /// Reads until a message is completely buffered; returns `false` at the end of the stream.
+    /// Reads until a message is completely buffered, if none is; returns `false` at the end of the
+    /// stream.
     pub async fn fill(&mut self) -> io::Result<bool> {
+        if self.is_ready() {
+            return Ok(true);
+        }
         self.compact();
         while !self.is_ready() {
             let buffered = self.bytes.len();
@@ -151,13 +145,24 @@
         Ok(true)
     }
 
+    /// Whether a message is completely buffered, or known to be too long.
+    fn is_ready(&self) -> bool {
+        self.split_length()
+            .is_some_and(|(length, rest)| length > MAX_MESSAGE_BYTES || rest.len() >= length)
+    }
+
+    /// Returns the length of the next message and the bytes after it, once the length is buffered.
+    fn split_length(&self) -> Option<(usize, &[u8])> {
+        let buffered = &self.bytes[self.start..];
+        let (length, rest) = buffered.split_first_chunk::<LENGTH_BYTES>()?;
+        Some((u32::from_be_bytes(*length) as usize, rest))
+    }
+
     /// Returns the next message if it is completely buffered.
     pub fn next_buffered<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
-        let buffered = &self.bytes[self.start..];
-        let Some((length, rest)) = buffered.split_first_chunk::<LENGTH_BYTES>() else {
+        let Some((length, rest)) = self.split_length() else {
             return Ok(None);
         };
-        let length = u32::from_be_bytes(*length) as usize;
         if length > MAX_MESSAGE_BYTES {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
