--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -264,6 +264,14 @@
 
     /// Starts the program of a machine with the settings that `deploy/instance.json` lays out.
     pub fn spawn(&self, host: u8, bootstrap: bool) {
+        // A machine has one process at a time.
+        let mut processes = self.processes.lock().unwrap();
+        if let Some(at) = processes.iter().position(|(h, _)| *h == host) {
+            let (_, mut ended) = processes.remove(at);
+            let _ = ended.kill();
+            let _ = ended.wait();
+            STARTED.lock().unwrap().retain(|pid| *pid != ended.id());
+        }
         let net = self.net;
         let folder = self.folder.join(host.to_string());
         fs::create_dir_all(folder.join("data")).expect("a data folder");
@@ -318,13 +326,6 @@
             .expect("the program starts");
         record(&format!("started the process of {}", net.ip(host)));
         STARTED.lock().unwrap().push(process.id());
-        let mut processes = self.processes.lock().unwrap();
-        if let Some(at) = processes.iter().position(|(h, _)| *h == host) {
-            let (_, mut ended) = processes.remove(at);
-            let _ = ended.kill();
-            let _ = ended.wait();
-            STARTED.lock().unwrap().retain(|pid| *pid != ended.id());
-        }
         processes.push((host, process));
     }
 
