--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -20,7 +20,9 @@
 
 fn serve(name: String, mut stream: TcpStream, ran: Ran) {
     while let Ok(Some(request)) = read_request(&mut stream) {
-        let id = request.field("X-Gooseberrylb-Attempt-Id").unwrap_or_default();
+        let id = request
+            .field("X-Gooseberrylb-Attempt-Id")
+            .unwrap_or_default();
         let is_own = request.field("X-Gooseberrylb-Expect-Instance").as_deref() == Some(&name);
         let status = match id.is_empty() || is_own {
             true => "200 OK",
@@ -28,7 +30,10 @@
         };
         if is_own {
             let tenant = request.field("X-Gooseberrylb-Tenant");
-            record(&format!("{name} runs {id} of {} for tenant {tenant:?}", request.target()));
+            record(&format!(
+                "{name} runs {id} of {} for tenant {tenant:?}",
+                request.target()
+            ));
             ran.lock().unwrap().insert(id.clone());
         }
         let answer = format!(
@@ -55,7 +60,14 @@
             let name = format!("i-{i}");
             let address = net.at(150 + i, RUNNER);
             let listener = TcpListener::bind(address).map_err(|e| e.to_string())?;
-            list.lock().unwrap().push(Listed { id: name.clone(), service: "desk".into(), address, version: "v1".into(), slots: 6, draining: false });
+            list.lock().unwrap().push(Listed {
+                id: name.clone(),
+                service: "desk".into(),
+                address,
+                version: "v1".into(),
+                slots: 6,
+                draining: false,
+            });
             let ran = ran.clone();
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
@@ -65,8 +77,14 @@
             });
         }
         let fleet = Fleet::start(net, 3, 2, list);
-        let put = |text: String| fleet.order("PUT", "/api/configuration", &text, Duration::from_secs(30)).map(|a| a.status());
-        if put(manifest(3, r#""key-1","key-2""#)) != Some(200) || !fleet.wait_ready(Duration::from_secs(30)) {
+        let put = |text: String| {
+            fleet
+                .order("PUT", "/api/configuration", &text, Duration::from_secs(30))
+                .map(|a| a.status())
+        };
+        if put(manifest(3, r#""key-1","key-2""#)) != Some(200)
+            || !fleet.wait_ready(Duration::from_secs(30))
+        {
             fleet.keep_output();
             return Err("the system did not become ready".into());
         }
@@ -115,15 +133,25 @@
         let late = |at: u64| at > confirmed.saturating_add(REVOKE_MS);
         let mut held = true;
         for path in ["closed", "open"] {
-            let of_path: Vec<_> = sent.iter().filter(|(_, at, p, _)| *p == path && late(*at)).collect();
+            let of_path: Vec<_> = sent
+                .iter()
+                .filter(|(_, at, p, _)| *p == path && late(*at))
+                .collect();
             let count = of_path.iter().filter(|(id, ..)| ran.contains(id)).count();
-            record(&format!("/{path}/: {} requests with the key were sent over {REVOKE_MS} ms after the confirmation; {count} ran", of_path.len()));
+            record(&format!(
+                "/{path}/: {} requests with the key were sent over {REVOKE_MS} ms after the confirmation; {count} ran",
+                of_path.len()
+            ));
             held &= count == 0;
         }
         if !sent.iter().any(|(.., status)| *status == 200) {
             return Err("no request was served".into());
         }
-        record(if held { "CONFIG held" } else { "CONFIG is broken: a request ran whose key had been taken away" });
+        record(if held {
+            "CONFIG held"
+        } else {
+            "CONFIG is broken: a request ran whose key had been taken away"
+        });
         Ok(held)
     })
 }
