--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -42,7 +42,9 @@
 
 /// Milliseconds since the start of the script.
 pub fn now_ms() -> u64 {
-    RECORD.get().map_or(0, |(_, t)| t.elapsed().as_millis() as u64)
+    RECORD
+        .get()
+        .map_or(0, |(_, t)| t.elapsed().as_millis() as u64)
 }
 
 /// Writes a line to the record.
@@ -102,7 +104,9 @@
     pub fn field(&self, name: &str) -> Option<String> {
         let lines = self.head.lines().skip(1);
         let mut fields = lines.filter_map(|l| l.split_once(':'));
-        fields.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+        fields
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.trim().to_owned())
     }
 
     pub fn target(&self) -> &str {
@@ -135,8 +139,14 @@
     let Some(head) = read_head(stream)? else {
         return Ok(None);
     };
-    let mut message = Message { head, body: Vec::new() };
-    let length = message.field("Content-Length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let mut message = Message {
+        head,
+        body: Vec::new(),
+    };
+    let length = message
+        .field("Content-Length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     stream.read_exact(&mut message.body)?;
     Ok(Some(message))
@@ -154,7 +164,10 @@
 pub fn exchange(stream: &mut TcpStream, request: &[u8]) -> io::Result<Message> {
     stream.write_all(request)?;
     let head = read_head(stream)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-    let mut message = Message { head, body: Vec::new() };
+    let mut message = Message {
+        head,
+        body: Vec::new(),
+    };
     message.body = read_body(stream, &message)?;
     Ok(message)
 }
@@ -162,7 +175,10 @@
 /// Reads the body that follows a response's head.
 pub fn read_body(stream: &mut TcpStream, message: &Message) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    if let Some(length) = message.field("Content-Length").and_then(|v| v.parse::<usize>().ok()) {
+    if let Some(length) = message
+        .field("Content-Length")
+        .and_then(|v| v.parse::<usize>().ok())
+    {
         body = vec![0; length];
         stream.read_exact(&mut body)?;
     } else if message.field("Transfer-Encoding").is_some() {
@@ -176,7 +192,8 @@
                 line.push(byte[0]);
             }
             let size = String::from_utf8_lossy(&line);
-            let size = usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; size + 2];
             stream.read_exact(&mut chunk)?;
             if size == 0 {
@@ -247,7 +264,8 @@
     /// Starts core and front machines, and the platform's list.
     pub fn start(net: Net, cores: u8, fronts: u8, list: List) -> Self {
         serve_list(net, list);
-        let folder = std::env::temp_dir().join(format!("gooseberrylb-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("gooseberrylb-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let fleet = Fleet {
             net,
@@ -277,7 +295,9 @@
         fs::create_dir_all(folder.join("data")).expect("a data folder");
         let is_core = host < FIRST_FRONT;
         let zone = ["sfax-a", "sfax-b", "sfax-c"][usize::from(host) % 3];
-        let seeds: Vec<String> = (1..=self.cores.min(3)).map(|h| format!("\"{}\"", net.at(h, CONTROL))).collect();
+        let seeds: Vec<String> = (1..=self.cores.min(3))
+            .map(|h| format!("\"{}\"", net.at(h, CONTROL)))
+            .collect();
         let (callers, role) = match is_core {
             true => (
                 net.at(host, UNUSED),
@@ -287,7 +307,10 @@
                     net.at(host, DIRECTORY)
                 ),
             ),
-            false => (net.at(host, FRONT), format!("\"ready\": \"{}\",", net.at(host, READY))),
+            false => (
+                net.at(host, FRONT),
+                format!("\"ready\": \"{}\",", net.at(host, READY)),
+            ),
         };
         let data = match is_core {
             true => format!("\"data_folder\": \"{}\",", folder.join("data").display()),
@@ -313,7 +336,11 @@
         );
         let settings = folder.join("node.json");
         fs::write(&settings, text).expect("settings");
-        let output = fs::OpenOptions::new().create(true).append(true).open(folder.join("output")).expect("output");
+        let output = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join("output"))
+            .expect("output");
         let errors = output.try_clone().expect("output");
         let process = Command::new(PROGRAM)
             .arg("--settings")
@@ -331,14 +358,20 @@
 
     pub fn pid(&self, host: u8) -> Option<u32> {
         let processes = self.processes.lock().unwrap();
-        processes.iter().find(|(h, _)| *h == host).map(|(_, p)| p.id())
+        processes
+            .iter()
+            .find(|(h, _)| *h == host)
+            .map(|(_, p)| p.id())
     }
 
     /// Sends a signal to a machine's process.
     pub fn signal(&self, host: u8, name: &str) {
         if let Some(pid) = self.pid(host) {
             record(&format!("signal {name} to {}", self.net.ip(host)));
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(pid.to_string())
+                .status();
         }
     }
 
@@ -353,7 +386,11 @@
         let mut host = 0;
         while Instant::now() < end {
             host = host % self.cores + 1;
-            match call(self.net.at(host, CONTROL), request.as_bytes(), Duration::from_secs(4)) {
+            match call(
+                self.net.at(host, CONTROL),
+                request.as_bytes(),
+                Duration::from_secs(4),
+            ) {
                 Ok(answer) if answer.status() < 500 => return Some(answer),
                 _ => thread::sleep(Duration::from_millis(50)),
             }
@@ -384,7 +421,8 @@
     /// Copies the processes' output beside the record, for a failed set-up.
     pub fn keep_output(&self) {
         for host in (1..=self.cores).chain((0..self.fronts).map(|i| FIRST_FRONT + i)) {
-            if let Ok(text) = fs::read_to_string(self.folder.join(host.to_string()).join("output")) {
+            if let Ok(text) = fs::read_to_string(self.folder.join(host.to_string()).join("output"))
+            {
                 for line in text.lines().rev().take(5) {
                     record(&format!("{}: {line}", self.net.ip(host)));
                 }
@@ -404,7 +442,10 @@
     thread::sleep(LONGEST);
     record("the script took too long");
     for pid in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        let _ = Command::new("kill")
+            .arg("-KILL")
+            .arg(pid.to_string())
+            .status();
     }
     std::process::exit(2);
 }
