Keep only the latest declaration in the changes for followers

Cause: the feed keeps the last 256 changes on every instance, whatever their size, and each change of a declaration holds its whole text beside the compressed form, 0.9 MB with 4,200 routes.

A follower applies all changes that it lacks in one go, so it never acts on one between. Earlier releases read and send the same messages.

--- a/gooseberrylb_config/src/directory/delta.rs
+++ b/gooseberrylb_config/src/directory/delta.rs
@@ -82,6 +82,18 @@
     rollouts: Changes<id::Service, Rollout>,
 }
 
+impl Delta {
+    /// Removes the new declaration and returns it.
+    pub fn take_declaration(&mut self) -> Option<Arc<declaration::Text>> {
+        self.declaration.take()
+    }
+
+    /// Sets the new declaration.
+    pub fn set_declaration(&mut self, declaration: Option<Arc<declaration::Text>>) {
+        self.declaration = declaration;
+    }
+}
+
 /// Error for a delta that does not start at the directory's revision, so that the complete
 /// directory must be requested.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
