--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -24,6 +24,7 @@
 use crate::gateway;
 use crate::published::Published;
 
+mod applied;
 mod core;
 mod disk;
 pub mod dispatch;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -19,13 +19,14 @@
 use gooseberrylb_config::number::{Index, Revision, Term};
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
-use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
-use gooseberrylb_control::membership::{Change, Membership};
+use gooseberrylb_control::entry::{Entry, Snapshot};
+use gooseberrylb_control::membership::Change;
 use gooseberrylb_control::state::{Reply, State};
 use gooseberrylb_policy::dispatch::shard::Plan;
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::plane::Control;
 
+use super::applied::Applied;
 use super::disk::Job;
 use super::dispatch;
 use super::evacuation;
@@ -46,9 +47,6 @@
 /// of `sysexits.h`.
 const EXIT_UNREADABLE_STATE: i32 = 65;
 
-/// Number of entries applied between two snapshots.
-const SNAPSHOT_INTERVAL: u64 = 1_000;
-
 /// Time after which the outcome of a proposal is reported as unknown.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -59,19 +57,6 @@
 /// Maximum number of replies kept until their proposals are reported as accepted.
 const MAX_REPLIES: usize = 1_024;
 
-/// Last applied position of the log.
-#[derive(Debug, Clone, Default)]
-struct Applied {
-    /// Index of the last applied entry.
-    index: Index,
-    /// Term of the last applied entry.
-    term: Term,
-    /// Membership as of that entry.
-    membership: Membership,
-    /// Index of the last snapshot.
-    snapshot: Index,
-}
-
 /// Maximum number of accepted connections that wait for the gateway.
 const MAX_DELEGATED: usize = 64;
 
@@ -321,17 +306,10 @@
     }
 
     fn apply(self: &Rc<Self>, entry: Entry) {
-        {
-            let mut applied = self.applied.borrow_mut();
-            applied.index = entry.index;
-            applied.term = entry.term;
-            METRICS
-                .committed
-                .set(i64::try_from(entry.index.0).unwrap_or(i64::MAX));
-            if let Payload::Membership(membership) = &entry.payload {
-                applied.membership = membership.clone();
-            }
-        }
+        self.applied.borrow_mut().record(&entry);
+        METRICS
+            .committed
+            .set(i64::try_from(entry.index.0).unwrap_or(i64::MAX));
         self.apply_to_state(&entry);
         self.snapshot_if_due();
     }
@@ -362,12 +340,7 @@
             Ok(state) => *self.state.borrow_mut() = state,
             Err(error) => exit_unreadable("the snapshot", &error),
         }
-        *self.applied.borrow_mut() = Applied {
-            index: snapshot.index,
-            term: snapshot.term,
-            membership: snapshot.membership.clone(),
-            snapshot: snapshot.index,
-        };
+        *self.applied.borrow_mut() = Applied::restored(snapshot);
         self.publish_state();
     }
 
@@ -384,21 +357,15 @@
         }
     }
 
-    /// Hands the consensus node a snapshot if [`SNAPSHOT_INTERVAL`] entries were applied since the
-    /// last.
+    /// Hands the consensus node a snapshot of the state, if one is due.
     fn snapshot_if_due(self: &Rc<Self>) {
-        let applied = self.applied.borrow().clone();
-        if applied.index.0 < applied.snapshot.0 + SNAPSHOT_INTERVAL {
+        if !self.applied.borrow().is_snapshot_due() {
             return;
         }
         let state = self.state.borrow().encode();
-        self.applied.borrow_mut().snapshot = applied.index;
-        self.step(Input::Compact(Snapshot {
-            index: applied.index,
-            term: applied.term,
-            membership: applied.membership,
-            state: state.into(),
-        }));
+        let snapshot = self.applied.borrow_mut().take_snapshot(state);
+        log::debug!(index = snapshot.index.0, bytes = snapshot.state.len(); "took a snapshot of the state");
+        self.step(Input::Compact(snapshot));
     }
 
     fn complete_proposal(&self, proposal: Proposal, result: Result<Index, Rejection>) {
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod evacuations;
 mod fleet;
 mod limits;
+mod memory;
 #[path = "../../../gooseberrylb_testbed/src/proxy/owner.rs"]
 mod owner;
 mod placement;
--- a/gooseberrylb_control/src/consensus/replication.rs
+++ b/gooseberrylb_control/src/consensus/replication.rs
@@ -320,15 +320,8 @@
         if bytes >= BATCH_BYTES {
             break;
         }
-        bytes += payload_size(entry);
+        bytes += entry.size().0 as usize;
         chosen.push(entry.clone());
     }
     (chosen, bytes)
 }
-
-fn payload_size(entry: &Entry) -> usize {
-    match &entry.payload {
-        Payload::Noop | Payload::Membership(_) => 0,
-        Payload::Command(command) => command.len(),
-    }
-}
--- a/gooseberrylb_control/src/entry.rs
+++ b/gooseberrylb_control/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::number::{Bytes, Index, Term};
 use serde::{Deserialize, Serialize};
 
 use crate::membership::Membership;
@@ -30,6 +30,16 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Returns the size of the entry's command, by which logs are bounded; the rest is small.
+    pub fn size(&self) -> Bytes {
+        match &self.payload {
+            Payload::Noop | Payload::Membership(_) => Bytes(0),
+            Payload::Command(command) => Bytes(command.len() as u64),
+        }
+    }
+}
+
 /// Control state up to an entry, which replaces all entries up to and including it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
