--- a/gooseberrylb_control/src/journal/segment.rs
+++ b/gooseberrylb_control/src/journal/segment.rs
@@ -1,6 +1,7 @@
 //! Segments: the numbered files of a journal, each a header followed by frames.
 
 use std::fs::{self, File, OpenOptions};
+use std::io::Read;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
@@ -242,40 +243,56 @@
 /// Returns the last segment, opened for appending, and the total size in bytes of the other
 /// segments that are still needed.
 pub(super) fn replay(files: &[SegmentFile], image: &mut Image) -> Result<(Segment, u64), Error> {
-    let mut segments = Vec::with_capacity(files.len());
+    let mut headers = Vec::with_capacity(files.len());
     for segment_file in files {
-        let bytes = fs::read(&segment_file.path).map_err(Error::io("read", &segment_file.path))?;
-        let header = Header::decode(&bytes)
-            .ok_or_else(|| Error::corrupt(&segment_file.path, 0, "the header is damaged"))?;
-        segments.push((segment_file, header, bytes));
+        headers.push(segment_file.read_header()?);
     }
-    let start = segments
+    let start = headers
         .iter()
-        .rposition(|(_, header, _)| header.kind == Kind::Checkpoint)
+        .rposition(|header| header.kind == Kind::Checkpoint)
         .ok_or_else(|| Error::corrupt(&files[0].path, 0, "the preceding segments are missing"))?;
-    let segments = &segments[start..];
-    let mut sequence = segments[0].1.sequence;
-    let mut ends = Vec::with_capacity(segments.len());
-    for (position, (segment_file, header, bytes)) in segments.iter().enumerate() {
-        let is_last = position + 1 == segments.len();
+    let (files, headers) = (&files[start..], &headers[start..]);
+    let last = files.len() - 1;
+    let mut sequence = headers[0].sequence;
+    let mut older_bytes = 0;
+    // One segment at a time is held in memory.
+    for (segment_file, header) in files[..last].iter().zip(headers) {
+        let (end, _) = segment_file.replay(header, false, &mut sequence, image)?;
+        older_bytes += end;
+    }
+    let (segment_file, header) = (&files[last], &headers[last]);
+    let (end, file_length) = segment_file.replay(header, true, &mut sequence, image)?;
+    let segment = reopen(segment_file, header, end, file_length, sequence)?;
+    Ok((segment, older_bytes))
+}
+
+impl SegmentFile {
+    /// Reads the header.
+    fn read_header(&self) -> Result<Header, Error> {
+        let mut bytes = Vec::with_capacity(HEADER_BYTES);
+        File::open(&self.path)
+            .and_then(|file| file.take(HEADER_BYTES as u64).read_to_end(&mut bytes))
+            .map_err(Error::io("read", &self.path))?;
+        Header::decode(&bytes).ok_or_else(|| Error::corrupt(&self.path, 0, "the header is damaged"))
+    }
+
+    /// Replays the frames into `image`. Returns the length in bytes of the intact part and of the file.
+    fn replay(
+        &self,
+        header: &Header,
+        is_last: bool,
+        sequence: &mut u64,
+        image: &mut Image,
+    ) -> Result<(u64, usize), Error> {
+        let bytes = fs::read(&self.path).map_err(Error::io("read", &self.path))?;
         let reader = Reader {
-            path: &segment_file.path,
+            path: &self.path,
             header,
-            bytes,
+            bytes: &bytes,
             is_last,
         };
-        ends.push(reader.replay(&mut sequence, image)?);
+        Ok((reader.replay(sequence, image)?, bytes.len()))
     }
-    let older = ends[..ends.len() - 1].iter().sum();
-    let (segment_file, header, bytes) = &segments[segments.len() - 1];
-    let segment = reopen(
-        segment_file,
-        header,
-        ends[ends.len() - 1],
-        bytes.len(),
-        sequence,
-    )?;
-    Ok((segment, older))
 }
 
 /// Opens the last segment for appending, truncated to `length`.
