Bound the unanswered consensus messages of a peer by their size

Cause: up to 512 messages of any size were under way to a peer. One that does not answer is sent the window of 2 MiB again every 300 ms, until its connection fails after 1.5 s; each copy stays in memory, at a leader with four such peers up to 40 MiB. Found by reading.

Change: beyond 4 MiB further messages are dropped, as beyond 512. A single larger message still goes out.

Test: unanswered_messages_of_a_peer_are_bounded_by_size.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -34,6 +34,7 @@
 mod fixture;
 mod follow;
 pub mod homes;
+mod in_flight;
 mod lead;
 mod lease;
 mod links;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -16,7 +16,7 @@
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
-use gooseberrylb_config::number::{Index, Revision, Term};
+use gooseberrylb_config::number::{Bytes, Index, Revision, Term};
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
 use gooseberrylb_control::entry::{Entry, Snapshot};
@@ -32,6 +32,7 @@
 use super::evacuation;
 use super::feed::Feed;
 use super::follow::Followers;
+use super::in_flight;
 use super::links::Links;
 use super::listening::Listening;
 use super::moves::{self, Coordinator};
@@ -50,10 +51,6 @@
 /// Time after which the outcome of a proposal is reported as unknown.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Maximum number of unanswered consensus messages per peer. Further messages are dropped, since
-/// the consensus resends what is lost.
-const MAX_IN_FLIGHT_MESSAGES: u32 = 512;
-
 /// Maximum number of replies kept until their proposals are reported as accepted.
 const MAX_REPLIES: usize = 1_024;
 
@@ -114,8 +111,8 @@
     replies: RefCell<BTreeMap<Index, Reply>>,
     proposal_waiters: RefCell<ProposalWaiters>,
     next_proposal: Cell<u64>,
-    /// Number of unanswered consensus messages per peer.
-    in_flight: RefCell<BTreeMap<id::Instance, Rc<Cell<u32>>>>,
+    /// Unanswered consensus messages per peer.
+    in_flight: RefCell<BTreeMap<id::Instance, Rc<in_flight::Messages>>>,
     /// Channels that are notified when the configuration or the moves change.
     change_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Address of the instance whose answer is awaited, and the channel that ends the wait when
@@ -286,22 +283,23 @@
             return;
         };
         let in_flight = self.in_flight.borrow_mut().entry(to).or_default().clone();
-        if in_flight.get() >= MAX_IN_FLIGHT_MESSAGES {
+        if !in_flight.has_room() {
             return;
         }
         let from = self.identity.name.clone();
         let Ok(bytes) = codec::encode(&Envelope { from, message }) else {
             return;
         };
+        let size = Bytes(bytes.len() as u64);
         let link = self.links.to(address);
-        in_flight.set(in_flight.get() + 1);
+        in_flight.begin(size);
         task::spawn_local(async move {
             if let Ok(client) = link.client().await {
                 let mut request = client.consensus_request();
                 request.get().set_message(&bytes);
                 request.send().promise.await.ok();
             }
-            in_flight.set(in_flight.get() - 1);
+            in_flight.end(size);
         });
     }
 
