Apply committed entries in batches

The logs of the keepers show a second cause beside their memory: a new leader applied its whole log in one step, "the control thread is late" by 3,577 ms, and sent no heartbeats meanwhile. Another node was elected, did the same, and so on, from term 2 to term 10.

Change: a step passes on at most 64 entries or 256 KiB, and the next step comes after a pause of 1 ms, in which messages are answered. A leader holds its lease only once it has applied all entries committed before its term, as its state answers reads.

Tests: log_is_applied_in_batches_between_which_the_node_answers fails without the limits; leader_that_has_not_applied_all_entries_answers_no_reads guards the lease.

--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -51,6 +51,9 @@
 /// Time after which the outcome of a proposal is reported as unknown.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Pause between two batches of committed entries that are applied, for other tasks of the thread.
+const APPLY_PAUSE: Duration = Duration::from_millis(1);
+
 /// Maximum number of replies kept until their proposals are reported as accepted.
 const MAX_REPLIES: usize = 1_024;
 
@@ -103,6 +106,8 @@
     pub leader_since: Cell<Option<Instant>>,
     /// Consensus node, if this instance has a disk.
     node: Option<RefCell<Node>>,
+    /// Whether a step that applies further committed entries is due.
+    apply_due: Cell<bool>,
     /// Job queue of the journal thread, if this instance has a disk.
     jobs: Option<mpsc::Sender<Job>>,
     published: Published,
@@ -169,6 +174,7 @@
             listening: Listening::default(),
             leader_since: Cell::new(None),
             node,
+            apply_due: Cell::new(false),
             jobs,
             published: parts.published,
             applied: RefCell::default(),
@@ -256,6 +262,14 @@
         for output in outputs {
             self.execute(output);
         }
+        if node.borrow().has_unapplied() && !self.apply_due.replace(true) {
+            let core = self.clone();
+            task::spawn_local(async move {
+                task::sleep(APPLY_PAUSE).await;
+                core.apply_due.set(false);
+                core.step(Input::Tick);
+            });
+        }
     }
 
     /// Executes one output of the consensus node.
--- a/gooseberrylb_control/src/consensus/lease.rs
+++ b/gooseberrylb_control/src/consensus/lease.rs
@@ -44,14 +44,14 @@
 }
 
 impl Node {
-    /// Whether this node is the leader, knows all entries committed before its term, and no other
+    /// Whether this node is the leader, has applied all entries committed before its term, and no other
     /// leader can have been elected up to `now`. It may then act, and answer reads, from its own
     /// state.
     pub fn holds_lease(&self, now: Instant) -> bool {
         let Stage::Leader(state) = &self.stage else {
             return false;
         };
-        self.committed >= state.first_index && self.is_within_lease(now)
+        self.applied >= state.first_index && self.is_within_lease(now)
     }
 
     fn is_within_lease(&self, now: Instant) -> bool {
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
-use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::number::{Bytes, Index, Term};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -29,6 +29,12 @@
 /// Time that a node gives another one to win an election: some round trips and syncs.
 const YIELD_PERIOD: Duration = Duration::from_millis(100);
 
+/// Maximum number of entries that a step passes on to be applied at once.
+const MAX_APPLIED_ENTRIES: usize = 64;
+
+/// Total size of these entries from which on no further one is added.
+const APPLIED: Bytes = Bytes(256 * 1024);
+
 /// Delay before the journal is tried again after it refused a batch for lack of space.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -85,7 +91,7 @@
     /// Outputs of the current step.
     pub(super) outputs: Vec<Output>,
     /// Index of the last entry passed on to be applied.
-    applied: Index,
+    pub(super) applied: Index,
     /// Role and term reported last.
     last_reported: (Role, Term),
     /// Random source of election timeouts.
@@ -142,7 +148,7 @@
         self.now = now.max(self.now);
         self.tick();
         match input {
-            Input::Tick => {}
+            Input::Tick => self.apply_committed(),
             Input::Receive { from, message } => self.receive(from, message),
             Input::Propose { proposal, command } => {
                 self.propose(proposal, Payload::Command(command));
@@ -175,6 +181,11 @@
         }
     }
 
+    /// Whether committed entries have yet to be passed on to be applied. Each [`Input::Tick`] passes some on.
+    pub fn has_unapplied(&self) -> bool {
+        self.applied < self.committed
+    }
+
     /// Returns the cluster that the node belongs to, once that is synced; others rely on the
     /// cluster's existence.
     pub fn cluster(&self) -> Option<Cluster> {
@@ -293,15 +304,25 @@
             .retain(|instance, folder| known.folder(instance) != Some(*folder));
     }
 
-    /// Advances the commit index to `index`, and passes the newly committed entries on to be
-    /// applied.
+    /// Advances the commit index to `index`, and passes newly committed entries on to be applied.
     pub(super) fn commit(&mut self, index: Index) {
         self.committed = self.committed.max(index);
-        while self.applied < self.committed {
+        self.apply_committed();
+    }
+
+    /// Passes committed entries on to be applied: one batch, as heartbeats have to be sent and
+    /// answered between the entries of a whole log.
+    fn apply_committed(&mut self) {
+        let mut size = Bytes(0);
+        for _ in 0..MAX_APPLIED_ENTRIES {
+            if !self.has_unapplied() || size >= APPLIED {
+                return;
+            }
             let Some(entry) = self.log.entry(self.applied.next()) else {
                 return;
             };
             let entry = entry.clone();
+            size.0 += entry.size().0;
             let index = entry.index;
             self.applied = index;
             self.outputs.push(Output::Apply(entry));
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -310,3 +310,77 @@
         .any(|(_, body)| matches!(body, Body::PreVote { .. }));
     assert!(requests_pre_votes);
 }
+
+/// Returns a log with the membership and then entries of `size` bytes up to index `last`.
+fn log(last: u64, size: usize) -> Vec<Entry> {
+    let founding = entry(1, 1, Payload::Membership(membership()));
+    let payload = || Payload::Command(vec![0; size].into());
+    let rest = (2..=last).map(|index| entry(index, 1, payload()));
+    [founding].into_iter().chain(rest).collect()
+}
+
+/// Returns a heartbeat that commits all entries up to index `last`.
+fn commit(last: u64) -> Body {
+    Body::Append {
+        previous: position(1, last),
+        entries: Vec::new(),
+        committed: Index(last),
+        round: 1,
+    }
+}
+
+impl Harness {
+    /// Returns the entries that the last step passed on to be applied.
+    fn applied(&self) -> Vec<Index> {
+        let applied = self.outputs.iter().filter_map(|output| match output {
+            Output::Apply(entry) => Some(entry.index),
+            _ => None,
+        });
+        applied.collect()
+    }
+}
+
+/// Guards against a restarted node that applies its whole log in one step, sends no heartbeats meanwhile and
+/// loses its leadership to another node that does the same.
+#[test]
+fn log_is_applied_in_batches_between_which_the_node_answers() {
+    const MAX_ENTRIES: usize = 100;
+    const MAX_BYTES: usize = 1024 * 1024;
+    for (last, size) in [(60, 200_000), (1_000, 100)] {
+        let mut harness = Harness::new(Some(CLUSTER), log(last, size));
+        harness.receive("b", 2, 1, 2, commit(last));
+        let mut applied = harness.applied();
+        assert!(applied.len() <= MAX_ENTRIES && applied.len() * size <= MAX_BYTES);
+        while harness.node.has_unapplied() {
+            harness.receive("b", 2, 1, 2, append(position(1, last)));
+            assert!(!harness.sent().is_empty(), "the heartbeat is answered");
+            let batch = harness.applied();
+            assert!(batch.len() <= MAX_ENTRIES && batch.len() * size <= MAX_BYTES);
+            applied.extend(batch);
+        }
+        assert!(applied.iter().copied().eq((1..=last).map(Index)));
+    }
+}
+
+#[test]
+fn leader_that_has_not_applied_all_entries_answers_no_reads() {
+    let mut harness = Harness::new(Some(CLUSTER), log(60, 200_000));
+    harness.wait(Duration::from_secs(2));
+    harness.receive("b", 2, 1, 2, Body::PreVoteAnswer { granted: true });
+    harness.sync();
+    harness.receive("b", 2, 1, 2, Body::VoteAnswer { granted: true });
+    harness.sync();
+    let answer = Body::AppendAnswer {
+        round: 1,
+        matched: Index(61),
+        received: Index(61),
+        conflict: None,
+    };
+    harness.receive("b", 2, 1, 2, answer);
+    assert_eq!(harness.node.status().committed, Index(61));
+    while harness.node.has_unapplied() {
+        assert!(!harness.node.holds_lease(harness.now));
+        harness.step(Input::Tick);
+    }
+    assert!(harness.node.holds_lease(harness.now));
+}
