--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
-use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::number::{Bytes, Index, Term};
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{Entry, Snapshot};
@@ -49,10 +49,13 @@
 /// forming a new one.
 pub const FORMATION_WAIT: Duration = Duration::from_secs(2);
 
-/// Number of entries kept in memory before a snapshot, so that a slow follower can catch up without
-/// receiving the snapshot.
+/// Maximum number of entries kept in memory before a snapshot, so that a slow follower can catch up
+/// without receiving the snapshot.
 pub const RETAINED_ENTRIES: u64 = 1024;
 
+/// Maximum total size of the entries kept in memory before a snapshot.
+pub const RETAINED: Bytes = Bytes(4 * 1024 * 1024);
+
 /// Role of a node in its current term.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Role {
--- a/gooseberrylb_control/src/consensus/log.rs
+++ b/gooseberrylb_control/src/consensus/log.rs
@@ -2,10 +2,10 @@
 
 use std::collections::VecDeque;
 
-use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::number::{Bytes, Index, Term};
 
 use super::message::Position;
-use super::{Persisted, RETAINED_ENTRIES};
+use super::{Persisted, RETAINED, RETAINED_ENTRIES};
 use crate::entry::{Entry, Payload, Snapshot};
 use crate::membership::Membership;
 
@@ -101,10 +101,10 @@
     }
 
     /// Stores a snapshot of this node's own state, and drops the covered entries except for the
-    /// last [`RETAINED_ENTRIES`].
+    /// last ones, as many as [`RETAINED_ENTRIES`] and [`RETAINED`] allow.
     pub(super) fn compact(&mut self, snapshot: Snapshot) {
-        let keep_from = snapshot.index.0.saturating_sub(RETAINED_ENTRIES);
-        while self.base.index.0 < keep_from {
+        let keep_from = self.retained_from(snapshot.index);
+        while self.base.index < keep_from {
             let Some(entry) = self.entries.pop_front() else {
                 break;
             };
@@ -116,6 +116,21 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Returns the index after which entries are kept when a snapshot covers those up to `covered`.
+    fn retained_from(&self, covered: Index) -> Index {
+        let first = Index(covered.0.saturating_sub(RETAINED_ENTRIES));
+        let mut kept = Bytes(0);
+        let newest_first = self.entries.iter().rev();
+        let mut candidates = newest_first
+            .skip_while(|entry| entry.index > covered)
+            .take_while(|entry| entry.index > first);
+        let too_old = candidates.find(|entry| {
+            kept.0 += entry.size().0;
+            kept > RETAINED
+        });
+        too_old.map_or(first, |entry| entry.index)
+    }
+
     /// Stores a snapshot received from the leader, keeping the entries after it if the log contains
     /// its last entry.
     pub(super) fn install(&mut self, snapshot: Snapshot) {
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -1,14 +1,16 @@
 //! Tests of a single node that is driven message by message.
 
 use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
 use gooseberrylb_control::consensus::{
-    Body, Identity, Input, Message, Node, Output, Persisted, Position, Role,
+    Body, Identity, Input, Message, Node, Output, Persisted, Position, RETAINED, RETAINED_ENTRIES,
+    Role,
 };
-use gooseberrylb_control::entry::{Entry, Payload};
+use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
 use gooseberrylb_control::membership::{Cluster, Folder, Membership};
 
 use crate::simulation::instance;
@@ -384,3 +386,35 @@
     }
     assert!(harness.node.holds_lease(harness.now));
 }
+
+/// Guards against entries that are kept for slow followers by their number only, and fill the memory.
+#[test]
+fn entries_kept_before_a_snapshot_are_bounded_by_size() {
+    const LAST: u64 = 1_500;
+    for (size, most) in [(200_000, RETAINED.0 / 200_000), (100, RETAINED_ENTRIES)] {
+        let entries = log(LAST, size);
+        let payloads: Vec<Weak<[u8]>> = entries.iter().filter_map(payload).collect();
+        let mut harness = Harness::new(Some(CLUSTER), entries);
+        harness.receive("b", 2, 1, 2, commit(LAST));
+        while harness.node.has_unapplied() {
+            harness.step(Input::Tick);
+        }
+        harness.step(Input::Compact(Snapshot {
+            index: Index(LAST),
+            term: Term(1),
+            membership: membership(),
+            state: Arc::from([]),
+        }));
+        harness.outputs.clear();
+        let kept = payloads.iter().filter(|payload| payload.strong_count() > 0);
+        assert_eq!(kept.count() as u64, most, "entries of {size} bytes");
+    }
+}
+
+/// Returns the command of an entry without keeping it.
+fn payload(entry: &Entry) -> Option<Weak<[u8]>> {
+    match &entry.payload {
+        Payload::Command(command) => Some(Arc::downgrade(command)),
+        Payload::Noop | Payload::Membership(_) => None,
+    }
+}
