Refuse an unknown key on routes for anonymous requests too

Cause: `find_account` refused an unknown key only where a key is required. On other routes a withdrawn key counted as no key.

The key's whole way was read: a queued, retried, copied or resumed request keeps the account it was admitted with, and was sent before; a delegated one is admitted again, by the keys of the entry that forwards it; an entry that is cut off refuses all requests once its lease ends, 3 s at most. None of these needs a change.

Change: a request that bears a key is admitted only with a known one. A key that has just been added must not be refused while its declaration is on its way, so that a request with an unknown key waits for a change of the configuration, 250 ms at most.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -24,6 +24,13 @@
 /// election. Callers retry at most once, so refusing them immediately would lose more requests.
 const MAX_FRESH_WAIT: Duration = Duration::from_millis(1200);
 
+/// Maximum time for which a request with an unknown key waits for a change of the configuration: far
+/// longer than a change usually takes to arrive.
+const MAX_KEY_WAIT: Duration = Duration::from_millis(250);
+
+/// Status code of the refusal of a request whose key is missing or not known.
+const UNAUTHORIZED: u16 = 401;
+
 /// `Retry-After` of requests refused because the configuration is not fresh.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -176,7 +183,7 @@
     if !waited {
         return Persistence::Close;
     }
-    let (route, account) = match admit(gateway, &request, &metadata) {
+    let (route, account) = match admit_with_latest_keys(gateway, &request, &metadata).await {
         Ok(admitted) => admitted,
         Err(fault) => {
             log::info!(id:% = id, status = fault.status, cause = fault.message; "refused a request");
@@ -311,6 +318,29 @@
     );
 }
 
+/// Returns the route and the account of a request, or the reason for refusing it. A key that is not
+/// known may have just been added, and its declaration be on its way to this entry.
+async fn admit_with_latest_keys(
+    gateway: &Gateway,
+    request: &Request,
+    metadata: &RequestMetadata,
+) -> std::result::Result<(Arc<Route>, Option<Arc<Account>>), Fault> {
+    let clock = &gateway.core.clock;
+    let end = clock.now() + MAX_KEY_WAIT;
+    loop {
+        let admitted = admit(gateway, request, metadata);
+        let left = end.saturating_duration_since(clock.now());
+        match &admitted {
+            Err(fault)
+                if fault.status == UNAUTHORIZED && metadata.key.is_some() && !left.is_zero() =>
+            {
+                gateway.core.wait_for_change(left).await;
+            }
+            Ok(_) | Err(_) => return admitted,
+        }
+    }
+}
+
 /// Returns the route and the account of a request, or the reason for refusing it.
 fn admit(
     gateway: &Gateway,
@@ -329,16 +359,21 @@
     Ok((route.clone(), find_account(&table, route, metadata)?))
 }
 
-/// Returns the account of the request's key. If the declaration has accounts, a known key is
-/// required unless the route allows anonymous requests.
+/// Returns the account of the request's key. If the declaration has accounts, a request must bear a
+/// known key; on a route that allows anonymous requests it may bear none. An unknown key may have
+/// been withdrawn, so it never counts as none.
 fn find_account(
     table: &Table,
     route: &Route,
     metadata: &RequestMetadata,
 ) -> std::result::Result<Option<Arc<Account>>, Fault> {
     let account = metadata.key.as_ref().and_then(|key| table.account(key));
-    if account.is_none() && table.needs_keys() && !route.anonymous {
-        return Err(Fault::new(401, "no account has this key"));
+    let may_lack_account = match &metadata.key {
+        Some(_) => !table.needs_keys(),
+        None => !table.needs_keys() || route.anonymous,
+    };
+    if account.is_none() && !may_lack_account {
+        return Err(Fault::new(UNAUTHORIZED, "no account has this key"));
     }
     Ok(account.cloned())
 }
--- a/gooseberrylb/tests/platform/main.rs
+++ b/gooseberrylb/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod declarations;
 mod evacuations;
 mod fleet;
+mod keys;
 mod limits;
 mod memory;
 #[path = "../../../gooseberrylb_testbed/src/proxy/owner.rs"]
