Bound the bodies that an entry holds by its memory

Operators of a system like this one reported the same of upstreams whose responses never end.

Cause: each body has a limit of 4 MiB, and nothing bounded all of them together. A request kept its body until its response had ended, though only a stream that may be resumed needs it that long.

A request waits for 500 ms, and is then read, dropped and refused with 503: it has not run. The body of a request is dropped once its response begins, unless its stream may be resumed, and a second copy of a request shares it. The memory comes from the platform's settings.

--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -19,7 +19,7 @@
 use gooseberrylb_config::declaration::{Limits, Route, Table};
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::id;
-use gooseberrylb_config::number::Revision;
+use gooseberrylb_config::number::{Bytes, Revision};
 use gooseberrylb_config::settings::Deployment;
 use gooseberrylb_policy::drain::Drain;
 use gooseberrylb_policy::reach::Reach;
@@ -42,6 +42,7 @@
 pub mod forward;
 pub mod http;
 pub mod interfaces;
+pub mod memory;
 mod place;
 pub mod pool;
 mod reach;
@@ -68,6 +69,10 @@
 /// because the platform's window for counting requests begins at other times than the window here.
 const RETRY_SHARE_FACTOR: f64 = 0.5;
 
+/// Share of the process's memory for the bodies of requests, and for those of responses.
+const REQUEST_MEMORY_DIVISOR: u64 = 3;
+const RESPONSE_MEMORY_DIVISOR: u64 = 8;
+
 /// Interval at which a planned stop checks for open requests. Also the delay after a failed accept.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -99,6 +104,11 @@
     open_requests: Cell<usize>,
     /// Bytes of responses that wait for callers.
     pub held: backpressure::Held,
+    /// Memory for the bodies of requests.
+    request_memory: Rc<memory::Budget>,
+    /// Memory for the bodies of responses that are read in full. It is separate, since requests keep
+    /// their memory until they have a response.
+    response_memory: Rc<memory::Budget>,
     /// Number of callers' connections.
     connections: Cell<usize>,
     /// Planned stop in progress, if any.
@@ -117,6 +127,7 @@
         // The slack is divided among all entries, whose number is not known yet.
         let share = deployment.retry_share * RETRY_SHARE_FACTOR;
         let budget = Budget::new(share, 0.0, deployment.retry_window_s, now);
+        let memory = core.settings.limits.memory().0;
         Rc::new(Self {
             placer: Placer::new(core.clone()),
             core,
@@ -129,6 +140,8 @@
             budget_revision: Cell::new(None),
             open_requests: Cell::new(0),
             held: backpressure::Held::default(),
+            request_memory: memory::Budget::new(Bytes(memory / REQUEST_MEMORY_DIVISOR)),
+            response_memory: memory::Budget::new(Bytes(memory / RESPONSE_MEMORY_DIVISOR)),
             connections: Cell::new(0),
             drain: Cell::new(None),
             exiting: Cell::new(false),
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -13,7 +13,8 @@
 use super::Gateway;
 use super::delegate::{DECLINED, Ticket};
 use super::forward::{Delivery, Fault, Forwarder, write_field};
-use super::http::{Connection, Error, Framing, Request, Response};
+use super::http::{Body, Connection, Error, Framing, Request, Response};
+use super::memory;
 use super::relay::{End, Transfer, relay};
 use crate::metrics::METRICS;
 
@@ -31,6 +32,9 @@
 /// Status code of the refusal of a request whose key is missing or not known.
 const UNAUTHORIZED: u16 = 401;
 
+/// Maximum time for which a request waits until there is memory for its body.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
+
 /// `Retry-After` of requests refused because the configuration is not fresh.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -136,10 +140,15 @@
     {
         return Persistence::Close;
     }
-    let reading = connection.read_body(request.framing, limits.body_bytes);
+    let reading = read_body(gateway, connection, &request, limits.body_bytes);
     let body = match future::timeout(BODY_TIMEOUT, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(Error::Io(_) | Error::Ended)) => return Persistence::Close,
+        Ok(Err(error @ Error::NoRoom(_))) => {
+            log::info!(cause:% = error, framing:? = request.framing; "refused a request");
+            let fault = Fault::from(error);
+            return send_fault(gateway, connection, &fault, request.closes).await;
+        }
         Ok(Err(error)) => {
             write_fault(gateway, connection, &Fault::from(error), true).await;
             return Persistence::Close;
@@ -212,7 +221,7 @@
         deadline: arrived + time_limit,
         content,
         request,
-        body,
+        body: Rc::new(body),
         metadata,
         route,
         account,
@@ -239,6 +248,9 @@
             Either::Right(_) => None,
         }
     };
+    if let Some(delivery) = &delivery {
+        forwarder.release_body(delivery);
+    }
     let mut stream = None;
     let (persistence, outcome) = match delivery {
         None => (Persistence::Close, "caller gone".to_owned()),
@@ -270,6 +282,27 @@
     persistence
 }
 
+/// Reads the body of a request. One that finds no memory is read to its end and dropped: closing a
+/// connection with unread bytes would reset it, and the caller would not see the response.
+async fn read_body(
+    gateway: &Gateway,
+    connection: &mut Connection,
+    request: &Request,
+    max_bytes: usize,
+) -> std::result::Result<memory::Body, Error> {
+    let mut room = gateway.request_memory.room(MAX_MEMORY_WAIT);
+    let mut decoder = Body::new(request.framing);
+    let reading = connection.read_body_into(&mut decoder, max_bytes, &mut room);
+    match reading.await {
+        Ok(bytes) => Ok(memory::Body::new(bytes, room)),
+        Err(error @ Error::NoRoom(_)) => {
+            connection.skip_body(&mut decoder, max_bytes).await?;
+            Err(error)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Counts a finished request and logs it in one line: what determined its handling and, for a
 /// stream, the timing that its caller saw.
 fn log_request(forwarder: &Forwarder, origin: &Origin, outcome: &str, stream: Option<Transfer>) {
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 use gooseberrylb_policy::reach::{Symptom, Verdict};
 
 use super::http::Request;
+use super::memory;
 use super::place::{Grant, Placement};
 use super::{Gateway, delegate, reach};
 
@@ -39,8 +40,8 @@
     pub gateway: Rc<Gateway>,
     /// Head of the request.
     pub request: Request,
-    /// Body of the request, read in full.
-    pub body: Vec<u8>,
+    /// Body of the request, read in full; empty once it is no longer needed.
+    pub body: Rc<memory::Body>,
     /// Platform-specific properties of the request, from its header fields.
     pub metadata: RequestMetadata,
     /// Route that matched the request.
@@ -82,6 +83,17 @@
         self.deadline.saturating_duration_since(self.now())
     }
 
+    /// Drops the body, unless it may be sent once more to resume a stream.
+    pub fn release_body(&mut self, delivery: &Delivery) {
+        let may_resume = match delivery {
+            Delivery::Streamed(_) => self.route.retry == Retry::Resume,
+            Delivery::Buffered(..) | Delivery::Fault(_) => false,
+        };
+        if !may_resume {
+            self.body = Rc::new(memory::Body::empty());
+        }
+    }
+
     /// Whether the request may be sent to another upstream although it may already have run.
     pub fn may_repeat(&self) -> bool {
         let repeatable = match self.route.retry {
--- a/gooseberrylb/src/gateway/forward/attempt.rs
+++ b/gooseberrylb/src/gateway/forward/attempt.rs
@@ -11,7 +11,8 @@
 
 use super::exchange::{Delivery, Exchange, Failure, Lease};
 use super::{Forwarder, write_field};
-use crate::gateway::http::{Connection, Framing, Response};
+use crate::gateway::http::{self, Connection, Framing, Response};
+use crate::gateway::memory;
 use crate::gateway::place::Grant;
 use crate::metrics::METRICS;
 
@@ -164,9 +165,11 @@
         sent_at: Instant,
     ) -> std::result::Result<Delivery, Failure> {
         let limit = self.gateway.body_limit();
-        let reading = connection.read_body(response.framing, limit);
+        let mut room = self.gateway.response_memory.room(self.time_left());
+        let mut decoder = http::Body::new(response.framing);
+        let reading = connection.read_body_into(&mut decoder, limit, &mut room);
         let body = match future::timeout(self.time_left(), reading).await {
-            Ok(Ok(body)) => body,
+            Ok(Ok(body)) => memory::Body::new(body, room),
             Ok(Err(error)) => {
                 log::info!(
                     id = self.id(), upstream:% = grant.upstream, content:% = self.content, error:% = error;
--- a/gooseberrylb/src/gateway/forward/exchange.rs
+++ b/gooseberrylb/src/gateway/forward/exchange.rs
@@ -7,8 +7,12 @@
 use gooseberrylb_policy::dispatch::Reason;
 
 use crate::gateway::http::{self, Connection, Response};
+use crate::gateway::memory;
 use crate::gateway::place::Grant;
 
+/// `Retry-After` of requests refused because there is no memory for their bodies.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Error response that the gateway generates itself.
 #[derive(Debug, Clone)]
 pub struct Fault {
@@ -92,7 +96,7 @@
     /// Response whose body is relayed while it arrives.
     Streamed(Box<Exchange>),
     /// Response that was read in full.
-    Buffered(Response, Vec<u8>),
+    Buffered(Response, memory::Body),
     /// Error response of the gateway.
     Fault(Fault),
 }
@@ -121,6 +125,9 @@
         match error {
             http::Error::HeadTooLarge(_) => Fault::new(431, "the head is too large"),
             http::Error::BodyTooLarge(_) => Fault::new(413, "the body is too large"),
+            http::Error::NoRoom(_) => {
+                Fault::with_retry_after(503, "requests take too much memory", MEMORY_RETRY_AFTER)
+            }
             http::Error::Malformed(message) => Fault::new(400, message),
             http::Error::Io(_) | http::Error::Ended => Fault::new(400, "the request broke off"),
         }
--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -10,9 +10,12 @@
 use async_std::io::{Read, WriteExt};
 use async_std::net::TcpStream;
 use gooseberrylb_config::dialect::Field;
+use gooseberrylb_config::number::Bytes;
 use socket2::SockRef;
 use thiserror::Error;
 
+use super::memory::{Exhausted, Room};
+
 pub use body::{Body, Progress};
 
 mod body;
@@ -51,6 +54,9 @@
     /// The body is larger than allowed.
     #[error("the body is larger than {0} bytes")]
     BodyTooLarge(usize),
+    /// There is no memory for the body.
+    #[error(transparent)]
+    NoRoom(#[from] Exhausted),
 }
 
 /// How the end of a body is determined.
@@ -508,29 +514,61 @@
         framing: Framing,
         max_bytes: usize,
     ) -> Result<Vec<u8>, Error> {
-        if let Framing::Length(length) = framing
-            && length > max_bytes as u64
-        {
-            return Err(Error::BodyTooLarge(max_bytes));
-        }
         let mut body = Body::new(framing);
+        body.check_length(max_bytes)?;
         let mut decoded = Vec::new();
-        loop {
-            let (used, progress) = body.decode(self.unread(), &mut decoded)?;
-            self.consume(used);
-            if decoded.len() > max_bytes {
-                return Err(Error::BodyTooLarge(max_bytes));
-            }
-            if progress == Progress::Done {
-                return Ok(decoded);
-            }
-            if self.fill().await? == 0 {
-                return match body.ends_at_close() {
-                    true => Ok(decoded),
-                    false => Err(Error::Ended),
-                };
-            }
+        while self.read_part(&mut body, &mut decoded, max_bytes).await? == Progress::More {}
+        Ok(decoded)
+    }
+
+    /// Reads a body in full into `room`. After [`Error::NoRoom`], the rest of the body may be skipped.
+    pub async fn read_body_into(
+        &mut self,
+        body: &mut Body,
+        max_bytes: usize,
+        room: &mut Room,
+    ) -> Result<Vec<u8>, Error> {
+        body.check_length(max_bytes)?;
+        if let Some(length) = body.length() {
+            room.grow(length).await?;
+        }
+        let mut decoded = Vec::new();
+        while self.read_part(body, &mut decoded, max_bytes).await? == Progress::More {
+            room.grow(Bytes(decoded.len() as u64)).await?;
+        }
+        Ok(decoded)
+    }
+
+    /// Reads the rest of a body, at most `max_bytes`, and drops it.
+    pub async fn skip_body(&mut self, body: &mut Body, max_bytes: usize) -> Result<(), Error> {
+        let (mut decoded, mut left) = (Vec::new(), max_bytes);
+        while self.read_part(body, &mut decoded, left).await? == Progress::More {
+            left -= decoded.len();
+            decoded.clear();
+        }
+        Ok(())
+    }
+
+    /// Decodes what has arrived of a body and, if that is not all, waits for more bytes. `decoded` may
+    /// have at most `max_bytes`.
+    async fn read_part(
+        &mut self,
+        body: &mut Body,
+        decoded: &mut Vec<u8>,
+        max_bytes: usize,
+    ) -> Result<Progress, Error> {
+        let (used, progress) = body.decode(self.unread(), decoded)?;
+        self.consume(used);
+        if decoded.len() > max_bytes {
+            return Err(Error::BodyTooLarge(max_bytes));
+        }
+        if progress == Progress::More && self.fill().await? == 0 {
+            return match body.ends_at_close() {
+                true => Ok(Progress::Done),
+                false => Err(Error::Ended),
+            };
         }
+        Ok(progress)
     }
 }
 
--- a/gooseberrylb/src/gateway/http/body.rs
+++ b/gooseberrylb/src/gateway/http/body.rs
@@ -1,5 +1,7 @@
 //! Incremental decoder for message bodies.
 
+use gooseberrylb_config::number::Bytes;
+
 use super::{Error, Framing};
 
 /// Maximum length in bytes of a chunk size line, including extensions.
@@ -59,6 +61,27 @@
         }
     }
 
+    /// Returns the number of bytes that are left of a body with a fixed length.
+    pub fn length(&self) -> Option<Bytes> {
+        match self.state {
+            State::Data(left) => Some(Bytes(left)),
+            State::Done => Some(Bytes(0)),
+            State::Size
+            | State::Chunk(_)
+            | State::ChunkEnd
+            | State::Trailer
+            | State::UntilClose => None,
+        }
+    }
+
+    /// Fails if the body is known to have more than `max_bytes`.
+    pub fn check_length(&self, max_bytes: usize) -> Result<(), Error> {
+        match self.length() {
+            Some(length) if length.0 > max_bytes as u64 => Err(Error::BodyTooLarge(max_bytes)),
+            Some(_) | None => Ok(()),
+        }
+    }
+
     /// Whether the body ends when the connection is closed.
     pub fn ends_at_close(&self) -> bool {
         self.state == State::UntilClose
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -68,6 +68,10 @@
     pub panics: IntCounter,
     /// Bytes of responses that are being written to callers.
     pub held_bytes: IntGauge,
+    /// Bytes that are reserved for bodies of requests and responses.
+    pub body_bytes: IntGauge,
+    /// Number of bodies that wait for memory.
+    pub waiting_bodies: IntGauge,
     /// Callers that were cut off since they did not read their responses.
     pub stalled_callers: IntCounter,
     /// Evacuated data centres, as the leader knows.
@@ -260,6 +264,12 @@
                 "held_response_bytes",
                 "Bytes of responses that callers have not read yet.",
             ),
+            body_bytes: gauge(
+                &r,
+                "body_bytes",
+                "Bytes reserved for bodies of requests and responses.",
+            ),
+            waiting_bodies: gauge(&r, "waiting_bodies", "Bodies that wait for memory."),
             stalled_callers: counter(
                 &r,
                 "stalled_callers_total",
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -31,7 +31,7 @@
 pub const STAND_INS: u8 = 9;
 
 /// Maximum number of fleets, whose tests may run at the same time.
-const MAX_FLEETS: u8 = 42;
+const MAX_FLEETS: u8 = 50;
 
 /// Loopback network of one test, derived from the process id so that its ports are free.
 #[derive(Clone, Copy)]
@@ -45,7 +45,7 @@
         let pid = std::process::id();
         Self {
             second: 10 + u8::try_from(pid % 200).unwrap(),
-            third: u8::try_from(pid / 200 % 6).unwrap() * MAX_FLEETS + number,
+            third: u8::try_from(pid / 200 % 5).unwrap() * MAX_FLEETS + number,
         }
     }
 
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::finding::Findings;
 use crate::id;
+use crate::number::Bytes;
 use crate::reader::{self, read_object};
 
 pub mod secret;
@@ -77,6 +78,8 @@
     pub addresses_ttl_ms: u64,
     /// How long a planned stop waits for requests in flight, in milliseconds.
     pub drain_ms: u64,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
 }
 
 impl Default for Limits {
@@ -89,6 +92,7 @@
             timeout_ms: 120_000,
             addresses_ttl_ms: 5_000,
             drain_ms: 120_000,
+            memory_mb: 256,
         }
     }
 }
@@ -222,6 +226,7 @@
     timeout_ms = Limits::default().timeout_ms,
     addresses_ttl_ms = Limits::default().addresses_ttl_ms,
     drain_ms = Limits::default().drain_ms,
+    memory_mb = Limits::default().memory_mb,
 });
 read_object!(Settings {
     name,
@@ -500,6 +505,11 @@
 }
 
 impl Limits {
+    /// Returns the memory that the process may use.
+    pub fn memory(&self) -> Bytes {
+        Bytes(self.memory_mb.saturating_mul(1_000_000))
+    }
+
     fn check(&self, findings: &mut Findings) {
         let limits = [
             ("body_bytes", self.body_bytes as u64),
@@ -509,6 +519,7 @@
             ("timeout_ms", self.timeout_ms),
             ("addresses_ttl_ms", self.addresses_ttl_ms),
             ("drain_ms", self.drain_ms),
+            ("memory_mb", self.memory_mb),
         ];
         for (name, value) in limits {
             if value == 0 {
