Close the connection of a spoilt stream before the stream is resumed

Cause: only the grant was given up before the next upstream was asked; the connection lived until that one had answered. An upstream drops a request when its connection closes.

Change: the connection is closed first.

--- a/gooseberrylb/src/gateway/relay.rs
+++ b/gooseberrylb/src/gateway/relay.rs
@@ -233,7 +233,13 @@
                     "the upstream failed during a response"
                 );
                 let is_malformed = broken || is_over;
-                match exchange.lease {
+                let Exchange {
+                    lease, connection, ..
+                } = *exchange;
+                // The upstream may go on with the request for as long as its connection is open, while
+                // another one resumes it.
+                drop(connection);
+                match lease {
                     // Upstreams cut off a response that is not read.
                     Lease::Grant(grant) if is_caller_slow => grant.end(Outcome::Dropped),
                     Lease::Grant(grant) if is_malformed => grant.end(Outcome::Failed),
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -44,6 +44,8 @@
     Reset,
     /// Repeats a text until the peer closes the connection.
     Endless(&'static str),
+    /// Waits until the peer closes the connection, and records that for a target.
+    AwaitClose(String),
     /// Keeps the connection, and sends a text before the response to the next request.
     Late(String),
 }
@@ -68,6 +70,12 @@
         stream.write_all(self.text.as_bytes())?;
         match self.end {
             End::Close | End::Late(_) => Ok(()),
+            End::AwaitClose(ref target) => {
+                // The peer sends no more, so that the read ends with the connection.
+                let _ = stream.read(&mut [0; 1]);
+                CLOSED.lock().unwrap().push(target.clone());
+                Ok(())
+            }
             End::Reset => {
                 thread::sleep(Duration::from_millis(100));
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO))
@@ -114,7 +122,7 @@
                     match answer.end {
                         End::Reset => return,
                         End::Late(text) => late = text,
-                        End::Close | End::Endless(_) => break,
+                        End::Close | End::Endless(_) | End::AwaitClose(_) => break,
                     }
                 }
                 stream.shutdown(Shutdown::Both).ok();
@@ -184,6 +192,9 @@
     if target.starts_with("/crowd/") {
         return crowd_response(request);
     }
+    if target.starts_with("/resumable/spoilt") {
+        return spoilt_response(request, target, earlier);
+    }
     if target.starts_with("/resumable/") {
         return resumable_response(request, earlier);
     }
@@ -382,6 +393,30 @@
 /// Number of events of the stand-in's resumable streams.
 pub const RESUMABLE_EVENTS: u32 = 5;
 
+/// Targets of requests whose connections were closed by the peer.
+static CLOSED: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+/// Time that a stand-in takes to resume a spoilt stream.
+const RESUMING_TIME: Duration = Duration::from_millis(500);
+
+/// Returns a stream with bytes that are no chunk, on a connection that stays open. The upstream that resumes
+/// it tells whether the first one's connection was closed when it answered.
+fn spoilt_response(request: &str, target: &str, earlier: usize) -> Answer {
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    if earlier == 0 {
+        let rest = format!("{chunked}f\r\nid: 1\ndata: a\n\n\r\nwhat is this\r\n");
+        return Answer {
+            text: kept_response(request, "200 OK", &rest),
+            end: End::AwaitClose(target.to_owned()),
+        };
+    }
+    thread::sleep(RESUMING_TIME);
+    let is_closed = CLOSED.lock().unwrap().iter().any(|known| known == target);
+    let event = format!("id: 2\ndata: first closed {is_closed}\n\n");
+    let body = format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
+    signed_response(request, "200 OK", &format!("{chunked}{body}")).into()
+}
+
 /// Returns a stream that continues after the request's last event. The first request of a target
 /// gets only the beginning of the next event.
 fn resumable_response(request: &str, earlier: usize) -> Answer {
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -129,3 +129,18 @@
     // The connections to the upstream have been closed, so that its slots are free again.
     assert_eq!(fleet.status("/plain/after"), "201");
 }
+
+/// Guards against an upstream that works on with a stream that was spoilt, on a connection that is kept open
+/// while another one resumes the stream.
+#[test]
+fn connection_of_a_spoilt_stream_is_closed_before_another_upstream_resumes_it() {
+    let fleet = Fleet::start(46);
+    // The retry budget of an entry is empty at its start.
+    let mut attempt = 0;
+    fleet.wait(|fleet| {
+        attempt += 1;
+        let answer = fleet.call(&format!("/resumable/spoilt-{attempt}"), KEY);
+        assert!(!answer.contains("first closed false"), "{answer}");
+        answer.contains("first closed true")
+    });
+}
