Answer the requests that are open when a planned stop ends

Operators of a system like this one reported requests that were taken late in the grace period of a planned stop, passed on, and cut without an answer at its end. It could happen here: a request that came 2.6 s after the signal, and may last longer than the process, was passed on, and its connection was closed at 7.3 s without an answer.

Cause: late requests are taken only if their time ends before the exit, but the answer to one whose time ends with the grace period raced with the exit, and requests of the first 2.9 s are taken whatever their time.

Change: when the grace period is nearly over, the requests that still wait for an upstream are answered: 503 if they were not sent to one, else 502, which promises nothing. The process exits once all are answered, 200 ms later at most, well before it is killed. A response that is being relayed is cut as before, since it must not look whole.

--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -69,6 +69,9 @@
 /// because the platform's window for counting requests begins at other times than the window here.
 const RETRY_SHARE_FACTOR: f64 = 0.5;
 
+/// Time at the end of a planned stop for the last responses, of requests whose time ends with it.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
+
 /// Share of the process's memory for the bodies of requests, and for those of responses.
 const REQUEST_MEMORY_DIVISOR: u64 = 3;
 const RESPONSE_MEMORY_DIVISOR: u64 = 8;
@@ -76,6 +79,9 @@
 /// Interval at which a planned stop checks for open requests. Also the delay after a failed accept.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which the end of a planned stop checks for open requests.
+const LAST_RESPONSES_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Minimum time from the start of a planned stop for which requests are served, for callers that
 /// keep the entry's address slightly longer than its time to live.
 const MIN_DRAIN: Duration = Duration::from_millis(4500);
@@ -119,6 +125,8 @@
     fresh_waiters: RefCell<Vec<oneshot::Sender<()>>>,
     /// Channel that is closed when idle connections are to be closed. It carries no messages.
     close_idle: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    /// Channel that is closed when the grace period is nearly over. It carries no messages.
+    end: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 impl Gateway {
@@ -147,6 +155,7 @@
             exiting: Cell::new(false),
             fresh_waiters: RefCell::default(),
             close_idle: async_channel::bounded(1),
+            end: async_channel::bounded(1),
         })
     }
 
@@ -258,6 +267,12 @@
         self.close_idle.1.recv().await.ok();
     }
 
+    /// Waits until the grace period of a planned stop is nearly over.
+    pub async fn end_of_grace(&self) {
+        // As above.
+        self.end.1.recv().await.ok();
+    }
+
     /// Counts a request that was received, until the returned value is dropped.
     fn begin_request(self: &Rc<Self>) -> OpenRequest {
         self.open_requests.set(self.open_requests.get() + 1);
@@ -428,6 +443,9 @@
         let done = gateway.open_requests.get() == 0 && elapsed >= MIN_DRAIN;
         // A request that arrives from now on is refused, and not cut off by the exit.
         let was_exiting = gateway.exiting.replace(done || gateway.exiting.get());
+        if drain.is_over(now) {
+            end_open_requests(gateway).await;
+        }
         if (done && was_exiting) || drain.is_over(now) {
             let open_requests = gateway.open_requests.get();
             log::info!(open = open_requests, ms = elapsed.as_millis() as u64; "stopped serving callers");
@@ -436,3 +454,14 @@
         task::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
+
+/// Has the requests that wait for an upstream answered before the process exits.
+async fn end_open_requests(gateway: &Gateway) {
+    gateway.exiting.set(true);
+    gateway.end.0.close();
+    let clock = &gateway.core.clock;
+    let end = clock.now() + LAST_RESPONSES_TIME;
+    while gateway.open_requests.get() > 0 && clock.now() < end {
+        task::sleep(LAST_RESPONSES_POLL_INTERVAL).await;
+    }
+}
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -50,6 +50,16 @@
 /// Time that a new connection to a leaving entry has for its first request, which may be on its way.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 
+/// How the wait for a response ended.
+enum Ended {
+    /// There is something to send to the caller.
+    Delivery(Delivery),
+    /// The caller closed its connection.
+    CallerGone,
+    /// The process is about to exit.
+    Exit,
+}
+
 /// Whether a connection stays open after a response.
 #[derive(PartialEq, Eq)]
 enum Persistence {
@@ -240,12 +250,24 @@
     if ticket.is_none() {
         gateway.deposit_retry();
     }
-    let delivery = {
+    let ended = {
         let running = std::pin::pin!(forwarder.run());
         let caller_gone = std::pin::pin!(connection.closed());
-        match futures::future::select(running, caller_gone).await {
-            Either::Left((delivery, _)) => Some(delivery),
-            Either::Right(_) => None,
+        let exiting = std::pin::pin!(gateway.end_of_grace());
+        let stopped = futures::future::select(caller_gone, exiting);
+        match futures::future::select(running, stopped).await {
+            Either::Left((delivery, _)) => Ended::Delivery(delivery),
+            Either::Right((Either::Left(_), _)) => Ended::CallerGone,
+            Either::Right((Either::Right(_), _)) => Ended::Exit,
+        }
+    };
+    let delivery = match ended {
+        Ended::Delivery(delivery) => Some(delivery),
+        Ended::CallerGone => None,
+        Ended::Exit if forwarder.attempts == 0 => Some(Delivery::Fault(leaving_fault())),
+        Ended::Exit => {
+            let fault = Fault::new(502, "this entry exits before the upstream has answered");
+            Some(Delivery::Fault(fault))
         }
     };
     if let Some(delivery) = &delivery {
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{CALLERS, ENTRY, Fleet, KEY, field};
 use crate::standin::read_message;
@@ -118,3 +118,57 @@
     let cut: Vec<_> = sent_on.filter(|id| unanswered.contains(id)).collect();
     assert!(cut.is_empty(), "{cut:?}\n{}", fleet.output());
 }
+
+/// Guards against requests that are passed on late in the grace period of a planned stop and cut off by the
+/// exit without an answer: those whose time ends with the grace period, and early ones that outlast it.
+#[test]
+fn requests_that_last_until_the_exit_are_answered() {
+    /// Time from the signal to the end of the grace period that is left for requests.
+    const END: Duration = Duration::from_millis(7_300);
+    let fleet = Fleet::start_with_grace(44, 8);
+    fleet.wait(|fleet| fleet.status("/plain/x") == "201");
+    let address = fleet.network.address(ENTRY, CALLERS);
+    // Upstreams of this service run 32 requests, and take longer than the entry lives.
+    let call = |stopped: Instant, after: u64, limit: Duration| {
+        thread::sleep(Duration::from_millis(after).saturating_sub(stopped.elapsed()));
+        let mut stream = TcpStream::connect(address).unwrap();
+        let request = format!(
+            "POST /crowd/silent-{after} HTTP/1.1\r\nHost: a.example\r\nX-Gooseberrylb-Attempt-Id: id-{after}\r\n\
+             X-Gooseberrylb-Deadline-Ms: {}\r\nContent-Length: 0\r\n{KEY}\r\n",
+            limit.as_millis()
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        (after, read_message(&mut stream))
+    };
+    let early = [1_000, 2_600].map(|after| (after, Duration::from_millis(5_000)));
+    let late = (0..20).map(|step| {
+        let after = 4_000 + 10 * step;
+        (after, END - Duration::from_millis(after + 5 * (step % 5)))
+    });
+    let answers: Vec<(u64, Option<String>)> = thread::scope(|scope| {
+        fleet.signal(ENTRY, "-TERM");
+        let (stopped, call) = (Instant::now(), &call);
+        let calls: Vec<_> = early
+            .into_iter()
+            .chain(late)
+            .map(|(after, limit)| scope.spawn(move || call(stopped, after, limit)))
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    let received = fleet.received();
+    for (after, answer) in &answers {
+        let passed_on = received
+            .iter()
+            .any(|request| request.contains(&format!("silent-{after} ")));
+        let Some(answer) = answer else {
+            panic!("no answer to the request sent after {after} ms, passed on: {passed_on}");
+        };
+        let status = answer.split(' ').nth(1).unwrap();
+        let allowed: &[&str] = if passed_on { &["502", "504"] } else { &["503"] };
+        assert!(allowed.contains(&status), "{after}: {answer}");
+    }
+    let passed_on = received
+        .iter()
+        .filter(|request| request.contains("/crowd/silent-"));
+    assert!(passed_on.count() > 10);
+}
