Show that a response cut within its head is never delivered as whole

Operators of a system like this one reported callers that got a 200 with an empty body for a response that broke off in its head. It cannot happen here: a head is parsed only once its empty line has arrived, and the end of the connection before that is a failure of the attempt, at the gateway, at other entries, at the list and at the own interface.

Tests: head_cut_at_any_byte_is_no_response, head_cut_at_any_byte_is_lost (own interface) and response_cut_within_its_head_is_not_delivered_as_whole.

--- a/gooseberrylb/tests/framing.rs
+++ b/gooseberrylb/tests/framing.rs
@@ -145,6 +145,22 @@
     });
 }
 
+/// Guards against a head that breaks off and is taken for a whole response.
+#[test]
+fn head_cut_at_any_byte_is_no_response() {
+    const HEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\
+        X-Gooseberrylb-Response-Signature: s\r\n\r\n";
+    task::block_on(async {
+        for length in 0..HEAD.len() {
+            let mut connection = connection(&HEAD[..length], 1_000).await;
+            let result = connection.read_response(false).await;
+            assert!(matches!(result, Err(Error::Ended)), "{length}: {result:?}");
+        }
+        let response = connection(HEAD, 1_000).await.read_response(false).await;
+        assert_eq!(response.unwrap().status, 200);
+    });
+}
+
 #[test]
 fn skips_interim_responses_and_ends_bodyless_ones_at_head() {
     for_each_piece_size(async |size| {
--- a/gooseberrylb/tests/platform/standin.rs
+++ b/gooseberrylb/tests/platform/standin.rs
@@ -159,6 +159,15 @@
     if let Some((_, place)) = target.split_once("endless-") {
         return endless_response(request, place);
     }
+    if let Some((_, percent)) = target.split_once("head-cut-") {
+        let whole = signed_response(
+            request,
+            "200 OK",
+            "Content-Length: 5\r\nX-Last: field\r\n\r\n",
+        );
+        let length = whole.len() * percent.parse::<usize>().unwrap() / 100;
+        return whole[..length].to_owned().into();
+    }
     let instance = field(request, "x-gooseberrylb-expect-instance");
     if target.starts_with("/pair/")
         && target != "/pair/brittle"
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -130,6 +130,19 @@
     assert_eq!(fleet.status("/plain/after"), "201");
 }
 
+/// Guards against a head that breaks off and is answered as a whole response without a body.
+#[test]
+fn response_cut_within_its_head_is_not_delivered_as_whole() {
+    let fleet = Fleet::start(45);
+    for percent in [0, 10, 40, 70, 99] {
+        for route in ["plain", "stream", "resumable", "pair"] {
+            let target = format!("/{route}/head-cut-{percent}");
+            let answer = fleet.call(&target, KEY);
+            assert!(answer.starts_with("HTTP/1.1 502"), "{target}: {answer}");
+        }
+    }
+}
+
 /// Guards against an upstream that works on with a stream that was spoilt, on a connection that is kept open
 /// while another one resumes the stream.
 #[test]
--- a/gooseberrylb/tests/upstream.rs
+++ b/gooseberrylb/tests/upstream.rs
@@ -82,6 +82,19 @@
     }
 }
 
+/// Guards against a head that breaks off and is taken for a whole response.
+#[test]
+fn head_cut_at_any_byte_is_lost() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Other: a\r\n\r\n";
+    for length in 0..HEAD.len() {
+        let result = call_plain(&HEAD[..length]);
+        assert!(
+            matches!(result, Err(Error::Lost(_))),
+            "{length}: {result:?}"
+        );
+    }
+}
+
 #[test]
 fn plain_response_without_framing_is_read_to_the_end_of_its_connection() {
     let body = call_plain("HTTP/1.1 200 OK\r\n\r\nhello\r\n\r\nyou");
