Do not say of a delegated request that it has not run

Cause: an entry that exits answered a waiting request with 503, "not run", if it had made no attempt itself. A request that it has sent to another entry counts as an attempt only once that one has answered, so that its caller was told that it has not run while an upstream ran it.

Change: the request remembers that it was sent, to an upstream or to another entry, until that entry declines it.

Test: delegated_request_that_outlasts_the_entry_is_not_said_to_have_not_run; it got 503 before.

--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -241,6 +241,7 @@
         charged: ticket.is_some_and(|ticket| ticket.charged),
         delegated: ticket.is_some(),
         delegate: None,
+        sent: false,
         last_upstream: None,
         placement_wait: Duration::ZERO,
         alone: false,
@@ -264,7 +265,7 @@
     let delivery = match ended {
         Ended::Delivery(delivery) => Some(delivery),
         Ended::CallerGone => None,
-        Ended::Exit if forwarder.attempts == 0 => Some(Delivery::Fault(leaving_fault())),
+        Ended::Exit if !forwarder.sent => Some(Delivery::Fault(leaving_fault())),
         Ended::Exit => {
             let fault = Fault::new(502, "this entry exits before the upstream has answered");
             Some(Delivery::Fault(fault))
--- a/gooseberrylb/src/gateway/delegate.rs
+++ b/gooseberrylb/src/gateway/delegate.rs
@@ -192,6 +192,7 @@
     ) -> Result<Option<Delivery>, Failure> {
         let head = self.delegated_head(last_event);
         let sent_at = self.now();
+        let was_sent = std::mem::replace(&mut self.sent, true);
         let answered = async {
             self.write_request(&mut connection, head).await?;
             connection
@@ -207,6 +208,7 @@
             Err(_) => return Err(Failure::TimedOut),
         };
         if response.status == DECLINED {
+            self.sent = was_sent;
             self.read_delegated(address, connection, &response).await?;
             return Ok(None);
         }
--- a/gooseberrylb/src/gateway/forward.rs
+++ b/gooseberrylb/src/gateway/forward.rs
@@ -58,6 +58,8 @@
     pub excluded: Vec<id::Upstream>,
     /// Number of attempts in which bytes were sent to an upstream.
     pub attempts: u32,
+    /// Whether the request was sent to an upstream, or to another entry that may have sent it on.
+    pub sent: bool,
     /// Upstream of the most recent attempt.
     pub last_upstream: Option<id::Upstream>,
     /// Total time spent waiting for placement.
--- a/gooseberrylb/src/gateway/forward/attempt.rs
+++ b/gooseberrylb/src/gateway/forward/attempt.rs
@@ -76,6 +76,7 @@
             self.gateway.budget.borrow_mut().withdraw(sent_at);
         }
         self.attempts += 1;
+        self.sent = true;
         self.confirmed = self.gateway.confirmation_age(sent_at);
         let response = match self.send(&grant, &mut connection, is_new, head).await {
             Ok((response, reply)) => {
--- a/gooseberrylb/src/gateway/forward/copy.rs
+++ b/gooseberrylb/src/gateway/forward/copy.rs
@@ -83,6 +83,7 @@
             excluded,
             // The first attempt counts, so that the copy draws on the retry budget.
             attempts: self.attempts + 1,
+            sent: self.sent,
             last_upstream: None,
             placement_wait: self.placement_wait,
             alone: false,
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -172,3 +172,24 @@
         .filter(|request| request.contains("/crowd/silent-"));
     assert!(passed_on.count() > 10);
 }
+
+/// Guards against an entry that says at its exit that a request has not run, though it has delegated the request
+/// to another entry, which has sent it on.
+#[test]
+fn delegated_request_that_outlasts_the_entry_is_not_said_to_have_not_run() {
+    let mut fleet = Fleet::start_with_grace(47, 8);
+    fleet.start_entry(ENTRY + 1);
+    fleet.cut_off(Some(ENTRY));
+    fleet.wait(|fleet| fleet.status("/lookup/x") == "201");
+    fleet.signal(ENTRY, "-TERM");
+    thread::sleep(Duration::from_millis(2_600));
+    let limit = "X-Gooseberrylb-Deadline-Ms: 5000\r\n";
+    let answer = fleet.call("/crowd/silent", &format!("{KEY}{limit}"));
+    let received = fleet.received();
+    assert!(
+        received
+            .iter()
+            .any(|request| request.contains("/crowd/silent"))
+    );
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
