--- a/gooseberrylb/src/control/feed/tests.rs
+++ b/gooseberrylb/src/control/feed/tests.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 /// Size of a declaration's text in bytes.
-const TEXT_BYTES: usize = 200_000;
+const TEXT_BYTES: usize = 20_000;
 
 /// Returns a text that compresses as badly as one of random names.
 fn text(version: u64) -> Arc<Text> {
@@ -100,7 +100,7 @@
 #[test]
 fn history_is_not_larger_than_the_configuration() {
     const ACCOUNTS: usize = 10_000;
-    const ROUNDS: u32 = 20;
+    const ROUNDS: u32 = 8;
     let mut feed = Feed::default();
     for share in 1..=ROUNDS {
         let mut directory = next(feed.directory(), share, None);
