Allocate a body of a known length at its size

Cause: the room for a body of a known length was taken at once, but its bytes grew by doubling, so that each step left a freed block of half the size behind.

Change: the bytes are allocated at the length once there is room for it.

--- a/gooseberrylb/src/gateway/http.rs
+++ b/gooseberrylb/src/gateway/http.rs
@@ -529,10 +529,12 @@
         room: &mut Room,
     ) -> Result<Vec<u8>, Error> {
         body.check_length(max_bytes)?;
+        let mut decoded = Vec::new();
         if let Some(length) = body.length() {
             room.grow(length).await?;
+            // Growing step by step would leave freed blocks of up to the same size behind.
+            decoded.reserve_exact(length.0 as usize);
         }
-        let mut decoded = Vec::new();
         while self.read_part(body, &mut decoded, max_bytes).await? == Progress::More {
             room.grow(Bytes(decoded.len() as u64)).await?;
         }
