--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -269,7 +269,7 @@
 
     /// Waits until the grace period of a planned stop is nearly over.
     pub async fn end_of_grace(&self) {
-        // As above.
+        // No message is ever sent; the wait ends when the channel is closed.
         self.end.1.recv().await.ok();
     }
 
@@ -443,10 +443,11 @@
         let done = gateway.open_requests.get() == 0 && elapsed >= MIN_DRAIN;
         // A request that arrives from now on is refused, and not cut off by the exit.
         let was_exiting = gateway.exiting.replace(done || gateway.exiting.get());
-        if drain.is_over(now) {
+        let is_over = drain.is_over(now);
+        if is_over {
             end_open_requests(gateway).await;
         }
-        if (done && was_exiting) || drain.is_over(now) {
+        if (done && was_exiting) || is_over {
             let open_requests = gateway.open_requests.get();
             log::info!(open = open_requests, ms = elapsed.as_millis() as u64; "stopped serving callers");
             return;
--- a/gooseberrylb/src/gateway/caller.rs
+++ b/gooseberrylb/src/gateway/caller.rs
@@ -424,11 +424,8 @@
     metadata: &RequestMetadata,
 ) -> std::result::Result<Option<Arc<Account>>, Fault> {
     let account = metadata.key.as_ref().and_then(|key| table.account(key));
-    let may_lack_account = match &metadata.key {
-        Some(_) => !table.needs_keys(),
-        None => !table.needs_keys() || route.anonymous,
-    };
-    if account.is_none() && !may_lack_account {
+    let is_anonymous = route.anonymous && metadata.key.is_none();
+    if account.is_none() && table.needs_keys() && !is_anonymous {
         return Err(Fault::new(UNAUTHORIZED, "no account has this key"));
     }
     Ok(account.cloned())
--- a/gooseberrylb/src/gateway/delegate.rs
+++ b/gooseberrylb/src/gateway/delegate.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::forward::{Delivery, Exchange, Failure, Forwarder, Lease, write_field};
-use super::http::{Body, Connection, Framing, Request, Response};
+use super::http::{Connection, Framing, Request, Response};
 use super::memory;
 use super::pool::{CONNECT_TIMEOUT, Pool};
 use super::session;
@@ -232,12 +232,9 @@
         mut connection: Connection,
         response: &Response,
     ) -> Result<memory::Body, Failure> {
-        let mut room = self.gateway.response_memory.room(self.time_left());
-        let mut decoder = Body::new(response.framing);
-        let limit = self.gateway.body_limit();
-        let reading = connection.read_body_into(&mut decoder, limit, &mut room);
+        let reading = self.read_body(&mut connection, response.framing);
         let body = match future::timeout(self.time_left(), reading).await {
-            Ok(Ok(body)) => memory::Body::new(body, room),
+            Ok(Ok(body)) => body,
             Ok(Err(_)) => return Err(Failure::Unknown("the other entry's answer broke off")),
             Err(_) => return Err(Failure::TimedOut),
         };
--- a/gooseberrylb/src/gateway/forward/attempt.rs
+++ b/gooseberrylb/src/gateway/forward/attempt.rs
@@ -165,12 +165,9 @@
         response: Response,
         sent_at: Instant,
     ) -> std::result::Result<Delivery, Failure> {
-        let limit = self.gateway.body_limit();
-        let mut room = self.gateway.response_memory.room(self.time_left());
-        let mut decoder = http::Body::new(response.framing);
-        let reading = connection.read_body_into(&mut decoder, limit, &mut room);
+        let reading = self.read_body(&mut connection, response.framing);
         let body = match future::timeout(self.time_left(), reading).await {
-            Ok(Ok(body)) => memory::Body::new(body, room),
+            Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 log::info!(
                     id = self.id(), upstream:% = grant.upstream, content:% = self.content, error:% = error;
@@ -208,6 +205,21 @@
         Ok(Delivery::Buffered(response, body))
     }
 
+    /// Reads the body of a response in full, into the memory for these.
+    pub(in crate::gateway) async fn read_body(
+        &self,
+        connection: &mut Connection,
+        framing: Framing,
+    ) -> std::result::Result<memory::Body, http::Error> {
+        let limit = self.gateway.body_limit();
+        let mut room = self.gateway.response_memory.room(self.time_left());
+        let mut body = http::Body::new(framing);
+        let bytes = connection
+            .read_body_into(&mut body, limit, &mut room)
+            .await?;
+        Ok(memory::Body::new(bytes, room))
+    }
+
     /// Writes the request and reads the head of its response.
     async fn send(
         &self,
--- a/gooseberrylb/src/gateway/memory.rs
+++ b/gooseberrylb/src/gateway/memory.rs
@@ -113,14 +113,10 @@
             return Ok(());
         }
         let missing = Bytes((size.0 - self.size.0).max(STEP.0.min(size.0)));
-        let max_wait = self.max_wait;
-        match future::timeout(max_wait, self.budget.take(missing)).await {
-            Ok(()) => {
-                self.size.0 += missing.0;
-                Ok(())
-            }
-            Err(_) => Err(Exhausted),
-        }
+        let taken = future::timeout(self.max_wait, self.budget.take(missing)).await;
+        taken.map_err(|_| Exhausted)?;
+        self.size.0 += missing.0;
+        Ok(())
     }
 }
 
--- a/gooseberrylb/tests/platform/truncation.rs
+++ b/gooseberrylb/tests/platform/truncation.rs
@@ -36,6 +36,18 @@
     assert!(!looks_complete(&empty), "{empty}");
 }
 
+impl Fleet {
+    /// Calls `was_retried` with the number of the attempt until it returns `true`: the retry budget of an
+    /// entry is empty at its start.
+    fn wait_for_retry(&self, mut was_retried: impl FnMut(u32) -> bool) {
+        let mut attempt = 0;
+        self.wait(|_| {
+            attempt += 1;
+            was_retried(attempt)
+        });
+    }
+}
+
 /// Returns the ids of the events in a response.
 fn event_ids(answer: &str) -> Vec<u32> {
     let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
@@ -45,10 +57,7 @@
 #[test]
 fn caller_that_resumes_a_stream_gets_no_event_twice_when_the_next_upstream_fails_first() {
     let fleet = Fleet::start(7);
-    // The retry budget of an entry is empty at its start.
-    let mut attempt = 0;
-    fleet.wait(|fleet| {
-        attempt += 1;
+    fleet.wait_for_retry(|attempt| {
         let from_start = fleet.call(&format!("/resumable/{attempt}"), KEY);
         looks_complete(&from_start) && event_ids(&from_start) == [1, 2, 3, 4, 5]
     });
@@ -62,10 +71,7 @@
 fn error_of_the_next_upstream_is_not_relayed_as_a_part_of_a_stream_that_broke_off() {
     let fleet = Fleet::start(37);
     for size in ["small", "large"] {
-        // The retry budget of an entry is empty at its start.
-        let mut attempt = 0;
-        fleet.wait(|fleet| {
-            attempt += 1;
+        fleet.wait_for_retry(|attempt| {
             let target = format!("/resumable/error-{size}-{attempt}/");
             let answer = fleet.call(&target, KEY);
             assert_eq!(event_ids(&answer), [1], "{target}: {answer:.400}");
@@ -148,10 +154,7 @@
 #[test]
 fn connection_of_a_spoilt_stream_is_closed_before_another_upstream_resumes_it() {
     let fleet = Fleet::start(46);
-    // The retry budget of an entry is empty at its start.
-    let mut attempt = 0;
-    fleet.wait(|fleet| {
-        attempt += 1;
+    fleet.wait_for_retry(|attempt| {
         let answer = fleet.call(&format!("/resumable/spoilt-{attempt}"), KEY);
         assert!(!answer.contains("first closed false"), "{answer}");
         answer.contains("first closed true")
--- a/gooseberrylb_control/src/journal/segment.rs
+++ b/gooseberrylb_control/src/journal/segment.rs
@@ -254,15 +254,14 @@
     let (files, headers) = (&files[start..], &headers[start..]);
     let last = files.len() - 1;
     let mut sequence = headers[0].sequence;
-    let mut older_bytes = 0;
+    let (mut older_bytes, mut end, mut file_length) = (0, 0, 0);
     // One segment at a time is held in memory.
-    for (segment_file, header) in files[..last].iter().zip(headers) {
-        let (end, _) = segment_file.replay(header, false, &mut sequence, image)?;
+    for (position, (segment_file, header)) in files.iter().zip(headers).enumerate() {
         older_bytes += end;
+        let is_last = position == last;
+        (end, file_length) = segment_file.replay(header, is_last, &mut sequence, image)?;
     }
-    let (segment_file, header) = (&files[last], &headers[last]);
-    let (end, file_length) = segment_file.replay(header, true, &mut sequence, image)?;
-    let segment = reopen(segment_file, header, end, file_length, sequence)?;
+    let segment = reopen(&files[last], &headers[last], end, file_length, sequence)?;
     Ok((segment, older_bytes))
 }
 
