--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -92,7 +92,7 @@
     let mut voter = None;
     let mut completions = None;
     if let Some((journal, recovered)) = start.journal {
-        let (jobs, receiver) = disk::spawn(journal)?;
+        let (jobs, receiver) = disk::spawn(journal, start.clock.clone())?;
         let founders = start.settings.peers.iter().filter(|p| p.voter);
         let identity = consensus::Identity {
             instance: start.identity.name.clone(),
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -41,6 +41,8 @@
     pub committed: IntGauge,
     /// Syncs of the journal, by result.
     pub journal_syncs: IntCounterVec,
+    /// Time that a write of the journal takes with its sync, in seconds.
+    pub journal_sync_seconds: Histogram,
     /// Moves by phase.
     pub moves: IntGaugeVec,
     /// Connections opened to upstreams.
@@ -202,6 +204,11 @@
                 "The last committed entry of the log.",
             ),
             journal_syncs: counters(&r, "journal_syncs_total", "Journal syncs.", &["result"]),
+            journal_sync_seconds: histogram(
+                &r,
+                "journal_sync_seconds",
+                "Time that a write of the journal takes with its sync.",
+            ),
             moves: gauges(&r, "moves", "Moves between versions by phase.", &["phase"]),
             upstream_connections: counter(
                 &r,
