--- /dev/null
+++ b/gooseberrylb_control/tests/consensus/disks.rs
@@ -0,0 +1,138 @@
+//! Tests of clusters whose disks are slow, hang or are full for a while.
+
+use std::time::Duration;
+
+use gooseberrylb_config::id;
+
+use crate::SECOND;
+use crate::simulation::{Simulation, instance};
+
+const VOTERS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Time within which the operators of a platform expect a change to be acknowledged.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_secs(4);
+
+/// Time within which a deployment serves again once all its instances are back.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Returns a cluster of five voters with a leader.
+fn cluster(seed: u64) -> Simulation {
+    let mut sim = Simulation::new(seed, &VOTERS, VOTERS.len());
+    sim.run_until(5 * SECOND, "a leader is ready", |sim| {
+        sim.leader()
+            .is_some_and(|leader| sim.node(&leader).status().can_change_membership)
+    });
+    sim
+}
+
+/// Proposes a command at the leader until one is acknowledged. Returns the time that this took, or
+/// `None` if it took longer than `limit`.
+fn time_to_acknowledge(sim: &mut Simulation, limit: Duration) -> Option<Duration> {
+    let started = sim.now();
+    while sim.now() < started + limit {
+        let number = sim.leader().map(|leader| sim.propose(&leader));
+        for _ in 0..10 {
+            sim.run(SECOND / 20);
+            if number.is_some_and(|number| sim.acknowledged.contains_key(&number)) {
+                return Some(sim.now() - started);
+            }
+            if number.is_some_and(|number| sim.rejections.contains_key(&number)) {
+                break;
+            }
+        }
+    }
+    None
+}
+
+/// Guards against elections that begin anew before the votes of the one before are synced, so that none
+/// ends.
+#[test]
+fn voters_with_slow_disks_elect_a_leader() {
+    for (shortest, longest) in [(100, 150), (225, 300), (300, 400), (500, 700), (750, 1000)] {
+        for seed in 0..20 {
+            let mut sim = cluster(seed);
+            sim.conditions.min_sync_ms = shortest;
+            sim.conditions.sync_ms = longest;
+            let voters = VOTERS.map(instance);
+            voters.iter().for_each(|voter| sim.crash(voter));
+            voters.iter().for_each(|voter| sim.start(voter));
+            let expected = format!("seed {seed}, syncs of {longest} ms: there is a leader");
+            sim.run_until(RECOVERY_TIME, &expected, |sim| sim.leader().is_some());
+        }
+    }
+}
+
+/// Guards against a leader that refuses what all others could store.
+#[test]
+fn changes_are_accepted_while_only_the_disk_of_the_leader_is_full() {
+    for seed in 0..20 {
+        let mut sim = cluster(seed);
+        let leader = sim.leader().unwrap();
+        let end = sim.now_ms + 10_000;
+        sim.hosts.get_mut(&leader).unwrap().disk_full_until_ms = end;
+        while sim.now_ms < end - 1_000 {
+            let time = time_to_acknowledge(&mut sim, ACKNOWLEDGEMENT_TIME);
+            assert!(
+                time.is_some_and(|time| time <= SECOND),
+                "seed {seed}: {time:?}"
+            );
+        }
+        assert_eq!(sim.leader(), Some(leader), "seed {seed}");
+        sim.run(2 * SECOND);
+        sim.check_acknowledged();
+    }
+}
+
+/// Guards against changes that wait for the leader's own disk although enough others have stored them.
+#[test]
+fn changes_are_accepted_while_the_disk_of_the_leader_hangs() {
+    for seed in 0..20 {
+        let mut sim = cluster(seed);
+        let leader = sim.leader().unwrap();
+        let end = sim.now_ms + 10_000;
+        sim.hosts.get_mut(&leader).unwrap().disk_hangs_until_ms = end;
+        while sim.now_ms < end - 1_000 {
+            let time = time_to_acknowledge(&mut sim, ACKNOWLEDGEMENT_TIME);
+            assert!(
+                time.is_some_and(|time| time <= SECOND),
+                "seed {seed}: {time:?}"
+            );
+        }
+        sim.run(2 * SECOND);
+        sim.check_acknowledged();
+    }
+}
+
+/// Guards against voters that store nothing any more after their disks were full, one after another.
+#[test]
+fn changes_are_accepted_while_disks_are_full_one_after_another_and_after_it() {
+    for seed in 0..40 {
+        let mut sim = cluster(seed);
+        let mut order: Vec<id::Instance> = VOTERS.map(instance).to_vec();
+        order.rotate_left(seed as usize % VOTERS.len());
+        for voter in order.iter().cycle().take(10) {
+            sim.hosts.get_mut(voter).unwrap().disk_full_until_ms = sim.now_ms + 3_000;
+            for _ in 0..5 {
+                let time = time_to_acknowledge(&mut sim, ACKNOWLEDGEMENT_TIME);
+                assert!(time.is_some(), "seed {seed}: {voter} is full");
+                sim.run(SECOND / 2);
+            }
+            if seed % 2 == 0 {
+                sim.compact(voter);
+            }
+        }
+        sim.run(5 * SECOND);
+        let last = sim.committed.keys().max().copied();
+        for voter in &order {
+            let held = &sim.hosts[voter].disk.persisted;
+            let end = held.entries.last().map(|entry| entry.index);
+            let covered = held.snapshot.as_ref().map(|snapshot| snapshot.index);
+            assert_eq!(
+                end.max(covered),
+                last,
+                "seed {seed}: {voter} does not store all"
+            );
+        }
+        sim.check_acknowledged();
+    }
+}
--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -10,6 +10,7 @@
 use simulation::{Conditions, NORMAL_CONDITIONS, Simulation, instance};
 
 mod direct;
+mod disks;
 mod simulation;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -244,6 +245,7 @@
         let host = sim.hosts.get_mut(name).unwrap();
         host.frozen_until_ms = 0;
         host.disk_full_until_ms = 0;
+        host.disk_hangs_until_ms = 0;
         sim.start(name);
     }
 }
@@ -257,6 +259,7 @@
         duplicate_percent: sim.rng.random_range(0..15),
         delay_ms: sim.rng.random_range(1..150),
         sync_ms: sim.rng.random_range(0..150),
+        min_sync_ms: 0,
     };
     for _ in 0..250 {
         inject_event(&mut sim);
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -85,6 +85,8 @@
     pub frozen_until_ms: u64,
     /// Simulated time until which the disk rejects writes.
     pub disk_full_until_ms: u64,
+    /// Simulated time until which the disk completes no write.
+    pub disk_hangs_until_ms: u64,
     /// Entries applied since the start of the log, including those covered by a snapshot.
     pub applied: Vec<Entry>,
     /// Index up to which entries are applied.
@@ -114,6 +116,8 @@
     pub delay_ms: u64,
     /// Longest duration of a write with its sync.
     pub sync_ms: u64,
+    /// Shortest duration of a write with its sync.
+    pub min_sync_ms: u64,
 }
 
 /// Conditions without faults and with short delays.
@@ -122,6 +126,7 @@
     duplicate_percent: 0,
     delay_ms: 5,
     sync_ms: 5,
+    min_sync_ms: 0,
 };
 
 /// All hosts, and what was observed of them.
@@ -181,6 +186,7 @@
                 node: None,
                 frozen_until_ms: 0,
                 disk_full_until_ms: 0,
+                disk_hangs_until_ms: 0,
                 applied: Vec::new(),
                 applied_to: Index(0),
                 pending_writes: VecDeque::new(),
@@ -424,7 +430,8 @@
     /// full.
     fn finish_write(&mut self, name: &id::Instance, now: u64) {
         let host = self.host(name);
-        if host.frozen_until_ms > now || host.node.is_none() {
+        let busy_until_ms = host.frozen_until_ms.max(host.disk_hangs_until_ms);
+        if busy_until_ms > now || host.node.is_none() {
             return;
         }
         let is_due = host
@@ -458,7 +465,10 @@
     fn handle_output(&mut self, name: &id::Instance, output: Output) {
         match output {
             Output::Persist { sequence, records } => {
-                let due = self.now_ms + self.rng.random_range(0..=self.conditions.sync_ms);
+                let due = self.now_ms
+                    + self
+                        .rng
+                        .random_range(self.conditions.min_sync_ms..=self.conditions.sync_ms);
                 self.host(name)
                     .pending_writes
                     .push_back((due, sequence, records));
