Give the votes of an election time to be synced

Callers and operators saw no leader while disks were slow: after a loss of power or of the leader, changes were refused or unanswered, a confirmed declaration could not be read back, and entries stopped when their leases ended, while all processes ran.

Cause: an election takes two syncs, of the candidate's own vote and of the votes of the others, and a candidate began the next one after 100 to 400 ms, whatever a sync took. The term of the new election rendered votes useless that were still being synced. A voter stood itself while its vote for another node was being synced, and granted pre-votes against the election that it took part in. The class: a bound that rests on another duration was set beside it.

Change: no election begins while a vote of the node is being synced; the pause before the next one and the time for which a node yields grow by the time that its latest syncs took, twice; a node that has yielded to a candidate, or is syncing a vote, grants no pre-vote to another one meanwhile. No message changes.

--- a/gooseberrylb_control/src/consensus/election.rs
+++ b/gooseberrylb_control/src/consensus/election.rs
@@ -1,6 +1,7 @@
 //! Elections: a pre-vote first, then a vote that counts only after it is synced to disk.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
@@ -106,15 +107,23 @@
     ) {
         let granted = term > self.term
             && !self.must_honour_lease()
+            && !self.supports_other(from)
             && last >= self.log.last()
             && self.may_vote_for_folder(from, folder, last);
         if granted {
-            self.yield_election();
+            self.yield_election(from);
         }
         let answer_term = if granted { term } else { self.term };
         self.send_in(answer_term, from, Body::PreVoteAnswer { granted });
     }
 
+    /// Whether this node takes part in an election that another node than `candidate` may still win, or
+    /// is about to: a further one would take the votes from it.
+    fn supports_other(&self, candidate: &id::Instance) -> bool {
+        let yields = |(to, until): &(id::Instance, Instant)| to != candidate && self.now < *until;
+        self.writer.has_deferred() || self.yielded.as_ref().is_some_and(yields)
+    }
+
     /// Handles a vote request, and grants the vote once it is synced unless a lease, the term, an
     /// earlier vote, the log or the folder forbids it.
     pub(super) fn handle_vote(
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -26,9 +26,16 @@
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time that a node gives another one to win an election: some round trips and syncs.
+/// Time that a node gives another one to win an election, in addition to the syncs of votes.
 const YIELD_PERIOD: Duration = Duration::from_millis(100);
 
+/// Number of syncs that follow one another in an election: of the candidate's own vote, and of the
+/// votes of the others.
+const ELECTION_SYNCS: u32 = 2;
+
+/// Longest time that the syncs of an election are given.
+const MAX_VOTING_TIME: Duration = Duration::from_secs(4);
+
 /// Maximum number of entries that a step passes on to be applied at once.
 const MAX_APPLIED_ENTRIES: usize = 64;
 
@@ -82,6 +89,8 @@
     pub(super) last_contact: Instant,
     /// Time at which the node starts an election unless it hears from a leader.
     pub(super) election_deadline: Instant,
+    /// Node in whose favour this one has postponed its election, and until when.
+    pub(super) yielded: Option<(id::Instance, Instant)>,
     /// Folders of instances that answer with a folder the membership does not list for them.
     pub(super) unexpected_folders: BTreeMap<id::Instance, Folder>,
     /// Proposals made at this node and not yet committed, by the index of their entry.
@@ -129,6 +138,7 @@
             stage,
             last_contact: now,
             election_deadline: now,
+            yielded: None,
             unexpected_folders: BTreeMap::new(),
             proposals: BTreeMap::new(),
             now,
@@ -217,7 +227,8 @@
             Stage::Unformed(_) => self.probe_founders(),
             Stage::Leader(_) => self.tick_leader(),
             Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => {
-                if self.now >= self.election_deadline {
+                // A later election would render a vote useless that is still being synced.
+                if self.now >= self.election_deadline && !self.writer.has_deferred() {
                     self.start_pre_vote();
                 }
             }
@@ -237,13 +248,21 @@
     /// an earlier one is guarded by the voters.
     pub(super) fn schedule_retry(&mut self) {
         let pause = self.rng.random_range(MIN_RETRY_PAUSE..=MAX_RETRY_PAUSE);
-        self.election_deadline = self.now + pause;
+        self.election_deadline = self.now + pause + self.voting_time();
     }
 
     /// Postpones an election of its own for a while in favour of a node that has just begun one, so
     /// that votes do not split. It is too short to keep this node from leading if the other one cannot.
-    pub(super) fn yield_election(&mut self) {
-        self.election_deadline = self.election_deadline.max(self.now + YIELD_PERIOD);
+    pub(super) fn yield_election(&mut self, to: &id::Instance) {
+        let until = self.now + YIELD_PERIOD + self.voting_time();
+        self.yielded = Some((to.clone(), until));
+        self.election_deadline = self.election_deadline.max(until);
+    }
+
+    /// Returns the time that the syncs of an election take, if all disks are like this node's.
+    fn voting_time(&self) -> Duration {
+        let syncs = self.writer.sync_time() * ELECTION_SYNCS;
+        syncs.min(MAX_VOTING_TIME)
     }
 
     /// Enters `term` if it is later than the current one, and becomes a follower of `leader`.
@@ -362,12 +381,16 @@
     }
 
     fn handle_synced(&mut self, sequence: u64) {
-        for action in self.writer.synced_to(sequence) {
+        for action in self.writer.synced_to(sequence, self.now) {
             match action {
                 Deferred::GrantVote { to, term } => {
+                    self.postpone_election();
                     self.send_in(term, &to, Body::VoteAnswer { granted: true });
                 }
-                Deferred::RequestVotes { term, request } => self.request_votes(term, &request),
+                Deferred::RequestVotes { term, request } => {
+                    self.schedule_retry();
+                    self.request_votes(term, &request);
+                }
             }
         }
         self.acknowledge_synced();
--- a/gooseberrylb_control/src/consensus/writer.rs
+++ b/gooseberrylb_control/src/consensus/writer.rs
@@ -4,7 +4,7 @@
 //! Only one batch is in progress at a time; whatever accumulates meanwhile goes into the next. A
 //! refused batch therefore leaves no gap in the journal, and a slow disk leads to larger batches.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
@@ -70,6 +70,8 @@
     batch: Batch,
     /// Index of the last entry that is synced once the batch is.
     last_index: Index,
+    /// Time at which the batch was passed on.
+    started: Instant,
 }
 
 /// State of what the journal has synced, is writing and has yet to receive.
@@ -87,6 +89,8 @@
     deferred: Vec<(u64, Deferred)>,
     /// Time at which a refused batch is tried again; none unless the last batch was refused.
     retry_at: Option<Instant>,
+    /// Time that a sync is expected to take.
+    sync_time: Duration,
 }
 
 impl Writer {
@@ -103,6 +107,16 @@
         self.synced
     }
 
+    /// Returns the time that a sync is expected to take, by the latest ones; zero before the first one.
+    pub(super) fn sync_time(&self) -> Duration {
+        self.sync_time
+    }
+
+    /// Whether a vote of this node is being synced.
+    pub(super) fn has_deferred(&self) -> bool {
+        !self.deferred.is_empty()
+    }
+
     /// Whether the cluster has yet to be synced.
     pub(super) fn is_cluster_unsynced(&self) -> bool {
         let is_being_written = self.in_flight.as_ref().is_some_and(|f| f.batch.cluster);
@@ -177,13 +191,14 @@
             sequence: self.sequence,
             batch: batch.clone(),
             last_index: last,
+            started: now,
         });
         Some((self.sequence, batch))
     }
 
     /// Records that all batches up to `sequence` are synced, and returns the actions that waited
     /// for them.
-    pub(super) fn synced_to(&mut self, sequence: u64) -> Vec<Deferred> {
+    pub(super) fn synced_to(&mut self, sequence: u64, now: Instant) -> Vec<Deferred> {
         let Some(in_flight) = self
             .in_flight
             .take_if(|in_flight| in_flight.sequence <= sequence)
@@ -191,6 +206,8 @@
             return Vec::new();
         };
         self.retry_at = None;
+        let took = now.saturating_duration_since(in_flight.started);
+        self.sync_time = took.max(self.sync_time / 2);
         self.synced = self.synced.max(in_flight.last_index);
         let ready = in_flight.sequence;
         let (due, rest) = std::mem::take(&mut self.deferred)
--- a/gooseberrylb_control/tests/consensus/disks.rs
+++ b/gooseberrylb_control/tests/consensus/disks.rs
@@ -48,7 +48,16 @@
 /// ends.
 #[test]
 fn voters_with_slow_disks_elect_a_leader() {
-    for (shortest, longest) in [(100, 150), (225, 300), (300, 400), (500, 700), (750, 1000)] {
+    let durations = [
+        (100, 150),
+        (225, 300),
+        (300, 400),
+        (500, 700),
+        (0, 1000),
+        (750, 1000),
+        (1500, 2000),
+    ];
+    for (shortest, longest) in durations {
         for seed in 0..20 {
             let mut sim = cluster(seed);
             sim.conditions.min_sync_ms = shortest;
