Commit changes that enough other voters store while the leader's disk is full or slow

Operators saw every change refused for as long as the disk of the leader alone was full, and unanswered for as long as it hung, though four of five voters could store it: 4 s and more, the time in which a change is to be acknowledged.

Cause: a leader sent only what it had synced itself, so that its own disk was part of every quorum, and it keeps leading, since heartbeats need no disk. That made it safe to withdraw what its disk refused.

Change: entries are sent while the leader syncs them; the commit index counts its own sync like any other. What the leader's disk refuses is withdrawn only if it was not sent to anyone. While its disk is full and nothing has been committed for 100 ms, further proposals are refused as before. A commit now waits for one sync in place of two. No message changes.

--- a/gooseberrylb_control/src/consensus/replication.rs
+++ b/gooseberrylb_control/src/consensus/replication.rs
@@ -1,10 +1,11 @@
 //! Leader's side of replication: heartbeats, entries, snapshots and the commit index.
 //!
-//! The leader sends only entries that it has synced itself. A full disk at the leader can therefore
-//! reject proposals safely: no other node has seen the withdrawn entries.
+//! The leader sends entries while it syncs them itself, so that changes go on while only its own disk
+//! is full or slow: an entry is committed once enough other voters have synced it. A proposal that
+//! a full disk refused is rejected only if its entry was not sent to any other node.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
@@ -17,6 +18,10 @@
 use super::{HEARTBEAT_INTERVAL, Proposal, Rejection};
 use crate::entry::{Entry, Payload};
 
+/// Time without a commit after which a leader whose disk is full takes it that the disks of the
+/// others are full too, and refuses proposals.
+const FULL_PATIENCE: Duration = Duration::from_millis(100);
+
 /// State that a leader keeps during its leadership.
 #[derive(Debug)]
 pub(super) struct LeaderState {
@@ -30,6 +35,10 @@
     pub heartbeat_due: Instant,
     /// Whether the followers have yet to be told the new commit index.
     pub announce_commit: bool,
+    /// Index of the last entry that was sent to any member.
+    pub sent: Index,
+    /// Time since which entries wait to be committed without one of them being committed, if any do.
+    pub waiting_since: Option<Instant>,
     /// Replication state of the other members.
     pub members: BTreeMap<id::Instance, Progress>,
 }
@@ -43,6 +52,8 @@
             rounds: Rounds::default(),
             heartbeat_due: self.now,
             announce_commit: false,
+            sent: Index(0),
+            waiting_since: None,
             members: BTreeMap::new(),
         });
         self.refresh_members();
@@ -60,6 +71,9 @@
             payload,
         });
         self.writer.mark_entries(index);
+        if let Stage::Leader(state) = &mut self.stage {
+            state.waiting_since.get_or_insert(self.now);
+        }
         if changes_membership {
             self.refresh_membership();
             self.refresh_members();
@@ -67,15 +81,15 @@
         index
     }
 
-    /// Appends a proposal to the log, or rejects it if this node is not the leader or its journal
-    /// is full.
+    /// Appends a proposal to the log, or rejects it if this node is not the leader or too many disks
+    /// are full.
     pub(super) fn propose(&mut self, proposal: Proposal, payload: Payload) {
         if !matches!(self.stage, Stage::Leader(_)) {
             let leader = self.leader();
             self.reject(proposal, Rejection::NotLeader { leader });
             return;
         }
-        if self.writer.is_full() {
+        if self.writer.is_full() && self.is_commit_overdue() {
             self.reject(proposal, Rejection::Full);
             return;
         }
@@ -83,6 +97,15 @@
         self.proposals.insert(index, proposal);
     }
 
+    /// Whether entries have waited to be committed for [`FULL_PATIENCE`].
+    fn is_commit_overdue(&self) -> bool {
+        let Stage::Leader(state) = &self.stage else {
+            return false;
+        };
+        let overdue = |since: Instant| self.now >= since + FULL_PATIENCE;
+        state.waiting_since.is_some_and(overdue)
+    }
+
     /// Steps down if contact with the quorum is lost; otherwise sends heartbeats when they are due.
     pub(super) fn tick_leader(&mut self) {
         if self.has_lost_quorum() {
@@ -156,7 +179,7 @@
     }
 
     fn next_message(&mut self, member: &id::Instance) -> Option<Body> {
-        let synced = self.writer.synced();
+        let end = self.log.last().index;
         let Stage::Leader(state) = &mut self.stage else {
             return None;
         };
@@ -174,11 +197,12 @@
             return self.next_message(member);
         };
         let is_probe = matches!(progress.flow, Flow::Probing);
-        if !progress.may_send() || (next > synced && !is_probe) {
+        if !progress.may_send() || (next > end && !is_probe) {
             return None;
         }
-        let (entries, bytes) = next_batch(self.log.range(next, synced));
+        let (entries, bytes) = next_batch(self.log.range(next, end));
         let last = entries.last().map_or(previous.index, |entry| entry.index);
+        state.sent = state.sent.max(last);
         progress.record_sent(last, bytes, self.now);
         Some(Body::Append {
             previous,
@@ -277,6 +301,7 @@
             return;
         }
         state.announce_commit = true;
+        state.waiting_since = (agreed < self.log.last().index).then_some(self.now);
         self.commit(agreed);
         self.step_down_if_removed();
     }
@@ -292,13 +317,17 @@
         }
     }
 
-    /// Removes from the log the entries that the journal refused; no other node has seen them. The
-    /// leader's first entry of the term stays, to be written again.
+    /// Removes from the log the entries that the journal refused and no other node has seen. The
+    /// others, and the leader's first entry of the term, stay and are written again.
     pub(super) fn withdraw_unsynced(&mut self) {
-        let Stage::Leader(state) = &self.stage else {
+        let Stage::Leader(state) = &mut self.stage else {
             return;
         };
-        let first = self.writer.synced().max(state.first_index).next();
+        let kept = self.writer.synced().max(state.first_index).max(state.sent);
+        if kept <= self.committed {
+            state.waiting_since = None;
+        }
+        let first = kept.next();
         self.log.truncate(first);
         self.writer.truncated(first);
         self.writer.discard_entries(first);
--- a/gooseberrylb_control/tests/consensus/disks.rs
+++ b/gooseberrylb_control/tests/consensus/disks.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use gooseberrylb_config::id;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::Rng;
 
-use crate::SECOND;
 use crate::simulation::{Simulation, instance};
+use crate::{SECOND, inject_event, run_events};
 
 const VOTERS: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -145,3 +148,30 @@
         sim.check_acknowledged();
     }
 }
+
+/// Makes the disk of a random host hang or refuse writes, or injects another event.
+fn inject_disk_fault(sim: &mut Simulation) {
+    let names: Vec<_> = sim.hosts.keys().cloned().collect();
+    let name = &names[sim.rng.random_range(0..names.len())];
+    let until = sim.now_ms + sim.rng.random_range(100..4000);
+    match sim.rng.random_range(0..4) {
+        0 => sim.hosts.get_mut(name).unwrap().disk_hangs_until_ms = until,
+        1 => sim.hosts.get_mut(name).unwrap().disk_full_until_ms = until,
+        _ => inject_event(sim),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(53),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn random_faults_of_disks_never_lose_or_change_committed_entries(seed in any::<u64>()) {
+        run_events(seed, 600, inject_disk_fault);
+    }
+}
