--- a/gooseberrylb_policy/src/crash.rs
+++ b/gooseberrylb_policy/src/crash.rs
@@ -8,55 +8,31 @@
 //! Entries report crashes, dispatchers conclude from all of them which causes to block, and
 //! entries obey. The time is passed in. See `docs/PLATFORM.md`.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
 use serde::{Deserialize, Serialize};
 
-/// Number of crashes, at different moments, that block a cause if it was not served in between.
-const BLOCKING_CRASHES: usize = 3;
+mod judgment;
+mod service;
+mod trial;
 
-/// Number of different upstreams among those that a request crashed, from which on it is blocked. One
-/// that breaks off responses by itself is not enough.
-const MIN_UPSTREAMS: usize = 2;
-
-/// Number of different requests that must have crashed upstreams for a part to be blocked, without
-/// blocked ones. The crashes of one request and its repeats are due to the request.
-const BLOCKING_REQUESTS: usize = 2;
-
-/// Time for which a cause is blocked at first; each further time doubles it.
-const FIRST_BLOCK: Duration = Duration::from_secs(600);
+pub use trial::Seat;
 
 /// Longest time for which a cause is blocked.
 const MAX_BLOCK: Duration = Duration::from_secs(4 * 3600);
 
-/// Maximum number of doublings of the time, enough for [`MAX_BLOCK`].
-const MAX_DOUBLINGS: u32 = 5;
-
 /// Time after the first byte within which a crash may be due to the prompt.
 const BEGINNING: Duration = Duration::from_millis(250);
 
-/// Time within which crashes of several upstreams count as one. Faults of a network or of a host
-/// affect many upstreams at once.
-const MOMENT: Duration = Duration::from_millis(50);
-
 /// Time after a crash for which it is not judged, since other entries may still report their runs.
 pub const SETTLING: Duration = Duration::from_millis(100);
 
 /// Time within which the broken runs of one upstream belong to the same crash.
 const CRASH_SPREAD: Duration = Duration::from_secs(1);
 
-/// Number of served runs per crash from which on an instance takes a cause to be sound.
-const SERVED_PER_CRASH: u32 = 10;
-
-/// Period over which an instance counts its own runs; the one before counts too.
-const TALLY_PERIOD: Duration = Duration::from_secs(60);
-
-/// Maximum number of causes whose runs are counted in a period.
-const MAX_TALLIES: usize = 4096;
-
 /// Time for which crashed runs are kept.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -79,6 +55,16 @@
     Request(id::Content),
 }
 
+impl Cause {
+    /// Returns the kind of the cause, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Part(_) => "part",
+            Self::Request(_) => "request",
+        }
+    }
+}
+
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -166,52 +152,20 @@
     until: Instant,
     /// How often the cause has been blocked in a row.
     times: u32,
-}
-
-/// Number of an instance's own runs with a cause.
-#[derive(Debug, Clone, Copy, Default)]
-struct Tally {
-    served: u32,
-    crashed: u32,
-}
-
-/// Crash of one upstream, with all runs that ended with it.
-struct Crash<'a> {
-    upstream: &'a id::Upstream,
-    at: Instant,
-    runs: Vec<&'a Run>,
-}
-
-/// Crashes that point to a cause.
-#[derive(Debug, Clone, Default)]
-struct Suspicion<'a> {
-    /// Position of the cause in its run.
-    position: usize,
-    /// Number of crashes, each at a moment of its own.
-    crashes: usize,
-    /// Upstreams that crashed.
-    upstreams: BTreeSet<&'a id::Upstream>,
-    /// Requests that ended with them and are not blocked themselves; `None` stands for those that are
-    /// not known.
-    requests: BTreeSet<Option<id::Content>>,
-    /// Number of the last of these moments.
-    moment: Option<u32>,
+    /// What this instance refused because of it.
+    refusals: trial::Refusals,
 }
 
 /// What an instance knows of causes of crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
-    /// Runs of this instance in the current period, by cause.
-    tallies: HashMap<Cause, Tally>,
-    /// Those of the period before.
-    earlier_tallies: HashMap<Cause, Tally>,
-    /// Start of the current period.
-    period_start: Option<Instant>,
+    /// Runs of this instance.
+    own: service::Record,
     /// Crashed runs of all instances that told of them, by time.
     runs: VecDeque<Run>,
     /// Blocks, also those that are over.
     blocks: HashMap<Cause, Block>,
-    /// Time at which causes were served after a crash.
+    /// Time at which causes were last served, as far as instances told of it.
     served: HashMap<Cause, Instant>,
 }
 
@@ -226,13 +180,13 @@
         at: Instant,
         now: Instant,
     ) -> Vec<Report> {
-        self.start_period(now);
+        self.own.start_period(now);
         match ending {
             Ending::Unclear => Vec::new(),
             Ending::Served => {
                 causes
                     .iter()
-                    .for_each(|cause| self.count(*cause).served += 1);
+                    .for_each(|cause| self.own.count_served(*cause, now));
                 let suspects = causes.iter().filter(|cause| self.is_suspect(cause));
                 let suspects: Vec<_> = suspects.copied().collect();
                 let served = suspects.into_iter().map(|cause| Report::Served {
@@ -248,8 +202,8 @@
             Ending::Crashed => {
                 causes
                     .iter()
-                    .for_each(|cause| self.count(*cause).crashed += 1);
-                let suspects = causes.iter().filter(|cause| !self.is_sound(cause));
+                    .for_each(|cause| self.own.count_crashed(*cause));
+                let suspects = causes.iter().filter(|cause| !self.own.is_sound(cause));
                 let report = Report::Crashed {
                     upstream: upstream.clone(),
                     causes: suspects.copied().collect(),
@@ -271,7 +225,7 @@
                 age,
             } => {
                 let at = before(age);
-                let is_open = |cause: &Cause| self.served.get(cause).is_none_or(|end| *end < at);
+                let is_open = |cause: &Cause| self.last_service(cause).is_none_or(|end| end < at);
                 let run = Run {
                     upstream,
                     at,
@@ -289,8 +243,10 @@
                     since: before(age),
                     until: now + left.min(MAX_BLOCK),
                     times,
+                    refusals: trial::Refusals::default(),
                 };
-                let is_outdated = self.served.get(&cause).is_some_and(|at| *at >= block.since);
+                let last = self.last_service(&cause);
+                let is_outdated = last.is_some_and(|at| at >= block.since);
                 let known = self.blocks.get(&cause);
                 let is_known =
                     known.is_some_and(|known| known.until + BLOCK_TOLERANCE >= block.until);
@@ -302,18 +258,22 @@
             }
             Report::Served { cause, age } => {
                 let at = before(age);
-                let is_later = self
-                    .blocks
-                    .get(&cause)
-                    .is_none_or(|block| block.since <= at);
-                if !is_later || !self.is_suspect(&cause) {
+                let last = self.served.entry(cause).or_insert(at);
+                *last = at.max(*last);
+                let block = self.blocks.get(&cause);
+                if block.is_some_and(|block| block.since > at) {
                     return Vec::new();
                 }
-                self.blocks.remove(&cause);
-                let earlier = self.runs.iter_mut().filter(|run| run.at <= at);
-                earlier.for_each(|run| run.causes.retain(|known| *known != cause));
+                let mut is_news = self.blocks.remove(&cause).is_some();
+                for run in self.runs.iter_mut().filter(|run| run.at <= at) {
+                    let count = run.causes.len();
+                    run.causes.retain(|known| *known != cause);
+                    is_news |= run.causes.len() < count;
+                }
                 self.runs.retain(|run| !run.causes.is_empty());
-                self.served.insert(cause, at);
+                if !is_news {
+                    return Vec::new();
+                }
                 vec![Report::Served { cause, age }]
             }
         }
@@ -340,38 +300,16 @@
             .collect()
     }
 
-    /// Returns what another instance that knows nothing needs to know: the blocked causes and the
-    /// crashes.
+    /// Returns what another instance that knows nothing needs to know: the blocked causes, the
+    /// crashes, and then what was served, which clears some of them.
     pub fn reports(&self, now: Instant) -> Vec<Report> {
         let crashes = self.runs.iter().map(|run| run.report(now));
         let mut reports = self.blocks(now);
         reports.extend(crashes);
+        reports.extend(self.services(now));
         reports
     }
 
-    /// Starts a new period if the current one is over, or has too many causes.
-    fn start_period(&mut self, now: Instant) {
-        let start = *self.period_start.get_or_insert(now);
-        if now >= start + TALLY_PERIOD || self.tallies.len() >= MAX_TALLIES {
-            self.earlier_tallies = std::mem::take(&mut self.tallies);
-            self.period_start = Some(now);
-        }
-    }
-
-    fn count(&mut self, cause: Cause) -> &mut Tally {
-        self.tallies.entry(cause).or_default()
-    }
-
-    /// Whether most runs of this instance with a cause are served.
-    fn is_sound(&self, cause: &Cause) -> bool {
-        let periods = [&self.tallies, &self.earlier_tallies];
-        let tallies = periods.into_iter().filter_map(|period| period.get(cause));
-        let (served, crashed) = tallies.fold((0, 0), |(served, crashed), tally| {
-            (served + tally.served, crashed + tally.crashed)
-        });
-        served > 0 && served >= crashed.saturating_mul(SERVED_PER_CRASH)
-    }
-
     /// Whether a cause is blocked or belongs to a crashed run.
     fn is_suspect(&self, cause: &Cause) -> bool {
         self.blocks.contains_key(cause) || self.runs.iter().any(|run| run.causes.contains(cause))
@@ -395,95 +333,6 @@
         news
     }
 
-    /// Blocks the causes that the known crashes point to, and returns them. A dispatcher decides on
-    /// this, since an entry knows only its own runs of a crash.
-    pub fn judge(&mut self, now: Instant) -> Vec<Report> {
-        let mut news = Vec::new();
-        while let Some(cause) = self.culprit(now) {
-            let times = self.blocks.get(&cause).map_or(0, |block| block.times);
-            let time = FIRST_BLOCK.saturating_mul(1 << times.min(MAX_DOUBLINGS));
-            let block = Block {
-                since: now,
-                until: now + time.min(MAX_BLOCK),
-                times: times + 1,
-            };
-            self.blocks.insert(cause, block);
-            news.push(block.report(cause, now));
-        }
-        news
-    }
-
-    /// Returns the cause that the most crashes point to, if these are enough to block it. Of several
-    /// that are always together the last one is taken, since fewer requests share it.
-    fn culprit(&self, now: Instant) -> Option<Cause> {
-        let mut suspicions: HashMap<Cause, Suspicion<'_>> = HashMap::new();
-        let mut moment = 0;
-        let mut moment_start = None;
-        let is_settled = |crash: &Crash<'_>| now >= crash.at + SETTLING;
-        for crash in self.crashes().into_iter().filter(is_settled) {
-            let explanation = self.explanation(&crash);
-            if let Some((cause, block)) = explanation
-                && crash.at >= block.until
-            {
-                // It crashed an upstream again after its block was over.
-                return Some(cause);
-            }
-            if moment_start.is_none_or(|start| crash.at >= start + MOMENT) {
-                moment_start = Some(crash.at);
-                moment += 1;
-            }
-            for (run, position, cause) in crash.suspects(explanation.map(|(cause, _)| cause)) {
-                let suspicion = suspicions.entry(cause).or_default();
-                suspicion.position = position;
-                let is_blocked =
-                    |content: &id::Content| self.blocks.contains_key(&Cause::Request(*content));
-                if !run.request().as_ref().is_some_and(is_blocked) {
-                    suspicion.requests.insert(run.request());
-                }
-                suspicion.count(crash.upstream, moment, cause);
-            }
-        }
-        let sufficient = suspicions.iter().filter(|(cause, s)| s.suffices(**cause));
-        let mut ranked: Vec<_> = sufficient
-            .map(|(cause, s)| (s.crashes, s.position, *cause))
-            .collect();
-        ranked.sort_unstable();
-        let (crashes, _, cause) = ranked.pop()?;
-        let is_request = |cause: Cause| matches!(cause, Cause::Request(_));
-        let rival = ranked.pop().filter(|rival| rival.0 == crashes);
-        let is_tied = is_request(cause) && rival.is_some_and(|rival| is_request(rival.2));
-        // Of two requests that ended together each time, only one ends with the next crash.
-        (!is_tied || crashes > BLOCKING_CRASHES).then_some(cause)
-    }
-
-    /// Returns a blocked cause that explains a crash, with its block. A part explains more than a
-    /// request.
-    fn explanation(&self, crash: &Crash<'_>) -> Option<(Cause, Block)> {
-        let causes = crash.runs.iter().flat_map(|run| &run.causes);
-        let blocked = causes.filter_map(|cause| Some((*cause, *self.blocks.get(cause)?)));
-        blocked.min_by_key(|(cause, _)| *cause)
-    }
-
-    /// Returns the crashes, by time.
-    fn crashes(&self) -> Vec<Crash<'_>> {
-        let mut crashes: Vec<Crash<'_>> = Vec::new();
-        for run in &self.runs {
-            let same = crashes
-                .iter_mut()
-                .rev()
-                .find(|crash| *crash.upstream == run.upstream && run.at < crash.at + CRASH_SPREAD);
-            match same {
-                Some(crash) => crash.runs.push(run),
-                None => crashes.push(Crash {
-                    upstream: &run.upstream,
-                    at: run.at,
-                    runs: vec![run],
-                }),
-            }
-        }
-        crashes
-    }
-
     /// Forgets what is too old, and the oldest of what is too much.
     fn prune(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
@@ -513,57 +362,6 @@
     }
 }
 
-impl<'a> Crash<'a> {
-    /// Returns what may be the cause of the crash, with its run and its position there. A blocked
-    /// part explains the crash. A blocked request does too, but a part of it may be the reason.
-    fn suspects(&self, explanation: Option<Cause>) -> Vec<(&'a Run, usize, Cause)> {
-        let mut suspects = Vec::new();
-        for run in &self.runs {
-            for (position, cause) in run.causes.iter().enumerate() {
-                let is_suspect = match (explanation, cause) {
-                    (None, _) => true,
-                    (Some(Cause::Part(_)), _) | (Some(Cause::Request(_)), Cause::Request(_)) => {
-                        false
-                    }
-                    (Some(request @ Cause::Request(_)), Cause::Part(_)) => {
-                        run.causes.contains(&request)
-                    }
-                };
-                if is_suspect {
-                    suspects.push((*run, position, *cause));
-                }
-            }
-        }
-        suspects
-    }
-}
-
-impl<'a> Suspicion<'a> {
-    /// Counts a crash at a moment. An upstream counts once for a part: it may break off responses by
-    /// itself. It may start again under its name and run the same request once more.
-    fn count(&mut self, upstream: &'a id::Upstream, moment: u32, cause: Cause) {
-        if self.moment == Some(moment) {
-            return;
-        }
-        let is_new = self.upstreams.insert(upstream);
-        if is_new || matches!(cause, Cause::Request(_)) {
-            self.moment = Some(moment);
-            self.crashes += 1;
-        }
-    }
-
-    /// Whether the crashes are enough to block the cause.
-    fn suffices(&self, cause: Cause) -> bool {
-        let is_due_to_cause = match cause {
-            Cause::Part(_) => {
-                self.requests.len() >= BLOCKING_REQUESTS || self.requests.contains(&None)
-            }
-            Cause::Request(_) => self.upstreams.len() >= MIN_UPSTREAMS,
-        };
-        is_due_to_cause && self.crashes >= BLOCKING_CRASHES
-    }
-}
-
 impl Block {
     fn report(&self, cause: Cause, now: Instant) -> Report {
         Report::Blocked {
