--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -144,11 +144,22 @@
         .help("Number of concurrent callers")
         .argument::<usize>("N")
         .fallback(12);
+    let change_limit_ms = long("change-limit-ms")
+        .help("Time within which the instances put a confirmed declaration in force")
+        .argument::<u64>("MS")
+        .fallback(2_500);
+    let drain_limit_ms = long("drain-limit-ms")
+        .help("Time within which the instances stop using an upstream that leaves")
+        .argument::<u64>("MS")
+        .fallback(4_000);
     let log_folder = long("keep")
         .help("Folder for the logs of failed seeds")
         .argument::<PathBuf>("FOLDER")
         .fallback("target/soak".into());
-    let program = bpaf::pure_with(std::env::current_exe);
+    let program = long("program")
+        .help("Program of the instances, run as `PROGRAM instance --settings FILE`")
+        .argument::<PathBuf>("FILE")
+        .fallback_with(std::env::current_exe);
     construct!(soak::Options {
         seed,
         seed_count,
@@ -156,6 +167,8 @@
         keepers,
         entries,
         callers,
+        change_limit_ms,
+        drain_limit_ms,
         log_folder,
         program
     })
--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -59,6 +59,10 @@
     pub entries: u8,
     /// Number of callers, each of which sends one request after the other.
     pub callers: usize,
+    /// Time within which the instances are told to put a confirmed declaration in force.
+    pub change_limit_ms: u64,
+    /// Time within which the instances are told to stop using an upstream that leaves.
+    pub drain_limit_ms: u64,
     /// Folder to which the logs of a failed seed are copied.
     pub log_folder: PathBuf,
     /// Program that runs as an instance.
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -80,6 +80,9 @@
     /// Third byte of all addresses.
     third_octet: u8,
     program: PathBuf,
+    /// Limits of [`Options`] that the instances are told, in milliseconds.
+    change_limit_ms: u64,
+    drain_limit_ms: u64,
     /// Host numbers of the keepers: the last bytes of their addresses.
     pub keepers: Vec<u8>,
     /// Host numbers of the entries.
@@ -166,6 +169,8 @@
             second_octet,
             third_octet,
             program: options.program.clone(),
+            change_limit_ms: options.change_limit_ms,
+            drain_limit_ms: options.drain_limit_ms,
             processes: all.iter().map(process).collect(),
             unexpected_exits: Mutex::default(),
             keepers,
@@ -369,7 +374,8 @@
             "seeds": seeds, "first_start": first_start,
             "feed": self.address(FIRST_STAND_IN_HOST, FEED_PORT),
             "grace_s": SHUTDOWN_GRACE_S, "retry_share": 0.2, "retry_slack": 50,
-            "retry_window_s": 10, "quota_window_s": 8, "change_limit_ms": 2500, "drain_limit_ms": 4000,
+            "retry_window_s": 10, "quota_window_s": 8,
+            "change_limit_ms": self.change_limit_ms, "drain_limit_ms": self.drain_limit_ms,
         });
         match is_keeper {
             true => {
