Check in the soak that entries handle requests by the declarations in force

Of the rule CONFIG the soak checked reads, withdrawn keys and the acknowledgement of one kind of invalid declarations. Declarations now also add and remove routes, move one between services and change a time limit, and are followed by repetitions, by other content under the same version and by six kinds of invalid ones. Probes at each entry show by which version it handles requests.

Each check of the probes can fail: soak/configuration/tests.rs gives it records that break the rule, and ones that just keep it. A trial of the violations by a changed product was not run, and none of those of repeated and invalid declarations.

--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -4,12 +4,15 @@
 //! which differs from run to run. See `docs/SOAK.md`.
 
 mod caller;
+mod configuration;
+mod declaration;
 mod deployment;
 mod evacuation;
 mod faults;
 mod history;
 mod operator;
 mod platform;
+mod probe;
 mod wire;
 
 use std::path::PathBuf;
@@ -25,6 +28,8 @@
 use caller::Caller;
 use deployment::Deployment;
 use history::{History, Kind};
+use operator::Operator;
+use probe::Series;
 
 /// Time within which the deployment must serve at every entry, after its start and again after the
 /// last fault. How long it takes within this limit is not checked.
@@ -93,7 +98,9 @@
     let history = Arc::new(History::default());
     let deployment = Arc::new(Deployment::start(options, history.clone())?);
     let stop = Arc::new(AtomicBool::new(false));
-    operator::declare_initial(&deployment, &history, SERVE_TIMEOUT)?;
+    let operator = Operator::new(&deployment, &history, seed);
+    operator.declare_initial(SERVE_TIMEOUT)?;
+    let operator = Arc::new(Mutex::new(operator));
     let mut violations = Vec::new();
     if !wait_until_serving(&deployment, &history) {
         violations.push("the deployment did not start to serve in time".to_owned());
@@ -104,12 +111,24 @@
         let stop = stop.clone();
         threads.push(thread::spawn(move || caller.run(&stop)));
     }
-    for task in [operator::declare, operator::read] {
+    {
+        let (operator, stop) = (operator.clone(), stop.clone());
+        threads.push(thread::spawn(move || Operator::repeat(&operator, &stop)));
+    }
+    {
         let (deployment, history, stop) = (deployment.clone(), history.clone(), stop.clone());
         threads.push(thread::spawn(move || {
-            task(&deployment, &history, &stop, seed);
+            operator::read(&deployment, &history, &stop, seed);
         }));
     }
+    for entry in deployment.entries.iter().copied() {
+        for series in [Series::Quick, Series::Slow] {
+            let (deployment, history, stop) = (deployment.clone(), history.clone(), stop.clone());
+            threads.push(thread::spawn(move || {
+                probe::repeat(&deployment, &history, &stop, entry, series, seed);
+            }));
+        }
+    }
     let stop_evacuations = Arc::new(AtomicBool::new(false));
     let evacuations = {
         let (deployment, history) = (deployment.clone(), history.clone());
--- a/gooseberrylb_testbed/src/soak/caller.rs
+++ b/gooseberrylb_testbed/src/soak/caller.rs
@@ -115,7 +115,7 @@
         let attempt = format!("{}x{}", self.name, self.number);
         let (target, body) = match kind {
             Kind::CrashingRequest => (platform::CRASHING_TARGET.to_owned(), "crash".to_owned()),
-            Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingPrompt => (
+            Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingPrompt | Kind::Probe => (
                 format!("{}%2e{}?a=%20&n={}", kind.prefix(), attempt, self.number),
                 format!("body of {attempt}"),
             ),
@@ -166,7 +166,7 @@
 }
 
 /// Opens a connection, if the address accepts one in time.
-fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
+pub fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
     let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(REQUEST_TIMEOUT)).ok()?;
     stream.set_nodelay(true).ok()?;
@@ -174,7 +174,7 @@
 }
 
 /// Sends a request and reads its response.
-fn exchange(
+pub fn exchange(
     connection: &mut BufReader<TcpStream>,
     attempt: &str,
     call: &Call,
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -18,7 +18,7 @@
 use rand::Rng;
 
 use super::history::History;
-use super::platform::StandIns;
+use super::platform::{FURTHER_SERVICES, StandIns};
 use super::{Options, lock};
 use crate::fleet::signal;
 use crate::proxy::{Link, OpenConnections};
@@ -46,10 +46,10 @@
 const TO_UPSTREAM: &str = "to upstream";
 
 /// Host number of the first entry. Keepers are numbered from 1.
-const FIRST_ENTRY_HOST: u8 = 100;
+pub const FIRST_ENTRY_HOST: u8 = 100;
 /// Host number of the first stand-in.
 const FIRST_STAND_IN_HOST: u8 = 200;
-/// Number of upstreams.
+/// Number of upstreams that faults affect.
 pub const UPSTREAM_COUNT: u8 = 4;
 /// Number of other entries that an entry has a link to.
 const MAX_DELEGATES: usize = 4;
@@ -129,9 +129,14 @@
             (advertised, at(*host, PROXIED_UPSTREAM_PORT))
         });
         let upstream_addresses: Vec<_> = upstream_addresses.collect();
+        let further = (0..FURTHER_SERVICES.len() as u8)
+            .map(|i| at(FIRST_STAND_IN_HOST + 1 + UPSTREAM_COUNT + i, UPSTREAM_PORT))
+            .map(|address| (address, address));
+        let stand_in_addresses: Vec<_> =
+            upstream_addresses.iter().copied().chain(further).collect();
         let stand_ins = StandIns::start(
             at(FIRST_STAND_IN_HOST, FEED_PORT),
-            &upstream_addresses,
+            &stand_in_addresses,
             history,
         )
         .context("starting the stand-ins")?;
@@ -248,6 +253,7 @@
             .create(true)
             .append(true)
             .open(process.home.join("output"))?;
+        self.stand_ins.record_start(host);
         let child = Command::new(&self.program)
             .args(["instance", "--settings"])
             .arg(&file)
--- a/gooseberrylb_testbed/src/soak/evacuation.rs
+++ b/gooseberrylb_testbed/src/soak/evacuation.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::caller::send_request;
+use super::configuration::CONTACT_TIME;
 use super::deployment::Deployment;
 use super::history::History;
 use super::platform::{self, EVACUATED_UPSTREAM};
@@ -93,6 +94,7 @@
     }
     thread::sleep(IN_FORCE_BOUND);
     check_none("after the order");
+    let killed_at = Instant::now();
     for keeper in &deployment.keepers {
         let restarted = deployment
             .kill(*keeper)
@@ -101,6 +103,7 @@
             println!("failed to restart keeper {keeper}: {error:#}");
         }
     }
+    history.record_core_disruption(killed_at, Instant::now() + CONTACT_TIME);
     check_none("after the keepers were killed");
     if !order(
         deployment,
--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::configuration::CONTACT_TIME;
 use super::deployment::{Deployment, UPSTREAM_COUNT};
 use super::history::Disruption;
 use super::platform::{Behaviour, FAULTY_BEHAVIOURS, ListState};
@@ -107,8 +108,11 @@
             if let Err(error) = injection.inject(&fault) {
                 println!("failed to inject {fault:?}: {error:#}");
             }
+            let stand_ins = &injection.deployment.stand_ins;
+            if let Some(end) = injection.core_disruption_end(&fault) {
+                stand_ins.record_core_disruption(start, end);
+            }
             if let Some(disruption) = injection.disruption(&fault, start) {
-                let stand_ins = &injection.deployment.stand_ins;
                 stand_ins.record_disruption(disruption);
             }
         }));
@@ -229,6 +233,29 @@
         })
     }
 
+    /// Returns when the effect of a fault that has ended on keepers or links between them ends, if it has
+    /// any.
+    fn core_disruption_end(&self, fault: &Fault) -> Option<Instant> {
+        let now = Instant::now();
+        let is_keeper = |host: &u8| self.deployment.keepers.contains(host);
+        match fault {
+            Fault::Kill(host) | Fault::Stop(host) | Fault::Freeze(host) | Fault::Isolate(host) => {
+                is_keeper(host).then_some(now)
+            }
+            Fault::Wipe(_) | Fault::TornWrite(_) => Some(now),
+            // The rules give twice the time where most of the keepers were lost.
+            Fault::KillKeepers | Fault::KillAll => Some(now + CONTACT_TIME),
+            Fault::Reset | Fault::Delay { .. } | Fault::HoldOneWay => Some(now),
+            Fault::Silence => Some(now + SILENCE_DURATION),
+            Fault::Hangup(_)
+            | Fault::StopEntries
+            | Fault::CutOff(..)
+            | Fault::List(_)
+            | Fault::Upstream(..)
+            | Fault::RestartUpstream(_) => None,
+        }
+    }
+
     /// Injects a fault, and clears it once its duration is over.
     fn inject(&self, fault: &Fault) -> anyhow::Result<()> {
         let deployment = &self.deployment;
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -6,6 +6,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use super::configuration::{CoreDisruption, Evidence, Probe, Target};
+use super::declaration::Content;
 use super::lock;
 use super::platform;
 use super::wire::Message;
@@ -85,6 +87,8 @@
     CrashingPrompt,
     /// Like [`Kind::Safe`], the same request of all callers, under which every upstream crashes.
     CrashingRequest,
+    /// Like [`Kind::Safe`], on a route of its own.
+    Probe,
 }
 
 impl Kind {
@@ -94,13 +98,14 @@
             Kind::Once => "/once/",
             Kind::Safe | Kind::CrashingRequest => "/safe/",
             Kind::Stream | Kind::CrashingPrompt => "/stream/",
+            Kind::Probe => "/steady/",
         }
     }
 
     /// Whether the request may run more than once.
     fn is_repeatable(self) -> bool {
         match self {
-            Kind::Safe | Kind::CrashingRequest => true,
+            Kind::Safe | Kind::CrashingRequest | Kind::Probe => true,
             Kind::Once | Kind::Stream | Kind::CrashingPrompt => false,
         }
     }
@@ -178,18 +183,23 @@
 /// Execution of a request at an upstream.
 #[derive(Debug)]
 pub struct Execution {
-    attempt: String,
+    /// Attempt id of the request.
+    pub attempt: String,
+    /// Service of the upstream.
+    pub service: &'static str,
     target: String,
     body: Vec<u8>,
     account: Option<String>,
-    started_at: Instant,
+    /// Time at which it started.
+    pub started_at: Instant,
 }
 
 impl Execution {
     /// Returns the execution of a request that starts now.
-    pub fn new(request: &Message, attempt: &str) -> Self {
+    pub fn new(request: &Message, attempt: &str, service: &'static str) -> Self {
         Self {
             attempt: attempt.to_owned(),
+            service,
             target: request.target().to_owned(),
             body: request.body.clone(),
             account: request.header(platform::TENANT_HEADER).map(str::to_owned),
@@ -205,8 +215,8 @@
     pub version: u64,
     /// Text of the declaration.
     pub text: String,
-    /// Whether the declaration contains the revocable key.
-    pub has_revocable_key: bool,
+    /// Contents that differ between versions.
+    pub content: Content,
     /// Time at which the declaration was first sent.
     pub sent_at: Instant,
     /// Time at which the declaration was first acknowledged.
@@ -228,6 +238,12 @@
     /// Number of times that a brittle upstream fell over.
     fall_count: usize,
     declarations: Vec<Declaration>,
+    probes: HashMap<String, Probe>,
+    /// Numbers of routes that no declaration contains that may be in force.
+    forged_numbers: Vec<u64>,
+    core_disruptions: Vec<CoreDisruption>,
+    /// Starts of instances by host number.
+    starts: Vec<(u8, Instant)>,
     violations: Vec<String>,
     read_count: usize,
 }
@@ -334,6 +350,51 @@
         }
     }
 
+    /// Records a probe before it is sent.
+    pub fn record_probe(&self, attempt: &str, probe: Probe) {
+        self.records().probes.insert(attempt.to_owned(), probe);
+    }
+
+    /// Records the complete response to a probe.
+    pub fn record_probe_answer(&self, attempt: &str, status: u16) {
+        if let Some(probe) = self.records().probes.get_mut(attempt) {
+            probe.answer = Some((status, Instant::now()));
+        }
+    }
+
+    /// Returns the numbers of all routes that were added so far.
+    pub fn added_numbers(&self) -> Vec<u64> {
+        let records = self.records();
+        let mut numbers: Vec<u64> = records
+            .declarations
+            .iter()
+            .filter_map(|d| d.content.added)
+            .collect();
+        numbers.dedup();
+        numbers
+    }
+
+    /// Records the number of a route before a declaration with it is sent that must not be in force.
+    pub fn record_forged(&self, number: u64) {
+        self.records().forged_numbers.push(number);
+    }
+
+    /// Returns the numbers of these routes.
+    pub fn forged_numbers(&self) -> Vec<u64> {
+        self.records().forged_numbers.clone()
+    }
+
+    /// Records a fault at keepers or at links between them that has ended.
+    pub fn record_core_disruption(&self, start: Instant, end: Instant) {
+        let disruption = CoreDisruption { start, end };
+        self.records().core_disruptions.push(disruption);
+    }
+
+    /// Records the start of an instance.
+    pub fn record_start(&self, host: u8) {
+        self.records().starts.push((host, Instant::now()));
+    }
+
     /// Records a fault that has ended.
     pub fn record_disruption(&self, disruption: Disruption) {
         self.records().disruptions.push(disruption);
@@ -373,7 +434,9 @@
             .map(|number| event(attempt, number))
             .collect();
         let expected = match call.kind {
-            Kind::Once | Kind::Safe | Kind::CrashingRequest => format!("answer {attempt}"),
+            Kind::Once | Kind::Safe | Kind::CrashingRequest | Kind::Probe => {
+                format!("answer {attempt}")
+            }
             Kind::Stream | Kind::CrashingPrompt => stream,
         };
         let signature = response
@@ -468,13 +531,14 @@
             .iter()
             .filter(|d| d.acknowledged_at.is_some());
         format!(
-            "{} requests, {} with 200, {} executions, {} declarations, {} acknowledged, {} reads",
+            "{} requests, {} with 200, {} executions, {} declarations, {} acknowledged, {} reads, {}",
             records.calls.len(),
             served,
             records.executions.len(),
             records.declarations.len(),
             acknowledged.count(),
             records.read_count,
+            records.evidence().summary(),
         )
     }
 
@@ -515,15 +579,21 @@
         violations.extend(records.check_statements());
         violations.extend(records.check_limits());
         violations.extend(records.check_pauses());
+        violations.extend(records.evidence().check());
+        let probes = &records.probes;
+        // What other probes get depends on the version in force.
+        let is_always_allowed = |attempt: &str, call: &Call| {
+            let mut probe = probes.get(attempt).into_iter();
+            !call.uses_revocable_key && probe.all(|probe| probe.target == Target::Steady)
+        };
         let denials = records.statuses.iter().filter(|(attempt, status)| {
-            let uses_revocable_key = records
-                .calls
-                .get(*attempt)
-                .is_some_and(|call| call.uses_revocable_key);
-            matches!(status, 300..=407 | 409..=420 | 422..=428 | 430..=499) && !uses_revocable_key
+            let call = records.calls.get(*attempt);
+            matches!(status, 300..=407 | 409..=420 | 422..=428 | 430..=499)
+                && call.is_none_or(|call| is_always_allowed(attempt, call))
         });
         let denials = denials.count();
-        if denials > BASE_DENIALS + records.calls.len() / REQUESTS_PER_DENIAL {
+        let requests = records.calls.len() - probes.len();
+        if denials > BASE_DENIALS + requests / REQUESTS_PER_DENIAL {
             violations.push(format!("DENIED {denials} allowed requests"));
         }
         violations
@@ -531,6 +601,18 @@
 }
 
 impl Records {
+    /// Returns what shows by which declarations entries handled requests.
+    fn evidence(&self) -> Evidence<'_> {
+        Evidence {
+            probes: &self.probes,
+            executions: &self.executions,
+            declarations: &self.declarations,
+            disruptions: &self.disruptions,
+            core_disruptions: &self.core_disruptions,
+            starts: &self.starts,
+        }
+    }
+
     /// Returns the violations of what upstreams said of their availability. An interruption of the
     /// entry excuses them, and a fault at links excuses more requests to a closed upstream, as the
     /// entry may not have been told.
@@ -668,7 +750,7 @@
         let newest = newest.map(|declaration| declaration.version).max()?;
         let mut candidates = self.declarations.iter();
         let allowed = candidates.any(|d| {
-            d.has_revocable_key && d.version >= newest && d.sent_at <= execution.started_at
+            d.content.has_revocable_key && d.version >= newest && d.sent_at <= execution.started_at
         });
         let line = format!("CONFIG {attempt} ran with a key that version {newest} revoked");
         (!allowed).then_some(line)
--- a/gooseberrylb_testbed/src/soak/operator.rs
+++ b/gooseberrylb_testbed/src/soak/operator.rs
@@ -1,8 +1,8 @@
 //! Operators of a soak test: one declares configurations at random keepers and tries invalid ones,
 //! the other reads back the declaration in force.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,9 +11,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::caller::send_request;
+use super::declaration::{self, Content, DEFECTS};
 use super::deployment::Deployment;
 use super::history::{Declaration, History, IN_FORCE_BOUND};
-use super::platform;
+use super::{lock, platform};
 
 /// Timeout of a call to a keeper, after which a declaration is sent to a keeper chosen anew.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -28,6 +29,18 @@
 /// removed key stays away for longer than an isolated instance may accept it.
 const KEY_TOGGLE_PROBABILITY: f64 = 0.15;
 
+/// Probability that a declaration adds or removes a route.
+const ADD_PROBABILITY: f64 = 0.3;
+
+/// Probability that a declaration moves a route to another service.
+const MOVE_PROBABILITY: f64 = 0.4;
+
+/// Time limits of the route whose upstream takes longer, in milliseconds.
+const SLOW_LIMITS_MS: [u64; 2] = [500, 1_600];
+
+/// Pause before a declaration is sent again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Pause between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -45,74 +58,161 @@
     Some(response.status())
 }
 
-/// Sends the first declaration until a keeper accepts it, before any fault is injected.
-pub fn declare_initial(
-    deployment: &Deployment,
-    history: &History,
-    timeout: Duration,
-) -> anyhow::Result<()> {
-    let end = Instant::now() + timeout;
-    let text = platform::declaration(FIRST_VERSION, true);
-    history.record_declaration(Declaration {
-        version: FIRST_VERSION,
-        text: text.clone(),
-        has_revocable_key: true,
-        sent_at: Instant::now(),
-        acknowledged_at: None,
-    });
-    while Instant::now() < end {
-        for keeper in &deployment.keepers {
-            if put(deployment, *keeper, &text) == Some(200) {
-                history.record_acknowledgement(FIRST_VERSION);
-                return Ok(());
-            }
-            thread::sleep(READ_INTERVAL);
+/// Operator that declares configurations.
+pub struct Operator {
+    deployment: Arc<Deployment>,
+    history: Arc<History>,
+    rng: ChaCha8Rng,
+    version: u64,
+    content: Content,
+}
+
+impl Operator {
+    /// Returns an operator whose choices are determined by `seed`.
+    pub fn new(deployment: &Arc<Deployment>, history: &Arc<History>, seed: u64) -> Self {
+        let content = Content {
+            has_revocable_key: true,
+            added: None,
+            moved_to: 0,
+            slow_limit_ms: SLOW_LIMITS_MS[0],
+        };
+        Self {
+            deployment: deployment.clone(),
+            history: history.clone(),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0xdec1),
+            version: FIRST_VERSION,
+            content,
         }
     }
-    bail!("no keeper accepted the first declaration within {timeout:?}")
-}
 
-/// Declares new versions until `stop` is set.
-pub fn declare(deployment: &Arc<Deployment>, history: &Arc<History>, stop: &AtomicBool, seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xdec1);
-    let (mut version, mut has_revocable_key) = (FIRST_VERSION, true);
-    while !stop.load(Ordering::SeqCst) {
-        version += rng.random_range(1..4);
-        has_revocable_key ^= rng.random_bool(KEY_TOGGLE_PROBABILITY);
-        let text = platform::declaration(version, has_revocable_key);
-        history.record_declaration(Declaration {
-            version,
+    /// Records the declaration before it is sent, and returns its text.
+    fn record(&self) -> String {
+        let text = declaration::valid(self.version, &self.content);
+        self.history.record_declaration(Declaration {
+            version: self.version,
             text: text.clone(),
-            has_revocable_key,
+            content: self.content.clone(),
             sent_at: Instant::now(),
             acknowledged_at: None,
         });
-        for _ in 0..MAX_ATTEMPTS {
-            let keeper = deployment.keepers[rng.random_range(0..deployment.keepers.len())];
-            match put(deployment, keeper, &text) {
+        text
+    }
+
+    /// Sends the first declaration until a keeper accepts it, before any fault is injected.
+    pub fn declare_initial(&self, timeout: Duration) -> anyhow::Result<()> {
+        let end = Instant::now() + timeout;
+        let text = self.record();
+        while Instant::now() < end {
+            for keeper in &self.deployment.keepers {
+                if put(&self.deployment, *keeper, &text) == Some(200) {
+                    self.history.record_acknowledgement(self.version);
+                    return Ok(());
+                }
+                thread::sleep(READ_INTERVAL);
+            }
+        }
+        bail!("no keeper accepted the first declaration within {timeout:?}")
+    }
+
+    /// Chooses the contents of the next version.
+    fn change(&mut self) {
+        self.version += self.rng.random_range(1..4);
+        let content = &mut self.content;
+        content.has_revocable_key ^= self.rng.random_bool(KEY_TOGGLE_PROBABILITY);
+        if self.rng.random_bool(ADD_PROBABILITY) {
+            // A route is removed where another one is added, or for a while without another one.
+            let is_added = self.rng.random_bool(0.75);
+            content.added = is_added.then_some(self.version);
+        }
+        if self.rng.random_bool(MOVE_PROBABILITY) {
+            content.moved_to = 1 - content.moved_to;
+        }
+        let limit = self.rng.random_range(0..SLOW_LIMITS_MS.len());
+        content.slow_limit_ms = SLOW_LIMITS_MS[limit];
+    }
+
+    /// Returns a random keeper.
+    fn keeper(&mut self) -> u8 {
+        self.deployment.keepers[self.rng.random_range(0..self.deployment.keepers.len())]
+    }
+
+    /// Sends the declaration to random keepers, at most `attempts` times. Returns whether one of them has
+    /// confirmed it.
+    fn send(&mut self, text: &str, attempts: usize) -> bool {
+        for _ in 0..attempts {
+            let keeper = self.keeper();
+            match put(&self.deployment, keeper, text) {
                 Some(200) => {
-                    history.record_acknowledgement(version);
-                    break;
+                    self.history.record_acknowledgement(self.version);
+                    return true;
                 }
                 Some(status @ (400 | 409 | 412 | 413 | 422)) => {
-                    history.record_violation(format!(
-                        "CONFIG {version} was rejected: status {status}"
+                    self.history.record_violation(format!(
+                        "CONFIG {} was rejected: status {status}",
+                        self.version
                     ));
-                    break;
+                    return false;
                 }
-                Some(_) | None => thread::sleep(Duration::from_millis(100)),
+                Some(_) | None => thread::sleep(RETRY_DELAY),
             }
         }
-        let keeper = deployment.keepers[rng.random_range(0..deployment.keepers.len())];
-        // Two routes with the same path prefix are invalid in any version.
-        let invalid = text.replace("\"/once/\"", "\"/safe/\"");
-        if put(deployment, keeper, &invalid) == Some(200) {
-            history.record_violation(format!(
-                "CONFIG {version} was acknowledged although it is invalid"
+        false
+    }
+
+    /// Declares a new version, and then, to random keepers, the same again, other content as the same
+    /// version, and an invalid declaration.
+    fn declare(&mut self) {
+        self.change();
+        let text = self.record();
+        if self.send(&text, MAX_ATTEMPTS) {
+            let keeper = self.keeper();
+            let status = put(&self.deployment, keeper, &text);
+            if let Some(status) = status.filter(|status| is_rejection(*status)) {
+                self.history.record_violation(format!(
+                    "CONFIG {} was confirmed, and rejected as it was repeated: status {status}",
+                    self.version
+                ));
+            }
+            let number = self.next_forged();
+            let keeper = self.keeper();
+            let other = declaration::forged(self.version, &self.content, number);
+            put(&self.deployment, keeper, &other);
+        }
+        let number = self.next_forged();
+        let defect = DEFECTS[self.rng.random_range(0..DEFECTS.len())];
+        // An invalid declaration of a version that is not held yet could take effect.
+        let version = self.version + self.rng.random_range(0..2);
+        let invalid = declaration::invalid(version, &self.content, number, defect);
+        let keeper = self.keeper();
+        if put(&self.deployment, keeper, &invalid) == Some(200) {
+            self.history.record_violation(format!(
+                "CONFIG {version} was acknowledged although it is invalid: {defect:?}"
             ));
         }
-        thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
+
+    /// Returns the number of the next route that must not be in force, and records it.
+    fn next_forged(&mut self) -> u64 {
+        let number = self.rng.random_range(0..u64::MAX);
+        self.history.record_forged(number);
+        number
+    }
+
+    /// Declares new versions until `stop` is set. Another thread may hold the operator meanwhile.
+    pub fn repeat(operator: &Mutex<Self>, stop: &AtomicBool) {
+        while !stop.load(Ordering::SeqCst) {
+            let mut operator = lock(operator);
+            operator.declare();
+            let pause = operator.rng.random_range(0..MAX_PAUSE_MS);
+            drop(operator);
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+}
+
+/// Whether a status says that a declaration is invalid or conflicts.
+fn is_rejection(status: u16) -> bool {
+    (400..500).contains(&status) && status != 408 && status != 429
 }
 
 /// Reads back the declaration in force until `stop` is set.
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -9,7 +9,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::history::{ACCOUNT, Call, Disruption, Execution, History, Kind, STREAM_EVENTS, event};
+use super::declaration::{MAIN_SERVICE, PROBED_SERVICES, SLOW_SERVICE};
+use super::deployment::UPSTREAM_COUNT;
+use super::history::{Call, Disruption, Execution, History, Kind, STREAM_EVENTS, event};
 use super::lock;
 use super::wire::{self, Message};
 
@@ -23,6 +25,12 @@
 /// Time for which an upstream is silent that goes on after it.
 const PAUSE_DURATION: Duration = Duration::from_millis(1_200);
 
+/// Time that the upstream of [`SLOW_SERVICE`] takes for a response.
+const SLOW_DURATION: Duration = Duration::from_secs(3);
+
+/// Services of the upstreams beyond those that faults affect.
+pub const FURTHER_SERVICES: [&str; 3] = [PROBED_SERVICES[0], PROBED_SERVICES[1], SLOW_SERVICE];
+
 /// Time for which an upstream or the list waits for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -153,6 +161,7 @@
 #[derive(Debug)]
 struct Upstream {
     number: usize,
+    service: &'static str,
     /// Address in the list.
     advertised: SocketAddr,
     /// Number of starts so far. Each start has a name of its own.
@@ -266,7 +275,7 @@
 
 impl StandIns {
     /// Starts the list at `feed`, and one upstream for each pair of addresses: the address in the
-    /// list, and the address to listen on.
+    /// list, and the address to listen on. Those from [`UPSTREAM_COUNT`] on run [`FURTHER_SERVICES`].
     pub fn start(
         feed: SocketAddr,
         addresses: &[(SocketAddr, SocketAddr)],
@@ -275,6 +284,9 @@
         let upstream = |(number, (advertised, _)): (usize, &(SocketAddr, SocketAddr))| {
             Arc::new(Upstream {
                 number,
+                service: number
+                    .checked_sub(usize::from(UPSTREAM_COUNT))
+                    .map_or(MAIN_SERVICE, |further| FURTHER_SERVICES[further]),
                 advertised: *advertised,
                 start_count: AtomicU64::new(1),
                 leaving_start: AtomicU64::new(0),
@@ -320,6 +332,16 @@
         self.history.record_disruption(disruption);
     }
 
+    /// Records a fault at keepers or at links between them that has ended.
+    pub fn record_core_disruption(&self, start: Instant, end: Instant) {
+        self.history.record_core_disruption(start, end);
+    }
+
+    /// Records the start of an instance.
+    pub fn record_start(&self, host: u8) {
+        self.history.record_start(host);
+    }
+
     /// Sets the state of the list.
     pub fn set_list_state(&self, list_state: ListState) {
         *lock(&self.list_state) = list_state;
@@ -343,9 +365,9 @@
     fn list_body(&self) -> String {
         let readable = self.upstreams.iter().map(|upstream| {
             serde_json::json!({
-                "id": upstream.name(), "service": "desk", "address": upstream.advertised,
+                "id": upstream.name(), "service": upstream.service, "address": upstream.advertised,
                 "zone": if upstream.number == EVACUATED_UPSTREAM { "mantova" } else { "lodi" },
-                "version": "v1", "slots": 8, "state": "ready",
+                "version": "v1", "slots": if upstream.service == SLOW_SERVICE { 64 } else { 8 }, "state": "ready",
             })
         });
         // The list also contains an entry that cannot be decoded, which must not affect the others.
@@ -407,7 +429,9 @@
             stream.get_mut().write_all(refusal.as_bytes())?;
             continue;
         }
-        history.record_arrival(&name, &attempt);
+        if upstream.service == MAIN_SERVICE {
+            history.record_arrival(&name, &attempt);
+        }
         if upstream.is_closed(&attempt) {
             history.record_closed(&name, &attempt, Duration::from_secs(CLOSED_S));
             let refusal = format!(
@@ -434,7 +458,11 @@
             continue;
         };
         let leaving = upstream.is_leaving(&attempt);
-        history.record_execution(Execution::new(&request, &attempt));
+        history.record_execution(Execution::new(&request, &attempt, upstream.service));
+        if upstream.service == SLOW_SERVICE {
+            thread::sleep(SLOW_DURATION);
+            return Ok(());
+        }
         let writer = stream.get_mut();
         match behaviour {
             Behaviour::Normal
@@ -530,7 +558,7 @@
 /// Returns the request of a caller that waits for `timeout`.
 pub fn request(attempt: &str, call: &Call, timeout: Duration) -> String {
     let method = match call.kind {
-        Kind::Safe | Kind::CrashingRequest => "GET",
+        Kind::Safe | Kind::CrashingRequest | Kind::Probe => "GET",
         Kind::Once | Kind::Stream | Kind::CrashingPrompt => "POST",
     };
     let key = if call.uses_revocable_key {
@@ -540,7 +568,7 @@
     };
     let part = match call.kind {
         Kind::CrashingPrompt => CRASHING_PART,
-        Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingRequest => "50d",
+        Kind::Once | Kind::Safe | Kind::Stream | Kind::CrashingRequest | Kind::Probe => "50d",
     };
     let own = call.body.len();
     format!(
@@ -563,23 +591,3 @@
     let read = addresses.map(|address| address.as_str()?.parse().ok());
     read.collect()
 }
-
-/// Returns the text of a declaration, with or without the revocable key.
-pub fn declaration(version: u64, has_revocable_key: bool) -> String {
-    let route = |name: &str, kind: &str| {
-        serde_json::json!({
-            "name": name, "host": "a.example", "path-prefix": format!("/{name}/"), "kind": kind,
-            "timeout-ms": 4_000, "target-latency-ms": 1_000, "target-gap-ms": 500, "priority": 1,
-            "service": "desk", "max-attempts": 2,
-        })
-    };
-    let mut keys = vec![PERMANENT_KEY];
-    keys.extend(has_revocable_key.then_some(REVOCABLE_KEY));
-    serde_json::json!({
-        "version": version,
-        "routes": [route("once", "unsafe"), route("safe", "safe"), route("stream", "streaming")],
-        "services": [{"name": "desk", "max-connections": 400}],
-        "tenants": [{"name": ACCOUNT, "api-keys": keys}],
-    })
-    .to_string()
-}
