Cut entries of the soak off from the upstreams of the probes too

Entries delegate when they reach no upstream, and the upstreams of the probes' routes stayed reachable, as the log of 102 shows (200 from u-4-1 and u-5-1 during the cut). They are behind links of their own now, which a cut includes. Probes at an entry that is cut off at the end are not held to the bounds of entries in touch; a process must not go back to an older version all the same.

--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -215,6 +215,7 @@
     let count = rng.random_range(1..entries.len());
     let cut_off = entries.iter().cycle().skip(index).take(count).copied();
     let cut_off: Vec<u8> = cut_off.collect();
+    let cut_at = Instant::now();
     deployment.cut_off(&cut_off, faults::random_cut(rng));
     let call_for = |number: usize, index: usize, time: Duration| {
         let mut caller = Caller::new(deployment, history, u64::MAX, number);
@@ -229,14 +230,15 @@
         (sent, served)
     };
     call_for(2, index, CONTACT_TIME);
-    let (cut_off, others) = thread::scope(|scope| {
+    let (served_cut_off, served_others) = thread::scope(|scope| {
         let before = index + entries.len() - 1;
         let others = scope.spawn(move || call_for(3, before, KNOWN_CRASH_TIME));
-        let cut_off = call_for(4, index, KNOWN_CRASH_TIME);
-        (cut_off, others.join().unwrap_or_default())
+        let served = call_for(4, index, KNOWN_CRASH_TIME);
+        (served, others.join().unwrap_or_default())
     });
     deployment.end_cut_off();
-    history.check_cut_off(entries[index], cut_off, others);
+    history.record_cut(&cut_off, cut_at);
+    history.check_cut_off(entries[index], served_cut_off, served_others);
 }
 
 /// Sends more requests than the brittle upstream has room for, and checks that it rarely falls over.
--- a/gooseberrylb_testbed/src/soak/configuration.rs
+++ b/gooseberrylb_testbed/src/soak/configuration.rs
@@ -111,6 +111,8 @@
     pub declarations: &'a [Declaration],
     /// Faults at entries.
     pub disruptions: &'a [Disruption],
+    /// Entries that were cut off from upstreams beyond these.
+    pub cuts: &'a [Disruption],
     /// Faults at keepers.
     pub core_disruptions: &'a [CoreDisruption],
     /// Starts of processes: host number and time.
@@ -135,6 +137,13 @@
     }
 }
 
+/// Whether one of some faults affected an entry or its links.
+fn affect(faults: &[Disruption], entry: u8, from: Instant, to: Instant) -> bool {
+    let is_affected = |fault: &Disruption| fault.entry.is_none_or(|host| host == entry);
+    let mut faults = faults.iter();
+    faults.any(|fault| is_affected(fault) && fault.start <= to && fault.end >= from)
+}
+
 impl Evidence<'_> {
     /// Whether no fault has affected an entry, the keepers or links from [`CONTACT_TIME`] before
     /// `from` until `to`, and none of their processes started.
@@ -147,13 +156,12 @@
         core.all(|fault| is_free(fault.start, fault.end))
             && starts.all(|(host, at)| !(is_core(*host) || *host == entry) || is_free(*at, *at))
             && !self.is_disrupted(entry, since, to)
+            && !affect(self.cuts, entry, since, to)
     }
 
     /// Whether a fault affected an entry or its links.
     fn is_disrupted(&self, entry: u8, from: Instant, to: Instant) -> bool {
-        let affects = |fault: &Disruption| fault.entry.is_none_or(|host| host == entry);
-        let mut faults = self.disruptions.iter();
-        faults.any(|fault| affects(fault) && fault.start <= to && fault.end >= from)
+        affect(self.disruptions, entry, from, to)
     }
 
     /// Returns the newest version that was confirmed [`IN_FORCE_BOUND`] before a time.
--- a/gooseberrylb_testbed/src/soak/configuration/tests.rs
+++ b/gooseberrylb_testbed/src/soak/configuration/tests.rs
@@ -85,6 +85,7 @@
             executions: &self.executions,
             declarations: &self.declarations,
             disruptions: &[],
+            cuts: &[],
             core_disruptions: &self.core_disruptions,
             starts: &self.starts,
         };
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -129,11 +129,15 @@
             (advertised, at(*host, PROXIED_UPSTREAM_PORT))
         });
         let upstream_addresses: Vec<_> = upstream_addresses.collect();
-        let further = (0..FURTHER_SERVICES.len() as u8)
-            .map(|i| at(FIRST_STAND_IN_HOST + 1 + UPSTREAM_COUNT + i, UPSTREAM_PORT))
-            .map(|address| (address, address));
-        let stand_in_addresses: Vec<_> =
-            upstream_addresses.iter().copied().chain(further).collect();
+        let further_upstreams: Vec<_> = (0..FURTHER_SERVICES.len() as u8)
+            .map(|i| FIRST_STAND_IN_HOST + 1 + UPSTREAM_COUNT + i)
+            .map(|host| (at(host, UPSTREAM_PORT), at(host, PROXIED_UPSTREAM_PORT)))
+            .collect();
+        let stand_in_addresses: Vec<_> = upstream_addresses
+            .iter()
+            .chain(&further_upstreams)
+            .copied()
+            .collect();
         let stand_ins = StandIns::start(
             at(FIRST_STAND_IN_HOST, FEED_PORT),
             &stand_in_addresses,
@@ -143,12 +147,11 @@
         let keepers: Vec<u8> = (1..=options.keepers).collect();
         let entries: Vec<u8> = (0..options.entries).map(|i| FIRST_ENTRY_HOST + i).collect();
         let mut links = Vec::new();
-        for (advertised, listen) in &upstream_addresses {
-            links.push(Link::start(
-                &format!("{TO_UPSTREAM} {advertised}"),
-                *advertised,
-                *listen,
-            )?);
+        let link_to_upstream = |(advertised, listen): &(SocketAddr, SocketAddr)| {
+            Link::start(&format!("{TO_UPSTREAM} {advertised}"), *advertised, *listen)
+        };
+        for addresses in &upstream_addresses {
+            links.push(link_to_upstream(addresses)?);
         }
         let all: Vec<u8> = keepers.iter().chain(&entries).copied().collect();
         for from in &all {
@@ -160,6 +163,10 @@
                 links.push(Link::start(&format!("{from} to {to}"), listen, target)?);
             }
         }
+        // These are last, so that a seed affects the same other links as without them.
+        for addresses in &further_upstreams {
+            links.push(link_to_upstream(addresses)?);
+        }
         fs::write(home.path().join("key"), "0123456789abcdef0123456789abcdef")?;
         let process = |host: &u8| {
             let process = Process {
--- a/gooseberrylb_testbed/src/soak/history.rs
+++ b/gooseberrylb_testbed/src/soak/history.rs
@@ -241,6 +241,8 @@
     probes: HashMap<String, Probe>,
     /// Numbers of routes that no declaration contains that may be in force.
     forged_numbers: Vec<u64>,
+    /// Entries that were cut off from upstreams once the faults were over.
+    cuts: Vec<Disruption>,
     core_disruptions: Vec<CoreDisruption>,
     /// Starts of instances by host number.
     starts: Vec<(u8, Instant)>,
@@ -390,6 +392,18 @@
         self.records().core_disruptions.push(disruption);
     }
 
+    /// Records that entries were cut off from upstreams, once the faults were over, until now.
+    pub fn record_cut(&self, entries: &[u8], start: Instant) {
+        let end = Instant::now();
+        let cut = |entry: &u8| Disruption {
+            entry: Some(*entry),
+            interrupts: false,
+            start,
+            end,
+        };
+        self.records().cuts.extend(entries.iter().map(cut));
+    }
+
     /// Records the start of an instance.
     pub fn record_start(&self, host: u8) {
         self.records().starts.push((host, Instant::now()));
@@ -608,6 +622,7 @@
             executions: &self.executions,
             declarations: &self.declarations,
             disruptions: &self.disruptions,
+            cuts: &self.cuts,
             core_disruptions: &self.core_disruptions,
             starts: &self.starts,
         }
--- a/gooseberrylb_testbed/src/soak/platform.rs
+++ b/gooseberrylb_testbed/src/soak/platform.rs
@@ -25,9 +25,13 @@
 /// Time for which an upstream is silent that goes on after it.
 const PAUSE_DURATION: Duration = Duration::from_millis(1_200);
 
-/// Time that the upstream of [`SLOW_SERVICE`] takes for a response.
+/// Time for which the upstream of [`SLOW_SERVICE`] sends no response to some requests.
 const SLOW_DURATION: Duration = Duration::from_secs(3);
 
+/// Interval between the requests of a probe for which it takes that long, as an upstream that never
+/// responds in time gets no requests.
+const SLOW_INTERVAL: u64 = 2;
+
 /// Services of the upstreams beyond those that faults affect.
 pub const FURTHER_SERVICES: [&str; 3] = [PROBED_SERVICES[0], PROBED_SERVICES[1], SLOW_SERVICE];
 
@@ -459,7 +463,7 @@
         };
         let leaving = upstream.is_leaving(&attempt);
         history.record_execution(Execution::new(&request, &attempt, upstream.service));
-        if upstream.service == SLOW_SERVICE {
+        if upstream.service == SLOW_SERVICE && is_multiple(&attempt, SLOW_INTERVAL) {
             thread::sleep(SLOW_DURATION);
             return Ok(());
         }
