Fill the disks of keepers one after the other in the soak

A declaration that takes over 4 s breaks ACKS, also from 4 s after the last disk has room. The instances write their output to a pipe, which the limit does not affect, and run with SIGXFSZ ignored.

--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -152,6 +152,9 @@
         .help("Time within which the instances stop using an upstream that leaves")
         .argument::<u64>("MS")
         .fallback(4_000);
+    let full_disks = long("full-disks")
+        .help("Fill the disks of keepers one after the other, once the faults are over")
+        .switch();
     let log_folder = long("keep")
         .help("Folder for the logs of failed seeds")
         .argument::<PathBuf>("FOLDER")
@@ -169,6 +172,7 @@
         callers,
         change_limit_ms,
         drain_limit_ms,
+        full_disks,
         log_folder,
         program
     })
--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod evacuation;
 mod faults;
+mod full_disk;
 mod history;
 mod operator;
 mod platform;
@@ -68,6 +69,8 @@
     pub change_limit_ms: u64,
     /// Time within which the instances are told to stop using an upstream that leaves.
     pub drain_limit_ms: u64,
+    /// Whether the disks of keepers are full for a while, one after the other, once the faults are over.
+    pub full_disks: bool,
     /// Folder to which the logs of a failed seed are copied.
     pub log_folder: PathBuf,
     /// Program that runs as an instance.
@@ -149,6 +152,10 @@
     if evacuations.join().is_err() {
         bail!("the thread that evacuates panicked");
     }
+    if options.full_disks {
+        full_disk::fill_in_turn(&deployment, &history, &operator, &mut rng)
+            .context("filling disks")?;
+    }
     evacuation::check(&deployment, &history, seed);
     check_crashes(&deployment, &history);
     check_cut_off(&deployment, &history, &mut rng);
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -16,6 +16,7 @@
 
 use anyhow::{Context, bail};
 use rand::Rng;
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
 
 use super::history::History;
 use super::platform::{FURTHER_SERVICES, StandIns};
@@ -60,6 +61,10 @@
 /// Time beyond the grace period after which a terminated process is killed, as the platform does.
 const KILL_MARGIN: Duration = Duration::from_secs(2);
 
+/// Script that runs its arguments with SIGXFSZ ignored, so that a write beyond the size limit of files
+/// fails instead of ending the process.
+const IGNORE_SIZE_SIGNAL: &str = r#"trap '' XFSZ; exec "$0" "$@""#;
+
 /// Process of one instance.
 #[derive(Debug)]
 struct Process {
@@ -83,6 +88,8 @@
     /// Limits of [`Options`] that the instances are told, in milliseconds.
     change_limit_ms: u64,
     drain_limit_ms: u64,
+    /// Whether disks of keepers may be full, so that their processes must survive refused writes.
+    full_disks: bool,
     /// Host numbers of the keepers: the last bytes of their addresses.
     pub keepers: Vec<u8>,
     /// Host numbers of the entries.
@@ -183,6 +190,7 @@
             program: options.program.clone(),
             change_limit_ms: options.change_limit_ms,
             drain_limit_ms: options.drain_limit_ms,
+            full_disks: options.full_disks,
             processes: all.iter().map(process).collect(),
             unexpected_exits: Mutex::default(),
             keepers,
@@ -256,17 +264,28 @@
         fs::create_dir_all(process.home.join("data"))?;
         let file = process.home.join("settings.json");
         fs::write(&file, self.settings(host, &process.home, first_start))?;
-        let output = OpenOptions::new()
+        // The output passes through a pipe, which a full disk does not affect.
+        let (mut reader, writer) = io::pipe()?;
+        let mut output = OpenOptions::new()
             .create(true)
             .append(true)
             .open(process.home.join("output"))?;
+        thread::spawn(move || io::copy(&mut reader, &mut output));
         self.stand_ins.record_start(host);
-        let child = Command::new(&self.program)
+        let mut command = match self.full_disks {
+            true => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", IGNORE_SIZE_SIGNAL]).arg(&self.program);
+                shell
+            }
+            false => Command::new(&self.program),
+        };
+        let child = command
             .args(["instance", "--settings"])
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
+            .stdout(writer.try_clone()?)
+            .stderr(writer)
             .spawn()
             .context("starting an instance")?;
         process.child = Some(child);
@@ -316,6 +335,21 @@
         }
     }
 
+    /// Refuses all writes of an instance to files, as on a full disk, or lifts that.
+    pub fn set_disk_full(&self, host: u8, is_full: bool) -> anyhow::Result<()> {
+        let mut process = self.process(host);
+        self.record_exit(&mut process)?;
+        let Some(child) = &process.child else {
+            return Ok(());
+        };
+        let maximum = getrlimit(Resource::Fsize).maximum;
+        let current = if is_full { Some(0) } else { maximum };
+        let limit = Rlimit { current, maximum };
+        prlimit(Some(Pid::from_child(child)), Resource::Fsize, limit)
+            .context("limiting the size of files")?;
+        Ok(())
+    }
+
     /// Removes all data of a keeper, which must not be running.
     pub fn wipe(&self, host: u8) -> anyhow::Result<()> {
         let folder = self.process(host).home.join("data");
--- a/gooseberrylb_testbed/src/soak/operator.rs
+++ b/gooseberrylb_testbed/src/soak/operator.rs
@@ -191,6 +191,22 @@
         }
     }
 
+    /// Declares a new version at random keepers until one of them confirms it. Returns the version,
+    /// and whether it was confirmed in time.
+    pub fn declare_until_confirmed(&mut self, timeout: Duration) -> (u64, bool) {
+        self.change();
+        let text = self.record();
+        let end = Instant::now() + timeout;
+        let mut is_confirmed = false;
+        while !is_confirmed && Instant::now() < end {
+            is_confirmed = self.send(&text, 1);
+        }
+        if is_confirmed {
+            thread::sleep(RETRY_DELAY);
+        }
+        (self.version, is_confirmed)
+    }
+
     /// Returns the number of the next route that must not be in force, and records it.
     fn next_forged(&mut self) -> u64 {
         let number = self.rng.random_range(0..u64::MAX);
--- a/gooseberrylb_testbed/tests/soak.rs
+++ b/gooseberrylb_testbed/tests/soak.rs
@@ -17,6 +17,7 @@
             callers: 12,
             change_limit_ms: 2_500,
             drain_limit_ms: 4_000,
+            full_disks: false,
             log_folder: std::env::temp_dir().join("gooseberrylb-soak"),
             program: env!("CARGO_BIN_EXE_gooseberrylb_testbed").into(),
         };
