--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -4,12 +4,16 @@
 //! which differs from run to run. See `docs/SOAK.md`.
 
 mod caller;
+mod configuration;
+mod declaration;
 mod deployment;
 mod evacuation;
 mod faults;
+mod full_disk;
 mod history;
 mod operator;
 mod platform;
+mod probe;
 mod wire;
 
 use std::path::PathBuf;
@@ -25,6 +29,8 @@
 use caller::Caller;
 use deployment::Deployment;
 use history::{History, Kind};
+use operator::Operator;
+use probe::Series;
 
 /// Time within which the deployment must serve at every entry, after its start and again after the
 /// last fault. How long it takes within this limit is not checked.
@@ -59,6 +65,12 @@
     pub entries: u8,
     /// Number of callers, each of which sends one request after the other.
     pub callers: usize,
+    /// Time within which the instances are told to put a confirmed declaration in force.
+    pub change_limit_ms: u64,
+    /// Time within which the instances are told to stop using an upstream that leaves.
+    pub drain_limit_ms: u64,
+    /// Whether the disks of keepers are full for a while, one after the other, once the faults are over.
+    pub full_disks: bool,
     /// Folder to which the logs of a failed seed are copied.
     pub log_folder: PathBuf,
     /// Program that runs as an instance.
@@ -89,7 +101,9 @@
     let history = Arc::new(History::default());
     let deployment = Arc::new(Deployment::start(options, history.clone())?);
     let stop = Arc::new(AtomicBool::new(false));
-    operator::declare_initial(&deployment, &history, SERVE_TIMEOUT)?;
+    let operator = Operator::new(&deployment, &history, seed);
+    operator.declare_initial(SERVE_TIMEOUT)?;
+    let operator = Arc::new(Mutex::new(operator));
     let mut violations = Vec::new();
     if !wait_until_serving(&deployment, &history) {
         violations.push("the deployment did not start to serve in time".to_owned());
@@ -100,12 +114,24 @@
         let stop = stop.clone();
         threads.push(thread::spawn(move || caller.run(&stop)));
     }
-    for task in [operator::declare, operator::read] {
+    {
+        let (operator, stop) = (operator.clone(), stop.clone());
+        threads.push(thread::spawn(move || Operator::repeat(&operator, &stop)));
+    }
+    {
         let (deployment, history, stop) = (deployment.clone(), history.clone(), stop.clone());
         threads.push(thread::spawn(move || {
-            task(&deployment, &history, &stop, seed);
+            operator::read(&deployment, &history, &stop, seed);
         }));
     }
+    for entry in deployment.entries.iter().copied() {
+        for series in [Series::Quick, Series::Slow] {
+            let (deployment, history, stop) = (deployment.clone(), history.clone(), stop.clone());
+            threads.push(thread::spawn(move || {
+                probe::repeat(&deployment, &history, &stop, entry, series, seed);
+            }));
+        }
+    }
     let stop_evacuations = Arc::new(AtomicBool::new(false));
     let evacuations = {
         let (deployment, history) = (deployment.clone(), history.clone());
@@ -126,6 +152,10 @@
     if evacuations.join().is_err() {
         bail!("the thread that evacuates panicked");
     }
+    if options.full_disks {
+        full_disk::fill_in_turn(&deployment, &history, &operator, &mut rng)
+            .context("filling disks")?;
+    }
     evacuation::check(&deployment, &history, seed);
     check_crashes(&deployment, &history);
     check_cut_off(&deployment, &history, &mut rng);
@@ -192,6 +222,7 @@
     let count = rng.random_range(1..entries.len());
     let cut_off = entries.iter().cycle().skip(index).take(count).copied();
     let cut_off: Vec<u8> = cut_off.collect();
+    let cut_at = Instant::now();
     deployment.cut_off(&cut_off, faults::random_cut(rng));
     let call_for = |number: usize, index: usize, time: Duration| {
         let mut caller = Caller::new(deployment, history, u64::MAX, number);
@@ -206,14 +237,15 @@
         (sent, served)
     };
     call_for(2, index, CONTACT_TIME);
-    let (cut_off, others) = thread::scope(|scope| {
+    let (served_cut_off, served_others) = thread::scope(|scope| {
         let before = index + entries.len() - 1;
         let others = scope.spawn(move || call_for(3, before, KNOWN_CRASH_TIME));
-        let cut_off = call_for(4, index, KNOWN_CRASH_TIME);
-        (cut_off, others.join().unwrap_or_default())
+        let served = call_for(4, index, KNOWN_CRASH_TIME);
+        (served, others.join().unwrap_or_default())
     });
     deployment.end_cut_off();
-    history.check_cut_off(entries[index], cut_off, others);
+    history.record_cut(&cut_off, cut_at);
+    history.check_cut_off(entries[index], served_cut_off, served_others);
 }
 
 /// Sends more requests than the brittle upstream has room for, and checks that it rarely falls over.
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -16,9 +16,10 @@
 
 use anyhow::{Context, bail};
 use rand::Rng;
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
 
 use super::history::History;
-use super::platform::StandIns;
+use super::platform::{FURTHER_SERVICES, StandIns};
 use super::{Options, lock};
 use crate::fleet::signal;
 use crate::proxy::{Link, OpenConnections};
@@ -46,10 +47,10 @@
 const TO_UPSTREAM: &str = "to upstream";
 
 /// Host number of the first entry. Keepers are numbered from 1.
-const FIRST_ENTRY_HOST: u8 = 100;
+pub const FIRST_ENTRY_HOST: u8 = 100;
 /// Host number of the first stand-in.
 const FIRST_STAND_IN_HOST: u8 = 200;
-/// Number of upstreams.
+/// Number of upstreams that faults affect.
 pub const UPSTREAM_COUNT: u8 = 4;
 /// Number of other entries that an entry has a link to.
 const MAX_DELEGATES: usize = 4;
@@ -60,6 +61,10 @@
 /// Time beyond the grace period after which a terminated process is killed, as the platform does.
 const KILL_MARGIN: Duration = Duration::from_secs(2);
 
+/// Script that runs its arguments with SIGXFSZ ignored, so that a write beyond the size limit of files
+/// fails instead of ending the process.
+const IGNORE_SIZE_SIGNAL: &str = r#"trap '' XFSZ; exec "$0" "$@""#;
+
 /// Process of one instance.
 #[derive(Debug)]
 struct Process {
@@ -80,6 +85,11 @@
     /// Third byte of all addresses.
     third_octet: u8,
     program: PathBuf,
+    /// Limits of [`Options`] that the instances are told, in milliseconds.
+    change_limit_ms: u64,
+    drain_limit_ms: u64,
+    /// Whether disks of keepers may be full, so that their processes must survive refused writes.
+    full_disks: bool,
     /// Host numbers of the keepers: the last bytes of their addresses.
     pub keepers: Vec<u8>,
     /// Host numbers of the entries.
@@ -126,21 +136,29 @@
             (advertised, at(*host, PROXIED_UPSTREAM_PORT))
         });
         let upstream_addresses: Vec<_> = upstream_addresses.collect();
+        let further_upstreams: Vec<_> = (0..FURTHER_SERVICES.len() as u8)
+            .map(|i| FIRST_STAND_IN_HOST + 1 + UPSTREAM_COUNT + i)
+            .map(|host| (at(host, UPSTREAM_PORT), at(host, PROXIED_UPSTREAM_PORT)))
+            .collect();
+        let stand_in_addresses: Vec<_> = upstream_addresses
+            .iter()
+            .chain(&further_upstreams)
+            .copied()
+            .collect();
         let stand_ins = StandIns::start(
             at(FIRST_STAND_IN_HOST, FEED_PORT),
-            &upstream_addresses,
+            &stand_in_addresses,
             history,
         )
         .context("starting the stand-ins")?;
         let keepers: Vec<u8> = (1..=options.keepers).collect();
         let entries: Vec<u8> = (0..options.entries).map(|i| FIRST_ENTRY_HOST + i).collect();
         let mut links = Vec::new();
-        for (advertised, listen) in &upstream_addresses {
-            links.push(Link::start(
-                &format!("{TO_UPSTREAM} {advertised}"),
-                *advertised,
-                *listen,
-            )?);
+        let link_to_upstream = |(advertised, listen): &(SocketAddr, SocketAddr)| {
+            Link::start(&format!("{TO_UPSTREAM} {advertised}"), *advertised, *listen)
+        };
+        for addresses in &upstream_addresses {
+            links.push(link_to_upstream(addresses)?);
         }
         let all: Vec<u8> = keepers.iter().chain(&entries).copied().collect();
         for from in &all {
@@ -152,6 +170,10 @@
                 links.push(Link::start(&format!("{from} to {to}"), listen, target)?);
             }
         }
+        // These are last, so that a seed affects the same other links as without them.
+        for addresses in &further_upstreams {
+            links.push(link_to_upstream(addresses)?);
+        }
         fs::write(home.path().join("key"), "0123456789abcdef0123456789abcdef")?;
         let process = |host: &u8| {
             let process = Process {
@@ -166,6 +188,9 @@
             second_octet,
             third_octet,
             program: options.program.clone(),
+            change_limit_ms: options.change_limit_ms,
+            drain_limit_ms: options.drain_limit_ms,
+            full_disks: options.full_disks,
             processes: all.iter().map(process).collect(),
             unexpected_exits: Mutex::default(),
             keepers,
@@ -239,16 +264,28 @@
         fs::create_dir_all(process.home.join("data"))?;
         let file = process.home.join("settings.json");
         fs::write(&file, self.settings(host, &process.home, first_start))?;
-        let output = OpenOptions::new()
+        // The output passes through a pipe, which a full disk does not affect.
+        let (mut reader, writer) = io::pipe()?;
+        let mut output = OpenOptions::new()
             .create(true)
             .append(true)
             .open(process.home.join("output"))?;
-        let child = Command::new(&self.program)
+        thread::spawn(move || io::copy(&mut reader, &mut output));
+        self.stand_ins.record_start(host);
+        let mut command = match self.full_disks {
+            true => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", IGNORE_SIZE_SIGNAL]).arg(&self.program);
+                shell
+            }
+            false => Command::new(&self.program),
+        };
+        let child = command
             .args(["instance", "--settings"])
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
+            .stdout(writer.try_clone()?)
+            .stderr(writer)
             .spawn()
             .context("starting an instance")?;
         process.child = Some(child);
@@ -298,6 +335,21 @@
         }
     }
 
+    /// Refuses all writes of an instance to files, as on a full disk, or lifts that.
+    pub fn set_disk_full(&self, host: u8, is_full: bool) -> anyhow::Result<()> {
+        let mut process = self.process(host);
+        self.record_exit(&mut process)?;
+        let Some(child) = &process.child else {
+            return Ok(());
+        };
+        let maximum = getrlimit(Resource::Fsize).maximum;
+        let current = if is_full { Some(0) } else { maximum };
+        let limit = Rlimit { current, maximum };
+        prlimit(Some(Pid::from_child(child)), Resource::Fsize, limit)
+            .context("limiting the size of files")?;
+        Ok(())
+    }
+
     /// Removes all data of a keeper, which must not be running.
     pub fn wipe(&self, host: u8) -> anyhow::Result<()> {
         let folder = self.process(host).home.join("data");
@@ -369,7 +421,8 @@
             "seeds": seeds, "first_start": first_start,
             "feed": self.address(FIRST_STAND_IN_HOST, FEED_PORT),
             "grace_s": SHUTDOWN_GRACE_S, "retry_share": 0.2, "retry_slack": 50,
-            "retry_window_s": 10, "quota_window_s": 8, "change_limit_ms": 2500, "drain_limit_ms": 4000,
+            "retry_window_s": 10, "quota_window_s": 8,
+            "change_limit_ms": self.change_limit_ms, "drain_limit_ms": self.drain_limit_ms,
         });
         match is_keeper {
             true => {
