Link each entry of the soak to the one that is not cut off

All but 101 were cut off, and the log of 102 shows 'connecting to another entry failed' for 101 (connection refused) and 'declined' by the four others: it had links to the next four entries only. Entries have links to eight others now, and at most eight are cut off. Deployments of up to five entries have the links that they had.

--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -27,7 +27,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use caller::Caller;
-use deployment::Deployment;
+use deployment::{Deployment, MAX_DELEGATES};
 use history::{History, Kind};
 use operator::Operator;
 use probe::Series;
@@ -219,7 +219,8 @@
     }
     // The entry before those that are cut off is not.
     let index = rng.random_range(0..entries.len());
-    let count = rng.random_range(1..entries.len());
+    // One that it has a link to is not cut off.
+    let count = rng.random_range(1..entries.len().min(MAX_DELEGATES + 1));
     let cut_off = entries.iter().cycle().skip(index).take(count).copied();
     let cut_off: Vec<u8> = cut_off.collect();
     let cut_at = Instant::now();
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -53,7 +53,7 @@
 /// Number of upstreams that faults affect.
 pub const UPSTREAM_COUNT: u8 = 4;
 /// Number of other entries that an entry has a link to.
-const MAX_DELEGATES: usize = 4;
+pub const MAX_DELEGATES: usize = 8;
 /// Number of keepers that are named as seeds in the settings, as on the platform.
 const SEED_COUNT: u8 = 3;
 /// Time that an instance has for its shutdown after SIGTERM, in seconds.
