Do not stand within an acknowledged lease, and let slow votes count

- A vote for an election that was over set a new deadline when it was synced, also at a follower of a leader elected since, which could then stand within the lease that it had acknowledged: a new leader beside one that still answers reads.
The deadline is set only if the election goes on, and no voter stands while it must honour a lease (vote_that_is_synced_late_does_not_break_the_lease_of_a_leader).
Votes of the current term count until the next one (voters_with_unlike_disks_elect_a_leader).
A candidate whose log is ahead is not held back, and one that asks again extends nothing (voter_with_the_latest_log_is_elected_beside_slow_and_fast_ones).

--- a/gooseberrylb_control/src/consensus/election.rs
+++ b/gooseberrylb_control/src/consensus/election.rs
@@ -1,14 +1,13 @@
 //! Elections: a pre-vote first, then a vote that counts only after it is synced to disk.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::Term;
 
 use super::follower::FollowerState;
 use super::message::{Body, Position};
-use super::node::{Node, Stage};
+use super::node::{Node, Stage, Yield};
 use super::writer::Deferred;
 use crate::membership::Folder;
 
@@ -25,6 +24,10 @@
 
     /// Starts an election with a pre-vote, after an election timeout without contact from a leader.
     pub(super) fn start_pre_vote(&mut self) {
+        // The vote for itself would break the lease that it has acknowledged.
+        if self.must_honour_lease() {
+            return;
+        }
         self.schedule_retry();
         // A node whose journal is full could not vote for itself. A node that brings others into a
         // cluster must have synced the membership, or it could forget who the members are.
@@ -64,8 +67,9 @@
     fn start_election(&mut self) {
         self.term = self.term.next();
         self.vote = Some(self.identity.instance.clone());
+        self.votes.clear();
         self.writer.mark_vote();
-        self.stage = Stage::Candidate(BTreeSet::new());
+        self.stage = Stage::Candidate;
         self.schedule_retry();
         let request = Body::Vote {
             last: self.log.last(),
@@ -76,9 +80,10 @@
 
     /// Counts the node's own vote, which is now synced, and requests the votes of the other voters.
     pub(super) fn request_votes(&mut self, term: Term, request: &Body) {
-        if term != self.term || !matches!(self.stage, Stage::Candidate(_)) {
+        if term != self.term || !matches!(self.stage, Stage::Candidate) {
             return;
         }
+        self.schedule_retry();
         for voter in self.other_voters() {
             self.send(&voter, request.clone());
         }
@@ -86,12 +91,12 @@
     }
 
     fn count_vote(&mut self, voter: id::Instance) {
-        let quorum = self.membership.quorum();
-        let Stage::Candidate(votes) = &mut self.stage else {
-            return;
-        };
-        votes.insert(voter);
-        if votes.len() >= quorum {
+        match self.stage {
+            Stage::PreCandidate(_) | Stage::Candidate => {}
+            Stage::Unformed(_) | Stage::Follower(_) | Stage::Leader(_) => return,
+        }
+        self.votes.insert(voter);
+        if self.votes.len() >= self.membership.quorum() {
             self.become_leader();
         }
     }
@@ -107,21 +112,24 @@
     ) {
         let granted = term > self.term
             && !self.must_honour_lease()
-            && !self.supports_other(from)
+            && !self.supports_other(from, last)
             && last >= self.log.last()
             && self.may_vote_for_folder(from, folder, last);
         if granted {
-            self.yield_election(from);
+            self.yield_election(from, last);
         }
         let answer_term = if granted { term } else { self.term };
         self.send_in(answer_term, from, Body::PreVoteAnswer { granted });
     }
 
-    /// Whether this node takes part in an election that another node than `candidate` may still win, or
-    /// is about to: a further one would take the votes from it.
-    fn supports_other(&self, candidate: &id::Instance) -> bool {
-        let yields = |(to, until): &(id::Instance, Instant)| to != candidate && self.now < *until;
-        self.writer.has_deferred() || self.yielded.as_ref().is_some_and(yields)
+    /// Whether this node takes part in an election that another node than `candidate` may still win: a
+    /// further one would take the votes from it. A candidate whose log is ahead is not held back, since
+    /// the other one may be unable to win.
+    fn supports_other(&self, candidate: &id::Instance, last: Position) -> bool {
+        let goes_first = |other: &Yield| {
+            other.candidate != *candidate && self.now < other.until && last <= other.last
+        };
+        self.writer.has_deferred() || self.yielded.as_ref().is_some_and(goes_first)
     }
 
     /// Handles a vote request, and grants the vote once it is synced unless a lease, the term, an
--- a/gooseberrylb_control/src/consensus/follower.rs
+++ b/gooseberrylb_control/src/consensus/follower.rs
@@ -76,7 +76,7 @@
     ) -> Option<&mut FollowerState> {
         let is_following = match &self.stage {
             Stage::Follower(state) => state.leader.as_ref() == Some(from),
-            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => false,
+            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate => false,
             Stage::Leader(_) if term == self.term => return None,
             Stage::Leader(_) => false,
         };
@@ -184,10 +184,9 @@
                 state.acknowledged = state.verified.min(synced);
                 (state.round, state.verified)
             }
-            Stage::Unformed(_)
-            | Stage::PreCandidate(_)
-            | Stage::Candidate(_)
-            | Stage::Leader(_) => (0, Index(0)),
+            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate | Stage::Leader(_) => {
+                (0, Index(0))
+            }
         };
         let answer = Body::AppendAnswer {
             round,
--- a/gooseberrylb_control/src/consensus/formation.rs
+++ b/gooseberrylb_control/src/consensus/formation.rs
@@ -112,10 +112,9 @@
     pub(super) fn blocked_by(&self) -> Option<Cluster> {
         match &self.stage {
             Stage::Unformed(formation) => formation.existing,
-            Stage::Follower(_)
-            | Stage::PreCandidate(_)
-            | Stage::Candidate(_)
-            | Stage::Leader(_) => None,
+            Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate | Stage::Leader(_) => {
+                None
+            }
         }
     }
 
--- a/gooseberrylb_control/src/consensus/lease.rs
+++ b/gooseberrylb_control/src/consensus/lease.rs
@@ -64,10 +64,9 @@
     pub(super) fn must_honour_lease(&self) -> bool {
         match &self.stage {
             Stage::Leader(_) => self.is_within_lease(self.now),
-            Stage::Unformed(_)
-            | Stage::Follower(_)
-            | Stage::PreCandidate(_)
-            | Stage::Candidate(_) => self.now < self.last_contact + MIN_ELECTION_TIMEOUT,
+            Stage::Unformed(_) | Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate => {
+                self.now < self.last_contact + MIN_ELECTION_TIMEOUT
+            }
         }
     }
 
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -11,7 +11,7 @@
 use super::follower::FollowerState;
 use super::formation::Formation;
 use super::log::Log;
-use super::message::{Body, Message};
+use super::message::{Body, Message, Position};
 use super::replication::LeaderState;
 use super::writer::{Batch, Deferred, Writer};
 use super::{
@@ -55,12 +55,23 @@
     /// The node asks whether it would win an election, before a new term disturbs the others. Holds
     /// the voters that granted the pre-vote.
     PreCandidate(BTreeSet<id::Instance>),
-    /// The node requests votes. Holds the voters that granted theirs.
-    Candidate(BTreeSet<id::Instance>),
+    /// The node requests votes.
+    Candidate,
     /// The node leads.
     Leader(LeaderState),
 }
 
+/// Election of another node in whose favour this one has postponed its own.
+#[derive(Debug)]
+pub(super) struct Yield {
+    /// Node that asked for a pre-vote.
+    pub candidate: id::Instance,
+    /// End of that node's log.
+    pub last: Position,
+    /// Time until which this node takes the election to go on.
+    pub until: Instant,
+}
+
 /// Member of the consensus group, or an instance that may become one.
 #[derive(Debug)]
 pub struct Node {
@@ -89,8 +100,11 @@
     pub(super) last_contact: Instant,
     /// Time at which the node starts an election unless it hears from a leader.
     pub(super) election_deadline: Instant,
-    /// Node in whose favour this one has postponed its election, and until when.
-    pub(super) yielded: Option<(id::Instance, Instant)>,
+    /// Voters that have granted this node their votes in the current term. They may arrive when the
+    /// node has begun to ask for pre-votes again.
+    pub(super) votes: BTreeSet<id::Instance>,
+    /// Election of another node in whose favour this one has postponed its own, if any.
+    pub(super) yielded: Option<Yield>,
     /// Folders of instances that answer with a folder the membership does not list for them.
     pub(super) unexpected_folders: BTreeMap<id::Instance, Folder>,
     /// Proposals made at this node and not yet committed, by the index of their entry.
@@ -138,6 +152,7 @@
             stage,
             last_contact: now,
             election_deadline: now,
+            votes: BTreeSet::new(),
             yielded: None,
             unexpected_folders: BTreeMap::new(),
             proposals: BTreeMap::new(),
@@ -208,7 +223,7 @@
             Stage::Follower(state) => Role::Follower {
                 leader: state.leader.clone(),
             },
-            Stage::PreCandidate(_) | Stage::Candidate(_) => Role::Candidate,
+            Stage::PreCandidate(_) | Stage::Candidate => Role::Candidate,
             Stage::Leader(_) => Role::Leader,
         }
     }
@@ -218,7 +233,7 @@
         match &self.stage {
             Stage::Follower(state) => state.leader.clone(),
             Stage::Leader(_) => Some(self.identity.instance.clone()),
-            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => None,
+            Stage::Unformed(_) | Stage::PreCandidate(_) | Stage::Candidate => None,
         }
     }
 
@@ -226,7 +241,7 @@
         match &self.stage {
             Stage::Unformed(_) => self.probe_founders(),
             Stage::Leader(_) => self.tick_leader(),
-            Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate(_) => {
+            Stage::Follower(_) | Stage::PreCandidate(_) | Stage::Candidate => {
                 // A later election would render a vote useless that is still being synced.
                 if self.now >= self.election_deadline && !self.writer.has_deferred() {
                     self.start_pre_vote();
@@ -252,10 +267,19 @@
     }
 
     /// Postpones an election of its own for a while in favour of a node that has just begun one, so
-    /// that votes do not split. It is too short to keep this node from leading if the other one cannot.
-    pub(super) fn yield_election(&mut self, to: &id::Instance) {
+    /// that votes do not split. It is too short to keep this node from leading if the other one cannot,
+    /// and a candidate that asks again meanwhile does not extend it.
+    pub(super) fn yield_election(&mut self, candidate: &id::Instance, last: Position) {
+        let known = self.yielded.as_ref();
+        if known.is_some_and(|known| known.candidate == *candidate && self.now < known.until) {
+            return;
+        }
         let until = self.now + YIELD_PERIOD + self.voting_time();
-        self.yielded = Some((to.clone(), until));
+        self.yielded = Some(Yield {
+            candidate: candidate.clone(),
+            last,
+            until,
+        });
         self.election_deadline = self.election_deadline.max(until);
     }
 
@@ -270,6 +294,7 @@
         if term > self.term {
             self.term = term;
             self.vote = None;
+            self.votes.clear();
             self.writer.mark_vote();
         }
         self.abandon_proposals();
@@ -387,10 +412,7 @@
                     self.postpone_election();
                     self.send_in(term, &to, Body::VoteAnswer { granted: true });
                 }
-                Deferred::RequestVotes { term, request } => {
-                    self.schedule_retry();
-                    self.request_votes(term, &request);
-                }
+                Deferred::RequestVotes { term, request } => self.request_votes(term, &request),
             }
         }
         self.acknowledge_synced();
--- a/gooseberrylb_control/src/consensus/replication.rs
+++ b/gooseberrylb_control/src/consensus/replication.rs
@@ -4,7 +4,7 @@
 //! is full or slow: an entry is committed once enough other voters have synced it. A proposal that
 //! a full disk refused is rejected only if its entry was not sent to any other node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
@@ -18,8 +18,8 @@
 use super::{HEARTBEAT_INTERVAL, Proposal, Rejection};
 use crate::entry::{Entry, Payload};
 
-/// Time without a commit after which a leader whose disk is full takes it that the disks of the
-/// others are full too, and refuses proposals.
+/// Time without a commit, beyond twice the time that an entry takes, after which a leader whose disk
+/// is full takes it that the disks of the others are full too, and refuses proposals.
 const FULL_PATIENCE: Duration = Duration::from_millis(100);
 
 /// State that a leader keeps during its leadership.
@@ -39,6 +39,10 @@
     pub sent: Index,
     /// Time since which entries wait to be committed without one of them being committed, if any do.
     pub waiting_since: Option<Instant>,
+    /// Entries that wait to be committed, with the times at which they were appended.
+    pub waiting: VecDeque<(Index, Instant)>,
+    /// Time that the last entry committed took since it was appended.
+    pub commit_time: Duration,
     /// Replication state of the other members.
     pub members: BTreeMap<id::Instance, Progress>,
 }
@@ -54,6 +58,8 @@
             announce_commit: false,
             sent: Index(0),
             waiting_since: None,
+            waiting: VecDeque::new(),
+            commit_time: Duration::ZERO,
             members: BTreeMap::new(),
         });
         self.refresh_members();
@@ -73,6 +79,7 @@
         self.writer.mark_entries(index);
         if let Stage::Leader(state) = &mut self.stage {
             state.waiting_since.get_or_insert(self.now);
+            state.waiting.push_back((index, self.now));
         }
         if changes_membership {
             self.refresh_membership();
@@ -97,12 +104,12 @@
         self.proposals.insert(index, proposal);
     }
 
-    /// Whether entries have waited to be committed for [`FULL_PATIENCE`].
+    /// Whether entries have waited to be committed for longer than commits take. See [`FULL_PATIENCE`].
     fn is_commit_overdue(&self) -> bool {
         let Stage::Leader(state) = &self.stage else {
             return false;
         };
-        let overdue = |since: Instant| self.now >= since + FULL_PATIENCE;
+        let overdue = |since: Instant| self.now >= since + FULL_PATIENCE + state.commit_time * 2;
         state.waiting_since.is_some_and(overdue)
     }
 
@@ -301,6 +308,9 @@
             return;
         }
         state.announce_commit = true;
+        while let Some((_, appended)) = state.waiting.pop_front_if(|(index, _)| *index <= agreed) {
+            state.commit_time = self.now.saturating_duration_since(appended);
+        }
         state.waiting_since = (agreed < self.log.last().index).then_some(self.now);
         self.commit(agreed);
         self.step_down_if_removed();
@@ -327,6 +337,7 @@
         if kept <= self.committed {
             state.waiting_since = None;
         }
+        state.waiting.retain(|(index, _)| *index <= kept);
         let first = kept.next();
         self.log.truncate(first);
         self.writer.truncated(first);
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -236,6 +236,27 @@
     assert_eq!(harness.sent(), [(instance("b"), grant)]);
 }
 
+/// Guards against a vote for an election that is over, whose sync makes the voter stand within the lease
+/// of the leader that it has acknowledged since.
+#[test]
+fn vote_that_is_synced_late_does_not_break_the_lease_of_a_leader() {
+    let entries = vec![entry(1, 1, Payload::Membership(membership()))];
+    let mut harness = Harness::new(Some(CLUSTER), entries);
+    while harness.node.status().term == Term(1) {
+        harness.wait(Duration::from_millis(50));
+        harness.receive("b", 2, 1, 2, Body::PreVoteAnswer { granted: true });
+    }
+    let vote = harness.outputs.clone();
+    harness.receive("c", 3, 1, 2, append(position(1, 1)));
+    harness.outputs = vote;
+    harness.sync();
+    for _ in 0..9 {
+        harness.wait(Duration::from_millis(50));
+        let is_pre_vote = |(_, body): &(id::Instance, Body)| matches!(body, Body::PreVote { .. });
+        assert!(!harness.sent().iter().any(is_pre_vote));
+    }
+}
+
 #[test]
 fn a_node_with_an_empty_disk_joins_only_under_its_own_folder() {
     let mut harness = Harness::new(None, Vec::new());
--- a/gooseberrylb_control/tests/consensus/disks.rs
+++ b/gooseberrylb_control/tests/consensus/disks.rs
@@ -65,15 +65,59 @@
             let mut sim = cluster(seed);
             sim.conditions.min_sync_ms = shortest;
             sim.conditions.sync_ms = longest;
-            let voters = VOTERS.map(instance);
-            voters.iter().for_each(|voter| sim.crash(voter));
-            voters.iter().for_each(|voter| sim.start(voter));
             let expected = format!("seed {seed}, syncs of {longest} ms: there is a leader");
-            sim.run_until(RECOVERY_TIME, &expected, |sim| sim.leader().is_some());
+            restart(&mut sim, &[], &expected);
         }
     }
 }
 
+/// Restarts the voters of a cluster, but for some that stay lost, and waits for a leader.
+fn restart(sim: &mut Simulation, lost: &[&str], expected: &str) {
+    let voters = VOTERS.map(instance);
+    voters.iter().for_each(|voter| sim.crash(voter));
+    let lives = |voter: &&id::Instance| !lost.contains(&voter.as_str());
+    voters
+        .iter()
+        .filter(lives)
+        .for_each(|voter| sim.start(voter));
+    sim.run_until(RECOVERY_TIME, expected, |sim| sim.leader().is_some());
+}
+
+/// Guards against a candidate with a fast disk that begins a new election before slower voters have
+/// synced their votes.
+#[test]
+fn voters_with_unlike_disks_elect_a_leader() {
+    for seed in 0..20 {
+        let mut sim = cluster(seed);
+        for slow in ["b", "c"] {
+            sim.hosts.get_mut(&instance(slow)).unwrap().sync_ms = Some((900, 1000));
+        }
+        let expected = format!("seed {seed}: there is a leader of three voters");
+        restart(&mut sim, &["d", "e"], &expected);
+    }
+}
+
+/// Guards against a voter that yields again and again to a candidate whose log is too old to win.
+#[test]
+fn voter_with_the_latest_log_is_elected_beside_slow_and_fast_ones() {
+    for seed in 0..20 {
+        let mut sim = cluster(seed);
+        let leader = sim.leader().unwrap();
+        let mut others: Vec<id::Instance> = VOTERS.map(instance).to_vec();
+        others.retain(|voter| *voter != leader);
+        for behind in &others[..2] {
+            sim.isolate(behind);
+        }
+        sim.propose(&leader);
+        sim.run(SECOND / 5);
+        sim.blocked_links.clear();
+        sim.hosts.get_mut(&others[0]).unwrap().sync_ms = Some((450, 500));
+        let expected = format!("seed {seed}: the voter with all entries leads");
+        restart(&mut sim, &[others[3].as_str(), leader.as_str()], &expected);
+        assert_eq!(sim.leader(), Some(others[2].clone()), "seed {seed}");
+    }
+}
+
 /// Guards against a leader that refuses what all others could store.
 #[test]
 fn changes_are_accepted_while_only_the_disk_of_the_leader_is_full() {
@@ -95,6 +139,33 @@
     }
 }
 
+/// Guards against proposals that are refused because the other voters take longer than usual.
+#[test]
+fn full_disk_of_the_leader_refuses_nothing_that_slower_voters_store() {
+    for seed in 0..20 {
+        let mut sim = cluster(seed);
+        let leader = sim.leader().unwrap();
+        sim.conditions.min_sync_ms = 200;
+        sim.conditions.sync_ms = 400;
+        let first = sim.propose(&leader);
+        sim.run(SECOND);
+        assert!(sim.acknowledged.contains_key(&first), "seed {seed}");
+        let end = sim.now_ms + 8_000;
+        sim.hosts.get_mut(&leader).unwrap().disk_full_until_ms = end;
+        while sim.now_ms < end - 1_000 {
+            sim.propose(&leader);
+            sim.run(SECOND / 10);
+        }
+        assert!(
+            sim.rejections.is_empty(),
+            "seed {seed}: {:?}",
+            sim.rejections
+        );
+        sim.run(3 * SECOND);
+        sim.check_acknowledged();
+    }
+}
+
 /// Guards against changes that wait for the leader's own disk although enough others have stored them.
 #[test]
 fn changes_are_accepted_while_the_disk_of_the_leader_hangs() {
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -87,6 +87,8 @@
     pub disk_full_until_ms: u64,
     /// Simulated time until which the disk completes no write.
     pub disk_hangs_until_ms: u64,
+    /// Shortest and longest duration of a write with its sync, if they differ from those of other hosts.
+    pub sync_ms: Option<(u64, u64)>,
     /// Entries applied since the start of the log, including those covered by a snapshot.
     pub applied: Vec<Entry>,
     /// Index up to which entries are applied.
@@ -187,6 +189,7 @@
                 frozen_until_ms: 0,
                 disk_full_until_ms: 0,
                 disk_hangs_until_ms: 0,
+                sync_ms: None,
                 applied: Vec::new(),
                 applied_to: Index(0),
                 pending_writes: VecDeque::new(),
@@ -465,10 +468,9 @@
     fn handle_output(&mut self, name: &id::Instance, output: Output) {
         match output {
             Output::Persist { sequence, records } => {
-                let due = self.now_ms
-                    + self
-                        .rng
-                        .random_range(self.conditions.min_sync_ms..=self.conditions.sync_ms);
+                let usual = (self.conditions.min_sync_ms, self.conditions.sync_ms);
+                let (shortest, longest) = self.hosts[name].sync_ms.unwrap_or(usual);
+                let due = self.now_ms + self.rng.random_range(shortest..=longest);
                 self.host(name)
                     .pending_writes
                     .push_back((due, sequence, records));
