--- a/gooseberrylb_testbed/tests/soak.rs
+++ b/gooseberrylb_testbed/tests/soak.rs
@@ -54,6 +54,7 @@
         entries: 6,
         change_limit_ms: 2_000,
         drain_limit_ms: 3_000,
+        full_disks: true,
         ..options(LARGE_SEED)
     });
 }
