--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -48,6 +48,7 @@
 mod rollout;
 mod rpc;
 mod thread;
+mod voters;
 
 pub use core::Core;
 pub use links::Links;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -39,7 +39,7 @@
 use super::peers::Accepted;
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
-use super::{Failure, Identity, Shared, lease, relay};
+use super::{Failure, Identity, Shared, lease, relay, voters};
 use crate::gateway::table;
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
@@ -100,6 +100,8 @@
     tables: table::Cache,
     /// Plan of the fleet's shards and the revision that it was made for.
     plan: RefCell<(Revision, Rc<Plan>)>,
+    /// State of the voters as logged last.
+    pub voters: voters::Observer,
     /// Since when this instance has listened to its followers, while it leads.
     pub listening: Listening,
     /// When this instance became leader, while it is one.
@@ -171,6 +173,7 @@
             dialect: parts.dialect,
             tables: table::Cache::default(),
             plan: RefCell::default(),
+            voters: voters::Observer::default(),
             listening: Listening::default(),
             leader_since: Cell::new(None),
             node,
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -34,6 +34,7 @@
     let mut leads = false;
     loop {
         task::sleep(INTERVAL).await;
+        core.voters.observe(&core);
         let led = std::mem::replace(&mut leads, core.is_leading());
         if led && !leads && core.leader_since.get().is_some() {
             log::warn!("the leader's lease has lapsed; it asks the other voters");
--- a/gooseberrylb/src/metrics.rs
+++ b/gooseberrylb/src/metrics.rs
@@ -39,6 +39,8 @@
     pub term: IntGauge,
     /// Index of the last committed log entry.
     pub committed: IntGauge,
+    /// Number of voters that may be lost before there is no quorum, on the leader; -1 on all others.
+    pub losses_borne: IntGauge,
     /// Syncs of the journal, by result.
     pub journal_syncs: IntCounterVec,
     /// Time that a write of the journal takes with its sync, in seconds.
@@ -212,6 +214,11 @@
                 "committed_index",
                 "The last committed entry of the log.",
             ),
+            losses_borne: gauge(
+                &r,
+                "losses_borne",
+                "How many more voters may be lost before there is no quorum; -1 unless this instance leads.",
+            ),
             journal_syncs: counters(&r, "journal_syncs_total", "Journal syncs.", &["result"]),
             journal_sync_seconds: histogram(
                 &r,
--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -4,7 +4,7 @@
 //! The module performs no I/O and reads no clock: `Node::step` receives the current time and an
 //! input, and returns the actions that the caller must carry out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -242,6 +242,9 @@
     /// voters may be lost, and only an operator can decide that its configuration is to be
     /// abandoned.
     pub blocked_by: Option<Cluster>,
+    /// Voters that have granted this node a vote or pre-vote in the election that it takes part in as a
+    /// candidate.
+    pub granted: BTreeSet<id::Instance>,
     /// Whether a membership change may be proposed now; false on every node but the leader.
     pub can_change_membership: bool,
     /// Folders of instances that answer with a folder other than the membership's, or that the
@@ -259,6 +262,9 @@
     /// Send time of the newest message that the member answered; none if it has not answered this
     /// leader.
     pub last_contact: Option<Instant>,
+    /// Time for which the member has left unanswered what a quorum answered, since the election at most.
+    /// The time in which the leader itself reached no quorum, or did not run, does not count.
+    pub silence: Duration,
     /// Whether the member holds all committed entries and has answered recently.
     pub caught_up: bool,
 }
--- a/gooseberrylb_control/src/consensus/lease.rs
+++ b/gooseberrylb_control/src/consensus/lease.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns the latest time at which a quorum is known to have been in contact with this leader.
-    fn quorum_contact(&self) -> Option<Instant> {
+    pub(super) fn quorum_contact(&self) -> Option<Instant> {
         let Stage::Leader(state) = &self.stage else {
             return None;
         };
--- a/gooseberrylb_control/src/consensus/membership.rs
+++ b/gooseberrylb_control/src/consensus/membership.rs
@@ -1,6 +1,7 @@
 //! Membership changes, made by the leader one at a time.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use gooseberrylb_config::id;
 
@@ -67,17 +68,23 @@
         let Stage::Leader(state) = &self.stage else {
             return BTreeMap::new();
         };
+        let heard = self.quorum_contact().unwrap_or(state.elected_at);
+        let member = |progress: &Progress| {
+            let last_contact = progress.last_contact.unwrap_or(state.elected_at);
+            self.member(progress, heard.saturating_duration_since(last_contact))
+        };
         state
             .members
             .iter()
-            .map(|(instance, progress)| (instance.clone(), self.member(progress)))
+            .map(|(instance, progress)| (instance.clone(), member(progress)))
             .collect()
     }
 
-    fn member(&self, progress: &Progress) -> Member {
+    fn member(&self, progress: &Progress, silence: Duration) -> Member {
         let mut member = Member {
             matched: progress.matched,
             last_contact: progress.last_contact,
+            silence,
             caught_up: false,
         };
         let holds_committed = progress.matched >= self.committed;
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -200,6 +200,7 @@
             last: self.log.last().index,
             membership: self.membership.clone(),
             blocked_by: self.blocked_by(),
+            granted: self.granted(),
             can_change_membership: self.can_change_membership(),
             unexpected_folders: self.unexpected_folders.clone(),
             members: self.members(),
@@ -228,6 +229,15 @@
         }
     }
 
+    /// Returns the voters that have granted this node a vote or pre-vote, while it is a candidate.
+    fn granted(&self) -> BTreeSet<id::Instance> {
+        match &self.stage {
+            Stage::PreCandidate(votes) => votes.clone(),
+            Stage::Candidate => self.votes.clone(),
+            Stage::Unformed(_) | Stage::Follower(_) | Stage::Leader(_) => BTreeSet::new(),
+        }
+    }
+
     /// Returns the current leader, if known.
     pub(super) fn leader(&self) -> Option<id::Instance> {
         match &self.stage {
--- a/gooseberrylb_control/src/repair.rs
+++ b/gooseberrylb_control/src/repair.rs
@@ -13,6 +13,10 @@
 use crate::consensus::Status;
 use crate::membership::{Change, Folder, Membership};
 
+pub use health::Health;
+
+mod health;
+
 /// Time without contact after which a voter counts as lost.
 pub const VOTER_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/gooseberrylb_control/tests/repair.rs
+++ b/gooseberrylb_control/tests/repair.rs
@@ -1,6 +1,6 @@
 //! Decisions of the repair policy.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
@@ -43,6 +43,7 @@
                 learners: BTreeMap::new(),
             },
             blocked_by: None,
+            granted: BTreeSet::new(),
             can_change_membership: true,
             unexpected_folders: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -77,6 +78,7 @@
         let member = Member {
             matched: Index(9),
             last_contact: Some(self.start),
+            silence: Duration::ZERO,
             caught_up,
         };
         self.status.members.insert(name(instance), member);
