--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -11,6 +11,7 @@
 
 mod direct;
 mod disks;
+mod losses;
 mod simulation;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -146,6 +146,10 @@
     pub acknowledged: BTreeMap<u64, Index>,
     /// Reason for each rejected proposal, by its number.
     pub rejections: BTreeMap<u64, Rejection>,
+    /// Whether every live disk is to have a vote, instead of as many as there were founders.
+    pub every_disk_votes: bool,
+    /// Term of the leader that observes the disks.
+    observed_in: Term,
     /// Disks as the repair policy sees them.
     observed_disks: BTreeMap<id::Instance, Disk>,
     founders: Vec<id::Instance>,
@@ -173,6 +177,8 @@
             committed: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             rejections: BTreeMap::new(),
+            every_disk_votes: false,
+            observed_in: Term(0),
             observed_disks: BTreeMap::new(),
             founders: names[..founders].to_vec(),
             leaders: BTreeMap::new(),
@@ -182,24 +188,29 @@
             folder_count: 0,
         };
         for name in names {
-            let disk = sim.empty_disk();
-            let host = Host {
-                disk,
-                node: None,
-                frozen_until_ms: 0,
-                disk_full_until_ms: 0,
-                disk_hangs_until_ms: 0,
-                sync_ms: None,
-                applied: Vec::new(),
-                applied_to: Index(0),
-                pending_writes: VecDeque::new(),
-            };
-            sim.hosts.insert(name.clone(), host);
-            sim.start(&name);
+            sim.add_host(&name);
         }
         sim
     }
 
+    /// Adds a host with an empty disk, and starts it.
+    pub fn add_host(&mut self, name: &id::Instance) {
+        let disk = self.empty_disk();
+        let host = Host {
+            disk,
+            node: None,
+            frozen_until_ms: 0,
+            disk_full_until_ms: 0,
+            disk_hangs_until_ms: 0,
+            sync_ms: None,
+            applied: Vec::new(),
+            applied_to: Index(0),
+            pending_writes: VecDeque::new(),
+        };
+        self.hosts.insert(name.clone(), host);
+        self.start(name);
+    }
+
     pub fn now(&self) -> Instant {
         self.start + Duration::from_millis(self.now_ms)
     }
@@ -562,6 +573,12 @@
             return;
         };
         let now = self.now();
+        let status = self.node(&leader).status();
+        // A new leader knows nothing of what an earlier one has observed.
+        if status.term != self.observed_in {
+            self.observed_in = status.term;
+            self.observed_disks.clear();
+        }
         for (name, host) in &self.hosts {
             let is_alive = host.node.is_some() && host.frozen_until_ms <= self.now_ms;
             let known = self.observed_disks.get(name);
@@ -578,10 +595,12 @@
             self.observed_disks
                 .insert(name.clone(), Disk { folder, liveness });
         }
-        let status = self.node(&leader).status();
-        if let Some(change) =
-            repair::next_change(&status, &self.observed_disks, self.founders.len(), now)
-        {
+        let is_alive = |disk: &&Disk| matches!(disk.liveness, Liveness::Alive { .. });
+        let target = match self.every_disk_votes {
+            true => self.observed_disks.values().filter(is_alive).count(),
+            false => self.founders.len(),
+        };
+        if let Some(change) = repair::next_change(&status, &self.observed_disks, target, now) {
             self.change(&leader, change);
         }
     }
