Replace a lost voter within the time that the platform gives its successor

Cause: a voter that was gone kept its vote for 10 s, whatever catch-up-s said, and for 10 s more after each change of leader, since only the leader knew for how long it had been silent; its successor got no vote before. The next legal loss came sooner, and three of five voters were gone.

Now every live disk becomes a learner at once, and a voter when it has caught up, which never lowers the number of losses that are borne. A silent voter loses its vote after half of catch-up-s, after a quarter if the core bears fewer losses than it has to, and never if fewer than 2 f + 1 voters would be left. Silence is counted by unanswered heartbeats, so that a new leader needs no report on it. The bounds and the tolerance are passed on to the settings.

--- a/gooseberryctl/src/queries.rs
+++ b/gooseberryctl/src/queries.rs
@@ -41,6 +41,13 @@
         status.revision,
         if status.fresh { "fresh" } else { "not fresh" }
     );
+    if let Some(losses) = status.losses_borne {
+        let voters = status.voters.len();
+        print_line!(
+            "{voters} voters; there is a leader until {} of those that answer are lost",
+            losses + 1
+        );
+    }
     let rows: Vec<Vec<String>> = status
         .instances
         .iter()
--- a/gooseberrylb/src/control/query.rs
+++ b/gooseberrylb/src/control/query.rs
@@ -118,6 +118,7 @@
         fresh: published.is_fresh(core.clock.now()),
         instances: instances(core, &directory),
         voters: voters(core),
+        losses_borne: super::voters::losses_borne(core),
         views: views(&directory),
         moves: moves(core),
     }
--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -5,75 +5,58 @@
 use std::rc::Rc;
 
 use gooseberrylb_config::id;
-use gooseberrylb_control::membership::Folder;
-use gooseberrylb_control::repair::{self, Disk, Liveness};
+use gooseberrylb_config::settings::Settings;
+use gooseberrylb_control::membership::{Folder, Membership};
+use gooseberrylb_control::repair::{self, Disk, Goal, Liveness, Repair};
 
 use super::core::Core;
 use super::follow::Follower;
 use super::lead;
 
-/// Proposes the next membership change, if one is due.
+/// Maximum number of changes made in one round of the leader's tasks, so that others are not held up.
+const MAX_CHANGES: usize = 8;
+
+/// Proposes the membership changes that are due, one after the other.
 pub async fn step(core: &Rc<Core>) {
-    let Some(status) = core.status() else {
-        return;
-    };
-    let disks = disks(core, &status.membership.voters);
-    let target = match core.settings.deployment {
-        // A platform counts the machines with disks, so each live one of them gets a vote.
-        Some(_) => disks.values().filter(|disk| is_alive(disk)).count(),
-        None => core.settings.peers.iter().filter(|peer| peer.voter).count(),
-    };
-    let target = target.max(1);
-    let Some(change) = repair::next_change(&status, &disks, target, core.clock.now()) else {
-        return;
-    };
-    log::info!("proposing membership change {change:?}");
-    if let Err(reason) = core.change_here(change).await {
-        log::info!("membership change was not made: {reason:?}");
+    let goal = goal(&core.settings);
+    for _ in 0..MAX_CHANGES {
+        let Some(status) = core.status() else {
+            return;
+        };
+        let disks = disks(core, &status.membership);
+        let due = repair::next_change(&status, &disks, &goal, core.clock.now());
+        let Some(Repair { change, cause }) = due else {
+            return;
+        };
+        log::info!(cause:%; "proposing membership change {change:?}");
+        if let Err(reason) = core.change_here(change).await {
+            log::info!("membership change was not made: {reason:?}");
+            return;
+        }
     }
 }
 
-fn is_alive(disk: &Disk) -> bool {
-    match disk.liveness {
-        Liveness::Alive { .. } => true,
-        Liveness::Silent { .. } => false,
+/// Returns what the settings ask of the voters.
+pub fn goal(settings: &Settings) -> Goal {
+    match &settings.deployment {
+        Some(deployment) => {
+            Goal::every_disk(deployment.tolerance.machines, deployment.bounds.catch_up())
+        }
+        None => Goal::fixed(settings.peers.iter().filter(|peer| peer.voter).count()),
     }
 }
 
-/// Returns the disks that may hold the log: those of all voters, and those of other instances that
+/// Returns the disks that may hold the log: those of all members, and those of other instances that
 /// are not leaving.
-fn disks(core: &Core, voters: &BTreeMap<id::Instance, Folder>) -> BTreeMap<id::Instance, Disk> {
+fn disks(core: &Core, membership: &Membership) -> BTreeMap<id::Instance, Disk> {
     let followers = core.followers.borrow();
     let reported = followers.iter().filter_map(|(name, follower)| {
         let folder = Folder(follower.report.folder?);
-        Some((
-            name.clone(),
-            Disk {
-                folder,
-                liveness: liveness(core, follower),
-            },
-        ))
-    });
-    let mut disks: BTreeMap<_, _> = reported.collect();
-    disks.retain(|name, _| {
-        let leaving = followers
-            .get(name)
-            .is_some_and(|f| f.report.instance.leaving);
-        !leaving || voters.contains_key(name)
+        let may_vote = !follower.report.instance.leaving || membership.folder(name).is_some();
+        let liveness = liveness(core, follower);
+        may_vote.then(|| (name.clone(), Disk { folder, liveness }))
     });
-    // A voter that never reported to this leader counts as silent since the election.
-    if let Some(since) = core.leader_since.get() {
-        for (name, folder) in voters {
-            let silent = Disk {
-                folder: *folder,
-                liveness: Liveness::Silent {
-                    since: core.listening.silent_since(since),
-                },
-            };
-            disks.entry(name.clone()).or_insert(silent);
-        }
-    }
-    disks
+    reported.collect()
 }
 
 fn liveness(core: &Core, follower: &Follower) -> Liveness {
@@ -81,8 +64,6 @@
         false => Liveness::Alive {
             since: follower.alive_since,
         },
-        true => Liveness::Silent {
-            since: core.listening.silent_since(follower.last_contact),
-        },
+        true => Liveness::Silent,
     }
 }
--- a/gooseberrylb/src/control/voters.rs
+++ b/gooseberrylb/src/control/voters.rs
@@ -39,6 +39,13 @@
     Candidate { since: Instant },
 }
 
+/// Returns how many voters may be lost before there is no quorum, if this instance leads.
+pub fn losses_borne(core: &Core) -> Option<usize> {
+    let status = core.status()?;
+    let leads = status.role == Role::Leader;
+    leads.then(|| Health::new(&status, REPORTED_SILENCE).losses_borne())
+}
+
 impl Observer {
     /// Logs the voters if those that answer have changed, and sets the metrics.
     pub fn observe(&self, core: &Core) {
--- a/gooseberrylb_config/src/answer/status.rs
+++ b/gooseberrylb_config/src/answer/status.rs
@@ -91,6 +91,9 @@
     /// until its repair is complete.
     #[serde(default)]
     pub voters: Vec<id::Instance>,
+    /// Number of voters that may be lost before there is no quorum; only the leader knows it.
+    #[serde(default)]
+    pub losses_borne: Option<usize>,
     /// Schedulers and backups of all services.
     pub views: Vec<View>,
     /// Moves that are under way.
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -10,8 +10,10 @@
 use crate::number::Bytes;
 use crate::reader::{self, read_object};
 
+pub mod bounds;
 pub mod secret;
 
+pub use bounds::{Bounds, Tolerance};
 pub use secret::Secret;
 
 /// Another instance that this instance may connect to.
@@ -141,6 +143,10 @@
     pub copy_share: f64,
     /// Regions of data centres, also of those without instances.
     pub data_centres: Vec<Location>,
+    /// Time limits that the platform promises.
+    pub bounds: Bounds,
+    /// Losses that the system bears.
+    pub tolerance: Tolerance,
 }
 
 /// Region of a data centre.
@@ -207,6 +213,8 @@
     trial_share = DEFAULT_TRIAL_SHARE,
     copy_share = 0.0,
     data_centres = Vec::new(),
+    bounds = Bounds::default(),
+    tolerance = Tolerance::default(),
 });
 read_object!(Location {
     data_centre,
--- a/gooseberrylb_control/src/repair.rs
+++ b/gooseberrylb_control/src/repair.rs
@@ -3,9 +3,11 @@
 //! [`next_change`] is a pure function of the leader's [`Status`] and the reported data folders.
 //! A spare instance is first added as a learner, then promoted to voter, and only then is the lost
 //! voter removed, as long as the quorum allows it. A second loss right after a repair therefore
-//! meets as many voters as the first one did.
+//! meets as many voters as the first one did. `docs/design/lost-voters.md` describes what the
+//! [`Goal`] is derived from.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use gooseberrylb_config::id;
@@ -13,16 +15,14 @@
 use crate::consensus::Status;
 use crate::membership::{Change, Folder, Membership};
 
+pub use goal::{Goal, Size};
 pub use health::Health;
 
+mod goal;
 mod health;
 
-/// Time without contact after which a voter counts as lost.
-pub const VOTER_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Time for which a spare must have been alive before it is added, so that an instance that keeps
-/// failing is not chosen.
-pub const MIN_SPARE_UPTIME: Duration = Duration::from_secs(2);
+/// Silence after which a learner counts as lost. A learner has no vote, so that nothing depends on it.
+pub const LEARNER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reachability of an instance as seen by the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,10 +33,7 @@
         since: Instant,
     },
     /// Out of contact.
-    Silent {
-        /// Time since which there has been no contact.
-        since: Instant,
-    },
+    Silent,
 }
 
 /// Data folder of an instance, and the reachability of that instance.
@@ -48,23 +45,52 @@
     pub liveness: Liveness,
 }
 
-/// Reason why a member cannot take part.
+/// Membership change that is due, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Repair {
+    /// Change to propose.
+    pub change: Change,
+    /// Cause of the change.
+    pub cause: Cause,
+}
+
+/// Cause of a membership change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    /// The instance has another data folder than the one in the membership.
+pub enum Cause {
+    /// The member has another data folder than the one in the membership.
     Replaced,
-    /// The instance has been out of contact for [`VOTER_TIMEOUT`].
-    Lost,
+    /// The learner holds the log.
+    CaughtUp,
+    /// The member has left heartbeats unanswered for this time.
+    Silent(Duration),
+    /// There are enough voters without the learner.
+    Unneeded,
+    /// The instance has a disk and no vote.
+    Spare,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Replaced => f.write_str("its data folder was replaced"),
+            Self::CaughtUp => f.write_str("it has caught up"),
+            Self::Silent(silence) => write!(f, "no answer for {} ms", silence.as_millis()),
+            Self::Unneeded => f.write_str("enough voters answer without it"),
+            Self::Spare => f.write_str("it has a disk and no vote"),
+        }
+    }
 }
 
 /// Inputs of one repair decision.
 struct Planner<'a> {
     /// Status of the leader's node.
     status: &'a Status,
-    /// Data folders by instance.
+    /// Data folders by instance, as reported.
     disks: &'a BTreeMap<id::Instance, Disk>,
-    /// Target number of voters.
-    target: usize,
+    /// What the repair aims at.
+    goal: &'a Goal,
+    /// Voters that answer, and those that do not.
+    health: Health,
     /// Current time.
     now: Instant,
 }
@@ -73,24 +99,25 @@
 pub fn next_change(
     status: &Status,
     disks: &BTreeMap<id::Instance, Disk>,
-    target: usize,
+    goal: &Goal,
     now: Instant,
-) -> Option<Change> {
+) -> Option<Repair> {
     if !status.can_change_membership {
         return None;
     }
     let planner = Planner {
         status,
         disks,
-        target,
+        goal,
+        health: Health::new(status, goal.urgent_silence),
         now,
     };
     planner
         .remove_replaced()
         .or_else(|| planner.promote())
-        .or_else(|| planner.remove_surplus_voter())
-        .or_else(|| planner.remove_failed_learner())
+        .or_else(|| planner.remove_lost_voter())
         .or_else(|| planner.add())
+        .or_else(|| planner.remove_learner())
 }
 
 impl Planner<'_> {
@@ -98,53 +125,27 @@
         &self.status.membership
     }
 
-    /// Returns the fault of a member that is registered with `folder`, if any.
-    fn fault(&self, instance: &id::Instance, folder: Folder) -> Option<Fault> {
-        let reported = self.status.unexpected_folders.get(instance);
-        let disk = self.disks.get(instance);
-        let actual = reported.copied().or(disk.map(|disk| disk.folder));
-        if actual.is_some_and(|actual| actual != folder) {
-            return Some(Fault::Replaced);
-        }
-        match disk.map(|disk| disk.liveness) {
-            Some(Liveness::Silent { since }) if self.now >= since + VOTER_TIMEOUT => {
-                Some(Fault::Lost)
-            }
-            Some(Liveness::Silent { .. } | Liveness::Alive { .. }) | None => None,
-        }
-    }
-
-    /// Returns the voters with a fault, those with a replaced folder first.
-    fn faulty_voters(&self) -> Vec<(&id::Instance, Fault)> {
-        let voters = self.membership().voters.iter();
-        let faults = voters.filter_map(|(name, folder)| Some((name, self.fault(name, *folder)?)));
-        let (mut replaced, lost): (Vec<_>, Vec<_>) =
-            faults.partition(|(_, fault)| *fault == Fault::Replaced);
-        replaced.extend(lost);
-        replaced
+    /// Whether the instance has another data folder than `folder`, with which it is a member.
+    fn is_replaced(&self, instance: &id::Instance, folder: Folder) -> bool {
+        let reported = self.status.unexpected_folders.get(instance).copied();
+        let actual = reported.or(self.disks.get(instance).map(|disk| disk.folder));
+        actual.is_some_and(|actual| actual != folder)
     }
 
     /// Removes a member whose data folder was replaced.
     ///
     /// The removal is immediate: the votes stored in the old folder are gone for good, and the
     /// instance can only become a learner with its new folder once the old one is not a member.
-    fn remove_replaced(&self) -> Option<Change> {
-        let is_replaced = |(name, folder): (&id::Instance, &Folder)| {
-            self.fault(name, *folder) == Some(Fault::Replaced)
-        };
-        let membership = self.membership();
-        let learner = membership
-            .learners
-            .iter()
-            .find(|member| is_replaced(*member));
-        let voter = membership.voters.iter().find(|member| is_replaced(*member));
-        let instance = learner.or(voter)?.0.clone();
-        Some(Change::Remove { instance })
+    fn remove_replaced(&self) -> Option<Repair> {
+        let members = self.membership();
+        let mut members = members.learners.iter().chain(&members.voters);
+        let (instance, _) = members.find(|(name, folder)| self.is_replaced(name, **folder))?;
+        Some(removal(instance, Cause::Replaced))
     }
 
-    /// Promotes a learner that has caught up, if a voter is missing or faulty.
-    fn promote(&self) -> Option<Change> {
-        if !self.lacks_voters() {
+    /// Promotes a learner that has caught up, if a further voter is wanted.
+    fn promote(&self) -> Option<Repair> {
+        if self.wanted() == 0 {
             return None;
         }
         let is_ready = |name: &&id::Instance| {
@@ -152,51 +153,79 @@
             member.is_some_and(|member| member.caught_up)
         };
         let instance = self.membership().learners.keys().find(is_ready)?.clone();
-        Some(Change::Promote { instance })
+        Some(Repair {
+            change: Change::Promote { instance },
+            cause: Cause::CaughtUp,
+        })
     }
 
-    /// Removes a faulty voter once there are more voters than the target.
-    fn remove_surplus_voter(&self) -> Option<Change> {
-        if self.membership().voters.len() <= self.target {
+    /// Removes the voter that has been silent for longest, if that is long enough and enough voters remain.
+    ///
+    /// The number of voters that may be lost never falls by that, and with the next new voter it rises. What is
+    /// accepted afterwards is stored by fewer voters, so the last ones keep their votes.
+    fn remove_lost_voter(&self) -> Option<Repair> {
+        let voters = self.membership().voters.len();
+        if voters <= self.goal.min_voters() {
             return None;
         }
-        let instance = self.faulty_voters().first()?.0.clone();
-        Some(Change::Remove { instance })
+        let (voter, silence) = self.health.silent.first()?;
+        let limit = match self.health.losses_borne() < self.goal.losses {
+            true => self.goal.urgent_silence,
+            false => self.goal.silence,
+        };
+        (*silence >= limit).then(|| removal(voter, Cause::Silent(*silence)))
     }
 
-    /// Removes a learner that is faulty or no longer needed.
-    fn remove_failed_learner(&self) -> Option<Change> {
-        let lacks_voters = self.lacks_voters();
-        let is_unneeded = |(name, folder): &(&id::Instance, &Folder)| {
-            !lacks_voters || self.fault(name, **folder).is_some()
-        };
-        let instance = self.membership().learners.iter().find(is_unneeded)?.0;
-        let instance = instance.clone();
-        Some(Change::Remove { instance })
+    /// Removes a learner that is lost or not needed.
+    fn remove_learner(&self) -> Option<Repair> {
+        let learners = self.membership().learners.keys();
+        let mut removals = learners.filter_map(|learner| {
+            let silence = self.status.members.get(learner).map(|m| m.silence);
+            match silence.filter(|silence| *silence >= LEARNER_TIMEOUT) {
+                Some(silence) => Some(removal(learner, Cause::Silent(silence))),
+                None if self.wanted() == 0 => Some(removal(learner, Cause::Unneeded)),
+                None => None,
+            }
+        });
+        removals.next()
     }
 
-    /// Adds a spare as a learner, if a voter is missing or faulty and there is no learner yet.
-    fn add(&self) -> Option<Change> {
-        if !self.lacks_voters() || !self.membership().learners.is_empty() {
+    /// Adds a spare as a learner, if more voters are wanted than there are learners.
+    fn add(&self) -> Option<Repair> {
+        if self.wanted() <= self.membership().learners.len() {
             return None;
         }
         let is_spare = |(name, disk): &(&id::Instance, &Disk)| {
             let is_stable = match disk.liveness {
-                Liveness::Alive { since } => self.now >= since + MIN_SPARE_UPTIME,
-                Liveness::Silent { .. } => false,
+                Liveness::Alive { since } => self.now >= since + self.goal.spare_uptime,
+                Liveness::Silent => false,
             };
             is_stable && self.membership().folder(name).is_none()
         };
         let (instance, disk) = self.disks.iter().find(is_spare)?;
-        Some(Change::AddLearner {
-            instance: instance.clone(),
-            folder: disk.folder,
+        Some(Repair {
+            change: Change::AddLearner {
+                instance: instance.clone(),
+                folder: disk.folder,
+            },
+            cause: Cause::Spare,
         })
     }
 
-    /// Whether fewer voters than the target are without a fault.
-    fn lacks_voters(&self) -> bool {
-        let healthy = self.membership().voters.len() - self.faulty_voters().len();
-        healthy < self.target
+    /// Returns the number of voters that are wanted beside those that answer.
+    fn wanted(&self) -> usize {
+        match self.goal.size {
+            Size::EveryDisk => usize::MAX,
+            Size::Fixed(size) => size.saturating_sub(self.health.answering()),
+        }
+    }
+}
+
+fn removal(instance: &id::Instance, cause: Cause) -> Repair {
+    Repair {
+        change: Change::Remove {
+            instance: instance.clone(),
+        },
+        cause,
     }
 }
--- /dev/null
+++ b/gooseberrylb_control/src/repair/goal.rs
@@ -0,0 +1,74 @@
+//! What the repair of the membership aims at, derived from what a deployment promises.
+
+use std::time::Duration;
+
+/// Shortest silence after which a voter loses its vote. A leader that reaches no quorum steps down
+/// before, so that the silence is that of the voter.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
+/// Silence after which a voter loses its vote without a promise on replacements.
+const DEFAULT_SILENCE: Duration = Duration::from_secs(10);
+
+/// Time for which a spare must have been alive where only some of the instances get a vote, so that an
+/// instance that keeps failing is not chosen.
+const MIN_SPARE_UPTIME: Duration = Duration::from_secs(2);
+
+/// Which instances are to vote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Size {
+    /// All that have a disk.
+    EveryDisk,
+    /// As many as this.
+    Fixed(usize),
+}
+
+/// Aim of the repair.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Goal {
+    /// Which instances are to vote.
+    pub size: Size,
+    /// Number of voters that may be lost at once.
+    pub losses: usize,
+    /// Silence after which a voter loses its vote while fewer than [`Goal::losses`] further ones could be
+    /// lost.
+    pub urgent_silence: Duration,
+    /// Silence after which a voter loses its vote otherwise.
+    pub silence: Duration,
+    /// Time for which a spare must have been alive before it is added.
+    pub spare_uptime: Duration,
+}
+
+impl Goal {
+    /// Returns the goal that every instance with a disk votes, and that a voter that is gone has lost its
+    /// vote once its successor has run for `catch_up`, whichever of the two the leader hears of first.
+    pub fn every_disk(losses: usize, catch_up: Duration) -> Self {
+        Self {
+            size: Size::EveryDisk,
+            losses,
+            urgent_silence: (catch_up / 4).clamp(MIN_SILENCE, DEFAULT_SILENCE),
+            silence: (catch_up / 2).clamp(MIN_SILENCE, DEFAULT_SILENCE),
+            spare_uptime: Duration::ZERO,
+        }
+    }
+
+    /// Returns the goal that a fixed number of instances vote.
+    pub fn fixed(size: usize) -> Self {
+        Self {
+            size: Size::Fixed(size),
+            losses: size.saturating_sub(1) / 2,
+            urgent_silence: DEFAULT_SILENCE,
+            silence: DEFAULT_SILENCE,
+            spare_uptime: MIN_SPARE_UPTIME,
+        }
+    }
+
+    /// Returns the number of voters of which none is removed for its silence: of fewer, the losses that
+    /// must be borne could take every copy of an accepted entry, or the quorum.
+    pub fn min_voters(&self) -> usize {
+        let needed = 2 * self.losses + 1;
+        match self.size {
+            Size::EveryDisk => needed,
+            Size::Fixed(size) => size.max(needed),
+        }
+    }
+}
