Keep the first uncertain send of a request in its caller's record

planned_stop_cuts_no_request failed with a request that was served at its second send, and its message held no error of the first: a resend replaced the record. The record now keeps it, and the display of a record names it.

--- a/gooseberrylb_testbed/src/client/caller.rs
+++ b/gooseberrylb_testbed/src/client/caller.rs
@@ -260,7 +260,10 @@
                 attempts: last.attempts,
                 ..uncertain
             },
-            _ => last,
+            uncertain => Record {
+                uncertain: uncertain.map(Box::new),
+                ..last
+            },
         };
         lock(&self.records).push(record.clone());
         record
@@ -328,6 +331,7 @@
         total: Duration::ZERO,
         attempts: 1,
         error: None,
+        uncertain: None,
     }
 }
 
--- a/gooseberrylb_testbed/src/client/tally.rs
+++ b/gooseberrylb_testbed/src/client/tally.rs
@@ -53,6 +53,8 @@
     pub attempts: u32,
     /// Error or body of a failed request; `None` on success.
     pub error: Option<String>,
+    /// First send whose outcome was unknown, if the request was sent again because of it.
+    pub uncertain: Option<Box<Record>>,
 }
 
 impl Record {
@@ -76,7 +78,16 @@
             text(&self.upstream),
             self.check,
             self.total.as_millis()
-        )
+        )?;
+        if let Some(first) = &self.uncertain {
+            let error = first.error.as_deref().unwrap_or("-");
+            write!(
+                f,
+                ", after {} sends, the first: [{first}, error {error}]",
+                self.attempts
+            )?;
+        }
+        Ok(())
     }
 }
 
