Serve connections that cross the stop of the callers' listener

Callers of an instance at a planned stop lost requests: "no answer: Connection reset by peer" 0 ms after the send, with an unknown outcome.

Cause: the accept loop learned of the stop only from the next connection, which it dropped with its request, and closing the socket reset the connections in its queue. The drain waited for requests, not for connections whose request it had not read.

The loop now ends with the stop, admits what the queue holds and then closes the socket; the drain then waits for the requests of these connections, for at most 1 s where none has arrived. Both tests of the listener fail with the old loop.

--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -36,6 +36,10 @@
 /// Time between two checks of whether draining or handing over is complete.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time that a connection accepted just before the listener closes has for its first request, which
+/// may be on its way.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum time that a planned stop waits for the handover of its schedulers and backups.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -416,6 +420,17 @@
             task::sleep(DRAIN_INTERVAL).await;
         }
         callers.stop();
+        // Connections that crossed the close still get their answers.
+        let unread_until = end.min(clock.now() + FIRST_REQUEST_TIMEOUT);
+        let is_pending = || {
+            let now = clock.now();
+            let is_unread = callers.unread() > 0 && now < unread_until;
+            let is_open = !callers.is_closed() || is_unread;
+            now < end && (is_open || entry.in_flight() > 0 || callers.busy() > 0)
+        };
+        while is_pending() {
+            task::sleep(DRAIN_INTERVAL).await;
+        }
         let left = entry.in_flight();
         if left > 0 {
             log::warn!("drain time limit reached with {left} requests in flight");
--- a/gooseberrylb/src/listener.rs
+++ b/gooseberrylb/src/listener.rs
@@ -5,15 +5,17 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_std::io::BufReader;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::AsyncRead;
+use futures::future::{self, Either};
+use futures::{AsyncRead, FutureExt};
 use http_types::headers::{CONNECTION, CONTENT_TYPE};
 use http_types::{Body, Request, Response, StatusCode};
 
@@ -25,16 +27,36 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// State shared by a listener, its connections and its handles.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     /// Number of open connections.
     open: AtomicUsize,
+    /// Number of open connections on which no request has been read.
+    unread: AtomicUsize,
     /// Number of requests whose responses are not completely written.
     busy: AtomicUsize,
     /// Whether connections are closed after their current request.
     closing: AtomicBool,
-    /// Whether new connections are refused.
-    stopped: AtomicBool,
+    /// Closed to stop accepting connections.
+    stop: Sender<()>,
+    stopped: Receiver<()>,
+    /// Whether the listening socket is closed and each connection that it took has been admitted.
+    closed: AtomicBool,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        let (stop, stopped) = async_channel::bounded(1);
+        Self {
+            open: AtomicUsize::new(0),
+            unread: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            stop,
+            stopped,
+            closed: AtomicBool::new(false),
+        }
+    }
 }
 
 /// Handle for draining a running listener.
@@ -47,10 +69,22 @@
         self.0.closing.store(true, Ordering::SeqCst);
     }
 
-    /// Refuses new connections.
+    /// Closes the listening socket, so that callers find new connections refused and try another
+    /// instance. Connections that are already established are still served, since their callers may
+    /// have sent a request and cannot know whether it has run.
     pub fn stop(&self) {
         self.0.closing.store(true, Ordering::SeqCst);
-        self.0.stopped.store(true, Ordering::SeqCst);
+        self.0.stop.close();
+    }
+
+    /// Whether the listening socket is closed after [`Self::stop`].
+    pub fn is_closed(&self) -> bool {
+        self.0.closed.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of open connections on which no request has been read.
+    pub fn unread(&self) -> usize {
+        self.0.unread.load(Ordering::SeqCst)
     }
 
     /// Returns the number of requests whose responses are not completely written.
@@ -92,6 +126,22 @@
     }
 }
 
+/// Counts a connection as unread until dropped.
+struct UnreadGuard(Arc<Shared>);
+
+impl UnreadGuard {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.unread.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for UnreadGuard {
+    fn drop(&mut self) {
+        self.0.unread.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Response body that keeps its request counted as busy until the body is dropped.
 struct TrackedBody {
     body: Body,
@@ -145,15 +195,24 @@
         S: Clone + Send + Sync + 'static,
     {
         let shared = self.handle.0.clone();
-        while !shared.stopped.load(Ordering::SeqCst) {
-            match self.inner.accept().await {
-                Ok((stream, address)) => self.admit(stream, address, &app),
-                Err(error) => {
+        loop {
+            let accept = std::pin::pin!(self.inner.accept());
+            let stopped = std::pin::pin!(shared.stopped.recv());
+            match future::select(accept, stopped).await {
+                Either::Left((Ok((stream, address)), _)) => self.admit(stream, address, &app),
+                Either::Left((Err(error), _)) => {
                     log::warn!("listener {} cannot accept a connection: {error}", self.name);
                     task::sleep(ACCEPT_PAUSE).await;
                 }
+                Either::Right(_) => break,
             }
         }
+        // Closing the socket resets the connections in its queue.
+        while let Some(Ok((stream, address))) = self.inner.accept().now_or_never() {
+            self.admit(stream, address, &app);
+        }
+        drop(self.inner);
+        shared.closed.store(true, Ordering::SeqCst);
     }
 
     /// Serves a connection in a new task, or drops it if the limit is reached.
@@ -162,8 +221,7 @@
         S: Clone + Send + Sync + 'static,
     {
         let shared = self.handle.0.clone();
-        let stopped = shared.stopped.load(Ordering::SeqCst);
-        if stopped || shared.open.load(Ordering::SeqCst) >= self.limits.connections {
+        if shared.open.load(Ordering::SeqCst) >= self.limits.connections {
             METRICS
                 .connections_refused
                 .with_label_values(&[self.name])
@@ -174,9 +232,10 @@
         let (name, limits, app) = (self.name, self.limits, app.clone());
         // Counted before the task starts, so that a burst of connections cannot exceed the limit.
         shared.open.fetch_add(1, Ordering::SeqCst);
+        let unread = UnreadGuard::new(&shared);
         task::spawn(async move {
             METRICS.connections.with_label_values(&[name]).inc();
-            serve(&shared, stream, address, limits, &app).await;
+            serve(&shared, unread, stream, address, limits, &app).await;
             METRICS.connections.with_label_values(&[name]).dec();
             shared.open.fetch_sub(1, Ordering::SeqCst);
         });
@@ -185,6 +244,7 @@
 
 async fn serve<S>(
     shared: &Arc<Shared>,
+    unread: UnreadGuard,
     stream: TcpStream,
     address: SocketAddr,
     limits: Limits,
@@ -193,7 +253,13 @@
     S: Clone + Send + Sync + 'static,
 {
     let peer = Peer::new(stream.clone(), address);
-    let endpoint = |request: Request| respond(shared, &peer, app, request);
+    let unread = Mutex::new(Some(unread));
+    let endpoint = |request: Request| {
+        let busy = BusyGuard::new(shared);
+        // Counted as busy before it stops counting as unread, so that a drain sees it at any time.
+        drop(unread.lock().unwrap_or_else(PoisonError::into_inner).take());
+        respond(shared, busy, &peer, app, request)
+    };
     let guarded = Stream::new(stream, limits.idle);
     // An error here means that the caller disconnected or that a response was cut off on purpose.
     async_h1::accept(guarded, endpoint).await.ok();
@@ -201,6 +267,7 @@
 
 async fn respond<S>(
     shared: &Arc<Shared>,
+    busy: BusyGuard,
     peer: &Peer,
     app: &tide::Server<S>,
     mut request: Request,
@@ -208,7 +275,6 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    let busy = BusyGuard::new(shared);
     request.ext_mut().insert(peer.clone());
     let mut response: Response = match app.respond(request).await {
         Ok(response) => response,
@@ -223,3 +289,6 @@
     track_body(&mut response, busy);
     Ok(response)
 }
+
+#[cfg(test)]
+mod tests;
