Reproduce the first start that waits for a lost founder forever

Founders form a cluster only once all of them report the same folders, and a later start does not tell them that they are founders. In the simulation no cluster is formed when one of three founders is lost for good, when two of five are, or when all hosts stop once during formation.

--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -11,6 +11,7 @@
 
 mod direct;
 mod disks;
+mod formation;
 mod losses;
 mod simulation;
 
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -152,7 +152,7 @@
     observed_in: Term,
     /// Disks as the repair policy sees them.
     observed_disks: BTreeMap<id::Instance, Disk>,
-    founders: Vec<id::Instance>,
+    pub founders: Vec<id::Instance>,
     /// Leader elected in each term.
     leaders: BTreeMap<Term, id::Instance>,
     deliveries: Vec<Delivery>,
