Form a cluster by a majority of the founders of the first start

What operators saw: a seed lost in the first seconds of a deployment, or restarted in them, stopped the first start for good; manifests got 503.

Cause: the founders formed a cluster only once all of them had reported the same folders, and a start after the first one does not tell a seed that it is one.

Now a founder records that it is one, and the founders agree on the voters of the first membership by a majority: without a candidate on all of them, as soon as today, or after 4 s on those that a candidate knows. A founder that loses its disk is not told again, so that it cannot forget what it accepted. docs/design/first-start.md has what was weighed, and what remains.

--- a/gooseberrylb/src/control/fixture.rs
+++ b/gooseberrylb/src/control/fixture.rs
@@ -85,6 +85,7 @@
             instance: name("a"),
             folder: Folder(1),
             founders: names,
+            first_start: false,
             seed: 1,
         };
         let clock = Arc::new(SetTime(Mutex::new(Instant::now())));
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -93,11 +93,13 @@
     let mut completions = None;
     if let Some((journal, recovered)) = start.journal {
         let (jobs, receiver) = disk::spawn(journal, start.clock.clone())?;
+        let deployment = start.settings.deployment.as_ref();
         let founders = start.settings.peers.iter().filter(|p| p.voter);
         let identity = consensus::Identity {
             instance: start.identity.name.clone(),
             folder: recovered.folder,
             founders: founders.map(|p| p.name.clone()).collect(),
+            first_start: deployment.is_some_and(|d| d.first_start),
             seed: rand::random(),
         };
         let now = start.clock.now();
--- a/gooseberrylb_control/examples/journal_cost.rs
+++ b/gooseberrylb_control/examples/journal_cost.rs
@@ -55,6 +55,7 @@
                 instance: name.clone(),
                 folder: recovered.folder,
                 founders: names.clone(),
+                first_start: false,
                 seed,
             };
             let node = Node::new(identity, recovered.persisted, Instant::now());
--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -18,6 +18,7 @@
 pub use message::{Body, Message, Position};
 pub use node::Node;
 
+mod ballot;
 mod election;
 mod follower;
 mod formation;
@@ -49,6 +50,9 @@
 /// forming a new one.
 pub const FORMATION_WAIT: Duration = Duration::from_secs(2);
 
+/// How long after its start a founder waits for all others before a majority of founders suffices.
+pub const MAJORITY_WAIT: Duration = Duration::from_secs(4);
+
 /// Maximum number of entries kept in memory before a snapshot, so that a slow follower can catch up
 /// without receiving the snapshot.
 pub const RETAINED_ENTRIES: u64 = 1024;
@@ -219,6 +223,10 @@
     pub folder: Folder,
     /// Voters that form the cluster at the first start.
     pub founders: Vec<id::Instance>,
+    /// Whether `founders` is told only at the first start, when the disks are empty, so that a node without
+    /// a disk of that start is never taken for a founder. Then a majority of them suffices; otherwise all
+    /// of them are required.
+    pub first_start: bool,
     /// Seed of the random election timeouts.
     pub seed: u64,
 }
--- a/gooseberrylb_control/src/consensus/formation.rs
+++ b/gooseberrylb_control/src/consensus/formation.rs
@@ -1,7 +1,8 @@
-//! Formation of a cluster by its founders, which happens only after all of them report that they
-//! belong to none.
+//! Formation of a cluster by its founders.
 //!
-//! Each founder sends the others the folders that it knows. A founder forms the cluster once all
+//! Founders that are told at the first start alone that they are founders agree by a majority, since a disk
+//! that is lost takes the founder with it (`ballot`). Founders that are told so at every start form the
+//! cluster only after all of them report that they belong to none, as follows. Each founder sends the others the folders that it knows. A founder forms the cluster once all
 //! others have reported the same folders that it knows itself. A founder that missed the last
 //! reports is brought in by those that formed the cluster, because their membership contains its
 //! folder.
@@ -16,39 +17,49 @@
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
 
+use super::ballot::Ballot;
 use super::follower::FollowerState;
 use super::message::Body;
 use super::node::{Node, Stage};
-use super::{FORMATION_WAIT, Identity};
+use super::{FORMATION_WAIT, Identity, Persisted};
 use crate::entry::{Entry, Payload};
 use crate::membership::{Cluster, Folder, Membership};
 
 /// Interval at which a founder sends its known folders to the others.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// State that a founder keeps about the other founders.
 #[derive(Debug, Default)]
 pub(super) struct Formation {
     /// Folders known to this founder, its own included.
-    folders: BTreeMap<id::Instance, Folder>,
+    pub(super) folders: BTreeMap<id::Instance, Folder>,
     /// Folders that each of the other founders reported.
     reported: BTreeMap<id::Instance, BTreeMap<id::Instance, Folder>>,
     /// Time of the next probe; none before the first one.
-    next_probe: Option<Instant>,
+    pub(super) next_probe: Option<Instant>,
     /// Existing cluster whose configuration another instance holds.
-    existing: Option<Cluster>,
+    pub(super) existing: Option<Cluster>,
+    /// Agreement by a majority; none on an instance that takes no part in one.
+    pub(super) ballot: Option<Ballot>,
 }
 
 impl Formation {
-    /// Creates the state of a founder that knows only its own folder.
-    pub(super) fn new(identity: &Identity) -> Self {
+    /// Creates the state of an instance that knows only its own folder and what it has recorded.
+    pub(super) fn new(identity: &Identity, persisted: &Persisted) -> Self {
         let own = (identity.instance.clone(), identity.folder);
         Self {
             folders: BTreeMap::from([own]),
+            ballot: Ballot::at_start(identity, persisted),
             ..Self::default()
         }
     }
 
+    /// Whether no other cluster is known to exist than the one whose first voters are `folders`.
+    pub(super) fn allows(&self, folders: &BTreeMap<id::Instance, Folder>) -> bool {
+        let is_same = |existing| existing == derive_cluster(folders);
+        self.existing.is_none_or(is_same)
+    }
+
     /// Records the folders that another founder reported.
     fn record_report(
         &mut self,
@@ -79,6 +90,10 @@
     /// Sends the known folders to the other founders when a probe is due, and forms the cluster if
     /// it is the only founder or all founders agree.
     pub(super) fn probe_founders(&mut self) {
+        if matches!(&self.stage, Stage::Unformed(formation) if formation.ballot.is_some()) {
+            self.tick_ballot();
+            return;
+        }
         if !self.identity.founders.contains(&self.identity.instance) {
             return;
         }
@@ -105,6 +120,7 @@
     pub(super) fn block_formation(&mut self, cluster: Cluster) {
         if let Stage::Unformed(formation) = &mut self.stage {
             formation.existing = Some(cluster);
+            self.form_reported();
         }
     }
 
@@ -125,6 +141,10 @@
         folder: Folder,
         reported: BTreeMap<id::Instance, Folder>,
     ) {
+        if matches!(&self.stage, Stage::Unformed(formation) if formation.ballot.is_some()) {
+            self.handle_ballot_probe(&from, folder, reported);
+            return;
+        }
         let is_founder = self.identity.founders.contains(&from);
         let Stage::Unformed(formation) = &mut self.stage else {
             return;
@@ -141,13 +161,19 @@
         let Some(folders) = formation.agreed_folders(&self.identity) else {
             return;
         };
+        let folders = folders.clone();
+        // The others may need this final report before they can form the cluster themselves.
+        self.send_probes(&folders);
+        self.form(folders);
+    }
+
+    /// Forms the cluster whose first voters are `folders`, which all founders that form one agree on.
+    pub(super) fn form(&mut self, folders: BTreeMap<id::Instance, Folder>) {
+        let cluster = derive_cluster(&folders);
         let membership = Membership {
-            voters: folders.clone(),
+            voters: folders,
             learners: BTreeMap::new(),
         };
-        let cluster = derive_cluster(&membership.voters);
-        // The others may need this final report before they can form the cluster themselves.
-        self.send_probes(&membership.voters);
         self.log.append(Entry {
             index: Index(1),
             term: Term(1),
@@ -179,7 +205,7 @@
 
 /// Derives the cluster identifier from the founders' folders, so that all founders compute the same
 /// one.
-fn derive_cluster(folders: &BTreeMap<id::Instance, Folder>) -> Cluster {
+pub(super) fn derive_cluster(folders: &BTreeMap<id::Instance, Folder>) -> Cluster {
     let mut hasher = blake3::Hasher::new();
     for (instance, folder) in folders {
         hasher.update(instance.as_str().as_bytes());
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::ballot::is_record_of_founder;
 use super::follower::FollowerState;
 use super::formation::Formation;
 use super::log::Log;
@@ -118,25 +119,21 @@
     /// Role and term reported last.
     last_reported: (Role, Term),
     /// Random source of election timeouts.
-    rng: ChaCha8Rng,
+    pub(super) rng: ChaCha8Rng,
 }
 
 impl Node {
     /// Creates a node from the state that its journal recovered. Its first step restores the
     /// snapshot, if there is one.
     pub fn new(identity: Identity, persisted: Persisted, now: Instant) -> Self {
-        // Without a cluster record, formation did not complete and nothing relied on the other
-        // records.
-        let persisted = match persisted.cluster {
-            Some(_) => persisted,
-            None => Persisted::default(),
-        };
+        let formation = Formation::new(&identity, &persisted);
+        let persisted = recovered(persisted, formation.ballot.is_some());
         let log = Log::new(&persisted);
         let covered = log.base().index;
         let synced = log.last().index;
         let stage = match persisted.cluster {
             Some(_) => Stage::Follower(FollowerState::default()),
-            None => Stage::Unformed(Formation::new(&identity)),
+            None => Stage::Unformed(formation),
         };
         let rng = ChaCha8Rng::seed_from_u64(identity.seed);
         let mut node = Self {
@@ -165,6 +162,7 @@
         node.outputs.extend(persisted.snapshot.map(Output::Restore));
         node.refresh_membership();
         node.postpone_election();
+        node.record_founder();
         node
     }
 
@@ -294,7 +292,7 @@
     }
 
     /// Returns the time that the syncs of an election take, if all disks are like this node's.
-    fn voting_time(&self) -> Duration {
+    pub(super) fn voting_time(&self) -> Duration {
         let syncs = self.writer.sync_time() * ELECTION_SYNCS;
         syncs.min(MAX_VOTING_TIME)
     }
@@ -423,6 +421,10 @@
                     self.send_in(term, &to, Body::VoteAnswer { granted: true });
                 }
                 Deferred::RequestVotes { term, request } => self.request_votes(term, &request),
+                Deferred::BecomeFounder => self.become_founder(),
+                Deferred::RequestBallots { term } => self.request_ballots(term),
+                Deferred::GrantBallot { to, term } => self.grant_ballot(&to, term),
+                Deferred::Accept { term, proposer } => self.confirm_acceptance(term, proposer),
             }
         }
         self.acknowledge_synced();
@@ -452,6 +454,10 @@
             records.push(Record::Snapshot(snapshot.clone()));
             first = first.map(|first| first.max(snapshot.index.next()));
         }
+        if let Stage::Unformed(formation) = &self.stage {
+            let ballot = formation.ballot.as_ref().filter(|_| batch.founder);
+            records.extend(ballot.map(|ballot| Record::Entry(ballot.record())));
+        }
         if let Some(first) = first {
             let entries = self.log.range(first, self.log.last().index);
             records.extend(entries.cloned().map(Record::Entry));
@@ -475,3 +481,22 @@
         }
     }
 }
+
+/// Returns the part of the journal's records that a start relies on. Without a cluster, that is the term and
+/// the vote of a founder; in a cluster, what the founder recorded before it joined is no entry of the log.
+fn recovered(mut persisted: Persisted, is_founder: bool) -> Persisted {
+    if persisted.cluster.is_some() {
+        if persisted.entries.first().is_some_and(is_record_of_founder) {
+            persisted.entries.clear();
+        }
+        return persisted;
+    }
+    if !is_founder {
+        return Persisted::default();
+    }
+    Persisted {
+        term: persisted.term,
+        vote: persisted.vote,
+        ..Persisted::default()
+    }
+}
--- a/gooseberrylb_control/src/consensus/receive.rs
+++ b/gooseberrylb_control/src/consensus/receive.rs
@@ -15,7 +15,7 @@
             (Some(_), Some(_)) => self.receive_member(from, message),
             (Some(_), None) => self.receive_from_unformed(from, &message),
             (None, Some(_)) => self.receive_invitation(from, message),
-            (None, None) => self.receive_probe(from, message),
+            (None, None) => self.receive_founder(from, message),
         }
     }
 
@@ -52,9 +52,26 @@
         }
     }
 
-    fn receive_probe(&mut self, from: id::Instance, message: Message) {
-        if let Body::Probe { folders } = message.body {
-            self.handle_probe(from, message.folder, folders);
+    /// Handles a message between founders without a cluster.
+    fn receive_founder(&mut self, from: id::Instance, message: Message) {
+        let Message {
+            folder, term, body, ..
+        } = message;
+        match body {
+            Body::Probe { folders } => self.handle_probe(from, folder, folders),
+            Body::Vote { last } => self.handle_ballot(from, folder, term, last),
+            Body::VoteAnswer { granted } => self.handle_ballot_answer(from, folder, term, granted),
+            Body::Append { entries, .. } => {
+                self.handle_ballot_proposal(from, folder, term, &entries);
+            }
+            Body::AppendAnswer { matched, .. } => {
+                self.handle_ballot_acceptance(from, folder, term, matched);
+            }
+            Body::Stranger
+            | Body::PreVote { .. }
+            | Body::PreVoteAnswer { .. }
+            | Body::Snapshot { .. }
+            | Body::SnapshotAnswer { .. } => {}
         }
     }
 
--- a/gooseberrylb_control/src/consensus/writer.rs
+++ b/gooseberrylb_control/src/consensus/writer.rs
@@ -28,6 +28,27 @@
         /// Vote request to send.
         request: Body,
     },
+    /// Take part in the agreement of the founders.
+    BecomeFounder,
+    /// Count the node's own vote in the agreement of the founders, and request those of the others.
+    RequestBallots {
+        /// Term of the candidacy.
+        term: Term,
+    },
+    /// Tell a founder that this one votes for it.
+    GrantBallot {
+        /// Candidate that receives the vote.
+        to: id::Instance,
+        /// Term of the vote.
+        term: Term,
+    },
+    /// Act on the first membership that this founder has accepted.
+    Accept {
+        /// Term in which it was accepted.
+        term: Term,
+        /// Founder that proposed it; none if it contains all founders and needs no proposer.
+        proposer: Option<id::Instance>,
+    },
 }
 
 /// Kinds of records that a batch contains.
@@ -35,6 +56,8 @@
 pub(super) struct Batch {
     /// Whether it contains the cluster.
     pub cluster: bool,
+    /// Whether it contains what a founder has accepted, unless that belongs to a cluster by now.
+    pub founder: bool,
     /// Whether it contains the term and the vote.
     pub vote: bool,
     /// Whether it contains the snapshot.
@@ -46,12 +69,13 @@
 impl Batch {
     /// Whether the batch contains nothing.
     pub(super) fn is_empty(&self) -> bool {
-        !self.cluster && !self.vote && !self.snapshot && self.first.is_none()
+        !self.cluster && !self.founder && !self.vote && !self.snapshot && self.first.is_none()
     }
 
     /// Adds the contents of `other`.
     fn merge(&mut self, other: &Batch) {
         self.cluster |= other.cluster;
+        self.founder |= other.founder;
         self.vote |= other.vote;
         self.snapshot |= other.snapshot;
         self.first = match (self.first, other.first) {
@@ -133,6 +157,11 @@
         self.dirty.cluster = true;
     }
 
+    /// Marks what a founder has accepted to be written.
+    pub(super) fn mark_founder(&mut self) {
+        self.dirty.founder = true;
+    }
+
     /// Marks the term and the vote to be written.
     pub(super) fn mark_vote(&mut self) {
         self.dirty.vote = true;
--- a/gooseberrylb_control/tests/consensus/direct.rs
+++ b/gooseberrylb_control/tests/consensus/direct.rs
@@ -72,6 +72,7 @@
             instance: instance("a"),
             folder: Folder(1),
             founders: ["a", "b", "c"].map(instance).to_vec(),
+            first_start: false,
             seed: 1,
         };
         let now = Instant::now();
--- a/gooseberrylb_control/tests/consensus/formation.rs
+++ b/gooseberrylb_control/tests/consensus/formation.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use gooseberrylb_config::id;
-use gooseberrylb_control::consensus::Role;
-use gooseberrylb_control::membership::Cluster;
+use gooseberrylb_config::number::Index;
+use gooseberrylb_control::consensus::{Identity, Input, Node, Role};
+use gooseberrylb_control::entry::Payload;
+use gooseberrylb_control::membership::{Cluster, Membership};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::Rng;
@@ -27,6 +29,11 @@
     /// No later start tells it to any host.
     fn new(seed: u64, names: &[&str], founders: usize) -> Self {
         let mut sim = Simulation::new(seed, names, founders);
+        sim.first_start = true;
+        for name in names.iter().map(|name| instance(name)) {
+            sim.lose_disk(&name);
+            sim.start(&name);
+        }
         sim.founders.clear();
         let clusters = BTreeSet::new();
         Self { sim, clusters }
@@ -54,6 +61,19 @@
         );
     }
 
+    /// Whether a host has recorded a membership that lacks `founder`.
+    fn accepts_membership_without(&self, founder: &id::Instance) -> bool {
+        self.sim.hosts.values().any(|host| {
+            let mut entries = host.disk.persisted.entries.iter();
+            entries.any(|entry| match &entry.payload {
+                Payload::Membership(Membership { voters, .. }) => {
+                    !voters.is_empty() && !voters.contains_key(founder)
+                }
+                Payload::Noop | Payload::Command(_) => false,
+            })
+        })
+    }
+
     /// Proposes commands until one is accepted, and repairs the membership meanwhile.
     fn accept(&mut self, limit: Duration, context: &str) {
         let end = self.sim.now() + limit;
@@ -146,12 +166,12 @@
         start.sim.isolate(&a);
         start.sim.lose_disk(&b);
         start.sim.start(&b);
-        let is_formed = !start.clusters.is_empty();
         start.run(10 * SECOND);
         start.sim.blocked_links.clear();
-        // A cluster that was formed without the founder that was cut off, and has not yet replaced it, cannot
-        // bear the loss of a disk (docs/design/first-start.md); it must not be replaced by another one.
-        if is_formed {
+        let without_c = start.accepts_membership_without(&c);
+        // A first membership that lacks the founder that was cut off cannot bear the loss of a disk until the
+        // cluster has replaced it (docs/design/first-start.md); it must not be replaced by another one.
+        if without_c {
             start.run(10 * SECOND);
         } else {
             start.accept(2 * FORMATION_TIME, &format!("disk lost after {at_ms} ms"));
@@ -159,10 +179,33 @@
     }
 }
 
+/// Guards against what a founder has accepted being taken for an entry of the log, if the node stops after it
+/// has synced its cluster and before it receives the first entry.
+#[test]
+fn record_of_a_founder_is_no_entry_of_the_log_of_its_cluster() {
+    let mut start = FirstStart::new(1, &["a", "b", "c"], 3);
+    start.run(SECOND);
+    let (name, host) = start.sim.hosts.iter().next().unwrap();
+    let mut persisted = host.disk.persisted.clone();
+    assert_eq!((persisted.cluster, persisted.entries.len()), (None, 1));
+    persisted.cluster = Some(Cluster(77));
+    let identity = Identity {
+        instance: name.clone(),
+        folder: host.disk.folder,
+        founders: Vec::new(),
+        first_start: false,
+        seed: 1,
+    };
+    let status = Node::new(identity, persisted, start.sim.now()).status();
+    assert_eq!(
+        (status.last, status.membership),
+        (Index(0), Membership::default())
+    );
+}
+
 /// Guards against an empty configuration in place of one that another instance still holds.
 #[test]
 fn founders_that_learn_of_a_foreign_cluster_form_none() {
-    use gooseberrylb_control::consensus::Input;
     let existing = Cluster(77);
     for at_ms in [0, 500, 1900, 1990] {
         for informed in [&["a", "b", "c"][..], &["a", "b"], &["a"]] {
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -153,6 +153,8 @@
     /// Disks as the repair policy sees them.
     observed_disks: BTreeMap<id::Instance, Disk>,
     pub founders: Vec<id::Instance>,
+    /// Whether only the first start tells hosts of the founders.
+    pub first_start: bool,
     /// Leader elected in each term.
     leaders: BTreeMap<Term, id::Instance>,
     deliveries: Vec<Delivery>,
@@ -181,6 +183,7 @@
             observed_in: Term(0),
             observed_disks: BTreeMap::new(),
             founders: names[..founders].to_vec(),
+            first_start: false,
             leaders: BTreeMap::new(),
             deliveries: Vec::new(),
             start: Instant::now(),
@@ -230,6 +233,7 @@
             instance: name.clone(),
             folder: self.hosts[name].disk.folder,
             founders: self.founders.clone(),
+            first_start: self.first_start,
             seed: self.rng.random(),
         };
         let host = self.host(name);
