Play series of losses that follow each other as closely as a deployment allows

The simulation knew at once which hosts are alive, and one regression test replaced leaders one by one. A generator now makes series of losses, kills of all, splits and a last loss of disks from a seed, and a player checks after each that there is a leader, that changes are accepted, that nothing accepted is lost, and that the votes are those of the machines that count. The leader learns of hosts by reports that are as late as the product's.

--- a/gooseberrylb_control/tests/consensus/losses.rs
+++ b/gooseberrylb_control/tests/consensus/losses.rs
@@ -7,6 +7,9 @@
 
 use crate::simulation::{Simulation, instance};
 
+mod generator;
+mod series;
+
 /// Time after its start during which a successor still counts as lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
--- a/gooseberrylb_control/tests/consensus/main.rs
+++ b/gooseberrylb_control/tests/consensus/main.rs
@@ -235,7 +235,7 @@
         7 => sim.hosts.get_mut(name).unwrap().disk_full_until_ms = until,
         8 => sim.compact(name),
         9 if sim.has_intact_voters() => sim.lose_disk(name),
-        10 | 11 => sim.repair(),
+        10 | 11 => drop(sim.repair()),
         _ => {
             let at = sim.leader().unwrap_or_else(|| name.clone());
             sim.propose(&at);
--- a/gooseberrylb_control/tests/consensus/simulation.rs
+++ b/gooseberrylb_control/tests/consensus/simulation.rs
@@ -12,10 +12,14 @@
 };
 use gooseberrylb_control::entry::{Entry, Payload, Snapshot};
 use gooseberrylb_control::membership::{Change, Folder, Membership};
-use gooseberrylb_control::repair::{self, Disk, Goal, Liveness, Repair};
+use gooseberrylb_control::repair::Goal;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use observation::{Delays, Observation};
+
+mod observation;
+
 /// Interval between ticks of the nodes.
 pub const TICK: Duration = Duration::from_millis(10);
 
@@ -81,6 +85,8 @@
     pub disk: Storage,
     /// Node of the running process; none while the host is stopped.
     pub node: Option<Node>,
+    /// Simulated time of the last start of the process.
+    started_ms: u64,
     /// Simulated time until which the process is frozen.
     pub frozen_until_ms: u64,
     /// Simulated time until which the disk rejects writes.
@@ -148,10 +154,8 @@
     pub rejections: BTreeMap<u64, Rejection>,
     /// What the repair policy aims at.
     pub goal: Goal,
-    /// Term of the leader that observes the disks.
-    observed_in: Term,
     /// Disks as the repair policy sees them.
-    observed_disks: BTreeMap<id::Instance, Disk>,
+    pub observation: Observation,
     founders: Vec<id::Instance>,
     /// Leader elected in each term.
     leaders: BTreeMap<Term, id::Instance>,
@@ -178,8 +182,7 @@
             acknowledged: BTreeMap::new(),
             rejections: BTreeMap::new(),
             goal: Goal::fixed(founders),
-            observed_in: Term(0),
-            observed_disks: BTreeMap::new(),
+            observation: Observation::default(),
             founders: names[..founders].to_vec(),
             leaders: BTreeMap::new(),
             deliveries: Vec::new(),
@@ -199,6 +202,7 @@
         let host = Host {
             disk,
             node: None,
+            started_ms: 0,
             frozen_until_ms: 0,
             disk_full_until_ms: 0,
             disk_hangs_until_ms: 0,
@@ -232,10 +236,12 @@
             founders: self.founders.clone(),
             seed: self.rng.random(),
         };
+        let now_ms = self.now_ms;
         let host = self.host(name);
         if host.node.is_some() {
             return;
         }
+        host.started_ms = now_ms;
         host.applied.clear();
         host.applied_to = Index(0);
         host.node = Some(Node::new(identity, host.disk.persisted.clone(), now));
@@ -289,15 +295,15 @@
 
     /// Returns the last committed membership.
     pub fn membership(&self) -> Membership {
-        let named = self
-            .committed
-            .values()
-            .rev()
-            .find_map(|e| match &e.payload {
-                Payload::Membership(membership) => Some(membership.clone()),
-                Payload::Noop | Payload::Command(_) => None,
-            });
-        named.unwrap_or_default()
+        self.memberships().next_back().unwrap_or_default()
+    }
+
+    /// Returns all committed memberships, the oldest first.
+    pub fn memberships(&self) -> impl DoubleEndedIterator<Item = Membership> {
+        self.committed.values().filter_map(|e| match &e.payload {
+            Payload::Membership(membership) => Some(membership.clone()),
+            Payload::Noop | Payload::Command(_) => None,
+        })
     }
 
     /// Proposes a command that contains its own number, and returns the number.
@@ -567,39 +573,6 @@
         self.rng.random_range(0..100) < percent
     }
 
-    /// Makes the leader propose the change that the repair policy selects.
-    pub fn repair(&mut self) {
-        let Some(leader) = self.leader() else {
-            return;
-        };
-        let now = self.now();
-        let status = self.node(&leader).status();
-        // A new leader knows nothing of what an earlier one has observed.
-        if status.term != self.observed_in {
-            self.observed_in = status.term;
-            self.observed_disks.clear();
-        }
-        for (name, host) in &self.hosts {
-            let is_alive = host.node.is_some() && host.frozen_until_ms <= self.now_ms;
-            let known = self.observed_disks.get(name);
-            let folder = match known {
-                Some(disk) if !is_alive => disk.folder,
-                Some(_) | None => host.disk.folder,
-            };
-            let liveness = match (is_alive, known.map(|disk| disk.liveness)) {
-                (true, Some(known @ Liveness::Alive { .. })) => known,
-                (true, _) => Liveness::Alive { since: now },
-                (false, _) => Liveness::Silent,
-            };
-            self.observed_disks
-                .insert(name.clone(), Disk { folder, liveness });
-        }
-        let due = repair::next_change(&status, &self.observed_disks, &self.goal, now);
-        if let Some(Repair { change, .. }) = due {
-            self.change(&leader, change);
-        }
-    }
-
     /// Checks that every acknowledged command is committed at the index reported for it.
     pub fn check_acknowledged(&self) {
         for (number, index) in &self.acknowledged {
