--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -6,7 +6,7 @@
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::settings::Settings;
-use gooseberrylb_control::membership::{Folder, Membership};
+use gooseberrylb_control::membership::Folder;
 use gooseberrylb_control::repair::{self, Disk, Goal, Liveness, Repair};
 
 use super::core::Core;
@@ -23,7 +23,7 @@
         let Some(status) = core.status() else {
             return;
         };
-        let disks = disks(core, &status.membership);
+        let disks = disks(core);
         let due = repair::next_change(&status, &disks, &goal, core.clock.now());
         let Some(Repair { change, cause }) = due else {
             return;
@@ -46,15 +46,17 @@
     }
 }
 
-/// Returns the disks that may hold the log: those of all members, and those of other instances that
-/// are not leaving.
-fn disks(core: &Core, membership: &Membership) -> BTreeMap<id::Instance, Disk> {
+/// Returns the disks that the instances have reported.
+fn disks(core: &Core) -> BTreeMap<id::Instance, Disk> {
     let followers = core.followers.borrow();
     let reported = followers.iter().filter_map(|(name, follower)| {
         let folder = Folder(follower.report.folder?);
-        let may_vote = !follower.report.instance.leaving || membership.folder(name).is_some();
-        let liveness = liveness(core, follower);
-        may_vote.then(|| (name.clone(), Disk { folder, liveness }))
+        let disk = Disk {
+            folder,
+            liveness: liveness(core, follower),
+            leaving: follower.report.instance.leaving,
+        };
+        Some((name.clone(), disk))
     });
     reported.collect()
 }
@@ -63,6 +65,7 @@
     match lead::counts_as_dead(core, follower.last_contact) {
         false => Liveness::Alive {
             since: follower.alive_since,
+            last: follower.last_contact,
         },
         true => Liveness::Silent,
     }
--- a/gooseberrylb_control/src/consensus.rs
+++ b/gooseberrylb_control/src/consensus.rs
@@ -270,7 +270,7 @@
     /// Send time of the newest message that the member answered; none if it has not answered this
     /// leader.
     pub last_contact: Option<Instant>,
-    /// Time for which the member has left unanswered what a quorum answered, since the election at most.
+    /// Time for which the member has left unanswered what a quorum answered, since the election or since it became a member at most.
     /// The time in which the leader itself reached no quorum, or did not run, does not count.
     pub silence: Duration,
     /// Whether the member holds all committed entries and has answered recently.
--- a/gooseberrylb_control/src/consensus/membership.rs
+++ b/gooseberrylb_control/src/consensus/membership.rs
@@ -70,7 +70,7 @@
         };
         let heard = self.quorum_contact().unwrap_or(state.elected_at);
         let member = |progress: &Progress| {
-            let last_contact = progress.last_contact.unwrap_or(state.elected_at);
+            let last_contact = progress.last_contact.unwrap_or(progress.since);
             self.member(progress, heard.saturating_duration_since(last_contact))
         };
         state
@@ -104,7 +104,7 @@
         members.retain(|instance, progress| folders.get(instance) == Some(&progress.folder));
         for (instance, folder) in folders {
             if instance != *own && !members.contains_key(&instance) {
-                members.insert(instance, Progress::new(folder, last));
+                members.insert(instance, Progress::new(folder, last, self.now));
             }
         }
     }
--- a/gooseberrylb_control/src/consensus/progress.rs
+++ b/gooseberrylb_control/src/consensus/progress.rs
@@ -54,6 +54,8 @@
     pub received: Index,
     /// Index of the next entry to send.
     pub next: Index,
+    /// Time since which the leader knows the follower as a member.
+    pub since: Instant,
     /// How entries are currently sent.
     pub flow: Flow,
     /// Send time of the newest heartbeat that the follower answered.
@@ -66,9 +68,10 @@
 
 impl Progress {
     /// Creates the state of a follower whose log is unknown; probing starts after `last`.
-    pub(super) fn new(folder: Folder, last: Index) -> Self {
+    pub(super) fn new(folder: Folder, last: Index, now: Instant) -> Self {
         Self {
             folder,
+            since: now,
             matched: Index(0),
             received: Index(0),
             next: last.next(),
--- a/gooseberrylb_control/src/repair.rs
+++ b/gooseberrylb_control/src/repair.rs
@@ -1,9 +1,8 @@
 //! Automatic repair of the membership: replaces lost voters without an operator.
 //!
 //! [`next_change`] is a pure function of the leader's [`Status`] and the reported data folders.
-//! A spare instance is first added as a learner, then promoted to voter, and only then is the lost
-//! voter removed, as long as the quorum allows it. A second loss right after a repair therefore
-//! meets as many voters as the first one did. `docs/design/lost-voters.md` describes what the
+//! A spare instance is first added as a learner, then promoted to voter. A lost voter is removed once it
+//! has been silent for long enough, and never below a number of voters. `docs/design/lost-voters.md` describes what the
 //! [`Goal`] is derived from.
 
 use std::collections::BTreeMap;
@@ -31,6 +30,8 @@
     Alive {
         /// Start of the uninterrupted contact.
         since: Instant,
+        /// Time of the last report.
+        last: Instant,
     },
     /// Out of contact.
     Silent,
@@ -43,6 +44,8 @@
     pub folder: Folder,
     /// Reachability of the instance.
     pub liveness: Liveness,
+    /// Whether the instance has reported that it is about to stop.
+    pub leaving: bool,
 }
 
 /// Membership change that is due, and why.
@@ -63,6 +66,8 @@
     CaughtUp,
     /// The member has left heartbeats unanswered for this time.
     Silent(Duration),
+    /// The voter is about to stop.
+    Leaving,
     /// There are enough voters without the learner.
     Unneeded,
     /// The instance has a disk and no vote.
@@ -75,6 +80,7 @@
             Self::Replaced => f.write_str("its data folder was replaced"),
             Self::CaughtUp => f.write_str("it has caught up"),
             Self::Silent(silence) => write!(f, "no answer for {} ms", silence.as_millis()),
+            Self::Leaving => f.write_str("it is about to stop"),
             Self::Unneeded => f.write_str("enough voters answer without it"),
             Self::Spare => f.write_str("it has a disk and no vote"),
         }
@@ -159,21 +165,39 @@
         })
     }
 
-    /// Removes the voter that has been silent for longest, if that is long enough and enough voters remain.
+    /// Removes the voter that has been silent for longest, if that is long enough and enough voters remain;
+    /// or one that is about to stop, if too few losses are borne without it.
     ///
     /// The number of voters that may be lost never falls by that, and with the next new voter it rises. What is
     /// accepted afterwards is stored by fewer voters, so the last ones keep their votes.
     fn remove_lost_voter(&self) -> Option<Repair> {
-        let voters = self.membership().voters.len();
-        if voters <= self.goal.min_voters() {
+        if self.membership().voters.len() <= self.goal.min_voters() {
             return None;
         }
-        let (voter, silence) = self.health.silent.first()?;
-        let limit = match self.health.losses_borne() < self.goal.losses {
+        let leaving = self.leaving_voters();
+        let is_urgent = self.health.losses_borne() < self.goal.losses + leaving.len();
+        let limit = match is_urgent {
             true => self.goal.urgent_silence,
             false => self.goal.silence,
         };
-        (*silence >= limit).then(|| removal(voter, Cause::Silent(*silence)))
+        let silent = self.health.silent.first();
+        let lost = silent.filter(|(_, silence)| *silence >= limit);
+        let lost = lost.map(|(voter, silence)| removal(voter, Cause::Silent(*silence)));
+        let leaving = leaving.first().filter(|_| is_urgent);
+        lost.or_else(|| leaving.map(|voter| removal(voter, Cause::Leaving)))
+    }
+
+    /// Returns the voters that answer and have reported that they are about to stop.
+    fn leaving_voters(&self) -> Vec<&id::Instance> {
+        let is_leaving = |voter: &&id::Instance| {
+            let is_silent = self
+                .health
+                .silent
+                .iter()
+                .any(|(silent, _)| silent == *voter);
+            !is_silent && self.disks.get(*voter).is_some_and(|disk| disk.leaving)
+        };
+        self.membership().voters.keys().filter(is_leaving).collect()
     }
 
     /// Removes a learner that is lost or not needed.
@@ -197,10 +221,14 @@
         }
         let is_spare = |(name, disk): &(&id::Instance, &Disk)| {
             let is_stable = match disk.liveness {
-                Liveness::Alive { since } => self.now >= since + self.goal.spare_uptime,
+                // A voter that has just lost its vote may still count as alive by an older report.
+                Liveness::Alive { since, last } => {
+                    self.now >= since + self.goal.spare_uptime
+                        && self.now < last + self.goal.urgent_silence
+                }
                 Liveness::Silent => false,
             };
-            is_stable && self.membership().folder(name).is_none()
+            is_stable && !disk.leaving && self.membership().folder(name).is_none()
         };
         let (instance, disk) = self.disks.iter().find(is_spare)?;
         Some(Repair {
--- a/gooseberrylb_control/tests/repair.rs
+++ b/gooseberrylb_control/tests/repair.rs
@@ -26,12 +26,20 @@
 impl Fixture {
     fn new() -> Self {
         let start = Instant::now();
-        let liveness = Liveness::Alive { since: start };
+        let liveness = Liveness::Alive {
+            since: start,
+            last: start + Duration::from_secs(3600),
+        };
         let folders = ["a", "b", "c", "d"]
             .map(name)
             .into_iter()
             .zip((1..).map(Folder));
-        let disk = |folder| Disk { folder, liveness };
+        let leaving = false;
+        let disk = |folder| Disk {
+            folder,
+            liveness,
+            leaving,
+        };
         let disks: BTreeMap<_, _> = folders.clone().map(|(n, f)| (n, disk(f))).collect();
         let status = Status {
             role: Role::Leader,
@@ -164,7 +172,10 @@
     let minute = Duration::from_secs(60);
     fixture.set_silent("c", minute);
     let since = fixture.start + minute;
-    fixture.disks.get_mut(&name("d")).unwrap().liveness = Liveness::Alive { since };
+    fixture.disks.get_mut(&name("d")).unwrap().liveness = Liveness::Alive {
+        since,
+        last: since + minute,
+    };
     assert_eq!(fixture.next_change(minute), None);
     let uptime = fixture.goal.spare_uptime;
     assert!(fixture.next_change(minute + uptime).is_some());
@@ -200,12 +211,14 @@
     fixture.goal = Goal::every_disk(1, Duration::from_secs(4));
     let liveness = Liveness::Alive {
         since: fixture.start,
+        last: fixture.start,
     };
     let folder = Folder(4);
     fixture.status.membership.voters.insert(name("d"), folder);
     let disk = Disk {
         folder: Folder(6),
         liveness,
+        leaving: false,
     };
     fixture.disks.insert(name("f"), disk);
     fixture
@@ -263,3 +276,41 @@
     fixture.set_silent("c", Duration::from_secs(60));
     assert_eq!(fixture.next_change(Duration::ZERO), None);
 }
+
+#[test]
+fn voter_that_is_about_to_stop_loses_its_vote_if_too_few_losses_are_borne_without_it() {
+    let mut fixture = platform();
+    fixture.disks.get_mut(&name("a")).unwrap().leaving = true;
+    let removal = Some(Change::Remove {
+        instance: name("a"),
+    });
+    fixture.disks.remove(&name("f"));
+    assert_eq!(fixture.next_change(Duration::ZERO), removal);
+    fixture
+        .status
+        .membership
+        .voters
+        .insert(name("e"), Folder(5));
+    assert_eq!(
+        fixture.next_change(Duration::ZERO),
+        None,
+        "four of five voters bear a loss"
+    );
+    fixture.status.membership.voters.remove(&name("d"));
+    fixture.status.membership.voters.remove(&name("e"));
+    assert_eq!(
+        fixture.next_change(Duration::ZERO),
+        None,
+        "three voters are needed"
+    );
+}
+
+/// Guards against a voter that loses its vote and gets it back from a report made before its loss.
+#[test]
+fn spare_without_a_recent_report_is_not_added() {
+    let fixture = platform();
+    let limit = fixture.goal.urgent_silence;
+    let early = limit - Duration::from_millis(1);
+    assert!(fixture.next_change(early).is_some());
+    assert_eq!(fixture.next_change(limit), None);
+}
