--- a/gooseberrylb/tests/platform/memory.rs
+++ b/gooseberrylb/tests/platform/memory.rs
@@ -137,7 +137,8 @@
         }
         assert!(
             statuses.iter().any(|status| status != "503"),
-            "{statuses:?}"
+            "{target}: {statuses:?}\n{}",
+            fleet.output()
         );
     }
     fleet.check_peak_memory();
--- a/gooseberrylb/tests/platform/stops.rs
+++ b/gooseberrylb/tests/platform/stops.rs
@@ -189,7 +189,9 @@
     assert!(
         received
             .iter()
-            .any(|request| request.contains("/crowd/silent"))
+            .any(|request| request.contains("/crowd/silent")),
+        "{answer}\n{}",
+        fleet.output()
     );
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
