--- a/gooseberrylb_control/src/consensus/formation.rs
+++ b/gooseberrylb_control/src/consensus/formation.rs
@@ -1,9 +1,11 @@
 //! Formation of a cluster by its founders.
 //!
-//! Founders that are told at the first start alone that they are founders agree by a majority, since a disk
-//! that is lost takes the founder with it (`ballot`). Founders that are told so at every start form the
-//! cluster only after all of them report that they belong to none, as follows. Each founder sends the others the folders that it knows. A founder forms the cluster once all
-//! others have reported the same folders that it knows itself. A founder that missed the last
+//! Founders that are told so at the first start only agree by a majority, as described in `ballot`.
+//! Founders that are told so at every start form the cluster only after all of them report that they
+//! belong to none: with a new disk, one of them could help to form a second cluster.
+//!
+//! Each of the latter sends the others the folders that it knows. A founder forms the cluster once
+//! all others have reported the same folders that it knows itself. A founder that missed the last
 //! reports is brought in by those that formed the cluster, because their membership contains its
 //! folder.
 //!
--- a/gooseberrylb_control/tests/consensus/formation.rs
+++ b/gooseberrylb_control/tests/consensus/formation.rs
@@ -356,11 +356,14 @@
     }
 }
 
-/// Longer than CI allows: `cargo test -p gooseberrylb_control --release --test consensus -- --ignored`.
+/// Longer than CI allows: `cargo test -p gooseberrylb_control --release --test consensus -- --ignored --nocapture`.
 #[test]
 #[ignore = "takes minutes; CI plays a few hundred of these histories"]
 fn thousands_of_random_first_starts_form_exactly_one_cluster() {
     for seed in 0..5000 {
+        if seed % 100 == 0 {
+            println!("seed {seed}");
+        }
         run_first_start(seed, 3);
         run_first_start(seed, 5);
     }
