Share the operator of a series of changes, and list the keepers of the soak anew as they change

The list of keepers was fixed for a run. The operator of the series of full disks moves into a module of its own, with no change to what is checked.

--- a/gooseberrylb_testbed/src/main.rs
+++ b/gooseberrylb_testbed/src/main.rs
@@ -155,6 +155,9 @@
     let full_disks = long("full-disks")
         .help("Fill the disks of keepers one after the other, once the faults are over")
         .switch();
+    let lost_keepers = long("lost-keepers")
+        .help("Replace keepers for good one after the other, once the faults are over")
+        .switch();
     let log_folder = long("keep")
         .help("Folder for the logs of failed seeds")
         .argument::<PathBuf>("FOLDER")
@@ -162,7 +165,8 @@
     let program = long("program")
         .help("Program of the instances, run as `PROGRAM instance --settings FILE`")
         .argument::<PathBuf>("FILE")
-        .fallback_with(std::env::current_exe);
+        .map(soak::Program::older)
+        .fallback_with(soak::Program::current);
     construct!(soak::Options {
         seed,
         seed_count,
@@ -173,6 +177,7 @@
         change_limit_ms,
         drain_limit_ms,
         full_disks,
+        lost_keepers,
         log_folder,
         program
     })
--- a/gooseberrylb_testbed/src/soak.rs
+++ b/gooseberrylb_testbed/src/soak.rs
@@ -4,6 +4,7 @@
 //! which differs from run to run. See `docs/SOAK.md`.
 
 mod caller;
+mod change;
 mod configuration;
 mod declaration;
 mod deployment;
@@ -11,11 +12,13 @@
 mod faults;
 mod full_disk;
 mod history;
+mod lost_keeper;
 mod operator;
 mod platform;
 mod probe;
 mod wire;
 
+use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -71,10 +74,40 @@
     pub drain_limit_ms: u64,
     /// Whether the disks of keepers are full for a while, one after the other, once the faults are over.
     pub full_disks: bool,
+    /// Whether keepers are lost for good, one after the other, once the faults are over.
+    pub lost_keepers: bool,
     /// Folder to which the logs of a failed seed are copied.
     pub log_folder: PathBuf,
     /// Program that runs as an instance.
-    pub program: PathBuf,
+    pub program: Program,
+}
+
+/// Program that runs as an instance.
+#[derive(Debug, Clone)]
+pub struct Program {
+    /// Path of the program.
+    pub path: PathBuf,
+    /// Whether it accepts the bounds and the tolerance of the platform in its settings. An older build
+    /// rejects them.
+    pub knows_bounds: bool,
+}
+
+impl Program {
+    /// Returns the running program.
+    pub fn current() -> io::Result<Self> {
+        Ok(Self {
+            path: std::env::current_exe()?,
+            knows_bounds: true,
+        })
+    }
+
+    /// Returns a program that may be an older build.
+    pub fn older(path: PathBuf) -> Self {
+        Self {
+            path,
+            knows_bounds: false,
+        }
+    }
 }
 
 /// Runs all seeds. Returns an error if any guarantee was violated.
@@ -105,7 +138,7 @@
     operator.declare_initial(SERVE_TIMEOUT)?;
     let operator = Arc::new(Mutex::new(operator));
     let mut violations = Vec::new();
-    if !wait_until_serving(&deployment, &history) {
+    if !wait_until_serving(&deployment, &history, SERVE_TIMEOUT) {
         violations.push("the deployment did not start to serve in time".to_owned());
     }
     let mut threads = Vec::new();
@@ -143,7 +176,7 @@
         &mut rng,
         Duration::from_secs(options.fault_seconds),
     );
-    if !wait_until_serving(&deployment, &history) {
+    if !wait_until_serving(&deployment, &history, SERVE_TIMEOUT) {
         violations.push(format!(
             "not every entry serves {SERVE_TIMEOUT:?} after the last fault"
         ));
@@ -156,6 +189,10 @@
         full_disk::fill_in_turn(&deployment, &history, &operator, &mut rng)
             .context("filling disks")?;
     }
+    if options.lost_keepers {
+        lost_keeper::replace_in_turn(&deployment, &history, &operator, &mut rng)
+            .context("losing keepers")?;
+    }
     evacuation::check(&deployment, &history, seed);
     check_crashes(&deployment, &history);
     check_cut_off(&deployment, &history, &mut rng);
@@ -270,9 +307,13 @@
 
 /// Waits until every entry serves requests, and returns whether it did in time. The requests sent
 /// meanwhile are recorded and checked like all others.
-fn wait_until_serving(deployment: &Arc<Deployment>, history: &Arc<History>) -> bool {
+fn wait_until_serving(
+    deployment: &Arc<Deployment>,
+    history: &Arc<History>,
+    timeout: Duration,
+) -> bool {
     let mut caller = Caller::new(deployment, history, u64::MAX, 0);
-    let end = Instant::now() + SERVE_TIMEOUT;
+    let end = Instant::now() + timeout;
     let mut served = 0;
     while served < HEALTHY_REQUESTS && Instant::now() < end {
         served = match caller.probe(served, Kind::Safe) {
--- a/gooseberrylb_testbed/src/soak/caller.rs
+++ b/gooseberrylb_testbed/src/soak/caller.rs
@@ -146,7 +146,7 @@
             .resolved_at
             .is_none_or(|at| at.elapsed() > ADDRESS_LIFETIME)
         {
-            let keepers = &self.deployment.keepers;
+            let keepers = self.deployment.keepers();
             let keeper = keepers[self.rng.random_range(0..keepers.len())];
             if let Some(addresses) = resolve(self.deployment.directory_address(keeper)) {
                 self.addresses = addresses;
--- a/gooseberrylb_testbed/src/soak/deployment.rs
+++ b/gooseberrylb_testbed/src/soak/deployment.rs
@@ -4,6 +4,8 @@
 //! to every other keeper, and two keepers have one in each direction. Entries have such links to a few
 //! others.
 
+mod membership;
+
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io;
@@ -20,7 +22,7 @@
 
 use super::history::History;
 use super::platform::{FURTHER_SERVICES, StandIns};
-use super::{Options, lock};
+use super::{Options, Program, lock};
 use crate::fleet::signal;
 use crate::proxy::{Link, OpenConnections};
 
@@ -46,6 +48,9 @@
 /// Beginning of the names of links to upstreams.
 const TO_UPSTREAM: &str = "to upstream";
 
+/// Data centres of the instances.
+const DATA_CENTRES: [&str; 3] = ["cremona", "lodi", "mantova"];
+
 /// Host number of the first entry. Keepers are numbered from 1.
 pub const FIRST_ENTRY_HOST: u8 = 100;
 /// Host number of the first stand-in.
@@ -56,6 +61,14 @@
 pub const MAX_DELEGATES: usize = 8;
 /// Number of keepers that are named as seeds in the settings, as on the platform.
 const SEED_COUNT: u8 = 3;
+/// Number of keepers that can be lost for good.
+pub const MAX_LOSSES: u8 = 4;
+/// Time after its start during which an instance counts as lost, in seconds.
+pub const CATCH_UP_S: u64 = 4;
+/// Number of keepers that may be lost at once.
+const MAX_LOST: usize = 1;
+/// Secret of the deployment, and of its operators.
+const KEY: &str = "0123456789abcdef0123456789abcdef";
 /// Time that an instance has for its shutdown after SIGTERM, in seconds.
 const SHUTDOWN_GRACE_S: u64 = 8;
 /// Time beyond the grace period after which a terminated process is killed, as the platform does.
@@ -70,6 +83,8 @@
 struct Process {
     /// Host number: the last byte of its address.
     host: u8,
+    /// Index of its data centre.
+    data_centre: u8,
     /// Folder with its settings, data and output.
     home: PathBuf,
     /// Running process, if any.
@@ -84,15 +99,15 @@
     second_octet: u8,
     /// Third byte of all addresses.
     third_octet: u8,
-    program: PathBuf,
+    program: Program,
     /// Limits of [`Options`] that the instances are told, in milliseconds.
     change_limit_ms: u64,
     drain_limit_ms: u64,
     /// Whether disks of keepers may be full, so that their processes must survive refused writes.
     full_disks: bool,
-    /// Host numbers of the keepers: the last bytes of their addresses.
-    pub keepers: Vec<u8>,
-    /// Host numbers of the entries.
+    /// Lists of the keepers, by host number, with the times from which on the platform shows them.
+    keeper_lists: Mutex<Vec<(Instant, Vec<u8>)>>,
+    /// Host numbers of the entries: the last bytes of their addresses.
     pub entries: Vec<u8>,
     processes: BTreeMap<u8, Mutex<Process>>,
     /// One line for each process that exited without being told to.
@@ -120,10 +135,13 @@
         if options.keepers < SEED_COUNT || options.entries == 0 {
             bail!("a soak test needs at least {SEED_COUNT} keepers and one entry");
         }
-        if options.keepers >= FIRST_ENTRY_HOST
+        let spare_count = if options.lost_keepers { MAX_LOSSES } else { 0 };
+        if options.keepers >= FIRST_ENTRY_HOST - spare_count
             || options.entries > FIRST_STAND_IN_HOST - FIRST_ENTRY_HOST
         {
-            bail!("a soak test can have at most 99 keepers and 100 entries");
+            bail!(
+                "a soak test can have at most 99 keepers, those that replace others among them, and 100 entries"
+            );
         }
         let home = tempfile::tempdir().context("making a temporary folder")?;
         let (second_octet, third_octet) = free_network()?;
@@ -161,23 +179,35 @@
             links.push(link_to_upstream(addresses)?);
         }
         let all: Vec<u8> = keepers.iter().chain(&entries).copied().collect();
+        let link = |from: u8, to: u8| {
+            let (listen, target) = (at(to, peer_port(from)), at(to, peer_port(to)));
+            Link::start(&format!("{from} to {to}"), listen, target)
+        };
         for from in &all {
-            for to in keepers.iter().chain(&delegates_of(*from, &entries)) {
-                if to == from {
-                    continue;
-                }
-                let (listen, target) = (at(*to, peer_port(*from)), at(*to, peer_port(*to)));
-                links.push(Link::start(&format!("{from} to {to}"), listen, target)?);
+            let delegates = delegates_of(*from, &entries);
+            let others = keepers.iter().chain(&delegates);
+            for to in others.filter(|to| *to != from) {
+                links.push(link(*from, *to)?);
             }
         }
         // These are last, so that a seed affects the same other links as without them.
         for addresses in &further_upstreams {
             links.push(link_to_upstream(addresses)?);
         }
-        fs::write(home.path().join("key"), "0123456789abcdef0123456789abcdef")?;
+        let spares: Vec<u8> = (1..=spare_count).map(|i| options.keepers + i).collect();
+        for spare in &spares {
+            for host in &all {
+                links.push(link(*host, *spare)?);
+            }
+            for to in keepers.iter().chain(&spares).filter(|to| *to != spare) {
+                links.push(link(*spare, *to)?);
+            }
+        }
+        fs::write(home.path().join("key"), KEY)?;
         let process = |host: &u8| {
             let process = Process {
                 host: *host,
+                data_centre: *host % DATA_CENTRES.len() as u8,
                 home: home.path().join(host.to_string()),
                 child: None,
                 stopping: false,
@@ -191,9 +221,9 @@
             change_limit_ms: options.change_limit_ms,
             drain_limit_ms: options.drain_limit_ms,
             full_disks: options.full_disks,
-            processes: all.iter().map(process).collect(),
+            processes: all.iter().chain(&spares).map(process).collect(),
             unexpected_exits: Mutex::default(),
-            keepers,
+            keeper_lists: Mutex::new(vec![(Instant::now(), keepers)]),
             entries,
             links,
             stand_ins,
@@ -263,7 +293,7 @@
         }
         fs::create_dir_all(process.home.join("data"))?;
         let file = process.home.join("settings.json");
-        fs::write(&file, self.settings(host, &process.home, first_start))?;
+        fs::write(&file, self.settings(&process, first_start))?;
         // The output passes through a pipe, which a full disk does not affect.
         let (mut reader, writer) = io::pipe()?;
         let mut output = OpenOptions::new()
@@ -272,13 +302,14 @@
             .open(process.home.join("output"))?;
         thread::spawn(move || io::copy(&mut reader, &mut output));
         self.stand_ins.record_start(host);
+        let program = &self.program.path;
         let mut command = match self.full_disks {
             true => {
                 let mut shell = Command::new("sh");
-                shell.args(["-c", IGNORE_SIZE_SIGNAL]).arg(&self.program);
+                shell.args(["-c", IGNORE_SIZE_SIGNAL]).arg(program);
                 shell
             }
-            false => Command::new(&self.program),
+            false => Command::new(program),
         };
         let child = command
             .args(["instance", "--settings"])
@@ -405,6 +436,9 @@
         fs::create_dir_all(folder)?;
         for process in self.processes.values() {
             let process = lock(process);
+            if !process.home.exists() {
+                continue;
+            }
             let to = folder.join(format!("{}.log", process.host));
             fs::copy(process.home.join("output"), to).context("copying a log")?;
         }
@@ -412,10 +446,12 @@
     }
 
     /// Returns the settings of an instance. `first_start` tells it that the deployment is new.
-    fn settings(&self, host: u8, home: &Path, first_start: bool) -> String {
+    fn settings(&self, process: &Process, first_start: bool) -> String {
+        let (host, home) = (process.host, &process.home);
         let at = |port| self.address(host, port);
-        let seeds = (1..=SEED_COUNT).map(|host| self.control_address(host).to_string());
-        let seeds: Vec<String> = seeds.collect();
+        let seeds = self.seeds();
+        let seeds = seeds.iter().map(|host| self.control_address(*host));
+        let seeds: Vec<_> = seeds.map(|address| address.to_string()).collect();
         let is_keeper = host < FIRST_ENTRY_HOST;
         let mut deployment = serde_json::json!({
             "seeds": seeds, "first_start": first_start,
@@ -424,6 +460,10 @@
             "retry_window_s": 10, "quota_window_s": 8,
             "change_limit_ms": self.change_limit_ms, "drain_limit_ms": self.drain_limit_ms,
         });
+        if self.program.knows_bounds {
+            deployment["bounds"] = serde_json::json!({ "catch_up_s": CATCH_UP_S });
+            deployment["tolerance"] = serde_json::json!({ "machines": MAX_LOST });
+        }
         match is_keeper {
             true => {
                 deployment["control"] = at(CONTROL_PORT).to_string().into();
@@ -431,9 +471,8 @@
             }
             false => deployment["ready"] = at(READY_PORT).to_string().into(),
         }
-        let centres = ["cremona", "lodi", "mantova"];
         let mut settings = serde_json::json!({
-            "name": at(0).ip(), "data_centre": centres[usize::from(host) % centres.len()],
+            "name": at(0).ip(), "data_centre": DATA_CENTRES[usize::from(process.data_centre)],
             "region": "padana", "callers": at(CALLER_PORT), "operators": at(OPERATOR_PORT),
             "peers_listen": at(peer_port(host)),
             "cluster_key_file": self.home.path().join("key"),
--- a/gooseberrylb_testbed/src/soak/evacuation.rs
+++ b/gooseberrylb_testbed/src/soak/evacuation.rs
@@ -40,7 +40,8 @@
 ) -> bool {
     let end = Instant::now() + TIMEOUT;
     while Instant::now() < end && !stop.load(Ordering::SeqCst) {
-        let keeper = deployment.keepers[rng.random_range(0..deployment.keepers.len())];
+        let keepers = deployment.keepers();
+        let keeper = keepers[rng.random_range(0..keepers.len())];
         let address = deployment.control_address(keeper);
         let status = send_request(address, line, "", CALL_TIMEOUT).map(|answer| answer.status());
         match status {
@@ -95,7 +96,7 @@
     thread::sleep(IN_FORCE_BOUND);
     check_none("after the order");
     let killed_at = Instant::now();
-    for keeper in &deployment.keepers {
+    for keeper in &deployment.keepers() {
         let restarted = deployment
             .kill(*keeper)
             .and_then(|()| deployment.spawn(*keeper, false));
--- a/gooseberrylb_testbed/src/soak/faults.rs
+++ b/gooseberrylb_testbed/src/soak/faults.rs
@@ -137,7 +137,7 @@
     deployment.stand_ins.set_list_state(ListState::Available);
     (0..usize::from(UPSTREAM_COUNT))
         .for_each(|i| deployment.stand_ins.set_behaviour(i, Behaviour::Normal));
-    for host in deployment.keepers.iter().chain(&deployment.entries) {
+    for host in deployment.keepers().iter().chain(&deployment.entries) {
         let resumed = deployment.signal(*host, "CONT");
         if let Err(error) = resumed.and_then(|()| deployment.spawn(*host, false)) {
             println!("failed to restart instance {host}: {error:#}");
@@ -147,7 +147,7 @@
 
 /// Returns a random fault; a wiped disk only if `can_wipe` is set.
 fn random_fault(deployment: &Deployment, rng: &mut ChaCha8Rng, can_wipe: bool) -> Fault {
-    let keeper = deployment.keepers.choose(rng).copied().unwrap_or(1);
+    let keeper = deployment.keepers().choose(rng).copied().unwrap_or(1);
     let entry = deployment.entries.choose(rng).copied().unwrap_or(keeper);
     let instance = if rng.random_bool(0.5) { keeper } else { entry };
     let upstream = rng.random_range(0..usize::from(UPSTREAM_COUNT));
@@ -237,7 +237,7 @@
     /// any.
     fn core_disruption_end(&self, fault: &Fault) -> Option<Instant> {
         let now = Instant::now();
-        let is_keeper = |host: &u8| self.deployment.keepers.contains(host);
+        let is_keeper = |host: &u8| self.deployment.keepers().contains(host);
         match fault {
             Fault::Kill(host) | Fault::Stop(host) | Fault::Freeze(host) | Fault::Isolate(host) => {
                 is_keeper(host).then_some(now)
@@ -268,10 +268,11 @@
                     deployment.append_torn_write(host, &mut rng)
                 })
             }
-            Fault::KillKeepers => self.restart(&deployment.keepers, |_| Ok(())),
+            Fault::KillKeepers => self.restart(&deployment.keepers(), |_| Ok(())),
             Fault::KillAll => {
-                let all = deployment.keepers.iter().chain(&deployment.entries);
-                self.restart(&all.copied().collect::<Vec<_>>(), |_| Ok(()))
+                let mut all = deployment.keepers();
+                all.extend(&deployment.entries);
+                self.restart(&all, |_| Ok(()))
             }
             Fault::Stop(host) => {
                 deployment.terminate(*host)?;
--- a/gooseberrylb_testbed/src/soak/full_disk.rs
+++ b/gooseberrylb_testbed/src/soak/full_disk.rs
@@ -1,6 +1,5 @@
 //! Full disks of keepers, one after the other, during declarations.
 
-use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -9,15 +8,12 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use super::change::{self, ACKNOWLEDGEMENT_BOUND, Change, TIMEOUT};
 use super::deployment::Deployment;
 use super::history::History;
 use super::lock;
 use super::operator::Operator;
 
-/// Time within which a declaration is confirmed, as the platform states it, and within which changes are
-/// accepted once the last disk has room again.
-const ACKNOWLEDGEMENT_BOUND: Duration = Duration::from_secs(4);
-
 /// Time for which a disk is full, in milliseconds.
 const MIN_FULL_MS: u64 = 2_000;
 /// See [`MIN_FULL_MS`].
@@ -29,31 +25,6 @@
 /// Time for which declarations go on when all disks have room.
 const CALM_TIME: Duration = Duration::from_secs(10);
 
-/// Time after which a declaration is given up.
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Declaration during the series.
-#[derive(Debug)]
-struct Change {
-    version: u64,
-    sent_at: Instant,
-    /// Time from its first sending until its confirmation.
-    confirmed_after: Option<Duration>,
-}
-
-impl fmt::Display for Change {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.confirmed_after {
-            Some(after) => write!(f, "version {} was confirmed after {after:?}", self.version),
-            None => write!(
-                f,
-                "version {} was not confirmed in {TIMEOUT:?}",
-                self.version
-            ),
-        }
-    }
-}
-
 /// Period in which the disk of a keeper was full.
 #[derive(Debug)]
 struct Period {
@@ -62,21 +33,6 @@
     end: Instant,
 }
 
-/// Declares one version after the other until `stop` is set.
-fn declare(operator: &mut Operator, stop: &AtomicBool) -> Vec<Change> {
-    let mut changes = Vec::new();
-    while !stop.load(Ordering::SeqCst) {
-        let sent_at = Instant::now();
-        let (version, is_confirmed) = operator.declare_until_confirmed(TIMEOUT);
-        changes.push(Change {
-            version,
-            sent_at,
-            confirmed_after: is_confirmed.then(|| sent_at.elapsed()),
-        });
-    }
-    changes
-}
-
 /// Fills the disk of each keeper for a while, one after the other in random order. Prints how long changes
 /// took, and records a violation if one took too long.
 pub fn fill_in_turn(
@@ -91,7 +47,7 @@
     let stop = AtomicBool::new(false);
     let started_at = Instant::now();
     let (changes, periods) = thread::scope(|scope| {
-        let changes = scope.spawn(|| declare(operator, &stop));
+        let changes = scope.spawn(|| change::declare(operator, &stop));
         let periods = fill_all(deployment, rng);
         if periods.is_ok() {
             thread::sleep(CALM_TIME);
@@ -112,9 +68,10 @@
 /// Fills the disk of each keeper for a while.
 fn fill_all(deployment: &Deployment, rng: &mut ChaCha8Rng) -> anyhow::Result<Vec<Period>> {
     let mut periods = Vec::new();
-    let first = rng.random_range(0..deployment.keepers.len());
-    let in_turn = deployment.keepers.iter().cycle().skip(first);
-    for keeper in in_turn.take(deployment.keepers.len()).copied() {
+    let keepers = deployment.keepers();
+    let first = rng.random_range(0..keepers.len());
+    let in_turn = keepers.iter().cycle().skip(first);
+    for keeper in in_turn.take(keepers.len()).copied() {
         let start = Instant::now();
         deployment.set_disk_full(keeper, true)?;
         thread::sleep(Duration::from_millis(
--- a/gooseberrylb_testbed/src/soak/operator.rs
+++ b/gooseberrylb_testbed/src/soak/operator.rs
@@ -106,7 +106,7 @@
         let end = Instant::now() + timeout;
         let text = self.record();
         while Instant::now() < end {
-            for keeper in &self.deployment.keepers {
+            for keeper in &self.deployment.keepers() {
                 if put(&self.deployment, *keeper, &text) == Some(200) {
                     self.history.record_acknowledgement(self.version);
                     return Ok(());
@@ -138,7 +138,8 @@
 
     /// Returns a random keeper.
     fn keeper(&mut self) -> u8 {
-        self.deployment.keepers[self.rng.random_range(0..self.deployment.keepers.len())]
+        let keepers = self.deployment.keepers();
+        keepers[self.rng.random_range(0..keepers.len())]
     }
 
     /// Sends the declaration to random keepers, at most `attempts` times. Returns whether one of them has
@@ -206,9 +207,6 @@
         while !is_confirmed && Instant::now() < end {
             is_confirmed = self.send(&text, 1);
         }
-        if is_confirmed {
-            thread::sleep(RETRY_DELAY);
-        }
         (self.version, is_confirmed)
     }
 
@@ -240,7 +238,8 @@
 pub fn read(deployment: &Arc<Deployment>, history: &Arc<History>, stop: &AtomicBool, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x4ead);
     while !stop.load(Ordering::SeqCst) {
-        let keeper = deployment.keepers[rng.random_range(0..deployment.keepers.len())];
+        let keepers = deployment.keepers();
+        let keeper = keepers[rng.random_range(0..keepers.len())];
         let newest = history.newest_acknowledged(IN_FORCE_BOUND);
         if let Some(text) = get(deployment, keeper) {
             history.record_read(keeper, &text, newest);
@@ -266,7 +265,7 @@
 pub fn read_final(deployment: &Deployment, history: &History, timeout: Duration) -> Vec<String> {
     let mut violations = Vec::new();
     let newest = history.newest_acknowledged(Duration::ZERO);
-    for keeper in &deployment.keepers {
+    for keeper in &deployment.keepers() {
         let end = Instant::now() + timeout;
         let mut declaration = None;
         while declaration.is_none() && Instant::now() < end {
--- a/gooseberrylb_testbed/tests/soak.rs
+++ b/gooseberrylb_testbed/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Mutex;
 
-use gooseberrylb_testbed::soak::{self, Options};
+use gooseberrylb_testbed::soak::{self, Options, Program};
 
 /// Seeds to run. `docs/SOAK.md` names the cause for each that failed in the past.
 const SEEDS: [u64; 2] = [105, 1];
@@ -10,6 +10,9 @@
 /// Seed of the deployment with more instances.
 const LARGE_SEED: u64 = 53_401;
 
+/// Seed of the deployment whose keepers are lost for good.
+const LOST_KEEPER_SEED: u64 = 58_001;
+
 /// Held by the test that runs, as two deployments at once disturb each other.
 static RUNNING: Mutex<()> = Mutex::new(());
 
@@ -32,8 +35,12 @@
         change_limit_ms: 2_500,
         drain_limit_ms: 4_000,
         full_disks: false,
+        lost_keepers: false,
         log_folder: std::env::temp_dir().join("gooseberrylb-soak"),
-        program: env!("CARGO_BIN_EXE_gooseberrylb_testbed").into(),
+        program: Program {
+            path: env!("CARGO_BIN_EXE_gooseberrylb_testbed").into(),
+            knows_bounds: true,
+        },
     }
 }
 
@@ -58,3 +65,16 @@
         ..options(LARGE_SEED)
     });
 }
+
+#[test]
+fn confirmed_declarations_survive_keepers_that_are_lost_for_good_in_turn() {
+    let _running = RUNNING.lock().unwrap_or_else(|e| e.into_inner());
+    assert_guarantees(&Options {
+        fault_seconds: 0,
+        keepers: 5,
+        change_limit_ms: 2_000,
+        drain_limit_ms: 3_000,
+        lost_keepers: true,
+        ..options(LOST_KEEPER_SEED)
+    });
+}
