--- a/gooseberrylb_testbed/src/soak/lost_keeper.rs
+++ b/gooseberrylb_testbed/src/soak/lost_keeper.rs
@@ -94,7 +94,7 @@
     let keeper = series.next_keeper();
     let (version, is_confirmed) = operator.declare_until_confirmed(TIMEOUT);
     if !is_confirmed {
-        history.record_violation(format!(
+        series.violate(format!(
             "ACKS version {version} was not confirmed in {TIMEOUT:?} after the last replaced keeper"
         ));
     }
@@ -122,6 +122,13 @@
         self.events.push(format!("{at:.1} s {event}"));
     }
 
+    /// Records a violation, and prints it at once: in a deployment that does not recover the checks that
+    /// follow take minutes.
+    fn violate(&self, line: String) {
+        println!("lost keepers: BROKEN {line}");
+        self.history.record_violation(line);
+    }
+
     /// Waits for a random time between two numbers of milliseconds.
     fn pause(&mut self, min_ms: u64, max_ms: u64) {
         let pause = self.rng.random_range(min_ms..max_ms);
@@ -244,11 +251,11 @@
         let left = || recovered_at.saturating_duration_since(Instant::now());
         thread::sleep(calm_at.saturating_duration_since(Instant::now()));
         for line in operator::read_final(deployment, history, left().max(ACKNOWLEDGEMENT_BOUND)) {
-            history.record_violation(line);
+            self.violate(line);
         }
         let (version, is_confirmed) = operator.declare_until_confirmed(ACKNOWLEDGEMENT_BOUND);
         if !is_confirmed {
-            history.record_violation(format!(
+            self.violate(format!(
                 "ACKS version {version} was not confirmed in {ACKNOWLEDGEMENT_BOUND:?} after the last loss"
             ));
         }
@@ -269,7 +276,7 @@
             thread::sleep(CRASHING_PAUSE);
         }
         if served * 4 < sent {
-            self.history.record_violation(format!(
+            self.violate(format!(
                 "RECOVER {served} of {sent} were served {RECOVERY_BOUND:?} after the last loss"
             ));
         }
