--- a/gooseberrylb_testbed/src/soak/lost_keeper.rs
+++ b/gooseberrylb_testbed/src/soak/lost_keeper.rs
@@ -80,7 +80,8 @@
         history,
         rng,
         started_at: now,
-        next_loss_at: now,
+        // Processes may have started just now.
+        next_loss_at: now + Duration::from_secs(CATCH_UP_S),
         events: Vec::new(),
     };
     let (changes, replaced) = thread::scope(|scope| {
