Answer an operator's change within the time that the platform promises

Callers saw: while no leader is reached, a change was tried for 8 s, in attempts of 3 s, and a leader waited 5 s for a proposal, on platforms that promise an answer in 4 s.

Cause: the times stood beside the promise. `ack-timeout-ms` was not passed on.

Change: `settings/bounds.rs` reads the promises and `settings/timing.rs` derives what rests on them: an attempt (2/5 of the time for an answer), a proposal (9/10 of an attempt), and the whole call (9/10 of the time for an answer, of which the last attempt gets only what is left). Without the promise they are 3, 5 and 8 s as before. The lease and the silence of a voter move there with their values; the lease also ends before a withdrawn key must be refused (`revoke-ms`). `deploy/instance.json` passes on `ack-timeout-ms`, `contact-ms`, `recovery-s` and, with `strict-revocation`, `revoke-ms`. Nothing on the wire changes. The test of the lease moves from `control/lease/tests.rs` to `gooseberrylb_config/tests/timing.rs` with the same cases and one more.

Evidence: `change_without_a_quorum_is_answered_within_the_promised_time` (2 s promised, two of three keepers stopped) fails with 8.0 s when the derivation is taken out of `Timing`, and passes with it. Sums are checked for answers promised in 1 to 60 s, for catch-up times of 0 to 20 s, and for limits of 0.1 to 10 s.

--- a/gooseberrylb/src/control.rs
+++ b/gooseberrylb/src/control.rs
@@ -36,7 +36,6 @@
 pub mod homes;
 mod in_flight;
 mod lead;
-mod lease;
 mod links;
 mod list;
 mod listening;
--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -17,7 +17,7 @@
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Bytes, Index, Revision, Term};
-use gooseberrylb_config::settings::Settings;
+use gooseberrylb_config::settings::{Settings, Timing};
 use gooseberrylb_control::consensus::{Input, Node, Output, Proposal, Rejection, Role, Status};
 use gooseberrylb_control::entry::{Entry, Snapshot};
 use gooseberrylb_control::membership::Change;
@@ -39,7 +39,7 @@
 use super::peers::Accepted;
 use super::query::{Answer, Question};
 use super::rpc::Envelope;
-use super::{Failure, Identity, Shared, lease, relay, voters};
+use super::{Failure, Identity, Shared, relay, voters};
 use crate::gateway::table;
 use crate::metrics::METRICS;
 use crate::published::{Published, Snapshot as Publication};
@@ -48,9 +48,6 @@
 /// of `sysexits.h`.
 const EXIT_UNREADABLE_STATE: i32 = 65;
 
-/// Time after which the outcome of a proposal is reported as unknown.
-const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Pause between two batches of committed entries that are applied, for other tasks of the thread.
 const APPLY_PAUSE: Duration = Duration::from_millis(1);
 
@@ -68,6 +65,8 @@
 pub struct Core {
     /// Settings of the instance.
     pub settings: Arc<Settings>,
+    /// Durations that fit the promises of the platform.
+    pub timing: Timing,
     /// Identity of this instance.
     pub identity: Identity,
     /// Source of the current time.
@@ -157,6 +156,7 @@
         };
         Rc::new(Self {
             links: Links::new(&parts.identity),
+            timing: parts.settings.timing(),
             settings: parts.settings,
             identity: parts.identity,
             clock: parts.clock,
@@ -201,7 +201,7 @@
     /// Returns the time for which an instance may act on its configuration after the leader confirmed
     /// that it is the latest.
     pub fn lease_duration(&self) -> Duration {
-        lease::duration(self.settings.deployment.as_ref())
+        self.timing.lease
     }
 
     /// Returns the decoded and indexed declaration of a configuration, on a platform.
@@ -402,10 +402,15 @@
         }
     }
 
-    /// Proposes a command, if this instance leads, and returns the reply once it is accepted.
-    pub async fn propose_here(self: &Rc<Self>, command: Arc<[u8]>) -> Result<Reply, Failure> {
+    /// Proposes a command, if this instance leads, and returns the reply once it is accepted. The outcome
+    /// is unknown if that takes longer than `limit`, or than a proposal may take.
+    pub async fn propose_here(
+        self: &Rc<Self>,
+        command: Arc<[u8]>,
+        limit: Duration,
+    ) -> Result<Reply, Failure> {
         let index = self
-            .commit(|proposal| Input::Propose { proposal, command })
+            .commit(|proposal| Input::Propose { proposal, command }, limit)
             .await
             .map_err(|reason| self.failure(reason))?;
         let reply = self.replies.borrow().get(&index).cloned();
@@ -415,14 +420,15 @@
     /// Proposes a membership change, if this instance leads, and returns its index once it is
     /// accepted.
     pub async fn change_here(self: &Rc<Self>, change: Change) -> Result<Index, Rejection> {
-        self.commit(|proposal| Input::Change { proposal, change })
-            .await
+        let input = |proposal| Input::Change { proposal, change };
+        self.commit(input, self.timing.proposal).await
     }
 
     /// Passes a proposal to the consensus node and waits until it is accepted or rejected.
     async fn commit(
         self: &Rc<Self>,
         input: impl FnOnce(Proposal) -> Input,
+        limit: Duration,
     ) -> Result<Index, Rejection> {
         if self.node.is_none() {
             return Err(Rejection::NotLeader { leader: None });
@@ -432,7 +438,8 @@
         let (waiter, result) = oneshot::channel();
         self.proposal_waiters.borrow_mut().insert(proposal, waiter);
         self.step(input(proposal));
-        let outcome = future::timeout(PROPOSAL_TIMEOUT, result).await;
+        let limit = limit.min(self.timing.proposal);
+        let outcome = future::timeout(limit, result).await;
         self.proposal_waiters.borrow_mut().remove(&proposal);
         match outcome {
             Ok(Ok(result)) => result,
--- a/gooseberrylb/src/control/follow.rs
+++ b/gooseberrylb/src/control/follow.rs
@@ -16,22 +16,19 @@
 use futures::future::Either;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_config::settings::timing;
 use gooseberrylb_control::consensus::Input;
 use gooseberrylb_control::membership::Cluster;
 use gooseberrylb_wire::codec;
 use gooseberrylb_wire::message::{CatchUp, Report, Update};
 
 use super::core::{Core, Source};
-use super::lease;
 use super::relay::{self, relay};
 use crate::metrics::METRICS;
 
 /// Maximum time for which an answer without changes is held back.
 const MAX_HOLD: Duration = Duration::from_millis(500);
 
-/// Time that a follower waits for an answer before it tries another instance.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Time for which an instance that did not answer is avoided, unless no other is known. It is about
 /// the duration of an election.
 const AVOIDANCE_DURATION: Duration = Duration::from_secs(1);
@@ -73,11 +70,11 @@
         for child in std::mem::take(&mut report.children) {
             self.record(child, now);
         }
-        let lease_until = now + lease::MAX_DURATION;
+        let lease_until = now + timing::MAX_LEASE;
         let known = self
             .0
             .get(&report.name)
-            .filter(|known| now < known.last_contact + lease::MAX_DURATION);
+            .filter(|known| now < known.last_contact + timing::MAX_LEASE);
         let alive_since = known.map_or(now, |known| known.alive_since);
         let follower = Follower {
             alive_since,
@@ -255,7 +252,7 @@
     let now = core.clock.now();
     let is_alive = |known: &id::Instance| {
         let follower = followers.get(known);
-        follower.is_some_and(|f| now < f.last_contact + ANSWER_TIMEOUT + MAX_HOLD)
+        follower.is_some_and(|f| now < f.last_contact + timing::REPORT_TIMEOUT + MAX_HOLD)
     };
     let relay = relay(
         core.max_direct_followers(),
@@ -395,7 +392,7 @@
     let call = std::pin::pin!(call);
     let suspected = std::pin::pin!(core.suspected(address));
     let either = futures::future::select(call, suspected);
-    match future::timeout(ANSWER_TIMEOUT, either).await {
+    match future::timeout(timing::REPORT_TIMEOUT, either).await {
         Ok(Either::Left((update, _))) => update,
         // The link is kept: another instance may know the new leader, and this peer may be healthy.
         Ok(Either::Right(_)) => None,
--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -9,6 +9,7 @@
 use gooseberrylb_config::directory::{self, Cell, Directory, View};
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Revision, Term};
+use gooseberrylb_config::settings::timing;
 use gooseberrylb_control::state::{Command, Reply};
 use gooseberrylb_control::views::{self, Candidate, Candidates};
 use gooseberrylb_wire::message::Report;
@@ -16,14 +17,6 @@
 use super::Failure;
 use super::core::Core;
 use super::follow::Follower;
-use super::lease;
-
-/// Interval between two rounds of the leader's tasks.
-const INTERVAL: Duration = Duration::from_millis(150);
-
-/// Time without a report after which an instance counts as dead. It is longer than
-/// [`lease::MAX_DURATION`], so that the lease of a dead instance has expired.
-const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Maximum number of proposals that wait to be accepted at the same time.
 const MAX_CONCURRENT_PROPOSALS: usize = 64;
@@ -33,7 +26,7 @@
     let mut recorded = Term(0);
     let mut leads = false;
     loop {
-        task::sleep(INTERVAL).await;
+        task::sleep(timing::LEADER_INTERVAL).await;
         core.voters.observe(&core);
         let led = std::mem::replace(&mut leads, core.is_leading());
         if led && !leads && core.leader_since.get().is_some() {
@@ -65,7 +58,8 @@
 
 /// Proposes a command and returns the reply once it is accepted; this instance must lead.
 pub async fn propose(core: &Rc<Core>, command: &Command) -> Result<Reply, Failure> {
-    core.propose_here(command.encode().into()).await
+    let limit = core.timing.proposal;
+    core.propose_here(command.encode().into(), limit).await
 }
 
 /// Records the leader in the log, once per term.
@@ -99,7 +93,7 @@
         .followers
         .borrow()
         .iter()
-        .filter(|(_, f)| now < f.last_contact + INSTANCE_TIMEOUT)
+        .filter(|(_, f)| now < f.last_contact + timing::INSTANCE_TIMEOUT)
         .map(|(_, f)| f.report.clone())
         .collect();
     let commands: Vec<Command> = reports
@@ -172,7 +166,7 @@
     Ok(())
 }
 
-/// Removes the instances that have not reported for [`INSTANCE_TIMEOUT`].
+/// Removes the instances that have not reported for [`timing::INSTANCE_TIMEOUT`].
 async fn remove_dead(core: &Rc<Core>) -> Result<(), Failure> {
     let now = core.clock.now();
     let Some(since) = core.leader_since.get() else {
@@ -303,7 +297,7 @@
 /// Whether an instance that was last heard of at a time, or never since the election at that time, counts as
 /// dead now.
 pub fn counts_as_dead(core: &Core, last_contact: Instant) -> bool {
-    core.clock.now() >= core.listening.silent_since(last_contact) + INSTANCE_TIMEOUT
+    core.clock.now() >= core.listening.silent_since(last_contact) + timing::INSTANCE_TIMEOUT
 }
 
 /// Whether every instance that may still act on its configuration has at least `revision`.
@@ -314,7 +308,7 @@
     };
     let followers = core.followers.borrow();
     // Instances that have not reported to this leader may hold a lease of its predecessor.
-    if now < since + lease::MAX_DURATION && !have_all_reported(core) {
+    if now < since + timing::MAX_LEASE && !have_all_reported(core) {
         return false;
     }
     followers.iter().all(|(_, follower)| {
@@ -336,7 +330,7 @@
 fn lease_has_expired(core: &Core, follower: &Follower, now: Instant) -> bool {
     let uses_relays = core.feed.borrow().directory().instances.len() > core.max_direct_followers();
     let relay_margin = if uses_relays {
-        lease::MAX_DURATION
+        timing::MAX_LEASE
     } else {
         Duration::ZERO
     };
--- a/gooseberrylb/src/control/moves.rs
+++ b/gooseberrylb/src/control/moves.rs
@@ -10,6 +10,7 @@
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Fencing, Term};
+use gooseberrylb_config::settings::timing;
 use gooseberrylb_control::state::Command;
 use gooseberrylb_policy::moves::controller::{Action, Controller};
 use gooseberrylb_policy::moves::evidence::{Evidence, Report};
@@ -19,7 +20,6 @@
 
 use super::Failure;
 use super::core::Core;
-use super::lease;
 use crate::metrics::METRICS;
 use crate::upstream::order;
 
@@ -75,7 +75,7 @@
         if tracker.as_ref().is_none_or(|(current, _)| *current != term) {
             *tracker = Some((
                 term,
-                Tracker::new(Fencing(term.0), since + lease::MAX_DURATION),
+                Tracker::new(Fencing(term.0), since + timing::MAX_LEASE),
             ));
         }
     }
--- a/gooseberrylb/src/control/rollout.rs
+++ b/gooseberrylb/src/control/rollout.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use async_std::task;
+use gooseberrylb_config::settings::timing;
 use gooseberrylb_control::state::Command;
 use gooseberrylb_policy::rollout;
 
 use super::core::Core;
-use super::{lead, lease};
+use super::lead;
 
 /// Interval between two checks of the rollouts. It does not delay the protection against a bad
 /// release, which the dispatcher already sends no requests by then.
@@ -37,7 +38,7 @@
     let (now, wall) = (core.clock.now(), core.clock.wall());
     open.filter_map(|(service, rollout)| {
         let observation = core.dispatch.rollout_observation(core, service, now)?;
-        rollout::decide(service, rollout, &observation, lease::MAX_DURATION, wall)
+        rollout::decide(service, rollout, &observation, timing::MAX_LEASE, wall)
     })
     .collect()
 }
--- a/gooseberrylb/src/control/rpc.rs
+++ b/gooseberrylb/src/control/rpc.rs
@@ -59,7 +59,8 @@
         mut results: control::ProposeResults,
     ) -> Result<(), Error> {
         let command: Vec<u8> = params.get()?.get_command()?.to_vec();
-        let reply = self.core.propose_here(command.into()).await;
+        let limit = self.core.timing.proposal;
+        let reply = self.core.propose_here(command.into(), limit).await;
         results.get().set_reply(&codec::encode(&reply)?);
         Ok(())
     }
--- a/gooseberrylb/src/control/thread.rs
+++ b/gooseberrylb/src/control/thread.rs
@@ -10,6 +10,7 @@
 use async_std::net::TcpListener;
 use async_std::{future, task};
 use gooseberrylb_config::dialect::Dialect;
+use gooseberrylb_config::settings::timing;
 use gooseberrylb_control::consensus::{self, Input, Node};
 use gooseberrylb_control::state::Reply;
 use gooseberrylb_policy::moves::evidence::Report;
@@ -31,15 +32,6 @@
 /// Lateness of a tick from which on it is logged: a follower waits little longer for an answer.
 const REPORTED_LAG: Duration = Duration::from_millis(250);
 
-/// Time for which a query or command is retried before it fails with [`Failure::Unreachable`].
-const CALL_TIMEOUT: Duration = Duration::from_secs(8);
-
-/// Time limit for one attempt to call the leader.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Pause between two attempts.
-const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
-
 /// Maximum number of requests of other threads processed at once; further requests wait.
 const MAX_CONCURRENT_REQUESTS: usize = 256;
 
@@ -203,7 +195,7 @@
         request.get().set_report(&bytes);
         request.send().promise.await.ok()
     };
-    future::timeout(ATTEMPT_TIMEOUT, call).await.ok();
+    future::timeout(core.timing.attempt, call).await.ok();
 }
 
 /// Call to the leader, which may be this instance; the bytes are the encoded command or question.
@@ -214,21 +206,21 @@
 
 /// Response type of a [`Call`].
 trait Response: Sized + Serialize + DeserializeOwned {
-    /// Returns the response of this instance, if it leads.
-    async fn handle_locally(core: &Rc<Core>, call: &Call) -> Result<Self, Failure>;
+    /// Returns the response of this instance, if it leads; `left` remains of the time of the call.
+    async fn handle_locally(core: &Rc<Core>, call: &Call, left: Duration) -> Result<Self, Failure>;
 }
 
 impl Response for Reply {
-    async fn handle_locally(core: &Rc<Core>, call: &Call) -> Result<Self, Failure> {
+    async fn handle_locally(core: &Rc<Core>, call: &Call, left: Duration) -> Result<Self, Failure> {
         match call {
-            Call::Propose(bytes) => core.propose_here(bytes.clone().into()).await,
+            Call::Propose(bytes) => core.propose_here(bytes.clone().into(), left).await,
             Call::Query(..) => Err(Failure::Unreachable),
         }
     }
 }
 
 impl Response for Answer {
-    async fn handle_locally(core: &Rc<Core>, call: &Call) -> Result<Self, Failure> {
+    async fn handle_locally(core: &Rc<Core>, call: &Call, _: Duration) -> Result<Self, Failure> {
         match call {
             Call::Query(question, _) => core.query_here(question),
             Call::Propose(_) => Err(Failure::Unreachable),
@@ -236,16 +228,17 @@
     }
 }
 
-/// Calls the leader, with retries for up to [`CALL_TIMEOUT`]. A command may reach the leader twice,
-/// so commands are idempotent.
+/// Calls the leader, with retries for the time of a call. A command may reach the leader twice, so
+/// commands are idempotent.
 async fn call_leader<T: Response>(core: &Rc<Core>, call: Call) -> Result<T, Failure> {
-    let started = core.clock.now();
+    let end = core.clock.now() + core.timing.call;
     let mut attempt = 0;
     loop {
+        let left = end.saturating_duration_since(core.clock.now());
         let result = if core.is_leading() {
-            T::handle_locally(core, &call).await
+            T::handle_locally(core, &call, left).await
         } else {
-            attempt_remote(core, &call, attempt).await
+            attempt_remote(core, &call, attempt, left).await
         };
         let failure = match result {
             Ok(answer) => return Ok(answer),
@@ -253,21 +246,22 @@
             Err(failure) => failure,
         };
         attempt += 1;
-        if core.clock.now() > started + CALL_TIMEOUT {
+        if core.clock.now() + timing::ATTEMPT_PAUSE >= end {
             return Err(match failure {
                 Failure::NotLeader { .. } => Failure::Unreachable,
                 other => other,
             });
         }
-        task::sleep(ATTEMPT_PAUSE).await;
+        task::sleep(timing::ATTEMPT_PAUSE).await;
     }
 }
 
-/// Makes one attempt to call the leader on another instance.
+/// Makes one attempt to call the leader on another instance, of which `left` remains.
 async fn attempt_remote<T: Response>(
     core: &Rc<Core>,
     call: &Call,
     attempt: usize,
+    left: Duration,
 ) -> Result<T, Failure> {
     let Some(address) = leader_address(core, attempt) else {
         return Err(Failure::Unreachable);
@@ -291,11 +285,15 @@
         };
         codec::decode::<Result<T, Failure>>(&bytes)
     };
-    match future::timeout(ATTEMPT_TIMEOUT, exchange).await {
+    let limit = core.timing.attempt.min(left);
+    match future::timeout(limit, exchange).await {
         Ok(Ok(result)) => result,
         Ok(Err(_)) => Err(Failure::Unreachable),
         Err(_) => {
-            link.reset();
+            // A shorter wait says nothing of the link.
+            if limit == core.timing.attempt {
+                link.reset();
+            }
             Err(Failure::Unreachable)
         }
     }
--- a/gooseberrylb/src/gateway.rs
+++ b/gooseberrylb/src/gateway.rs
@@ -350,7 +350,7 @@
         task::spawn_local(sweep(gateway.clone()));
         task::spawn_local(accept_delegated(gateway.clone()));
     }
-    let grace = Duration::from_secs(deployment.grace_s);
+    let grace = deployment.grace();
     task::spawn_local(async move {
         start.stop.recv().await.ok();
         if serves_callers {
--- a/gooseberrylb/tests/platform/declarations.rs
+++ b/gooseberrylb/tests/platform/declarations.rs
@@ -72,3 +72,15 @@
     }
     assert!(refused && served < limit, "{served:?}\n{}", fleet.output());
 }
+
+#[test]
+fn change_without_a_quorum_is_answered_within_the_promised_time() {
+    let limit = Duration::from_secs(2);
+    let fleet = Fleet::start_with_answer_limit(48, limit);
+    (1..ENTRY - 1).for_each(|host| fleet.signal(host, "-STOP"));
+    let sent = Instant::now();
+    let answer = fleet.put(ENTRY - 1, &declaration(4, "")).unwrap();
+    let waited = sent.elapsed();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(waited < limit, "{waited:?}\n{}", fleet.output());
+}
--- a/gooseberrylb/tests/platform/fleet.rs
+++ b/gooseberrylb/tests/platform/fleet.rs
@@ -172,6 +172,13 @@
         Self::start_with(number, 20, format!(r#", "change_limit_ms": {limit}"#))
     }
 
+    /// Like [`Fleet::start`], with a time in which a change must be answered.
+    pub fn start_with_answer_limit(number: u8, limit: Duration) -> Self {
+        let limit = limit.as_millis();
+        let bounds = format!(r#", "bounds": {{ "answer_limit_ms": {limit} }}"#);
+        Self::start_with(number, 20, bounds)
+    }
+
     fn start_with(number: u8, grace_s: u64, deployment: String) -> Self {
         let network = Network::new(number);
         let received = RequestLog::default();
--- a/gooseberrylb_config/src/settings.rs
+++ b/gooseberrylb_config/src/settings.rs
@@ -12,9 +12,11 @@
 
 pub mod bounds;
 pub mod secret;
+pub mod timing;
 
 pub use bounds::{Bounds, Tolerance};
 pub use secret::Secret;
+pub use timing::{Silence, Timing};
 
 /// Another instance that this instance may connect to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/gooseberrylb_control/src/repair/goal.rs
+++ b/gooseberrylb_control/src/repair/goal.rs
@@ -2,12 +2,7 @@
 
 use std::time::Duration;
 
-/// Shortest silence after which a voter loses its vote. A leader that reaches no quorum steps down
-/// before, so that the silence is that of the voter.
-const MIN_SILENCE: Duration = Duration::from_secs(1);
-
-/// Silence after which a voter loses its vote without a promise on replacements.
-const DEFAULT_SILENCE: Duration = Duration::from_secs(10);
+use gooseberrylb_config::settings::Silence;
 
 /// Time for which a spare must have been alive where only some of the instances get a vote, so that an
 /// instance that keeps failing is not chosen.
@@ -42,22 +37,24 @@
     /// Returns the goal that every instance with a disk votes, and that a voter that is gone has lost its
     /// vote once its successor has run for `catch_up`, whichever of the two the leader hears of first.
     pub fn every_disk(losses: usize, catch_up: Duration) -> Self {
+        let silence = Silence::within(catch_up);
         Self {
             size: Size::EveryDisk,
             losses,
-            urgent_silence: (catch_up / 4).clamp(MIN_SILENCE, DEFAULT_SILENCE),
-            silence: (catch_up / 2).clamp(MIN_SILENCE, DEFAULT_SILENCE),
+            urgent_silence: silence.urgent,
+            silence: silence.ordinary,
             spare_uptime: Duration::ZERO,
         }
     }
 
     /// Returns the goal that a fixed number of instances vote.
     pub fn fixed(size: usize) -> Self {
+        let silence = Silence::default();
         Self {
             size: Size::Fixed(size),
             losses: size.saturating_sub(1) / 2,
-            urgent_silence: DEFAULT_SILENCE,
-            silence: DEFAULT_SILENCE,
+            urgent_silence: silence.urgent,
+            silence: silence.ordinary,
             spare_uptime: MIN_SPARE_UPTIME,
         }
     }
--- a/gooseberrylb_policy/src/drain.rs
+++ b/gooseberrylb_policy/src/drain.rs
@@ -6,12 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Time from the start of the stop for which every request is taken. It is longer than the time to
-/// live of an entry's address, and a request that comes so early may be cut off at the exit.
-const ADMISSION_PERIOD: Duration = Duration::from_millis(2_900);
-
-/// Part of the grace period that is left for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
+use gooseberrylb_config::settings::timing::{ADMISSION_PERIOD, EXIT_RESERVE};
 
 /// A planned stop in progress.
 #[derive(Debug, Clone, Copy)]
