Warn of promises that leave less time than the product needs

Cause: a platform may promise times in which an election, a lease or the replacement of a voter does not fit, and nothing said so.

Change: `Settings::shortfalls` names such promises with both times. They are logged once at the start, and printed by `--check`; the instance runs all the same, since the other promises can be kept.

--- a/gooseberrylb/src/daemon.rs
+++ b/gooseberrylb/src/daemon.rs
@@ -11,6 +11,7 @@
 use gooseberrylb_config::clock::{Clock, System};
 use gooseberrylb_config::dialect::Dialect;
 use gooseberrylb_config::directory;
+use gooseberrylb_config::finding::Findings;
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::journal::{Journal, Recovered};
 use gooseberrylb_wire::handshake::Key;
@@ -65,13 +66,16 @@
         }
     };
     if options.check {
-        println!("{}: no findings", options.settings.display());
+        print_check(&options.settings, &settings.shortfalls());
         return ExitCode::SUCCESS;
     }
     if let Err(error) = logging::start(&settings.log) {
         eprintln!("gooseberrylb: {error:#}");
         return ExitCode::from(EXIT_USAGE);
     }
+    for finding in settings.shortfalls().iter() {
+        log::warn!(finding:% = finding; "a promise of the platform leaves too little time");
+    }
     exit_on_panic();
     match start(Arc::new(settings), dialect) {
         Ok(instance) => {
@@ -164,6 +168,18 @@
     frontend: Frontend,
 }
 
+/// Prints the result of checking valid settings.
+fn print_check(path: &Path, warnings: &Findings) {
+    let path = path.display();
+    for warning in warnings.iter() {
+        println!("{path}: warning: {warning}");
+    }
+    match warnings.is_empty() {
+        true => println!("{path}: no findings"),
+        false => println!("{path}: no errors"),
+    }
+}
+
 /// Returns the identity of an instance, whose incarnation is its start time in milliseconds.
 fn identity(settings: &Settings, key: Key, clock: &dyn Clock) -> Identity {
     let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
