--- a/gooseberrylb/src/gateway/place.rs
+++ b/gooseberrylb/src/gateway/place.rs
@@ -13,6 +13,7 @@
 use async_std::{future, task};
 use gooseberrylb_config::dialect::Statement;
 use gooseberrylb_config::directory::ListedUpstream;
+use gooseberrylb_config::settings::timing::INSTANCE_TIMEOUT;
 use gooseberrylb_config::{id, number};
 use gooseberrylb_policy::availability::Table;
 use gooseberrylb_policy::crash::{self, Cause, Ending};
@@ -62,7 +63,7 @@
 
 /// Time for which the second dispatcher of a shard is used after the first one was silent. The first
 /// is out of the configuration by then if it has failed.
-const FAILOVER_PERIOD: Duration = Duration::from_secs(4);
+const FAILOVER_PERIOD: Duration = INSTANCE_TIMEOUT.saturating_add(Duration::from_millis(500));
 
 /// Decision on a request.
 pub enum Placement {
