Count the voters of whole data centres and regions among the losses to bear

Cause: the repair aimed at `tolerance.machines` further losses, also where a deployment lets a whole data centre or region be lost: voters were removed down to 2 * machines + 1, and a silent one was not urgent, though one data centre held more voters.

Change: `Tolerance::losses` is the largest number of voters that may be lost at once: the machines, or those of the data centres or regions that hold most voters, by the places in the directory, as far as a majority is left. Without `zones` and `regions` nothing changes.

--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
 use gooseberrylb_config::settings::Settings;
 use gooseberrylb_control::membership::{Folder, Membership};
@@ -18,11 +19,14 @@
 
 /// Proposes the membership changes that are due, one after the other.
 pub async fn step(core: &Rc<Core>) {
-    let goal = goal(&core.settings);
     for _ in 0..MAX_CHANGES {
         let Some(status) = core.status() else {
             return;
         };
+        let goal = {
+            let feed = core.feed.borrow();
+            goal(&core.settings, &status.membership, feed.directory())
+        };
         let disks = disks(core, &status.membership);
         let due = repair::next_change(&status, &disks, &goal, core.clock.now());
         let Some(Repair { change, cause }) = due else {
@@ -36,11 +40,15 @@
     }
 }
 
-/// Returns what the settings ask of the voters.
-pub fn goal(settings: &Settings) -> Goal {
+/// Returns what the settings ask of the voters, by the places where these are.
+fn goal(settings: &Settings, membership: &Membership, directory: &Directory) -> Goal {
     match &settings.deployment {
         Some(deployment) => {
-            Goal::every_disk(deployment.tolerance.machines, deployment.bounds.catch_up())
+            let voters = membership.voters.keys();
+            let instances = voters.filter_map(|voter| directory.instances.get(voter));
+            let places = instances.map(|instance| (&instance.data_centre, &instance.region));
+            let losses = deployment.tolerance.losses(places);
+            Goal::every_disk(losses, deployment.bounds.catch_up())
         }
         None => Goal::fixed(settings.peers.iter().filter(|peer| peer.voter).count()),
     }
