--- a/gooseberrylb/tests/bounds.rs
+++ b/gooseberrylb/tests/bounds.rs
@@ -28,6 +28,8 @@
         }
     }
     files.retain(|path| path.file_name().is_some_and(|name| name != "tests.rs"));
+    files.sort_unstable();
+    files.dedup();
     files
 }
 
