--- a/gooseberrylb_config/src/settings/bounds.rs
+++ b/gooseberrylb_config/src/settings/bounds.rs
@@ -23,7 +23,7 @@
     pub catch_up_s: f64,
     /// Time in which an operator's change is answered, in milliseconds.
     pub answer_limit_ms: Option<f64>,
-    /// Time after the last disturbance from which on all instances must work as promised again, in
+    /// Time after the last disruption from which on all instances must work as promised again, in
     /// milliseconds.
     pub settle_limit_ms: Option<f64>,
     /// Time in which a withdrawn key must be refused everywhere, in milliseconds, also by instances that
@@ -56,7 +56,7 @@
         self.answer_limit_ms.map(milliseconds)
     }
 
-    /// Returns the time after the last disturbance in which all instances work again, if it is promised.
+    /// Returns the time after the last disruption in which all instances work again, if it is promised.
     pub fn settle_limit(&self) -> Option<Duration> {
         self.settle_limit_ms.map(milliseconds)
     }
--- a/gooseberrylb_control/tests/repair.rs
+++ b/gooseberrylb_control/tests/repair.rs
@@ -298,6 +298,7 @@
     );
     fixture.status.membership.voters.remove(&name("d"));
     fixture.status.membership.voters.remove(&name("e"));
+    fixture.disks.remove(&name("d"));
     assert_eq!(
         fixture.next_change(Duration::ZERO),
         None,
