Let both series of the soak declare through one function

The series of lost keepers repeated the threads, the stop and the error of the series of full disks. change::declare_during has them once. No check changed; the soak's tests of both series pass.

--- a/gooseberrylb_testbed/src/soak/change.rs
+++ b/gooseberrylb_testbed/src/soak/change.rs
@@ -40,8 +40,24 @@
     }
 }
 
+/// Declares one version after the other while `series` runs, and returns the changes and what it returned.
+pub fn declare_during<T>(
+    operator: &mut Operator,
+    series: impl FnOnce() -> anyhow::Result<T>,
+) -> anyhow::Result<(Vec<Change>, T)> {
+    let stop = AtomicBool::new(false);
+    let (changes, outcome) = thread::scope(|scope| {
+        let changes = scope.spawn(|| declare(operator, &stop));
+        let outcome = series();
+        stop.store(true, Ordering::SeqCst);
+        (changes.join(), outcome)
+    });
+    let changes = changes.map_err(|_| anyhow::anyhow!("the operator panicked"))?;
+    Ok((changes, outcome?))
+}
+
 /// Declares one version after the other until `stop` is set.
-pub fn declare(operator: &mut Operator, stop: &AtomicBool) -> Vec<Change> {
+fn declare(operator: &mut Operator, stop: &AtomicBool) -> Vec<Change> {
     let mut changes = Vec::new();
     while !stop.load(Ordering::SeqCst) {
         let sent_at = Instant::now();
--- a/gooseberrylb_testbed/src/soak/full_disk.rs
+++ b/gooseberrylb_testbed/src/soak/full_disk.rs
@@ -1,6 +1,5 @@
 //! Full disks of keepers, one after the other, during declarations.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,19 +43,12 @@
     // The other thread that declares waits until the end of the series.
     let mut guard = lock(operator);
     let operator = &mut *guard;
-    let stop = AtomicBool::new(false);
     let started_at = Instant::now();
-    let (changes, periods) = thread::scope(|scope| {
-        let changes = scope.spawn(|| change::declare(operator, &stop));
-        let periods = fill_all(deployment, rng);
-        if periods.is_ok() {
-            thread::sleep(CALM_TIME);
-        }
-        stop.store(true, Ordering::SeqCst);
-        (changes.join(), periods)
-    });
-    let changes = changes.map_err(|_| anyhow::anyhow!("the operator panicked"))?;
-    let periods = periods?;
+    let (changes, periods) = change::declare_during(operator, || {
+        let periods = fill_all(deployment, rng)?;
+        thread::sleep(CALM_TIME);
+        Ok(periods)
+    })?;
     let line = describe(&changes, &periods, started_at);
     println!("{line}");
     for line in check(&changes, &periods) {
--- a/gooseberrylb_testbed/src/soak/lost_keeper.rs
+++ b/gooseberrylb_testbed/src/soak/lost_keeper.rs
@@ -1,6 +1,5 @@
 //! Keepers that are lost for good and replaced, one after the other, during declarations.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -73,7 +72,6 @@
     // The other thread that declares waits until the end of the series.
     let mut guard = lock(operator);
     let operator = &mut *guard;
-    let stop = AtomicBool::new(false);
     let now = Instant::now();
     let mut series = Series {
         deployment,
@@ -84,14 +82,7 @@
         next_loss_at: now + Duration::from_secs(CATCH_UP_S),
         events: Vec::new(),
     };
-    let (changes, replaced) = thread::scope(|scope| {
-        let changes = scope.spawn(|| change::declare(operator, &stop));
-        let replaced = series.replace_keepers();
-        stop.store(true, Ordering::SeqCst);
-        (changes.join(), replaced)
-    });
-    let changes = changes.map_err(|_| anyhow::anyhow!("the operator panicked"))?;
-    replaced?;
+    let (changes, ()) = change::declare_during(operator, || series.replace_keepers())?;
     let keeper = series.next_keeper();
     let (version, is_confirmed) = operator.declare_until_confirmed(TIMEOUT);
     if !is_confirmed {
