Derive the silence of voters once

Goal::every_disk derived it from catch_up_s a second time, and Timing::silence was used by its test only. The goal now takes what Timing holds. The values are the same; the tests keep their assertions.

--- a/gooseberrylb/src/control/repair.rs
+++ b/gooseberrylb/src/control/repair.rs
@@ -6,7 +6,7 @@
 
 use gooseberrylb_config::directory::Directory;
 use gooseberrylb_config::id;
-use gooseberrylb_config::settings::Settings;
+use gooseberrylb_config::settings::{Settings, Silence};
 use gooseberrylb_control::membership::{Folder, Membership};
 use gooseberrylb_control::repair::{self, Disk, Goal, Liveness, Repair};
 
@@ -25,7 +25,13 @@
         };
         let goal = {
             let feed = core.feed.borrow();
-            goal(&core.settings, &status.membership, feed.directory())
+            let silence = core.timing.silence;
+            goal(
+                &core.settings,
+                silence,
+                &status.membership,
+                feed.directory(),
+            )
         };
         let disks = disks(core);
         let due = repair::next_change(&status, &disks, &goal, core.clock.now());
@@ -41,14 +47,19 @@
 }
 
 /// Returns what the settings ask of the voters, by the places where these are.
-fn goal(settings: &Settings, membership: &Membership, directory: &Directory) -> Goal {
+fn goal(
+    settings: &Settings,
+    silence: Silence,
+    membership: &Membership,
+    directory: &Directory,
+) -> Goal {
     match &settings.deployment {
         Some(deployment) => {
             let voters = membership.voters.keys();
             let instances = voters.filter_map(|voter| directory.instances.get(voter));
             let places = instances.map(|instance| (&instance.data_centre, &instance.region));
             let losses = deployment.tolerance.losses(places);
-            Goal::every_disk(losses, deployment.bounds.catch_up())
+            Goal::every_disk(losses, silence)
         }
         None => Goal::fixed(settings.peers.iter().filter(|peer| peer.voter).count()),
     }
--- a/gooseberrylb_control/src/repair/goal.rs
+++ b/gooseberrylb_control/src/repair/goal.rs
@@ -34,10 +34,9 @@
 }
 
 impl Goal {
-    /// Returns the goal that every instance with a disk votes, and that a voter that is gone has lost its
-    /// vote once its successor has run for `catch_up`, whichever of the two the leader hears of first.
-    pub fn every_disk(losses: usize, catch_up: Duration) -> Self {
-        let silence = Silence::within(catch_up);
+    /// Returns the goal that every instance with a disk votes, and that a voter loses its vote after
+    /// `silence`.
+    pub fn every_disk(losses: usize, silence: Silence) -> Self {
         Self {
             size: Size::EveryDisk,
             losses,
--- a/gooseberrylb_control/tests/consensus/losses.rs
+++ b/gooseberrylb_control/tests/consensus/losses.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gooseberrylb_config::id;
+use gooseberrylb_config::settings::Silence;
 use gooseberrylb_control::repair::Goal;
 
 use crate::simulation::{Simulation, instance};
@@ -49,7 +50,7 @@
 fn lost_leaders_that_are_replaced_one_by_one_do_not_keep_the_votes_of_a_quorum() {
     for seed in 0..20 {
         let mut sim = Simulation::new(seed, &["a", "b", "c", "d", "e"], 5);
-        sim.goal = Goal::every_disk(1, CATCH_UP);
+        sim.goal = Goal::every_disk(1, Silence::within(CATCH_UP));
         accept(&mut sim, "at the start");
         for successor in ["f", "g", "h", "i", "j"].map(instance) {
             let lost: id::Instance = sim.leader().unwrap();
--- a/gooseberrylb_control/tests/consensus/losses/series.rs
+++ b/gooseberrylb_control/tests/consensus/losses/series.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gooseberrylb_config::id;
+use gooseberrylb_config::settings::Silence;
 use gooseberrylb_control::membership::Folder;
 use gooseberrylb_control::repair::Goal;
 use rand::Rng;
@@ -164,7 +165,7 @@
         let names: Vec<_> = names.iter().map(String::as_str).collect();
         let mut sim = Simulation::new(series.seed, &names, series.voters);
         let catch_up = Duration::from_millis(series.catch_up_ms);
-        sim.goal = Goal::every_disk(series.losses, catch_up);
+        sim.goal = Goal::every_disk(series.losses, Silence::within(catch_up));
         sim.observation.delays = DELAYS;
         Self {
             series,
--- a/gooseberrylb_control/tests/repair.rs
+++ b/gooseberrylb_control/tests/repair.rs
@@ -5,6 +5,7 @@
 
 use gooseberrylb_config::id;
 use gooseberrylb_config::number::{Index, Term};
+use gooseberrylb_config::settings::Silence;
 use gooseberrylb_control::consensus::{Member, Role, Status};
 use gooseberrylb_control::membership::{Change, Folder, Membership};
 use gooseberrylb_control::repair::{self, Disk, Goal, LEARNER_TIMEOUT, Liveness};
@@ -208,7 +209,7 @@
 /// Returns the case of four voters, one of which may be lost, and a spare, `f`.
 fn platform() -> Fixture {
     let mut fixture = Fixture::new();
-    fixture.goal = Goal::every_disk(1, Duration::from_secs(4));
+    fixture.goal = Goal::every_disk(1, Silence::within(Duration::from_secs(4)));
     let liveness = Liveness::Alive {
         since: fixture.start,
         last: fixture.start,
@@ -271,7 +272,7 @@
 #[test]
 fn last_voters_that_hold_enough_copies_are_not_removed() {
     let mut fixture = Fixture::new();
-    fixture.goal = Goal::every_disk(1, Duration::from_secs(4));
+    fixture.goal = Goal::every_disk(1, Silence::within(Duration::from_secs(4)));
     fixture.disks.remove(&name("d"));
     fixture.set_silent("c", Duration::from_secs(60));
     assert_eq!(fixture.next_change(Duration::ZERO), None);
