--- a/gooseberrylb/src/control/core.rs
+++ b/gooseberrylb/src/control/core.rs
@@ -223,6 +223,11 @@
         self.node.as_ref().map(|node| node.borrow().status())
     }
 
+    /// Returns the role of the consensus node, if there is one.
+    pub fn role(&self) -> Option<Role> {
+        self.node.as_ref().map(|node| node.borrow().role())
+    }
+
     /// Returns the id of this instance's cluster, if known.
     pub fn cluster(&self) -> Option<u64> {
         let node = self.node.as_ref();
--- a/gooseberrylb/src/control/voters.rs
+++ b/gooseberrylb/src/control/voters.rs
@@ -41,23 +41,27 @@
 
 /// Returns how many voters may be lost before there is no quorum, if this instance leads.
 pub fn losses_borne(core: &Core) -> Option<usize> {
-    let status = core.status()?;
-    let leads = status.role == Role::Leader;
-    leads.then(|| Health::new(&status, REPORTED_SILENCE).losses_borne())
+    let status = core.status().filter(|status| status.role == Role::Leader)?;
+    Some(Health::new(&status, REPORTED_SILENCE).losses_borne())
 }
 
 impl Observer {
     /// Logs the voters if those that answer have changed, and sets the metrics.
     pub fn observe(&self, core: &Core) {
-        let Some(status) = core.status() else {
+        let Some(role) = core.role() else {
             return;
         };
-        match status.role {
-            Role::Leader => self.observe_as_leader(&status),
-            Role::Candidate => self.observe_as_candidate(&status, core.clock.now()),
-            Role::Follower { .. } | Role::Unformed => *self.logged.borrow_mut() = Logged::Nothing,
+        // A follower, as most voters are, needs no copy of the whole status.
+        let status = match role {
+            Role::Leader | Role::Candidate => core.status(),
+            Role::Follower { .. } | Role::Unformed => None,
+        };
+        match status {
+            Some(status) if role == Role::Leader => self.observe_as_leader(&status),
+            Some(status) => self.observe_as_candidate(&status, core.clock.now()),
+            None => *self.logged.borrow_mut() = Logged::Nothing,
         }
-        if status.role != Role::Leader {
+        if role != Role::Leader {
             METRICS.losses_borne.set(-1);
         }
     }
--- a/gooseberrylb_control/src/consensus/node.rs
+++ b/gooseberrylb_control/src/consensus/node.rs
@@ -216,7 +216,8 @@
         self.cluster.filter(|_| !self.writer.is_cluster_unsynced())
     }
 
-    fn role(&self) -> Role {
+    /// Returns the role in the current term.
+    pub fn role(&self) -> Role {
         match &self.stage {
             Stage::Unformed(_) => Role::Unformed,
             Stage::Follower(state) => Role::Follower {
