--- a/gooseberrylb/src/control/lead.rs
+++ b/gooseberrylb/src/control/lead.rs
@@ -46,7 +46,7 @@
 
 async fn round(core: &Rc<Core>, recorded: &mut Term) -> Result<(), Failure> {
     record_leader(core, recorded).await?;
-    // Nothing else holds up the repair: until a lost voter is replaced, fewer losses are borne.
+    // The repair comes before the other tasks: until a lost voter is replaced, fewer losses are borne.
     super::repair::step(core).await;
     register(core).await?;
     remove_dead(core).await?;
--- a/gooseberrylb_control/src/repair.rs
+++ b/gooseberrylb_control/src/repair.rs
@@ -1,9 +1,9 @@
 //! Automatic repair of the membership: replaces lost voters without an operator.
 //!
 //! [`next_change`] is a pure function of the leader's [`Status`] and the reported data folders.
-//! A spare instance is first added as a learner, then promoted to voter. A lost voter is removed once it
-//! has been silent for long enough, and never below a number of voters. `docs/design/lost-voters.md` describes what the
-//! [`Goal`] is derived from.
+//! A spare instance is first added as a learner, then promoted to voter. A lost voter is removed once
+//! it has been silent for long enough, as long as enough voters remain. `docs/design/lost-voters.md`
+//! describes what the [`Goal`] is derived from.
 
 use std::collections::BTreeMap;
 use std::fmt;
--- a/gooseberrylb_control/src/repair/health.rs
+++ b/gooseberrylb_control/src/repair/health.rs
@@ -9,8 +9,9 @@
 /// Voters of a membership, by whether they answer the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Health {
-    /// Number of voters, and of those among them that must agree.
+    /// Number of voters.
     voters: usize,
+    /// Number of voters that must agree.
     quorum: usize,
     /// Voters that do not answer, with the time for which they have not, the longest first.
     pub silent: Vec<(id::Instance, Duration)>,
